--- /dev/null
+++ b/internal/base/clock/clock.go
@@ -0,0 +1,103 @@
+// Package clock gives the one notion of time that the project uses: a count
+// of milliseconds on a monotonic axis.
+//
+// Wall-clock time appears only in logs. Every deadline, lease and age is a
+// [Millis], read from a [Clock] that is passed in, so that pure packages can
+// be run in virtual time.
+//
+// # Usage
+//
+//	clk := clock.New()
+//	start := clk.Now()
+//	...
+//	if clk.Now()-start > 200 { ... }
+//
+// Tests of pure packages use [NewFake] and [Fake.Advance]. Tests of code with
+// goroutines use testing/synctest, inside which [New] already follows virtual
+// time.
+package clock
+
+import (
+	"context"
+	"sync"
+	"time"
+)
+
+// Millis is a point in time or a length of time, in milliseconds.
+type Millis int64
+
+// Units of time as Millis.
+const (
+	Second Millis = 1000
+	Minute Millis = 60 * Second
+	Hour   Millis = 60 * Minute
+)
+
+// Duration converts a length of time to the standard library's type.
+func (m Millis) Duration() time.Duration { return time.Duration(m) * time.Millisecond }
+
+// Of converts a standard library duration, rounding down to a millisecond.
+func Of(d time.Duration) Millis { return Millis(d.Milliseconds()) }
+
+// Clock reads monotonic time and waits on it.
+type Clock struct {
+	// Now returns the time since an arbitrary fixed origin.
+	Now func() Millis
+	// Sleep waits for d or until the context ends, whose error it returns.
+	Sleep func(ctx context.Context, d Millis) error
+}
+
+// New returns the clock of this process.
+func New() Clock {
+	origin := time.Now()
+	return Clock{
+		// One hour of head start keeps "now minus a timeout" positive.
+		Now:   func() Millis { return Hour + Of(time.Since(origin)) },
+		Sleep: sleep,
+	}
+}
+
+func sleep(ctx context.Context, d Millis) error {
+	timer := time.NewTimer(d.Duration())
+	defer timer.Stop()
+	select {
+	case <-ctx.Done():
+		return ctx.Err()
+	case <-timer.C:
+		return nil
+	}
+}
+
+// Fake is a hand-driven time source for tests and simulations of pure code.
+type Fake struct {
+	mu  sync.Mutex
+	now Millis
+}
+
+// NewFake returns a time source that stands at the given time.
+func NewFake(now Millis) *Fake { return &Fake{now: now} }
+
+// Now returns the time last set.
+func (f *Fake) Now() Millis {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.now
+}
+
+// Advance moves time forward by d.
+func (f *Fake) Advance(d Millis) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.now += d
+}
+
+// Clock returns a Clock that reads this source; its Sleep advances it.
+func (f *Fake) Clock() Clock {
+	return Clock{
+		Now: f.Now,
+		Sleep: func(ctx context.Context, d Millis) error {
+			f.Advance(d)
+			return ctx.Err()
+		},
+	}
+}
