--- a/internal/platform/backend/backend.go
+++ b/internal/platform/backend/backend.go
@@ -25,6 +25,9 @@
 
 // Refused reports whether an answer is a guard's refusal: status 503 and the
 // outcome "not_run".
-func Refused(answer *http.Response) bool {
-	return answer.StatusCode == http.StatusServiceUnavailable && answer.Header.Get(Outcome) == NotRun
+func Refused(answer *http.Response) bool { return RefusedBy(answer.StatusCode, answer.Header) }
+
+// RefusedBy is Refused for an answer's status and header.
+func RefusedBy(status int, header http.Header) bool {
+	return status == http.StatusServiceUnavailable && header.Get(Outcome) == NotRun
 }
--- /dev/null
+++ b/internal/traffic/gate/bench_test.go
@@ -0,0 +1,89 @@
+package gate_test
+
+import (
+	"context"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"net/http/httptest"
+	"strings"
+	"testing"
+
+	"github.com/rs/zerolog"
+	"golang.org/x/sync/errgroup"
+
+	"github.com/oriolepier/oriolepier/internal/base/clock"
+	"github.com/oriolepier/oriolepier/internal/config/pool"
+	"github.com/oriolepier/oriolepier/internal/config/route"
+	"github.com/oriolepier/oriolepier/internal/platform/backend"
+	"github.com/oriolepier/oriolepier/internal/traffic/gate"
+	"github.com/oriolepier/oriolepier/internal/traffic/view"
+)
+
+// echo answers as a backend server does: with the request's id.
+func echo(w http.ResponseWriter, r *http.Request) {
+	w.Header().Set(backend.RequestID, r.Header.Get(backend.RequestID))
+	body, _ := io.ReadAll(r.Body)
+	_, _ = fmt.Fprintf(w, "%s %s %s", r.Method, r.URL.RequestURI(), body)
+}
+
+func backendServer(tb testing.TB, handler http.HandlerFunc) *httptest.Server {
+	server := httptest.NewServer(handler)
+	tb.Cleanup(server.Close)
+	return server
+}
+
+// table is the route that most tests use.
+func table() route.Route {
+	return route.Route{
+		Name: "ration", Match: route.Match{PathPrefix: "/"}, Class: route.Urgent, Pools: []string{"serving"},
+		DeadlineMS: 5000, RetryPercent: 100,
+	}
+}
+
+// snapshot has one pool of the given addresses, named w0, w1 and so on.
+func snapshot(row route.Route, addresses ...string) *view.Snapshot {
+	row.Name = "ration"
+	serving := view.Pool{Config: pool.Pool{Name: "serving", Slots: 8, Connections: 64}}
+	for i, address := range addresses {
+		serving.Backends = append(serving.Backends, view.Backend{
+			Name: fmt.Sprintf("w%d", i), Address: address, FailureDomain: "a", Rack: "r",
+		})
+	}
+	return &view.Snapshot{
+		Version: 1, Domain: "a", Entries: 1, SeedCount: 1, Routes: []route.Route{row},
+		Pools: map[string]view.Pool{"serving": serving},
+	}
+}
+
+func start(tb testing.TB, snap *view.Snapshot, dial func(context.Context, string, string) (net.Conn, error)) *gate.Gate {
+	box := view.NewBox()
+	box.Store(snap)
+	under := gate.New(gate.Options{Box: box, Clock: clock.New(), Log: zerolog.Nop(), Entry: "e0", Seed: 7, Dial: dial})
+	ctx, cancel := context.WithCancel(tb.Context())
+	var group errgroup.Group
+	group.Go(func() error { return under.Run(ctx) })
+	tb.Cleanup(func() {
+		cancel()
+		_ = group.Wait()
+	})
+	return under
+}
+
+func TestAnswersThroughTheGate(t *testing.T) {
+	worker := backendServer(t, echo)
+	front := httptest.NewServer(start(t, snapshot(table(), worker.Listener.Addr().String()), nil))
+	defer front.Close()
+	for _, method := range []string{http.MethodGet, http.MethodPost} {
+		req, _ := http.NewRequest(method, front.URL+"/ration/a%20b?q=1", strings.NewReader("dogs"))
+		answer, err := front.Client().Do(req)
+		if err != nil {
+			t.Fatal(err)
+		}
+		body, _ := io.ReadAll(answer.Body)
+		if want := method + " /ration/a%20b?q=1 dogs"; string(body) != want || answer.StatusCode != http.StatusOK {
+			t.Errorf("got %d %q, want %q", answer.StatusCode, body, want)
+		}
+	}
+}
--- /dev/null
+++ b/internal/traffic/gate/dump.go
@@ -0,0 +1,116 @@
+package gate
+
+import (
+	"cmp"
+	"slices"
+
+	"github.com/oriolepier/oriolepier/internal/base/clock"
+)
+
+// Dump is the state that decisions of the gate use.
+type Dump struct {
+	Entry    string       `json:"entry"`
+	Version  int64        `json:"config_version"`
+	Domain   string       `json:"failure_domain"`
+	Entries  int          `json:"entries_live"`
+	Draining bool         `json:"draining"`
+	InFlight int          `json:"in_flight"`
+	Buffered int64        `json:"buffered_request_bytes"`
+	Pools    []PoolDump   `json:"pools"`
+	Routes   []BudgetDump `json:"routes"`
+}
+
+// PoolDump is the state of a pool.
+type PoolDump struct {
+	Name      string       `json:"name"`
+	Waiting   int          `json:"waiting"`
+	LatencyMS float64      `json:"latency_ms"` // smoothed over all servers
+	HighMS    float64      `json:"latency_high_ms"`
+	Servers   []ServerDump `json:"backend_servers"`
+}
+
+// ServerDump is the state of a backend server as this entry sees it.
+type ServerDump struct {
+	Name          string       `json:"name"`
+	Address       string       `json:"address"`
+	FailureDomain string       `json:"failure_domain"`
+	Out           bool         `json:"out"`
+	InFlight      int          `json:"in_flight"`
+	Limit         float64      `json:"limit"`
+	Ceiling       float64      `json:"limit_ceiling"`
+	PausedMS      clock.Millis `json:"paused_ms"` // after a refusal
+	LatencyMS     float64      `json:"latency_ms"`
+	Failures      int          `json:"failures_in_a_row"`
+	Ejected       bool         `json:"ejected"`
+	EjectedMS     clock.Millis `json:"ejected_for_ms"`
+	WarmupPercent int          `json:"warmup_percent"`
+	Connections   int          `json:"connections"`
+	Budget        int          `json:"connection_budget"`
+}
+
+// BudgetDump is what a route may still spend on extra attempts.
+type BudgetDump struct {
+	Name    string `json:"name"`
+	Retries int    `json:"retries_saved"`
+	Hedges  int    `json:"hedges_saved"`
+}
+
+// Dump returns the state that decisions use now.
+func (gate *Gate) Dump() Dump {
+	plan := gate.current()
+	dump := Dump{
+		Entry:    gate.options.Entry,
+		Version:  plan.snap.Version,
+		Domain:   plan.snap.Domain,
+		Entries:  plan.snap.Entries,
+		Draining: gate.draining.Load(),
+		InFlight: gate.InFlight(),
+		Buffered: gate.buffered.Load(),
+	}
+	for _, pool := range plan.pools {
+		dump.Pools = append(dump.Pools, pool.dump(gate.options.Clock.Now()))
+	}
+	slices.SortFunc(dump.Pools, func(a, b PoolDump) int { return cmp.Compare(a.Name, b.Name) })
+	gate.routes.Range(func(name, each any) bool {
+		dump.Routes = append(dump.Routes, each.(*tally).dump(name.(string)))
+		return true
+	})
+	slices.SortFunc(dump.Routes, func(a, b BudgetDump) int { return cmp.Compare(a.Name, b.Name) })
+	return dump
+}
+
+func (tally *tally) dump(name string) BudgetDump {
+	tally.mu.Lock()
+	defer tally.mu.Unlock()
+	return BudgetDump{Name: name, Retries: tally.retries.Saved(), Hedges: tally.hedges.Saved()}
+}
+
+func (pool *pool) dump(now clock.Millis) PoolDump {
+	pool.mu.Lock()
+	defer pool.mu.Unlock()
+	usual := pool.engine.Usual()
+	dump := PoolDump{Name: pool.name, Waiting: pool.engine.Waiting(), LatencyMS: usual.Mean(), HighMS: usual.High()}
+	for server, peer := range pool.links {
+		dump.Servers = append(dump.Servers, ServerDump{
+			Name:          server.Name,
+			Address:       server.Address,
+			FailureDomain: server.Domain,
+			Out:           server.Out,
+			InFlight:      server.InFlight,
+			Limit:         server.Places.Limit,
+			Ceiling:       server.Places.Ceiling,
+			PausedMS:      max(server.Places.Until-now, 0),
+			LatencyMS:     server.LatencyMS(now),
+			Failures:      server.Health.Failures,
+			Ejected:       server.Health.Ejected,
+			EjectedMS:     max(server.Health.Until-now, 0),
+			WarmupPercent: server.WarmupPercent(now),
+			Connections:   peer.link.Open(),
+			Budget:        peer.link.Budget(),
+		})
+	}
+	slices.SortFunc(dump.Servers, func(a, b ServerDump) int {
+		return cmp.Or(cmp.Compare(a.Name, b.Name), cmp.Compare(a.Address, b.Address))
+	})
+	return dump
+}
