--- a/internal/traffic/choice/health.go
+++ b/internal/traffic/choice/health.go
@@ -10,6 +10,7 @@
 //	                         └─────failure──────┘ twice as long
 type Health struct {
 	Failures int // in a row
+	Refusals int // by the guard, without an answer between them
 	Ejected  bool
 	Until    clock.Millis // end of the ejection; one trial request is sent after it
 	Period   clock.Millis
@@ -25,6 +26,16 @@
 	return health
 }
 
+// Refused returns the health after a guard's refusal. Full servers answer now
+// and then; one that only refuses takes part in nothing.
+func (health Health) Refused(now clock.Millis, mayEject bool) Health {
+	health.Refusals++
+	if health.Ejected || (mayEject && health.Refusals >= refusalsToEject) {
+		return health.eject(now)
+	}
+	return health
+}
+
 func (health Health) eject(now clock.Millis) Health {
 	health.Ejected = true
 	health.Reached = false
--- a/internal/traffic/choice/server.go
+++ b/internal/traffic/choice/server.go
@@ -24,6 +24,7 @@
 	Health   Health
 
 	refusedAt clock.Millis
+	movedAt   clock.Millis // last answer, or start of the first request in flight
 }
 
 // Free reports whether the server may get a request now.
@@ -34,14 +35,30 @@
 	return server.Health.Allows(server.InFlight, query)
 }
 
+// worth reports whether an answer from the server is expected soon enough. One
+// that was slow and may have recovered is tried with a single request.
+func (server *Server) worth(query Query) bool {
+	if query.Worth == 0 {
+		return true
+	}
+	worth := query.Worth
+	if server.Local {
+		worth += server.Usual.Mean() * (tolerance - 1)
+	}
+	if server.LatencyMS(query.Now) > worth {
+		return false
+	}
+	return server.InFlight == 0 || server.Latency.Mean() <= worth
+}
+
 // cost is the expected time to an answer, in milliseconds, raised by the
 // chance of a refusal.
 func (server *Server) cost(query Query) float64 {
 	latency := server.LatencyMS(query.Now)
 	full := float64(server.InFlight+1) / server.Places.Limit
-	cost := latency * (1 + full) / server.warmth(query.Now)
+	cost := (latency + levelMS) * (1 + full) / server.warmth(query.Now)
 	if server.refusedAt > 0 {
-		age := float64(query.Now-server.refusedAt) / float64(refusalFades)
+		age := float64(query.Now-server.refusedAt) / server.Usual.Mean()
 		cost *= 1 + refusalCost*math.Exp(-age)
 	}
 	return cost
@@ -50,6 +67,19 @@
 // LatencyMS is the expected latency in milliseconds: the server's own, fading
 // into the usual one as it ages.
 func (server *Server) LatencyMS(now clock.Millis) float64 {
+	return max(server.smoothed(now), server.stall(now))
+}
+
+// stall is how long requests in flight have seen no answer: the latency of
+// the oldest is at least about that.
+func (server *Server) stall(now clock.Millis) float64 {
+	if server.InFlight == 0 {
+		return 0
+	}
+	return float64(now - server.movedAt)
+}
+
+func (server *Server) smoothed(now clock.Millis) float64 {
 	usual := server.Usual.Mean()
 	if !server.Latency.Known() {
 		return usual
@@ -72,24 +102,31 @@
 func (server *Server) WarmupPercent(now clock.Millis) int { return int(100 * server.warmth(now)) }
 
 // Begin counts a request that is about to be sent.
-func (server *Server) Begin() { server.InFlight++ }
+func (server *Server) Begin(now clock.Millis) {
+	if server.InFlight == 0 {
+		server.movedAt = now
+	}
+	server.InFlight++
+}
 
 // Answered counts an answer after latency milliseconds.
-func (server *Server) Answered(now clock.Millis, latency float64) {
-	server.Places = server.Places.Answered(server.InFlight - 1)
+func (server *Server) Answered(now clock.Millis, latency, eager float64) {
+	server.Places = server.Places.Answered(server.InFlight, now, server.Usual.Mean(), eager)
 	server.InFlight--
 	server.Latency.Add(now, latency)
+	server.movedAt = now
 	if server.Health.Ejected {
 		server.Since = now
 	}
 	server.Health = Health{}
 }
 
-// Refused counts a guard's refusal. A server that refuses is alive.
-func (server *Server) Refused(now clock.Millis) {
+// Refused counts a guard's refusal.
+func (server *Server) Refused(now clock.Millis, mayEject bool) {
 	server.InFlight--
 	server.refusedAt = now
-	server.Places = server.Places.Refused(now)
+	server.Health = server.Health.Refused(now, mayEject)
+	server.Places = server.Places.Refused(now, server.Usual.Mean())
 }
 
 // Failed counts an attempt without an answer.
--- a/internal/traffic/dispatch/dispatch.go
+++ b/internal/traffic/dispatch/dispatch.go
@@ -10,8 +10,10 @@
 //
 //	pool := dispatch.New(rng)
 //	pool.Update(now, dispatch.Setting{...})
-//	refusal := pool.Acquire(now, ticket)
-//	... // ticket.Server is set, or ticket.Ready will say so
+//	if !pool.Try(now, ticket) {
+//		refusal := pool.Wait(now, ticket)
+//	}
+//	... // ticket.Server is set, or a later Serve returns the ticket
 //	pool.Release(now, ticket, dispatch.Answered, latencyMS)
 package dispatch
 
@@ -30,22 +32,27 @@
 const (
 	maxEjectedPercent = 50 // of the servers in service; the rest must carry the load
 	defaultMaxQueued  = 256
-	startShare        = 2 // an entry starts with twice its even share of a server's slots
+	startShare        = 2    // an entry starts with twice its even share of a server's slots
+	refusalWeight     = 0.01 // of one attempt in the share of refused ones
+	refusalBound      = 0.25 // share of refused attempts at which limits stop growing
+	waitWeight        = 0.3  // of time spent waiting, in what a request accepts
 	drainRetryAfter   = clock.Second
 	usualShare        = 0.02 // weight of one answer in the latency of the whole pool
 )
 
 // Pool is what one entry knows of one pool.
 type Pool struct {
-	rng     *rand.Rand
-	servers map[string]*choice.Server // by name and address
-	chooser *choice.Chooser
-	usual   *choice.Latency
-	waiting *list.List     // of *Ticket, oldest first
-	queued  map[string]int // waiting tickets by route
-	ejected int
-	usable  int // servers that are not out
-	flying  int // requests in flight from here
+	rng      *rand.Rand
+	servers  map[string]*choice.Server // by name and address
+	chooser  *choice.Chooser
+	usual    *choice.Latency
+	waiting  *list.List     // of *Ticket, oldest first
+	queued   map[string]int // waiting tickets by route
+	ejected  int
+	usable   int            // servers that are not out
+	refusals float64        // share of recent attempts
+	flying   int            // requests in flight from here
+	freed    *choice.Server // has just answered; the next waiting request inherits its slot
 }
 
 // Setting is what the snapshot in force says of the pool.
@@ -112,6 +119,7 @@
 func (pool *Pool) apply(server *choice.Server, row view.Backend, setting Setting) {
 	server.Out = row.Draining || setting.DomainsOut[row.FailureDomain]
 	server.Local = row.FailureDomain == setting.Domain
+	server.Places.Guest = !server.Local
 	server.Warmup = setting.Pool.Config.WarmupMS
 	server.Since = max(server.Since, row.Since)
 	server.Places = server.Places.WithCeiling(ceiling(row, setting))
@@ -156,7 +164,8 @@
 }
 
 func (pool *Pool) grant(now clock.Millis, ticket *Ticket) bool {
-	query := choice.Query{Now: now, Repeatable: ticket.Repeatable}
+	query := choice.Query{Now: now, Repeatable: ticket.Repeatable, Worth: pool.worth(now, ticket), Freed: pool.freed}
+	pool.freed = nil
 	if len(ticket.Tried) < pool.usable {
 		query.Tried = ticket.Tried
 	}
@@ -164,7 +173,7 @@
 	if server == nil {
 		return false
 	}
-	server.Begin()
+	server.Begin(now)
 	pool.flying++
 	ticket.Server = server
 	return true
@@ -189,10 +198,28 @@
 	}
 	ticket.waiting = true
 	pool.queued[ticket.Route]++
-	pool.waiting.PushBack(ticket)
+	if ticket.since > 0 {
+		pool.waiting.PushFront(ticket) // was refused by a guard: keeps its age
+	} else {
+		ticket.since = now
+		pool.waiting.PushBack(ticket)
+	}
 	return Refusal{Verdict: Waiting}
 }
 
+// worth is the longest latency of a server that is better than to go on
+// waiting for a usual one. It grows while the ticket waits.
+func (pool *Pool) worth(now clock.Millis, ticket *Ticket) float64 {
+	if !pool.usual.Known() {
+		return 0
+	}
+	worth := pool.usual.Mean() + pool.expectedWait()
+	if ticket.since > 0 {
+		worth += waitWeight * float64(now-ticket.since)
+	}
+	return worth
+}
+
 // expectedWait follows from Little's law: places come free at the rate of
 // requests in flight over their latency.
 func (pool *Pool) expectedWait() float64 {
@@ -224,20 +251,19 @@
 }
 
 // Serve grants free places to waiting tickets, oldest first, and drops those
-// that can no longer be answered in time. Each is told through Ready; a
-// dropped one has no Server.
-func (pool *Pool) Serve(now clock.Millis) {
+// that can no longer be answered in time. It returns both; a dropped one has
+// no Server.
+func (pool *Pool) Serve(now clock.Millis) (settled []*Ticket) {
 	for element := pool.waiting.Front(); element != nil; element = pool.waiting.Front() {
 		ticket := element.Value.(*Ticket)
 		late := now+clock.Millis(pool.usual.Mean()) > ticket.Deadline
 		if !late && pool.usable > 0 && !pool.grant(now, ticket) {
-			return
-		}
-		pool.dequeue(element)
-		if ticket.Ready != nil {
-			ticket.Ready <- struct{}{}
+			return settled
 		}
+		settled = append(settled, pool.dequeue(element))
 	}
+	pool.freed = nil
+	return settled
 }
 
 // Waiting returns the number of requests in the queue.
@@ -251,12 +277,15 @@
 	ejected := server.Health.Ejected
 	switch result {
 	case Answered:
-		server.Answered(now, elapsed)
+		server.Answered(now, elapsed, pool.eager())
+		pool.refusals -= pool.refusals * refusalWeight
 		pool.usual.Add(now, elapsed)
+		pool.freed = server
 	case Erred:
-		server.Answered(now, max(elapsed, pool.usual.Mean()))
+		server.Answered(now, max(elapsed, pool.usual.Mean()), pool.eager())
 	case Refused:
-		server.Refused(now)
+		server.Refused(now, pool.mayEject())
+		pool.refusals += (1 - pool.refusals) * refusalWeight
 	case Failed:
 		server.Failed(now, pool.mayEject())
 	case TimedOut:
@@ -269,6 +298,12 @@
 	}
 }
 
+// eager is how fast limits may grow: refusals cost retries, so that the share
+// of refused attempts is held under a bound.
+func (pool *Pool) eager() float64 {
+	return max(1-pool.refusals/refusalBound, 0)
+}
+
 // timedOut blames a server only when it had more time than answers usually
 // take: the rest was spent in the queue or by the caller.
 func (pool *Pool) timedOut(now clock.Millis, server *choice.Server, elapsed float64) {
--- a/internal/traffic/dispatch/ticket.go
+++ b/internal/traffic/dispatch/ticket.go
@@ -12,10 +12,11 @@
 	Deadline   clock.Millis
 	Repeatable bool
 	Tried      []*choice.Server // servers of earlier attempts
-	Ready      chan struct{}    // gets one value when a waiting ticket is granted or dropped; may be nil
+	Ready      chan struct{}    // for the caller's use: told when a waiting ticket is settled
 
 	Server  *choice.Server // set when granted
 	waiting bool
+	since   clock.Millis // start of the wait
 }
 
 // Verdict is what became of a ticket.
--- a/internal/traffic/gate/admit.go
+++ b/internal/traffic/gate/admit.go
@@ -109,7 +109,7 @@
 	switch refusal.Verdict {
 	case dispatch.Waiting:
 		pool.vars.queued.Add(1)
-		pool.engine.Serve(now)
+		pool.serve(now)
 		return nil
 	case dispatch.NoServer:
 		return unserved(&problem.Problem{Step: stepChoose, Detail: "no backend server is in service", RetryAfter: refusal.RetryAfter})
@@ -140,5 +140,13 @@
 	pool.mu.Lock()
 	defer pool.mu.Unlock()
 	pool.engine.Release(now, place.ticket, result, elapsed)
-	pool.engine.Serve(now)
+	pool.serve(now)
+}
+
+// serve wakes the requests whose wait is over. It is called with the pool
+// locked.
+func (pool *pool) serve(now clock.Millis) {
+	for _, ticket := range pool.engine.Serve(now) {
+		ticket.Ready <- struct{}{}
+	}
 }
--- a/internal/traffic/gate/fetch.go
+++ b/internal/traffic/gate/fetch.go
@@ -44,7 +44,7 @@
 	if !retry.Allowed(fault.OutcomeOf(err), req.repeatable) {
 		return false
 	}
-	if !req.tally.spendRetry() {
+	if !retry.Free(fault.OutcomeOf(err)) && !req.tally.spendRetry() {
 		gate.counts.noBudget.Add(1)
 		return false
 	}
--- a/internal/traffic/gate/plan.go
+++ b/internal/traffic/gate/plan.go
@@ -125,7 +125,7 @@
 		}
 		peer.link.SetBudget(setting.Connections(server.Local))
 	}
-	pool.engine.Serve(now)
+	pool.serve(now)
 }
 
 func (gate *Gate) newPeer(server *choice.Server) *peer {
--- a/internal/traffic/gate/run.go
+++ b/internal/traffic/gate/run.go
@@ -36,7 +36,7 @@
 	for _, pool := range gate.plan.Load().pools {
 		pool.mu.Lock()
 		if pool.engine.Waiting() > 0 {
-			pool.engine.Serve(now)
+			pool.serve(now)
 		}
 		pool.mu.Unlock()
 	}
--- a/internal/traffic/retry/retry.go
+++ b/internal/traffic/retry/retry.go
@@ -4,7 +4,8 @@
 // # Usage
 //
 //	budget.Earn() // at each request
-//	if retry.Allowed(fault.OutcomeOf(err), repeatable) && budget.Spend() { ... }
+//	outcome := fault.OutcomeOf(err)
+//	if retry.Allowed(outcome, repeatable) && (retry.Free(outcome) || budget.Spend()) { ... }
 package retry
 
 import "github.com/oriolepier/oriolepier/internal/base/fault"
@@ -22,6 +23,11 @@
 	}
 }
 
+// Free reports whether a further attempt costs nothing of the budget. A
+// guard's refusal took no slot, and how often a full server is asked again is
+// bounded by the limits of package limit.
+func Free(outcome fault.Outcome) bool { return outcome == fault.NotRun }
+
 const (
 	fullPercent = 100 // of one request
 	maxSaved    = 20  // attempts that a quiet time saves up; a burst after it stays small
