--- a/internal/traffic/gate/accept.go
+++ b/internal/traffic/gate/accept.go
@@ -90,6 +90,7 @@
 		return nil
 	}
 	if len(ids) > 1 || !validID(ids[0]) {
+		req.id = ulid.Make().String()
 		return bad(stepAccept, http.StatusBadRequest, "request id must be one value of 1 to 128 visible ASCII characters")
 	}
 	req.id = ids[0]
--- a/internal/traffic/gate/fetch.go
+++ b/internal/traffic/gate/fetch.go
@@ -25,6 +25,7 @@
 // budget allow.
 func (gate *Gate) fetch(ctx context.Context, req *request) (*delivery, *problem.Problem) {
 	req.tally.earn(req.route)
+	failures := 0
 	for attempt := 1; ; attempt++ {
 		place, refusal := gate.admit(ctx, req)
 		if refusal != nil {
@@ -34,7 +35,10 @@
 		if err == nil {
 			return answer, nil
 		}
-		if attempt == maxAttempts || ctx.Err() != nil || !gate.mayRetry(req, err) {
+		if !retry.Free(fault.OutcomeOf(err)) {
+			failures++
+		}
+		if attempt == maxAttempts || failures == maxFailures || ctx.Err() != nil || !gate.mayRetry(req, err) {
 			return nil, req.stand(failure(ctx, err))
 		}
 	}
--- a/internal/traffic/gate/gate.go
+++ b/internal/traffic/gate/gate.go
@@ -49,7 +49,8 @@
 	maxBufferedBytes    = 256 << 20 // bodies of all requests held at once in this entry
 	defaultRequestBytes = 1 << 20
 	defaultAnswerBytes  = 16 << 20
-	maxAttempts         = 8
+	maxAttempts         = 8               // of one request, guards' refusals included
+	maxFailures         = 3               // of one request; more point to the request itself
 	fewestMillisToSend  = clock.Millis(1) // nobody answers in less
 	minHedgeDelay       = clock.Millis(2)
 	idleTimeout         = 4 * clock.Second // below the shortest keep-alive timeout in wide use, 5 s
--- a/internal/traffic/link/send.go
+++ b/internal/traffic/link/send.go
@@ -115,6 +115,12 @@
 	if got := answer.Header.Values(backend.RequestID); len(got) != 1 || got[0] != req.ID {
 		return fault.Newf(fault.Unknown, StepRead, peer, "answer carries request ids %q instead of %q", got, req.ID)
 	}
+	if answer.Status < http.StatusOK {
+		return fault.Newf(fault.Unknown, StepRead, peer, "answer has status %d", answer.Status)
+	}
+	if answer.Length < 0 && len(answer.response.TransferEncoding) == 0 {
+		return fault.New(fault.Unknown, StepRead, peer, errNoEnd)
+	}
 	if len(answer.Header) > maxAnswerFields {
 		return fault.Newf(fault.Unknown, StepRead, peer, "answer has %d header fields", len(answer.Header))
 	}
@@ -146,6 +152,10 @@
 	return nil
 }
 
+// errNoEnd is the cause when an answer ends with its connection: a cut one
+// looks the same.
+var errNoEnd = errors.New("answer gives neither length nor chunks")
+
 var errTooLong = errors.New("answer is longer than the route's limit")
 
 // rest reads what follows the buffered start of a long answer.
--- a/internal/traffic/link/wire.go
+++ b/internal/traffic/link/wire.go
@@ -21,20 +21,28 @@
 
 // Write implements net.Conn.
 func (socket *wire) Write(data []byte) (int, error) {
-	if !socket.start() {
+	before, ok := socket.start()
+	if !ok {
 		return 0, errSealed
 	}
-	return socket.Conn.Write(data)
+	count, err := socket.Conn.Write(data)
+	if count == 0 && err != nil && !before {
+		socket.reset() // the kernel took nothing
+	}
+	return count, err
 }
 
-func (socket *wire) start() bool {
+// start counts a write as begun, before it is: a seal in the meantime must
+// take it for sent.
+func (socket *wire) start() (before, ok bool) {
 	socket.mu.Lock()
 	defer socket.mu.Unlock()
 	if socket.sealed {
-		return false
+		return false, false
 	}
+	before = socket.started
 	socket.started = true
-	return true
+	return before, true
 }
 
 // reset forgets what was written before the next request.
