--- a/internal/traffic/gate/bench_test.go
+++ b/internal/traffic/gate/bench_test.go
@@ -8,8 +8,11 @@
 	"net/http"
 	"net/http/httptest"
 	"strings"
+	"syscall"
 	"testing"
+	"time"
 
+	"github.com/HdrHistogram/hdrhistogram-go"
 	"github.com/rs/zerolog"
 	"golang.org/x/sync/errgroup"
 
@@ -87,3 +90,46 @@
 		}
 	}
 }
+
+// BenchmarkEntry compares caller to worker with caller to entry to worker over
+// loopback, at a rate that leaves half of each idle.
+func BenchmarkEntry(b *testing.B) {
+	worker := backendServer(b, echo)
+	front := httptest.NewServer(start(b, snapshot(table(), worker.Listener.Addr().String()), nil))
+	defer front.Close()
+	for name, target := range map[string]string{"direct": worker.URL, "through": front.URL} {
+		b.Run(name, func(b *testing.B) {
+			latencies := hdrhistogram.New(1, 10_000_000, 3)
+			transport := &http.Transport{MaxIdleConnsPerHost: 16}
+			defer transport.CloseIdleConnections()
+			tick := time.NewTicker(time.Millisecond)
+			defer tick.Stop()
+			b.ReportAllocs()
+			began := processorTime(b)
+			for b.Loop() {
+				<-tick.C
+				start := time.Now()
+				req, _ := http.NewRequest(http.MethodGet, target+"/ration", nil)
+				req.Header.Set(backend.RequestID, "caller-1")
+				answer, err := transport.RoundTrip(req)
+				if err != nil {
+					b.Fatal(err)
+				}
+				_, _ = io.Copy(io.Discard, answer.Body)
+				_ = answer.Body.Close()
+				_ = latencies.RecordValue(time.Since(start).Microseconds())
+			}
+			b.ReportMetric(float64(latencies.ValueAtQuantile(50)), "p50_us")
+			b.ReportMetric(float64(latencies.ValueAtQuantile(99)), "p99_us")
+			b.ReportMetric(float64((processorTime(b)-began).Microseconds())/float64(b.N), "cpu_us/op")
+		})
+	}
+}
+
+func processorTime(b *testing.B) time.Duration {
+	var usage syscall.Rusage
+	if err := syscall.Getrusage(syscall.RUSAGE_SELF, &usage); err != nil {
+		b.Fatal(err)
+	}
+	return time.Duration(usage.Utime.Nano() + usage.Stime.Nano())
+}
--- a/internal/traffic/gate/matrix_test.go
+++ b/internal/traffic/gate/matrix_test.go
@@ -10,12 +10,15 @@
 	"net/http"
 	"net/http/httptest"
 	"strings"
+	"sync/atomic"
 	"testing"
 	"time"
 
+	"github.com/rs/zerolog"
 	"github.com/sebdah/goldie/v2"
 	"golang.org/x/sync/errgroup"
 
+	"github.com/oriolepier/oriolepier/internal/base/clock"
 	"github.com/oriolepier/oriolepier/internal/base/problem"
 	"github.com/oriolepier/oriolepier/internal/config/route"
 	"github.com/oriolepier/oriolepier/internal/platform/backend"
@@ -161,6 +164,85 @@
 	}
 }
 
+// TestEjectsAndReturns has one of two servers drop everything, then recover.
+func TestEjectsAndReturns(t *testing.T) {
+	var broken atomic.Bool
+	broken.Store(true)
+	bad := startWorker(t, func(worker *worker, conn net.Conn, req *http.Request) bool {
+		if broken.Load() {
+			return false
+		}
+		return sound(worker, conn, req)
+	})
+	good := startWorker(t, sound)
+	route := table()
+	route.Repeatable = true
+	under := start(t, snapshot(route, bad.address, good.address), nil)
+	ejected := func(dump gate.Dump) bool { return dump.Pools[0].Servers[0].Ejected }
+	until(t, under, func(dump gate.Dump) bool {
+		if got := call(t, under, nil).String(); got != "200, ran 0" {
+			t.Errorf("with one sound server: %s", got)
+		}
+		return ejected(dump)
+	})
+	broken.Store(false)
+	until(t, under, func(dump gate.Dump) bool {
+		call(t, under, nil)
+		return !ejected(dump) && bad.ran.Load() > 0
+	})
+}
+
+// TestNewTablesAndMarksHold follows snapshots: the route table, a leaving
+// server, a removed one.
+func TestNewTablesAndMarksHold(t *testing.T) {
+	first, second := startWorker(t, sound), startWorker(t, sound)
+	box := view.NewBox()
+	box.Store(snapshot(table(), first.address, second.address))
+	under := gate.New(gate.Options{Box: box, Clock: clock.New(), Log: zerolog.Nop(), Entry: "e0", Seed: 7})
+	ask := func(want string) {
+		t.Helper()
+		for range 5 {
+			if got := call(t, under, nil).String(); got != want {
+				t.Errorf("got %q, want %q", got, want)
+			}
+		}
+	}
+	leaving := snapshot(table(), first.address, second.address)
+	leaving.Pools["serving"].Backends[0].Draining = true
+	box.Store(leaving)
+	ask("200, ran 0")
+	if ran := first.ran.Load(); ran != 0 {
+		t.Errorf("a leaving server ran %d requests", ran)
+	}
+	gone := snapshot(table(), first.address)
+	gone.Version = 2
+	gone.Routes[0].Match.PathPrefix = "/else"
+	box.Store(gone)
+	ask("404 not_run at match, ran 0")
+	if got := under.Vars().Get("route_tables_compiled").String(); got != "2" {
+		t.Errorf("%s tables compiled for 2 versions in 3 snapshots", got)
+	}
+	if dump := under.Dump(); len(dump.Pools[0].Servers) != 1 || dump.Version != 2 {
+		t.Errorf("dump: %+v", dump)
+	}
+}
+
+// TestHedgeWins has a repeatable request hang at one server.
+func TestHedgeWins(t *testing.T) {
+	slow, quick := startWorker(t, hangs), startWorker(t, sound)
+	route := table().WithDeadline(60000)
+	route.Repeatable, route.HedgePercent = true, 100
+	under := start(t, snapshot(route, slow.address, quick.address), nil)
+	for range 8 {
+		if got := call(t, under, nil).String(); got != "200, ran 0" {
+			t.Errorf("got %q", got)
+		}
+	}
+	if under.Vars().Get("hedges").String() == "0" {
+		t.Error("no hedge was sent")
+	}
+}
+
 // hold checks what must hold in each cell of the matrix.
 func hold(t *testing.T, name string, repeatable bool, got outcome) {
 	if got.problem.Outcome.Certain() && got.ran > 0 {
