Bring in new tables at no request's cost, four times faster

Cause: the first request after a new version compiled the table, 31.9 ms and 86,277 allocations at 43,000 routes, with others waiting on the lock. Routes are copied as one slice and linked: 8.1 ms, 135 allocations (go test ./internal/traffic/match -bench Compile). State of routes that a table does not name any more is dropped.

--- a/internal/traffic/gate/accept.go
+++ b/internal/traffic/gate/accept.go
@@ -64,7 +64,7 @@
 		Method:         r.Method,
 		Host:           r.Host,
 		URL:            *r.URL,
-		Header:         forward(r.Header, req.id),
+		Header:         r.Header,
 		Body:           req.body,
 		MaxAnswerBytes: positive(req.route.MaxAnswerBytes, defaultAnswerBytes),
 	}
--- a/internal/traffic/gate/fetch.go
+++ b/internal/traffic/gate/fetch.go
@@ -2,15 +2,12 @@
 
 import (
 	"context"
-	"maps"
 	"net/http"
-	"strconv"
 	"sync"
 	"time"
 
 	"github.com/pkg/errors"
 
-	"github.com/oriolepier/oriolepier/internal/base/clock"
 	"github.com/oriolepier/oriolepier/internal/base/fault"
 	"github.com/oriolepier/oriolepier/internal/base/problem"
 	"github.com/oriolepier/oriolepier/internal/platform/backend"
@@ -92,7 +89,7 @@
 // attempt sends a request to a backend server once.
 func (gate *Gate) attempt(ctx context.Context, req *request, place *place) (*delivery, error) {
 	out := req.out
-	out.Header = withDeadline(out.Header, req.deadline-gate.options.Clock.Now())
+	out.Header = forward(req.out.Header, req.id, req.deadline-gate.options.Clock.Now())
 	began := time.Now() // latencies are finer than the clock's milliseconds
 	answer, err := place.peer.link.Send(ctx, gate.options.Clock.Now, &out)
 	got := &delivery{Answer: answer, gate: gate, place: place, began: began}
@@ -131,13 +128,6 @@
 	}
 }
 
-// withDeadline returns the header with the time that is left.
-func withDeadline(header http.Header, left clock.Millis) http.Header {
-	to := maps.Clone(header)
-	to[backend.DeadlineMS] = []string{strconv.FormatInt(int64(max(left, 1)), 10)}
-	return to
-}
-
 // delivery is an answer and the place that it holds until it has been read.
 type delivery struct {
 	*link.Answer
--- a/internal/traffic/gate/gate.go
+++ b/internal/traffic/gate/gate.go
@@ -54,6 +54,7 @@
 	fewestMillisToSend  = clock.Millis(1) // nobody answers in less
 	minHedgeDelay       = clock.Millis(2)
 	idleTimeout         = 4 * clock.Second // below the shortest keep-alive timeout in wide use, 5 s
+	followEvery         = clock.Millis(10)
 	serveEvery          = clock.Millis(10) // waiting requests are looked at so often when nothing else moves them
 	upkeepEvery         = clock.Millis(250)
 	probeTimeout        = clock.Millis(500)
@@ -78,6 +79,7 @@
 	vars     *expvar.Map
 	counts   counts
 	draining atomic.Bool
+	running  atomic.Bool // Run follows snapshots, so that no request has to
 	flying   atomic.Int64
 	buffered atomic.Int64
 	plan     atomic.Pointer[plan]
--- a/internal/traffic/gate/header.go
+++ b/internal/traffic/gate/header.go
@@ -2,8 +2,10 @@
 
 import (
 	"net/http"
+	"strconv"
 	"strings"
 
+	"github.com/oriolepier/oriolepier/internal/base/clock"
 	"github.com/oriolepier/oriolepier/internal/platform/backend"
 )
 
@@ -23,11 +25,14 @@
 	"Content-Length":      true,
 }
 
-// forward returns the header that goes to a backend server.
-func forward(from http.Header, id string) http.Header {
+// forward returns the header that goes to a backend server with the time that
+// is left for the answer.
+func forward(from http.Header, id string, left clock.Millis) http.Header {
 	to := make(http.Header, len(from)+3)
 	copyFields(to, from)
-	to[backend.RequestID] = []string{id}
+	settled := [2]string{id, strconv.FormatInt(int64(max(left, 1)), 10)}
+	to[backend.RequestID] = settled[0:1:1]
+	to[backend.DeadlineMS] = settled[1:2:2]
 	delete(to, backend.Outcome)
 	if _, ok := to["User-Agent"]; !ok {
 		to["User-Agent"] = nil // or the library sends its own
--- a/internal/traffic/gate/plan.go
+++ b/internal/traffic/gate/plan.go
@@ -40,10 +40,11 @@
 	vars *serverVars
 }
 
-// current returns the plan of the snapshot in force.
+// current returns the plan in force. While Run is on, it brings in a new
+// snapshot within followEvery; a large table is compiled at no request's cost.
 func (gate *Gate) current() *plan {
 	snap := gate.options.Box.Load()
-	if now := gate.plan.Load(); now.snap == snap {
+	if now := gate.plan.Load(); now.snap == snap || gate.running.Load() {
 		return now
 	}
 	return gate.refresh()
@@ -62,6 +63,7 @@
 	} else {
 		next.table = match.New(snap.Routes)
 		gate.counts.compiled.Add(1)
+		gate.forgetRoutes(snap.Routes)
 	}
 	now := gate.options.Clock.Now()
 	gate.budget = gate.budget.With(now, snap.Entries, snap.SeedCount)
@@ -144,6 +146,22 @@
 	return each.(*tally)
 }
 
+// forgetRoutes drops the state of routes that the table does not name any
+// more.
+func (gate *Gate) forgetRoutes(rows []route.Route) {
+	names := make(map[string]bool, len(rows))
+	for i := range rows {
+		names[rows[i].Name] = true
+	}
+	gate.routes.Range(func(name, _ any) bool {
+		if !names[name.(string)] {
+			gate.routes.Delete(name)
+			gate.counts.routes.Delete(name.(string))
+		}
+		return true
+	})
+}
+
 // poolsOf returns a route's pools in its order of preference.
 func (plan *plan) poolsOf(row *route.Route) []*pool {
 	pools := make([]*pool, 0, len(row.Pools))
--- a/internal/traffic/gate/run.go
+++ b/internal/traffic/gate/run.go
@@ -13,7 +13,10 @@
 // returns: it serves queues when nothing else moves them, follows snapshots,
 // closes connections, and probes ejected backend servers.
 func (gate *Gate) Run(ctx context.Context) error {
+	gate.running.Store(true)
+	defer gate.running.Store(false)
 	group, ctx := errgroup.WithContext(ctx)
+	group.Go(func() error { return gate.every(ctx, followEvery, gate.follow) })
 	group.Go(func() error { return gate.every(ctx, serveEvery, gate.serveQueues) })
 	group.Go(func() error { return gate.every(ctx, upkeepEvery, gate.upkeep) })
 	group.Go(func() error { return gate.every(ctx, upkeepEvery, gate.probe) })
@@ -42,8 +45,13 @@
 	}
 }
 
-// upkeep takes over a new snapshot, lets the connection budget follow time,
-// and closes idle connections.
+func (gate *Gate) follow(context.Context) {
+	if gate.options.Box.Load() != gate.plan.Load().snap {
+		gate.refresh()
+	}
+}
+
+// upkeep lets the connection budget follow time, and closes idle connections.
 func (gate *Gate) upkeep(context.Context) {
 	plan := gate.refresh()
 	before := gate.options.Clock.Now() - idleTimeout
--- a/internal/traffic/match/match.go
+++ b/internal/traffic/match/match.go
@@ -19,23 +19,27 @@
 	"slices"
 	"strings"
 
-	"github.com/samber/lo"
-
 	"github.com/oriolepier/oriolepier/internal/config/route"
 )
 
 // Table is a compiled route table. It is immutable and safe for many
 // goroutines.
 type Table struct {
-	hosts map[string]prefixes // by host in lower case
-	any   prefixes            // routes that name no host
+	hosts map[string]*prefixes // by host in lower case
+	any   *prefixes            // routes that name no host
 }
 
 // prefixes holds the routes of one host by path prefix without the trailing
 // slash; the root is "".
 type prefixes struct {
-	routes map[string][]*route.Route // rows in order of preference
-	depth  int                       // segments of the deepest prefix
+	rows  map[string]*entry // first in order of preference
+	depth int               // segments of the deepest prefix
+}
+
+// entry is a route in the list of its prefix.
+type entry struct {
+	row  *route.Route
+	next *entry
 }
 
 // Found is the result of a lookup.
@@ -46,40 +50,55 @@
 
 // New compiles a table. The routes are copied.
 func New(routes []route.Route) *Table {
-	table := &Table{hosts: map[string]prefixes{}, any: prefixes{routes: map[string][]*route.Route{}}}
-	for _, row := range routes {
-		table.add(&row)
+	table := &Table{hosts: map[string]*prefixes{}, any: newPrefixes(len(routes))}
+	rows := slices.Clone(routes)
+	entries := make([]entry, len(rows))
+	for i := range rows {
+		entries[i].row = &rows[i]
+		table.of(rows[i].Match.Host).add(&entries[i])
 	}
 	return table
 }
 
-func (table *Table) add(row *route.Route) {
-	if row.Match.Host == "" {
-		table.any = table.any.with(row)
-		return
+func newPrefixes(size int) *prefixes { return &prefixes{rows: make(map[string]*entry, size)} }
+
+// of returns the routes of a host, an empty one for those that name none.
+func (table *Table) of(host string) *prefixes {
+	if host == "" {
+		return table.any
+	}
+	host = Host(host)
+	if table.hosts[host] == nil {
+		table.hosts[host] = newPrefixes(0)
 	}
-	host := Host(row.Match.Host)
-	table.hosts[host] = table.hosts[host].with(row)
+	return table.hosts[host]
 }
 
-func (set prefixes) with(row *route.Route) prefixes {
-	if set.routes == nil {
-		set.routes = map[string][]*route.Route{}
-	}
-	prefix := strings.TrimRight(row.Match.PathPrefix, "/")
-	rows := append(set.routes[prefix], row)
-	slices.SortStableFunc(rows, func(a, b *route.Route) int { return anyMethod(a) - anyMethod(b) })
-	set.routes[prefix] = rows
+// add puts a route behind those of its prefix that go before it.
+func (set *prefixes) add(added *entry) {
+	prefix := strings.TrimRight(added.row.Match.PathPrefix, "/")
 	set.depth = max(set.depth, strings.Count(prefix, "/"))
-	return set
+	before := set.rows[prefix]
+	if before == nil || (anyMethod(before.row) && !anyMethod(added.row)) {
+		added.next = before
+		set.rows[prefix] = added
+		return
+	}
+	for before.next != nil && (anyMethod(added.row) || !anyMethod(before.next.row)) {
+		before = before.next
+	}
+	added.next, before.next = before.next, added
 }
 
-func anyMethod(row *route.Route) int { return lo.Ternary(len(row.Match.Methods) == 0, 1, 0) }
+func anyMethod(row *route.Route) bool { return len(row.Match.Methods) == 0 }
 
 // Find returns the route that takes a request. The host may carry a port; the
 // path is the decoded one.
 func (table *Table) Find(host, path, method string) Found {
-	found := table.hosts[Host(host)].find(path, method)
+	var found Found
+	if set := table.hosts[Host(host)]; set != nil {
+		found = set.find(path, method)
+	}
 	if found.Route != nil {
 		return found
 	}
@@ -88,14 +107,14 @@
 	return rest
 }
 
-func (set prefixes) find(path, method string) Found {
+func (set *prefixes) find(path, method string) Found {
 	var allow []string
 	for prefix := head(path, set.depth); ; prefix = parent(prefix) {
-		for _, row := range set.routes[prefix] {
-			if takes(row, method) {
-				return Found{Route: row}
+		for each := set.rows[prefix]; each != nil; each = each.next {
+			if takes(each.row, method) {
+				return Found{Route: each.row}
 			}
-			allow = append(allow, row.Match.Methods...)
+			allow = append(allow, each.row.Match.Methods...)
 		}
 		if prefix == "" {
 			return Found{Allow: allow}
--- a/internal/traffic/match/match_test.go
+++ b/internal/traffic/match/match_test.go
@@ -91,3 +91,14 @@
 		})
 	}
 }
+
+func BenchmarkCompile(b *testing.B) {
+	var routes []route.Route
+	for i := range 43000 {
+		routes = append(routes, route.Route{Name: fmt.Sprint(i), Match: route.Match{PathPrefix: fmt.Sprintf("/team-%d/service-%d", i%200, i)}})
+	}
+	b.ReportAllocs()
+	for b.Loop() {
+		match.New(routes)
+	}
+}
