Send nothing to a server that is too slow for the time left

Cause: under twofold overload with noise, requests that had waited long went to free slow servers and missed their deadline.

--- a/internal/traffic/dispatch/dispatch.go
+++ b/internal/traffic/dispatch/dispatch.go
@@ -35,6 +35,7 @@
 	startShare        = 2    // an entry starts with twice its even share of a server's slots
 	refusalWeight     = 0.01 // of one attempt in the share of refused ones
 	refusalBound      = 0.25 // share of refused attempts at which limits stop growing
+	deadlineMargin    = 1.5  // of the expected latency, in the time that is left
 	waitWeight        = 0.3  // of time spent waiting, in what a request accepts
 	drainRetryAfter   = clock.Second
 	usualShare        = 0.02 // weight of one answer in the latency of the whole pool
@@ -217,7 +218,7 @@
 	if ticket.since > 0 {
 		worth += waitWeight * float64(now-ticket.since)
 	}
-	return worth
+	return min(worth, float64(ticket.Deadline-now)/deadlineMargin)
 }
 
 // expectedWait follows from Little's law: places come free at the rate of
