Configuration tables, settings, config stream and command line, thin

Cause: the whole path needs parsed and checked tables, the state of the config stream and an operators' command line to be wired from.

Change: strict reader of JSON with comments (document), tables and their checks with an index that checks one changed row (table), checks across files (bundle), entry settings (setting), the stream's state (ledger), options and commands, examples for both users.

Package bundle is new, document too.

Ruled out: rejecting every change whose base is not the newest version. With 0.5 changes a second and operators on different rows that would be a loss for nobody's fault; only what was changed since its base conflicts, whole tables need the newest base.

--- /dev/null
+++ b/internal/config/document/finding.go
@@ -0,0 +1,39 @@
+package document
+
+import (
+	"cmp"
+	"fmt"
+	"slices"
+)
+
+// Finding is one fault of a file: where it is and what is wrong. Line and
+// column start at 1; 0 means that the place is not known.
+type Finding struct {
+	File    string `json:"file"`
+	Line    int    `json:"line"`
+	Column  int    `json:"column"`
+	Field   string `json:"field"` // path such as "routes[2].deadline_ms"
+	Message string `json:"message"`
+}
+
+// String returns "file:line:column: field: message", less what is not known.
+func (f Finding) String() string {
+	text := f.Message
+	if f.Field != "" {
+		text = f.Field + ": " + text
+	}
+	if f.File == "" {
+		return text
+	}
+	if f.Line == 0 {
+		return f.File + ": " + text
+	}
+	return fmt.Sprintf("%s:%d:%d: %s", f.File, f.Line, f.Column, text)
+}
+
+// Sort puts findings in the order of their places, keeping others as they are.
+func Sort(findings []Finding) {
+	slices.SortStableFunc(findings, func(a, b Finding) int {
+		return cmp.Or(cmp.Compare(a.File, b.File), cmp.Compare(a.Line, b.Line), cmp.Compare(a.Column, b.Column))
+	})
+}
--- a/internal/config/ledger/config.go
+++ b/internal/config/ledger/config.go
@@ -1,10 +1,33 @@
 // Package ledger turns the config stream into the configuration in force.
 //
+// The state is a pure function of the stream's records, so all readers agree
+// on which changes were accepted without talking to each other:
+//
+//	record ──decode──> known? ──> base still good? ──> tables still valid? ──> accepted, version = offset
+//	                     │                │                     │
+//	                 duplicate        rejected              rejected
+//
 // # Usage
 //
 //	state := ledger.New()
-//	state = state.With(record)
+//	for _, record := range page.Records {
+//		var verdict ledger.Verdict
+//		state, verdict = state.With(record)
+//	}
 //	cfg := state.Config()
+//
+// Writers append what [Encode] returns, at least once; the second copy is a
+// duplicate. A change is accepted if nothing that it writes was changed after
+// the version it was based on. Changes to different rows do not disturb each
+// other, and the joint result is checked in any case.
+//
+// # Retention
+//
+// Records expire. Any entry appends [State.Snapshot] when [State.SnapshotDue]
+// says so. A reader whose first record is not the stream's first keeps what it
+// has in force, collects records, and judges them as soon as it has read a
+// whole snapshot that reaches back far enough. A snapshot never takes the
+// version back, and readers that know every record only compare it.
 package ledger
 
 import (
@@ -13,6 +36,9 @@
 	"github.com/oriolepier/oriolepier/internal/config/route"
 )
 
+// Stream is the name of the config stream in the platform's log.
+const Stream = "config"
+
 // Config is the configuration in force at a version. It is immutable.
 type Config struct {
 	Version int64       `cbor:"1,keyasint" json:"version"` // offset of the record that made it; 0 before any
--- /dev/null
+++ b/internal/config/ledger/snapshot.go
@@ -0,0 +1,150 @@
+package ledger
+
+import (
+	"maps"
+	"slices"
+
+	"github.com/pkg/errors"
+
+	"github.com/oriolepier/oriolepier/internal/base/clock"
+	"github.com/oriolepier/oriolepier/internal/base/codec"
+	"github.com/oriolepier/oriolepier/internal/config/mark"
+	"github.com/oriolepier/oriolepier/internal/config/pool"
+	"github.com/oriolepier/oriolepier/internal/config/route"
+	"github.com/oriolepier/oriolepier/internal/platform/stream"
+)
+
+// part is one record of a snapshot. The rows of all parts together are the
+// state after the record at Through.
+type part struct {
+	Writer  string        `cbor:"1,keyasint"`
+	Through stream.Offset `cbor:"2,keyasint"`
+	Version int64         `cbor:"3,keyasint"`
+	Hash    uint64        `cbor:"4,keyasint"` // of the configuration, see State.content
+	Index   int           `cbor:"5,keyasint"`
+	Count   int           `cbor:"6,keyasint"`
+	Rows    rows          `cbor:"7,keyasint"`
+}
+
+// rows is some of a state's content.
+type rows struct {
+	Routes  []route.Route `cbor:"1,keyasint,omitempty"`
+	Teams   []route.Team  `cbor:"2,keyasint,omitempty"`
+	Domains []pool.Domain `cbor:"3,keyasint,omitempty"`
+	Pools   []pool.Pool   `cbor:"4,keyasint,omitempty"`
+	Marks   []mark.Mark   `cbor:"5,keyasint,omitempty"`
+	Traces  []trace       `cbor:"6,keyasint,omitempty"`
+}
+
+func (r rows) with(other rows) rows {
+	return rows{
+		Routes:  append(r.Routes, other.Routes...),
+		Teams:   append(r.Teams, other.Teams...),
+		Domains: append(r.Domains, other.Domains...),
+		Pools:   append(r.Pools, other.Pools...),
+		Marks:   append(r.Marks, other.Marks...),
+		Traces:  append(r.Traces, other.Traces...),
+	}
+}
+
+// Snapshot returns the state as records for the stream, or for another entry,
+// see [Import]. They must be appended in order; if one append fails, all are
+// appended again. The state must be complete.
+func (s State) Snapshot(writer string) ([][]byte, error) {
+	if !s.complete {
+		return nil, errors.New("this reader has no whole state to write")
+	}
+	pages, err := s.pages()
+	if err != nil {
+		return nil, err
+	}
+	if len(pages) > maxParts {
+		return nil, errors.Errorf("the snapshot takes %d records; the limit is %d", len(pages), maxParts)
+	}
+	records := make([][]byte, 0, len(pages))
+	hash := s.content()
+	for at, page := range pages {
+		piece := part{
+			Writer: writer, Through: s.next - 1, Version: s.version, Hash: hash,
+			Index: at, Count: len(pages), Rows: page,
+		}
+		data, err := codec.Marshal(record{Part: &piece})
+		if err != nil {
+			return nil, err
+		}
+		records = append(records, data)
+	}
+	return records, nil
+}
+
+// SnapshotDue reports whether an entry should append a snapshot: the newest
+// whole one is old, going by the time since this reader saw it, or is about to
+// leave the log, or a newborn reader would have much to read after it.
+func (s State) SnapshotDue(first stream.Offset, age, retention clock.Millis) bool {
+	if !s.complete || s.version == 0 {
+		return false
+	}
+	// Shares of the kept records stand for shares of the retention time.
+	if first > 1 && (s.snapshot-first)*snapshotShare < s.next-first {
+		return true
+	}
+	return s.tail > tailBytes+2*s.Bytes() || age >= retention/snapshotShare
+}
+
+// LastSnapshot returns the offset at which the newest whole snapshot begins, 0
+// for none.
+func (s State) LastSnapshot() stream.Offset { return s.snapshot }
+
+// Bytes estimates the size of a snapshot.
+func (s State) Bytes() int64 {
+	const perRow = 150
+	return perRow * int64(s.index.Rows()+len(s.marks.VMs)+s.recent.byOffset.Len())
+}
+
+// Cuts the state into rows of about partBytes each.
+func (s State) pages() ([]rows, error) {
+	cut := &cutter{}
+	tables := s.index.Routes()
+	pools := s.index.Pools()
+	cutAll(cut, tables.Routes, func(row route.Route) rows { return rows{Routes: []route.Route{row}} })
+	cutAll(cut, tables.Teams, func(row route.Team) rows { return rows{Teams: []route.Team{row}} })
+	cutAll(cut, pools.Domains, func(row pool.Domain) rows { return rows{Domains: []pool.Domain{row}} })
+	cutAll(cut, pools.Pools, func(row pool.Pool) rows { return rows{Pools: []pool.Pool{row}} })
+	cutAll(cut, marksOf(s.marks), func(row mark.Mark) rows { return rows{Marks: []mark.Mark{row}} })
+	cutAll(cut, s.recent.list(), func(row trace) rows { return rows{Traces: []trace{row}} })
+	return append(cut.pages, cut.page), cut.err
+}
+
+type cutter struct {
+	pages []rows
+	page  rows
+	bytes int
+	err   error
+}
+
+func cutAll[T any](cut *cutter, list []T, wrap func(T) rows) {
+	for _, row := range list {
+		data, err := codec.Marshal(row)
+		if err != nil {
+			cut.err = err
+			return
+		}
+		if cut.bytes+len(data) > partBytes {
+			cut.pages = append(cut.pages, cut.page)
+			cut.page, cut.bytes = rows{}, 0
+		}
+		cut.page = cut.page.with(wrap(row))
+		cut.bytes += len(data)
+	}
+}
+
+func marksOf(set mark.Set) []mark.Mark {
+	var list []mark.Mark
+	for _, name := range slices.Sorted(maps.Keys(set.Domains)) {
+		list = append(list, mark.Mark{Kind: mark.Domain, Name: name, Out: true})
+	}
+	for _, name := range slices.Sorted(maps.Keys(set.VMs)) {
+		list = append(list, mark.Mark{Kind: mark.VM, Name: name, Out: true})
+	}
+	return list
+}
--- a/internal/config/mark/mark.go
+++ b/internal/config/mark/mark.go
@@ -54,6 +54,14 @@
 	return next
 }
 
+// Has reports whether a mark is in force already.
+func (s Set) Has(m Mark) bool {
+	if m.Kind == Domain {
+		return s.Domains[m.Name] == m.Out
+	}
+	return s.VMs[m.Name] == m.Out
+}
+
 // DomainOut reports whether a failure domain is out.
 func (s Set) DomainOut(domain string) bool { return s.Domains[domain] }
 
--- /dev/null
+++ b/internal/config/setting/parse.go
@@ -0,0 +1,258 @@
+package setting
+
+import (
+	"fmt"
+	"net/netip"
+	"net/url"
+	"os"
+	"path/filepath"
+	"slices"
+	"strings"
+
+	"github.com/pkg/errors"
+	"github.com/rs/zerolog"
+	"github.com/samber/lo"
+
+	"github.com/oriolepier/oriolepier/internal/base/clock"
+	"github.com/oriolepier/oriolepier/internal/config/document"
+	"github.com/oriolepier/oriolepier/internal/config/table"
+)
+
+// Limits of the settings.
+const (
+	MaxFileBytes               = 256 << 10
+	maxPeers                   = 1024
+	minTokenBytes              = 16 // shorter ones can be guessed
+	maxTokenBytes              = 512
+	maxNotice     clock.Millis = 10 * clock.Minute
+)
+
+// Balancers probe every second or two and want several failures in a row.
+const defaultNotice = 5 * clock.Second
+
+var shapes = []document.Shape{
+	{
+		Prototype: Entry{LogLevel: zerolog.LevelInfoValue, NoticeMS: defaultNotice},
+		Required:  []string{"name", "failure_domain", "listen", "platform"},
+	},
+	{Prototype: Listen{}, Required: []string{"callers", "operators", "peers"}},
+	{Prototype: Platform{}, Required: []string{"log", "inventory", "usage"}},
+	{Prototype: Peer{}, Required: []string{"name", "failure_domain", "address"}},
+	{Prototype: TLS{}, Required: []string{"cert", "key", "ca"}},
+}
+
+// Parse reads a settings file. It opens no other file; see Load.
+func Parse(file string, data []byte) (Entry, []table.Finding) {
+	_, entry, findings := Decode(file, data)
+	return entry, findings
+}
+
+// Decode is Parse for those who need places in the file later.
+func Decode(file string, data []byte) (*document.Document, Entry, []table.Finding) {
+	var entry Entry
+	doc, findings := document.Parse(file, data, MaxFileBytes)
+	if len(findings) > 0 {
+		return doc, entry, findings
+	}
+	if findings := doc.Decode(&entry, shapes...); len(findings) > 0 {
+		return doc, entry, findings
+	}
+	findings = lo.Map(check(entry), func(finding table.Finding, _ int) table.Finding { return doc.Locate(finding) })
+	document.Sort(findings)
+	return doc, entry, findings
+}
+
+// Load reads a settings file and the token file that it names. The paths in
+// the settings become relative to the working directory.
+func Load(file string) (Entry, []table.Finding, error) {
+	data, err := os.ReadFile(file)
+	if err != nil {
+		return Entry{}, nil, errors.Wrap(err, "read settings")
+	}
+	entry, findings := Parse(file, data)
+	if len(findings) > 0 {
+		return entry, findings, nil
+	}
+	beside := func(path string) string {
+		if filepath.IsAbs(path) {
+			return path
+		}
+		return filepath.Join(filepath.Dir(file), path)
+	}
+	if entry.TLS != nil {
+		entry.TLS = &TLS{Cert: beside(entry.TLS.Cert), Key: beside(entry.TLS.Key), CA: beside(entry.TLS.CA)}
+	}
+	if entry.TokenFile == "" {
+		return entry, nil, nil
+	}
+	entry.TokenFile = beside(entry.TokenFile)
+	token, err := ReadToken(entry.TokenFile)
+	return entry.WithToken(token), nil, err
+}
+
+// ReadToken reads a shared token from a file, less the white space round it.
+func ReadToken(file string) (string, error) {
+	data, err := os.ReadFile(file)
+	if err != nil {
+		return "", errors.Wrap(err, "read token")
+	}
+	token := strings.TrimSpace(string(data))
+	if problem := tokenProblem(token); problem != "" {
+		return "", errors.Errorf("token in %s: %s", file, problem)
+	}
+	return token, nil
+}
+
+func tokenProblem(token string) string {
+	if len(token) < minTokenBytes || len(token) > maxTokenBytes {
+		return fmt.Sprintf("must have %d to %d bytes, not %d", minTokenBytes, maxTokenBytes, len(token))
+	}
+	if strings.ContainsFunc(token, func(char rune) bool { return char <= ' ' || char > '~' }) {
+		return "must be printable ASCII without spaces"
+	}
+	return ""
+}
+
+type report struct{ found []table.Finding }
+
+func (r *report) addf(field, format string, values ...any) {
+	r.found = append(r.found, table.Finding{Field: field, Message: fmt.Sprintf(format, values...)})
+}
+
+func check(entry Entry) []table.Finding {
+	list := &report{}
+	list.name("name", entry.Name)
+	list.name("failure_domain", entry.FailureDomain)
+	list.listen(entry.Listen)
+	list.peers(entry)
+	list.base("platform.log", entry.Platform.Log)
+	list.base("platform.inventory", entry.Platform.Inventory)
+	list.base("platform.usage", entry.Platform.Usage)
+	list.level(entry.LogLevel)
+	if entry.NoticeMS < 1 || entry.NoticeMS > maxNotice {
+		list.addf("notice_ms", "must be between 1 and %d, not %d", maxNotice, entry.NoticeMS)
+	}
+	list.token(entry)
+	list.tls(entry.TLS)
+	return list.found
+}
+
+func (r *report) name(field, name string) {
+	if name == "" {
+		r.addf(field, "is missing")
+	} else if !table.ValidName(name) {
+		r.addf(field, "%q is not a name: letters, digits, '-' and '_', the first a letter or digit", name)
+	}
+}
+
+func (r *report) listen(listen Listen) {
+	r.address("listen.callers", listen.Callers, true)
+	r.address("listen.operators", listen.Operators, true)
+	r.address("listen.peers", listen.Peers, true)
+	if listen.Callers != "" && (listen.Callers == listen.Operators || listen.Callers == listen.Peers) {
+		r.addf("listen.callers", "%s is another listener's address too", listen.Callers)
+	}
+	if listen.Peers != "" && listen.Peers == listen.Operators {
+		r.addf("listen.peers", "%s is another listener's address too", listen.Peers)
+	}
+}
+
+// A listener may stand at all addresses of the VM and, in tests, at a port
+// that the system picks; others must be reached and may not.
+func (r *report) address(field, address string, listener bool) {
+	place, err := netip.ParseAddrPort(address)
+	switch {
+	case address == "":
+		r.addf(field, "is missing")
+	case err != nil:
+		r.addf(field, "%q is not an IP address and port", address)
+	case !listener && place.Addr().IsUnspecified():
+		r.addf(field, "%q is the address of no VM", address)
+	case !listener && place.Port() == 0:
+		r.addf(field, "%q has no port", address)
+	}
+}
+
+func (r *report) peers(entry Entry) {
+	if len(entry.Peers) > maxPeers {
+		r.addf("peers", "names %d entries; the limit is %d", len(entry.Peers), maxPeers)
+		return
+	}
+	names, addresses := map[string]bool{}, map[string]bool{}
+	for at, peer := range entry.Peers {
+		field := fmt.Sprintf("peers[%d]", at)
+		r.name(field+".name", peer.Name)
+		r.name(field+".failure_domain", peer.FailureDomain)
+		r.address(field+".address", peer.Address, false)
+		if names[peer.Name] {
+			r.addf(field+".name", "duplicate entry %q", peer.Name)
+		}
+		if addresses[peer.Address] {
+			r.addf(field+".address", "%s is another entry's address too", peer.Address)
+		}
+		if peer.Name == entry.Name && peer.FailureDomain != entry.FailureDomain {
+			r.addf(field+".failure_domain", "%q, but this entry's own failure_domain is %q", peer.FailureDomain, entry.FailureDomain)
+		}
+		names[peer.Name], addresses[peer.Address] = true, true
+	}
+}
+
+func (r *report) base(field, text string) {
+	if text == "" {
+		r.addf(field, "is missing")
+		return
+	}
+	link, err := url.Parse(text)
+	if err != nil || (link.Scheme != "http" && link.Scheme != "https") || link.Host == "" {
+		r.addf(field, "%q is not a base URL such as http://10.0.0.1:7000", text)
+		return
+	}
+	if _, err := netip.ParseAddr(link.Hostname()); err != nil {
+		r.addf(field, "the host of %q is not an IP address", text)
+	}
+	if link.User != nil || link.RawQuery != "" || link.Fragment != "" {
+		r.addf(field, "%q has more than scheme, address and path", text)
+	}
+}
+
+func (r *report) level(level string) {
+	levels := []string{"trace", "debug", "info", "warn", "error"}
+	if !slices.Contains(levels, level) {
+		r.addf("log_level", "must be one of %s, not %q", strings.Join(levels, ", "), level)
+	}
+}
+
+func (r *report) token(entry Entry) {
+	if entry.Token != "" && entry.TokenFile != "" {
+		r.addf("token_file", "given beside token; give one of them")
+	}
+	if entry.Token != "" {
+		if problem := tokenProblem(entry.Token); problem != "" {
+			r.addf("token", "%s", problem)
+		}
+		return
+	}
+	if entry.TokenFile != "" {
+		return
+	}
+	for _, listener := range []struct{ field, address string }{
+		{"listen.operators", entry.Listen.Operators}, {"listen.peers", entry.Listen.Peers},
+	} {
+		if _, err := netip.ParseAddrPort(listener.address); err == nil && !Loopback(listener.address) {
+			r.addf(listener.field, "unsafe: %s is open to other VMs, so a token or token_file is needed", listener.address)
+		}
+	}
+}
+
+func (r *report) tls(files *TLS) {
+	if files == nil {
+		return
+	}
+	for _, file := range []struct{ field, path string }{
+		{"tls.cert", files.Cert}, {"tls.key", files.Key}, {"tls.ca", files.CA},
+	} {
+		if file.path == "" {
+			r.addf(file.field, "is missing")
+		}
+	}
+}
--- /dev/null
+++ b/internal/operator/command/check.go
@@ -0,0 +1,40 @@
+package command
+
+import (
+	"os"
+
+	"github.com/pkg/errors"
+
+	"github.com/oriolepier/oriolepier/internal/config/bundle"
+	"github.com/oriolepier/oriolepier/internal/operator/option"
+)
+
+// Prints every fault of the files.
+func (s *session) check() int {
+	files, err := readFiles(s.opts.Check.Args.Files)
+	if err != nil {
+		return s.fail(err)
+	}
+	_, findings := bundle.Load(files)
+	for _, finding := range findings {
+		s.sayf("%s", finding)
+	}
+	if len(findings) > 0 {
+		s.complainf("%d faults in %d files", len(findings), len(files))
+		return option.ExitFailed
+	}
+	s.sayf("%d files are good", len(files))
+	return option.ExitDone
+}
+
+func readFiles(names []string) ([]bundle.File, error) {
+	files := make([]bundle.File, 0, len(names))
+	for _, name := range names {
+		data, err := os.ReadFile(name)
+		if err != nil {
+			return nil, errors.Wrap(err, "read file")
+		}
+		files = append(files, bundle.File{Name: name, Data: data})
+	}
+	return files, nil
+}
--- /dev/null
+++ b/internal/operator/command/follow.go
@@ -0,0 +1,163 @@
+package command
+
+import (
+	"context"
+
+	"github.com/cenkalti/backoff/v5"
+	"github.com/oklog/ulid/v2"
+	"github.com/pkg/errors"
+
+	"github.com/oriolepier/oriolepier/internal/base/clock"
+	"github.com/oriolepier/oriolepier/internal/base/fault"
+	"github.com/oriolepier/oriolepier/internal/config/ledger"
+	"github.com/oriolepier/oriolepier/internal/platform/stream"
+)
+
+const pageRecords = 500 // asked for in one read
+
+// Pauses between tries while the log is away.
+const (
+	firstPause clock.Millis = 50
+	lastPause  clock.Millis = 1000
+)
+
+// Longest time that one call to the log may take before it is tried again.
+const callTimeout clock.Millis = 5000
+
+// follower reads the config stream and appends to it under a name of its own.
+//
+//	append ──acknowledged──────> read on ──own record found──> its verdict
+//	   │                            │
+//	   ├──certainly not appended──> append again
+//	   └──unknown───────────────> read to the end ──not found──> append again
+type follower struct {
+	log      stream.Log
+	state    ledger.State
+	writer   string
+	sequence uint64
+	wanted   map[name]ledger.Verdict // first verdict of each change asked for
+}
+
+// name is a change's writer and sequence.
+type name struct {
+	writer   string
+	sequence uint64
+}
+
+func newFollower(log stream.Log) *follower {
+	return &follower{log: log, state: ledger.New(), writer: ulid.Make().String(), wanted: map[name]ledger.Verdict{}}
+}
+
+// Reads to the end of the stream.
+func (f *follower) catchUp(ctx context.Context) error {
+	for {
+		page, err := f.read(ctx)
+		if err != nil {
+			return err
+		}
+		from := f.state.Next()
+		f.state = f.state.WithFirst(page.First)
+		for _, record := range page.Records {
+			f.take(record)
+		}
+		if page.AtEnd(from) {
+			return nil
+		}
+	}
+}
+
+func (f *follower) read(ctx context.Context) (stream.Page, error) {
+	return retry(ctx, func(ctx context.Context) (stream.Page, error) {
+		return f.log.Read(ctx, ledger.Stream, f.state.Next(), pageRecords)
+	})
+}
+
+func (f *follower) take(record stream.Record) {
+	next, verdict := f.state.With(record)
+	f.state = next
+	key := name{verdict.Writer, verdict.Sequence}
+	// A copy that comes later changes nothing about what became of the first.
+	if _, known := f.wanted[key]; !known && verdict.Kind != ledger.Part {
+		f.wanted[key] = verdict
+	}
+}
+
+// Reads to the end and refuses to go on without the state in force.
+func (f *follower) begin(ctx context.Context) error {
+	if err := f.catchUp(ctx); err != nil {
+		return errors.Wrap(err, "read the config stream")
+	}
+	if !f.state.Complete() {
+		return errors.New("the log has lost its oldest records and holds no whole snapshot yet; entries write one, try again soon")
+	}
+	return nil
+}
+
+// Appends edits as one change and finds out what became of it. An error means
+// that the outcome is not known, unless it is certain that nothing was
+// appended.
+func (f *follower) append(ctx context.Context, base int64, edits []ledger.Edit) (ledger.Verdict, error) {
+	f.sequence++
+	key := name{f.writer, f.sequence}
+	data, err := ledger.Encode(ledger.Change{Writer: f.writer, Sequence: f.sequence, Base: base, Edits: edits})
+	if err != nil {
+		return ledger.Verdict{}, fault.New(fault.NotSent, "encode", "", err)
+	}
+	maybe := false // whether a copy may be in the log, or on its way
+	verdict, err := retry(ctx, func(ctx context.Context) (ledger.Verdict, error) {
+		_, failure := f.log.Append(ctx, ledger.Stream, data)
+		if failure != nil && fault.OutcomeOf(failure).Certain() {
+			return ledger.Verdict{}, failure
+		}
+		maybe = true
+		return f.find(ctx, key, failure)
+	})
+	if err == nil {
+		return verdict, nil
+	}
+	if maybe {
+		return verdict, fault.New(fault.Unknown, "append", "", err)
+	}
+	return verdict, fault.New(fault.NotRun, "append", "", err)
+}
+
+var errNotFound = errors.New("the change is not in the log so far")
+
+// Reads on for the verdict of a change.
+func (f *follower) find(ctx context.Context, key name, failure error) (ledger.Verdict, error) {
+	if err := f.catchUp(ctx); err != nil {
+		return ledger.Verdict{}, err
+	}
+	if verdict, ok := f.wanted[key]; ok {
+		return verdict, nil
+	}
+	if failure != nil {
+		return ledger.Verdict{}, failure
+	}
+	return ledger.Verdict{}, errNotFound
+}
+
+// Calls the log until it answers or the context ends. The last error of the
+// log is returned rather than the context's.
+func retry[T any](ctx context.Context, call func(context.Context) (T, error)) (T, error) {
+	var last error
+	pauses := backoff.NewExponentialBackOff()
+	pauses.InitialInterval = firstPause.Duration()
+	pauses.MaxInterval = lastPause.Duration()
+	value, err := backoff.Retry(ctx, func() (T, error) {
+		limited, stop := context.WithTimeout(ctx, callTimeout.Duration())
+		defer stop()
+		value, err := call(limited)
+		if err == nil {
+			return value, nil
+		}
+		if ctx.Err() == nil || last == nil {
+			last = err
+		}
+		return value, err
+	}, backoff.WithBackOff(pauses), backoff.WithMaxElapsedTime(0))
+	if err != nil && last != nil {
+		return value, last
+	}
+	return value, err
+}
--- /dev/null
+++ b/internal/operator/command/publish.go
@@ -0,0 +1,248 @@
+package command
+
+import (
+	"context"
+	"net/http"
+	"slices"
+
+	"github.com/pkg/errors"
+
+	"github.com/oriolepier/oriolepier/internal/base/codec"
+	"github.com/oriolepier/oriolepier/internal/base/fault"
+	"github.com/oriolepier/oriolepier/internal/config/bundle"
+	"github.com/oriolepier/oriolepier/internal/config/ledger"
+	"github.com/oriolepier/oriolepier/internal/config/setting"
+	"github.com/oriolepier/oriolepier/internal/operator/option"
+	"github.com/oriolepier/oriolepier/internal/platform/stream"
+)
+
+// Limits of the records that a large publish is cut into.
+const (
+	chunkEdits = 2000
+	chunkBytes = ledger.MaxRecordBytes / 2
+)
+
+// Publishes the rows of the files that differ from the version in force.
+//
+//	files ──check──> tables ──diff──> edits ──trial──> records ──append, read back──> accepted | rejected | unknown
+func (s *session) publish(ctx context.Context) int {
+	opts := s.opts.Publish
+	if opts.Find != "" {
+		return s.find(ctx, opts)
+	}
+	routes, err := s.tables(opts.Args.Files)
+	if err != nil {
+		return s.fail(err)
+	}
+	ctx, stop := context.WithTimeout(ctx, opts.TimeoutMS.Duration())
+	defer stop()
+	follow, err := s.follow(ctx, opts.Source)
+	if err != nil {
+		return s.fail(err)
+	}
+	state := follow.state
+	base := baseOr(opts.Base, state)
+	now := ledger.Tables{Routes: state.Config().Routes, Pools: state.Config().Pools}
+	wanted := completed(routes, now)
+	edits := ledger.Diff(now, wanted)
+	if len(edits) == 0 {
+		s.sayf("nothing to change: version %d is in force", state.Version())
+		return option.ExitDone
+	}
+	chunks, verdict, err := plan(state, base, edits, wanted, opts.Replace)
+	if err != nil {
+		return s.fail(err)
+	}
+	if verdict.Kind != ledger.Accepted {
+		s.sayf("rejected: %s; nothing was published", verdict.Reason)
+		return option.ExitFailed
+	}
+	if opts.DryRun {
+		s.sayf("%d edits in %d records would be accepted after version %d", len(edits), len(chunks), state.Version())
+		return option.ExitDone
+	}
+	return s.send(ctx, follow, base, chunks)
+}
+
+// Appends chunks one after the other, each based on the one before.
+func (s *session) send(ctx context.Context, follow *follower, base int64, chunks [][]ledger.Edit) int {
+	for at, edits := range chunks {
+		verdict, err := follow.append(ctx, base, edits)
+		if code := s.report(follow, verdict, err); code != option.ExitDone {
+			if at > 0 {
+				s.sayf("%d of %d records were accepted before; publish again for the rest", at, len(chunks))
+			}
+			return code
+		}
+		base = int64(verdict.Offset)
+	}
+	return option.ExitDone
+}
+
+// Says what became of the newest change.
+func (s *session) report(follow *follower, verdict ledger.Verdict, err error) int {
+	switch {
+	case err != nil && fault.OutcomeOf(err).Certain():
+		s.sayf("not published: nothing was appended (%s)", errors.Cause(err))
+	case err != nil:
+		s.sayf("unknown: the log did not answer in time (%s)", errors.Cause(err))
+		s.sayf("find out with: oriolepier publish --find %s/%d", follow.writer, follow.sequence)
+	case verdict.Kind == ledger.Accepted:
+		s.sayf("accepted: version %d", verdict.Offset)
+		return option.ExitDone
+	case verdict.Kind == ledger.UnknownVersion && !follow.state.Complete():
+		s.sayf("unknown: the log lost records while this command read it")
+		s.sayf("find out with: oriolepier publish --find %s/%d", follow.writer, follow.sequence)
+	default:
+		s.sayf("rejected: %s", verdict.Reason)
+	}
+	return option.ExitFailed
+}
+
+// Finds out what became of an earlier change.
+func (s *session) find(ctx context.Context, opts option.Publish) int {
+	writer, sequence, err := opts.FindName()
+	if err != nil {
+		return s.fail(err)
+	}
+	ctx, stop := context.WithTimeout(ctx, opts.TimeoutMS.Duration())
+	defer stop()
+	follow, err := s.follow(ctx, opts.Source)
+	if err != nil {
+		return s.fail(err)
+	}
+	verdict, ok := follow.wanted[name{writer, sequence}]
+	switch {
+	case !ok:
+		s.sayf("unknown: not in the log up to offset %d; it was not appended, is still under way, or has expired", follow.state.Next()-1)
+	case verdict.Kind == ledger.Accepted:
+		s.sayf("accepted: version %d (version %d is in force)", verdict.Offset, follow.state.Version())
+		return option.ExitDone
+	case verdict.Kind == ledger.Duplicate:
+		s.sayf("unknown: the log no longer has the first copy; %s", verdict.Reason)
+	case verdict.Kind == ledger.UnknownVersion && verdict.Version == 0:
+		s.sayf("unknown: in the log at offset %d, but the log no longer has what it was judged by", verdict.Offset)
+	default:
+		s.sayf("rejected: %s", verdict.Reason)
+	}
+	return option.ExitFailed
+}
+
+// Reads the tables of the files, which must be of one deployment.
+func (s *session) tables(names []string) (bundle.Set, error) {
+	files, err := readFiles(names)
+	if err != nil {
+		return bundle.Set{}, err
+	}
+	sets, findings := bundle.Load(files)
+	for _, finding := range findings {
+		s.sayf("%s", finding)
+	}
+	if len(findings) > 0 {
+		return bundle.Set{}, errors.Errorf("%d faults; nothing was published", len(findings))
+	}
+	if len(sets) != 1 {
+		return bundle.Set{}, errors.New("the files are in several directories; publish one deployment at a time")
+	}
+	if sets[0].Routes == nil && sets[0].Pools == nil {
+		return bundle.Set{}, errors.New("no table among the files")
+	}
+	return sets[0], nil
+}
+
+// Takes the table that the files lack from the version in force.
+func completed(set bundle.Set, now ledger.Tables) ledger.Tables {
+	wanted := now
+	if set.Routes != nil {
+		wanted.Routes = *set.Routes
+	}
+	if set.Pools != nil {
+		wanted.Pools = *set.Pools
+	}
+	return wanted
+}
+
+// Cuts edits into records and tries them on the state in force. If the edits
+// can't be made one by one, both tables are replaced whole.
+func plan(state ledger.State, base int64, edits []ledger.Edit, wanted ledger.Tables, whole bool) ([][]ledger.Edit, ledger.Verdict, error) {
+	replace := [][]ledger.Edit{{{Replace: &wanted}}}
+	if whole {
+		verdict, err := try(state, base, replace)
+		return replace, verdict, err
+	}
+	chunks, err := cut(edits)
+	if err != nil {
+		return nil, ledger.Verdict{}, err
+	}
+	verdict, err := try(state, base, chunks)
+	if err == nil && verdict.Kind == ledger.Accepted {
+		return chunks, verdict, nil
+	}
+	if other, failure := try(state, base, replace); failure == nil && other.Kind == ledger.Accepted {
+		return replace, other, nil
+	}
+	return chunks, verdict, err
+}
+
+// Returns the first verdict that is not accepted, or the last.
+func try(state ledger.State, base int64, chunks [][]ledger.Edit) (ledger.Verdict, error) {
+	var verdict ledger.Verdict
+	for at, edits := range chunks {
+		data, err := ledger.Encode(ledger.Change{Writer: "trial", Sequence: uint64(at), Base: base, Edits: edits})
+		if err != nil {
+			return verdict, err
+		}
+		state, verdict = state.With(stream.Record{Offset: state.Next(), Data: data})
+		if verdict.Kind != ledger.Accepted {
+			return verdict, nil
+		}
+		base = state.Version()
+	}
+	return verdict, nil
+}
+
+func cut(edits []ledger.Edit) ([][]ledger.Edit, error) {
+	var chunks [][]ledger.Edit
+	var chunk []ledger.Edit
+	size := 0
+	for _, edit := range edits {
+		data, err := codec.Marshal(edit)
+		if err != nil {
+			return nil, err
+		}
+		if len(chunk) == chunkEdits || (size+len(data) > chunkBytes && len(chunk) > 0) {
+			chunks = append(chunks, chunk)
+			chunk, size = nil, 0
+		}
+		chunk = append(chunk, edit)
+		size += len(data)
+	}
+	return slices.Concat(chunks, [][]ledger.Edit{chunk}), nil
+}
+
+func baseOr(given int64, state ledger.State) int64 {
+	if given < 0 {
+		return state.Version()
+	}
+	return given
+}
+
+// Opens the log and reads the config stream to its end.
+func (s *session) follow(ctx context.Context, source option.Source) (*follower, error) {
+	base := source.Log
+	if source.Settings != "" {
+		entry, findings, err := setting.Load(source.Settings)
+		if err != nil {
+			return nil, err
+		}
+		if len(findings) > 0 {
+			return nil, errors.New(findings[0].String())
+		}
+		base = entry.Platform.Log
+	}
+	if s.runners.Log == nil {
+		return nil, errors.New("no client of the log is part of this binary")
+	}
+	follow := newFollower(s.runners.Log(base, &http.Client{}))
+	return follow, follow.begin(ctx)
+}
