--- a/internal/standin/machine/machine.go
+++ b/internal/standin/machine/machine.go
@@ -56,6 +56,7 @@
 type Options struct {
 	VM             inventory.VM
 	Clock          clock.Clock
+	Life           string // starts the names of boots; empty for the VM's name
 	Seed           uint64
 	Slots          int // requests that run at once
 	Connections    int // on the request listener; 0 for no limit
@@ -135,6 +136,9 @@
 	if options.Observe == nil {
 		options.Observe = func(context.Context, witness.Event) {}
 	}
+	if options.Life == "" {
+		options.Life = options.VM.Name
+	}
 	if options.ServiceMS == 0 {
 		options.ServiceMS = defaultService
 	}
@@ -188,7 +192,7 @@
 
 func (machine *Machine) start() {
 	machine.boots++
-	machine.boot = fmt.Sprintf("%s#%d.%d", machine.options.VM.Name, machine.options.Seed, machine.boots)
+	machine.boot = fmt.Sprintf("%s#%d", machine.options.Life, machine.boots)
 	machine.bootAt = machine.options.Clock.Now()
 	machine.life, machine.halt = context.WithCancel(context.Background())
 	machine.halted = false
