--- a/internal/operator/command/command.go
+++ b/internal/operator/command/command.go
@@ -24,6 +24,7 @@
 	"github.com/oriolepier/oriolepier/internal/base/clock"
 	"github.com/oriolepier/oriolepier/internal/operator/option"
 	"github.com/oriolepier/oriolepier/internal/platform/stream"
+	"github.com/oriolepier/oriolepier/internal/standin/process"
 )
 
 // Runners are the commands that live in other packages. One that is nil is
@@ -32,7 +33,7 @@
 	Entry   func(ctx context.Context, opts option.Options) int
 	Demo    func(ctx context.Context, opts option.Options) int
 	Standin func(ctx context.Context, opts option.Options) int
-	// Log makes a client of the platform's log.
+	// Log makes a client of the platform's log; nil for the one over HTTP.
 	Log func(baseURL string, client *http.Client) stream.Log
 }
 
@@ -69,7 +70,7 @@
 	case "demo":
 		return s.foreign(ctx, s.runners.Demo)
 	case "standin platform", "standin worker":
-		return s.foreign(ctx, s.runners.Standin)
+		return s.standin(ctx)
 	case "check":
 		return s.check()
 	case "publish":
@@ -100,6 +101,13 @@
 	return run(ctx, s.opts)
 }
 
+func (s *session) standin(ctx context.Context) int {
+	if s.runners.Standin != nil {
+		return s.runners.Standin(ctx, s.opts)
+	}
+	return process.RunStandin(ctx, s.opts.Standin, s.out)
+}
+
 func (s *session) sayf(format string, values ...any) {
 	_, _ = fmt.Fprintf(s.out, format+"\n", values...) // nobody to tell when the terminal is gone
 }
--- a/internal/operator/command/publish.go
+++ b/internal/operator/command/publish.go
@@ -13,6 +13,7 @@
 	"github.com/oriolepier/oriolepier/internal/config/ledger"
 	"github.com/oriolepier/oriolepier/internal/config/setting"
 	"github.com/oriolepier/oriolepier/internal/operator/option"
+	"github.com/oriolepier/oriolepier/internal/platform/remote"
 	"github.com/oriolepier/oriolepier/internal/platform/stream"
 )
 
@@ -240,9 +241,10 @@
 		}
 		base = entry.Platform.Log
 	}
-	if s.runners.Log == nil {
-		return nil, errors.New("no client of the log is part of this binary")
+	newLog := s.runners.Log
+	if newLog == nil {
+		newLog = remote.NewLog
 	}
-	follow := newFollower(s.runners.Log(base, &http.Client{}))
+	follow := newFollower(newLog(base, &http.Client{}))
 	return follow, follow.begin(ctx)
 }
--- a/internal/operator/option/option.go
+++ b/internal/operator/option/option.go
@@ -1,5 +1,6 @@
 // Package option is the command line: every command and flag with its default,
-// its check and its help text.
+// its check and its help text. The flags of the stand-ins stand beside their
+// code, in package process.
 //
 // # Usage
 //
@@ -20,6 +21,7 @@
 	"github.com/pkg/errors"
 
 	"github.com/oriolepier/oriolepier/internal/base/clock"
+	"github.com/oriolepier/oriolepier/internal/standin/process"
 )
 
 // Exit codes of every command.
@@ -33,19 +35,19 @@
 type Options struct {
 	Command string `no-flag:"true"` // such as "publish" or "standin worker"
 
-	Entry   Entry   `command:"entry" description:"Run an entry" long-description:"Runs an entry on this VM until it is told to stop by SIGTERM or SIGINT, upon which it leaves gracefully."`
-	Check   Check   `command:"check" description:"Check tables and settings" long-description:"Reads files and prints each fault with file, line, column and field. Tables in the same directory are checked together."`
-	Publish Publish `command:"publish" description:"Publish tables" long-description:"Puts tables into force. Only rows that differ from the version in force are published. Says accepted with the version, rejected and why, or unknown and how to find out."`
-	Show    Show    `command:"show" description:"Print the configuration in force" long-description:"Reads the config stream and prints the tables and marks in force as JSON."`
-	Out     Mark    `command:"out" description:"Take a failure domain or VM out of service"`
-	Back    Mark    `command:"back" description:"Put a failure domain or VM back into service"`
-	Submit  Submit  `command:"submit" description:"Submit tasks" long-description:"Submits one task by flags or many from a file. Submitting again with the same caller and key never makes a second task."`
-	Status  Status  `command:"status" description:"Print the state of tasks" long-description:"Prints the tasks of the given ids, or lists tasks, one JSON object a line."`
-	Cancel  Cancel  `command:"cancel" description:"Cancel tasks"`
-	Dump    Dump    `command:"dump" description:"Print the state of an entry as JSON"`
-	Demo    Demo    `command:"demo" description:"Show the whole system in one process" long-description:"Runs six entries in three failure domains with stand-ins for the platform, sends work, takes a failure domain out and back, and prints what callers and workers saw as one JSON object on the last line."`
-	Standin Standin `command:"standin" description:"Run a stand-in of the platform, to try things out"`
-	Version Version `command:"version" description:"Print the version"`
+	Entry   Entry                `command:"entry" description:"Run an entry" long-description:"Runs an entry on this VM until it is told to stop by SIGTERM or SIGINT, upon which it leaves gracefully."`
+	Check   Check                `command:"check" description:"Check tables and settings" long-description:"Reads files and prints each fault with file, line, column and field. Tables in the same directory are checked together."`
+	Publish Publish              `command:"publish" description:"Publish tables" long-description:"Puts tables into force. Only rows that differ from the version in force are published. Says accepted with the version, rejected and why, or unknown and how to find out."`
+	Show    Show                 `command:"show" description:"Print the configuration in force" long-description:"Reads the config stream and prints the tables and marks in force as JSON."`
+	Out     Mark                 `command:"out" description:"Take a failure domain or VM out of service"`
+	Back    Mark                 `command:"back" description:"Put a failure domain or VM back into service"`
+	Submit  Submit               `command:"submit" description:"Submit tasks" long-description:"Submits one task by flags or many from a file. Submitting again with the same caller and key never makes a second task."`
+	Status  Status               `command:"status" description:"Print the state of tasks" long-description:"Prints the tasks of the given ids, or lists tasks, one JSON object a line."`
+	Cancel  Cancel               `command:"cancel" description:"Cancel tasks"`
+	Dump    Dump                 `command:"dump" description:"Print the state of an entry as JSON"`
+	Demo    Demo                 `command:"demo" description:"Show the whole system in one process" long-description:"Runs six entries in three failure domains with stand-ins for the platform, sends work, takes a failure domain out and back, and prints what callers and workers saw as one JSON object on the last line."`
+	Standin process.StandinFlags `command:"standin" description:"Run a stand-in of the platform, to try things out"`
+	Version Version              `command:"version" description:"Print the version"`
 }
 
 // Entry runs an entry.
