--- /dev/null
+++ b/internal/config/bundle/bundle_test.go
@@ -0,0 +1,65 @@
+package bundle
+
+import (
+	"os"
+	"path/filepath"
+	"strings"
+	"testing"
+
+	"github.com/google/go-cmp/cmp"
+	"github.com/samber/lo"
+	"github.com/sebdah/goldie/v2"
+
+	"github.com/oriolepier/oriolepier/internal/config/table"
+)
+
+// Every bad input gives exactly one finding, with its place and field.
+func TestLoadBadInputs(t *testing.T) {
+	cases, err := filepath.Glob("testdata/bad/*")
+	if err != nil || len(cases) < 40 {
+		t.Fatalf("%d cases, error %v", len(cases), err)
+	}
+	for _, dir := range cases {
+		name := filepath.Base(dir)
+		t.Run(name, func(t *testing.T) {
+			_, findings := Load(readDir(t, dir))
+			lines := lo.Map(findings, func(finding table.Finding, _ int) string { return finding.String() })
+			if diff := cmp.Diff(1, len(lines)); diff != "" {
+				t.Errorf("findings (-want +got):\n%s%s", diff, strings.Join(lines, "\n"))
+			}
+			if lo.ContainsBy(findings, func(finding table.Finding) bool { return finding.Line == 0 }) {
+				t.Errorf("a finding without its place: %s", lines)
+			}
+			text := strings.ReplaceAll(strings.Join(lines, "\n"), dir+"/", "")
+			goldie.New(t).Assert(t, name, []byte(text+"\n"))
+		})
+	}
+}
+
+// Deployments of both users are accepted, alone and in one call.
+func TestLoadExamples(t *testing.T) {
+	files := append(readDir(t, "../../../examples/maraval"), readDir(t, "../../../examples/tsetseg")...)
+	sets, findings := Load(files)
+	if diff := cmp.Diff(0, len(findings)); diff != "" {
+		t.Fatalf("findings (-want +got):\n%s%v", diff, findings)
+	}
+	entries := lo.Map(sets, func(set Set, _ int) int { return len(set.Entries[0].Peers) })
+	if diff := cmp.Diff([]int{9, 9}, entries); diff != "" {
+		t.Errorf("entries of each deployment (-want +got):\n%s", diff)
+	}
+}
+
+func readDir(t *testing.T, dir string) []File {
+	t.Helper()
+	names, err := filepath.Glob(dir + "/*.json")
+	if err != nil || len(names) == 0 {
+		t.Fatalf("no files in %s: %v", dir, err)
+	}
+	return lo.Map(names, func(name string, _ int) File {
+		data, err := os.ReadFile(name)
+		if err != nil {
+			t.Fatal(err)
+		}
+		return File{Name: name, Data: data}
+	})
+}
--- a/internal/config/document/decode.go
+++ b/internal/config/document/decode.go
@@ -2,13 +2,13 @@
 
 import (
 	"fmt"
-	"math"
+	"maps"
 	"reflect"
 	"slices"
 	"strconv"
 	"strings"
 
-	"github.com/samber/lo"
+	"github.com/pkg/errors"
 	"github.com/tailscale/hujson"
 )
 
@@ -100,7 +100,9 @@
 		index, known := fields[name]
 		switch {
 		case !known:
-			w.faultf(&member.Name, where, "%s", unknown(name, fields))
+			meant := similar(name, fields)
+			seen[meant] = true // one fault, not another for the member that is missing
+			w.faultf(&member.Name, where, "%s", unknown(meant, fields))
 		case seen[name]:
 			w.faultf(&member.Name, where, "given twice")
 		default:
@@ -144,8 +146,12 @@
 		return
 	}
 	number, err := strconv.ParseInt(string(literal), 10, target.Type().Bits())
+	if errors.Is(err, strconv.ErrRange) {
+		w.faultf(source, path, "%s is out of range", clip(string(literal)))
+		return
+	}
 	if err != nil {
-		w.faultf(source, path, "must be %s of at most %d, not %s", expected, int64(math.MaxInt64), clip(string(literal)))
+		w.faultf(source, path, "must be %s, not %s", expected, clip(string(literal)))
 		return
 	}
 	target.SetInt(number)
@@ -191,16 +197,21 @@
 	return strings.ToValidUTF8(text[:longest], "") + "..."
 }
 
-// Names the member that was meant when only the unit differs.
-func unknown(name string, fields map[string]int) string {
-	names := lo.Keys(fields)
-	slices.Sort(names)
-	for _, known := range names {
+// Returns the member that was meant when only the unit differs, or "".
+func similar(name string, fields map[string]int) string {
+	for _, known := range slices.Sorted(maps.Keys(fields)) {
 		if strings.EqualFold(stem(known), stem(name)) {
-			return fmt.Sprintf("unknown field; %q is meant, %s", known, expectation(known))
+			return known
 		}
 	}
-	return "unknown field; known here: " + strings.Join(names, ", ")
+	return ""
+}
+
+func unknown(meant string, fields map[string]int) string {
+	if meant != "" {
+		return fmt.Sprintf("unknown field; %q is meant, %s", meant, expectation(meant))
+	}
+	return "unknown field; known here: " + strings.Join(slices.Sorted(maps.Keys(fields)), ", ")
 }
 
 func stem(name string) string {
