--- a/internal/config/ledger/limits.go
+++ b/internal/config/ledger/limits.go
@@ -16,7 +16,7 @@
 
 // Limits of snapshots and of what a reader collects before it has one.
 const (
-	partBytes       = 256 << 10 // aim for the size of one part
+	partBytes       = 128 << 10 // of the rows of one part; the rest of a record leaves room for the last row
 	maxParts        = 4096
 	maxAssemblies   = 4 // writers whose snapshots are collected at once
 	maxPendingBytes = 64 << 20
--- /dev/null
+++ b/internal/config/ledger/readers_test.go
@@ -0,0 +1,162 @@
+package ledger
+
+import (
+	"flag"
+	"fmt"
+	"math/rand/v2"
+	"strings"
+	"testing"
+
+	"github.com/google/go-cmp/cmp"
+	"github.com/google/go-cmp/cmp/cmpopts"
+	"github.com/samber/lo"
+
+	"github.com/oriolepier/oriolepier/internal/config/mark"
+	"github.com/oriolepier/oriolepier/internal/config/pool"
+	"github.com/oriolepier/oriolepier/internal/config/route"
+	"github.com/oriolepier/oriolepier/internal/platform/stream"
+)
+
+// The same draws at each run; flags of the test command go before these.
+func init() {
+	_ = flag.Set("rapid.seed", "1")
+	_ = flag.Set("rapid.nofailfile", "true")
+}
+
+// site is a log that forgets, and what all readers of an offset must agree on.
+type site struct {
+	t       *testing.T
+	lots    *rand.Rand
+	first   stream.Offset
+	records []stream.Record
+	hashes  map[stream.Offset]uint64
+	waiting [][]byte // parts of a snapshot that are yet to be appended
+	adopted int
+}
+
+func (s *site) append(data []byte) {
+	s.records = append(s.records, stream.Record{Offset: stream.Offset(len(s.records) + 1), Data: data})
+}
+
+// Reads at most limit records and compares with the other readers.
+func (s *site) read(state State, limit int) State {
+	state = state.WithFirst(s.first)
+	for range limit {
+		at := int(state.Next()) - 1
+		if at >= len(s.records) {
+			break
+		}
+		before, waited := state.Version(), !state.Complete()
+		state, _ = state.With(s.records[at])
+		if state.Version() < before {
+			s.t.Fatalf("offset %d: version went from %d back to %d", at+1, before, state.Version())
+		}
+		if !state.Complete() {
+			continue
+		}
+		if waited {
+			s.adopted++
+		}
+		known, ok := s.hashes[state.Next()]
+		if ok && known != state.Hash() {
+			s.t.Fatalf("offset %d: readers have hashes %x and %x", at+1, known, state.Hash())
+		}
+		s.hashes[state.Next()] = state.Hash()
+	}
+	return state
+}
+
+// Readers pause, are replaced, fall behind the retention and come back, while
+// operators race and snapshots of several parts arrive between their changes.
+func TestReadersAgree(t *testing.T) {
+	s := &site{t: t, lots: rand.New(rand.NewPCG(7, 11)), first: 1, hashes: map[stream.Offset]uint64{}}
+	for _, data := range bigTables(t, 200, 900) {
+		s.append(data)
+	}
+	leader := s.read(New(), 100) // knows every record
+	readers := lo.Times(5, func(int) State { return New() })
+	versions := 0
+	for step := range 1000 {
+		s.act(step, leader)
+		before := leader.Version()
+		leader = s.read(leader, 100)
+		versions += lo.Ternary(leader.Version() > before, 1, 0)
+		at := s.lots.IntN(len(readers))
+		if s.lots.IntN(30) == 0 {
+			readers[at] = New()
+		}
+		readers[at] = s.read(readers[at], 1+s.lots.IntN(60))
+		if keep := stream.Offset(60 + s.lots.IntN(80)); leader.Next()-s.first > keep {
+			s.first = leader.Next() - keep
+		}
+	}
+	records, err := leader.Snapshot("last")
+	if err != nil {
+		t.Fatal(err)
+	}
+	lo.ForEach(records, func(data []byte, _ int) { s.append(data) })
+	leader = s.read(leader, 100)
+	for _, state := range readers {
+		state = s.read(state, len(s.records))
+		if diff := cmp.Diff([]any{leader.Hash(), leader.Marks()}, []any{state.Hash(), state.Marks()}, cmpopts.EquateEmpty()); diff != "" {
+			t.Errorf("state in the end (-leader +reader):\n%s", diff)
+		}
+	}
+	if versions < 400 || s.adopted < 20 || len(records) < 2 {
+		t.Errorf("the run proves little: %d versions, %d snapshots adopted, %d parts", versions, s.adopted, len(records))
+	}
+}
+
+// Appends a change, a copy of an older one, or a part of a snapshot.
+func (s *site) act(step int, leader State) {
+	if len(s.waiting) > 0 && s.lots.IntN(2) == 0 {
+		s.append(s.waiting[0])
+		s.waiting = s.waiting[1:]
+		return
+	}
+	if step%50 == 25 {
+		s.waiting, _ = leader.Snapshot(fmt.Sprint("snapshotter ", step))
+		if step%150 == 25 {
+			s.waiting = s.waiting[:1] // its writer dies
+		}
+	}
+	if s.lots.IntN(8) == 0 {
+		s.append(s.records[max(0, len(s.records)-1-s.lots.IntN(40))].Data)
+		return
+	}
+	name := fmt.Sprint("r", s.lots.IntN(20))
+	rt, _ := leader.Route(name)
+	rt = rt.WithDeadline(rt.DeadlineMS + 1)
+	edit := Edit{PutRoute: &rt}
+	if s.lots.IntN(3) == 0 {
+		edit = Edit{Mark: &mark.Mark{Kind: mark.VM, Name: name, Out: s.lots.IntN(2) == 0}}
+	}
+	data, _ := Encode(Change{Writer: "w", Sequence: uint64(step), Base: max(0, leader.Version()-s.lots.Int64N(6)), Edits: []Edit{edit}})
+	s.append(data)
+}
+
+// Returns records that put tables of so many routes into force, with paths
+// padded to make rows larger.
+func bigTables(tb testing.TB, count, pad int) [][]byte {
+	tb.Helper()
+	pools := pool.Table{Domains: []pool.Domain{{Name: "a", Cells: 1}}, Pools: []pool.Pool{
+		{Name: "p", FailureDomains: []string{"a"}, Slots: 8, Connections: 64, LeaseMS: 10_000, HoldMS: 60_000, MaxMovesPerSec: 5},
+	}}
+	edits := []Edit{{Pools: &pools}, {PutTeam: &route.Team{Name: "t"}}}
+	for at := range count {
+		edits = append(edits, Edit{PutRoute: &route.Route{
+			Name: fmt.Sprint("r", at), Class: route.Urgent, Team: "t", Pools: []string{"p"}, DeadlineMS: 1000,
+			Match:           route.Match{PathPrefix: fmt.Sprint("/services/", strings.Repeat("x", pad), at), Methods: []string{"GET", "POST"}},
+			MaxRequestBytes: 1 << 20, MaxAnswerBytes: 1 << 20, MaxQueued: 100, RetryPercent: 10,
+		}})
+	}
+	var records [][]byte
+	for at, chunk := range lo.Chunk(edits, 200) {
+		data, err := Encode(Change{Writer: "big", Sequence: uint64(at), Base: int64(at), Edits: chunk})
+		if err != nil {
+			tb.Fatal(err)
+		}
+		records = append(records, data)
+	}
+	return records
+}
--- a/internal/config/ledger/snapshot.go
+++ b/internal/config/ledger/snapshot.go
@@ -72,6 +72,9 @@
 		if err != nil {
 			return nil, err
 		}
+		if len(data) > MaxRecordBytes {
+			return nil, errors.Errorf("part %d of the snapshot takes %d bytes; the limit of a record is %d", at, len(data), MaxRecordBytes)
+		}
 		records = append(records, data)
 	}
 	return records, nil
--- /dev/null
+++ b/internal/config/ledger/verdict_test.go
@@ -0,0 +1,217 @@
+package ledger
+
+import (
+	"fmt"
+	"runtime"
+	"slices"
+	"strings"
+	"testing"
+
+	"github.com/google/go-cmp/cmp"
+	"github.com/samber/lo"
+	"github.com/sebdah/goldie/v2"
+
+	"github.com/oriolepier/oriolepier/internal/base/amount"
+	"github.com/oriolepier/oriolepier/internal/base/codec"
+	"github.com/oriolepier/oriolepier/internal/config/mark"
+	"github.com/oriolepier/oriolepier/internal/config/pool"
+	"github.com/oriolepier/oriolepier/internal/config/route"
+	"github.com/oriolepier/oriolepier/internal/platform/stream"
+)
+
+// desk is operators at their command lines, with a line for each verdict.
+type desk struct {
+	t     *testing.T
+	state State
+	lines strings.Builder
+	count uint64
+}
+
+func (d *desk) record(data []byte) {
+	var verdict Verdict
+	d.state, verdict = d.state.With(stream.Record{Offset: d.state.Next(), Data: data})
+	fmt.Fprintln(&d.lines, verdict)
+}
+
+// Publishes edits on a base, which counts back from the version in force if it
+// is not positive.
+func (d *desk) publish(title string, base int64, edits ...Edit) []byte {
+	d.t.Helper()
+	fmt.Fprintln(&d.lines, "#", title)
+	d.count++
+	if base <= 0 {
+		base += d.state.Version()
+	}
+	data, err := Encode(Change{Writer: "op", Sequence: d.count, Base: base, Edits: edits})
+	if err != nil {
+		d.t.Fatal(err)
+	}
+	d.record(data)
+	return data
+}
+
+func domainMark(name string, out bool) Edit {
+	return Edit{Mark: &mark.Mark{Kind: mark.Domain, Name: name, Out: out}}
+}
+
+func TestVerdicts(t *testing.T) {
+	d := &desk{t: t, state: New()}
+	for _, data := range bigTables(t, 3, 0) {
+		d.record(data)
+	}
+	r0, _ := d.state.Route("r0")
+	faster, slower, unmatched := r0.WithDeadline(50), r0.WithDeadline(5000), r0.WithPools("nowhere")
+	r1, _ := d.state.Route("r1")
+	r1 = r1.WithDeadline(60)
+	start := d.state.Version()
+
+	d.publish("the first operator changes a route", 0, Edit{PutRoute: &faster})
+	d.publish("the second changes it from the same base and loses", start, Edit{PutRoute: &slower})
+	d.publish("a third changes another row from the same base", start, Edit{PutRoute: &r1})
+	d.publish("whole tables need the newest base", start, Edit{Replace: &Tables{}})
+	data := d.publish("a failure domain goes out", 0, domainMark("a", true))
+	d.record(data)
+	d.publish("another operator takes it out from an older base", start, domainMark("a", true))
+	d.publish("back from a base before it was taken out", start, domainMark("a", false))
+	d.publish("cells may change now", 0, Edit{PutDomain: &pool.Domain{Name: "a", Cells: 2}})
+	d.publish("back", 0, domainMark("a", false))
+	d.publish("cells may not change any more", 0, Edit{PutDomain: &pool.Domain{Name: "a", Cells: 3}})
+	d.publish("out and cells in one change", 0, domainMark("a", true), Edit{PutDomain: &pool.Domain{Name: "a", Cells: 3}})
+	d.publish("a failure domain that is not known", 0, domainMark("z", true))
+	d.publish("a VM whose name is none", 0, Edit{Mark: &mark.Mark{Kind: mark.VM, Name: "a b", Out: true}})
+	d.publish("a mark of a rack", 0, Edit{Mark: &mark.Mark{Kind: "rack", Name: "r", Out: true}})
+	d.publish("a pool that routes name", 0, Edit{DropPool: "p"})
+	d.publish("a team that routes name", 0, Edit{DropTeam: "t"})
+	d.publish("a pool that is not there", 0, Edit{PutRoute: &unmatched})
+	d.publish("several faults", 0, Edit{PutTeam: &route.Team{Name: "t t", Quota: amount.Amount{MilliCores: -1, MemoryMB: -1}}})
+	d.publish("one of two edits is bad, so neither holds", 0, Edit{DropRoute: "r2"}, Edit{DropRoute: "r9"})
+	d.publish("a base that is yet to come", 999, domainMark("a", true))
+	d.record([]byte("not a record"))
+	malformed, err := codec.Marshal(record{Change: &Change{Writer: "op", Sequence: 900, Edits: []Edit{{}}}})
+	if err != nil {
+		t.Fatal(err)
+	}
+	d.record(malformed)
+	goldie.New(t).Assert(t, "verdicts", []byte(d.lines.String()))
+}
+
+// What is remembered stays bounded, and a copy from before that is refused.
+func TestWindow(t *testing.T) {
+	d := &desk{t: t, state: New()}
+	old := d.publish("the first", 0, Edit{PutTeam: &route.Team{Name: "t"}})
+	for at := range window + 10 {
+		d.publish("marks", 0, Edit{Mark: &mark.Mark{Kind: mark.VM, Name: fmt.Sprint("w", at%10), Out: at%2 == 0}})
+	}
+	if diff := cmp.Diff(window+1, d.state.recent.byOffset.Len()); diff != "" {
+		t.Errorf("traces (-want +got):\n%s", diff)
+	}
+	_, verdict := d.state.With(stream.Record{Offset: d.state.Next(), Data: old})
+	if diff := cmp.Diff([]any{Rejected, "based on version 0, which is too old; version 4107 is in force"}, []any{verdict.Kind, verdict.Reason}); diff != "" {
+		t.Errorf("late copy (-want +got):\n%s", diff)
+	}
+}
+
+// A reader without the records takes no snapshot that would harm it.
+func TestHarmfulSnapshots(t *testing.T) {
+	d := &desk{t: t, state: New()}
+	for _, data := range bigTables(t, 3, 0) {
+		d.record(data)
+	}
+	early, err := d.state.Snapshot("early")
+	if err != nil {
+		t.Fatal(err)
+	}
+	behind := d.state // pauses here, with its version in force
+	d.publish("a change", 0, domainMark("a", true))
+	missed := d.state.Next()
+	d.publish("another", 0, domainMark("a", false))
+	late, err := d.state.Snapshot("late")
+	if err != nil {
+		t.Fatal(err)
+	}
+	tampered := lo.Map(late, func(data []byte, _ int) []byte { return edited(t, data, func(piece *part) { piece.Hash++ }) })
+	ahead := lo.Map(late, func(data []byte, _ int) []byte { return edited(t, data, func(piece *part) { piece.Version-- }) })
+
+	first := d.state.Next()
+	for _, reader := range []struct {
+		title string
+		state State
+		parts [][]byte
+	}{
+		{"a reader that knows all, and its own snapshot", d.state, late},
+		{"a reader that knows all, and one that is older", d.state, early},
+		{"a reader that knows all, and one that differs", d.state, tampered},
+		{"a reader that lacks records, and a snapshot from before them", behind.WithFirst(first), early},
+		{"a reader that lacks records, and a hash that does not match", behind.WithFirst(first), tampered},
+		{"a reader that lacks records, and a version that does not match", behind.WithFirst(first), ahead},
+		{"a newborn that lacks the record after the snapshot", New().WithFirst(missed + 1), early},
+		{"a reader that lacks records, and an older version", d.state.WithFirst(first + 1), early},
+		{"a newborn", New().WithFirst(first), late},
+	} {
+		fmt.Fprintln(&d.lines, "#", reader.title)
+		state := reader.state
+		for _, data := range reader.parts {
+			var verdict Verdict
+			state, verdict = state.With(stream.Record{Offset: state.Next(), Data: data})
+			fmt.Fprintln(&d.lines, verdict)
+		}
+		fmt.Fprintf(&d.lines, "version %d, complete %t\n", state.Version(), state.Complete())
+	}
+	goldie.New(t).Assert(t, "snapshots", []byte(d.lines.String()))
+}
+
+func edited(t *testing.T, data []byte, edit func(*part)) []byte {
+	t.Helper()
+	entry, err := decode(data)
+	if err != nil {
+		t.Fatal(err)
+	}
+	edit(entry.Part)
+	data, err = codec.Marshal(entry)
+	if err != nil {
+		t.Fatal(err)
+	}
+	return data
+}
+
+// A record of the largest size that claims as many rows as it can stays within
+// a fixed share of an entry's memory.
+func TestHostileRecordMemory(t *testing.T) {
+	const most = 128 << 20                                                                           // bytes allocated for one record
+	rows := append([]byte{0x9a, 0x00, 0x01, 0xff, 0xff}, []byte(strings.Repeat("\xa0", 0x1ffff))...) // array of 131071 empty maps
+	bodies := map[string][]byte{
+		"routes": slices.Concat([]byte{0xa1, 0x01, 0xa3, 0x01, 0x61, 'w', 0x02, 0x01, 0x04, 0x81, 0xa1, 0x01, 0xa1, 0x01, 0xa1, 0x01}, rows),
+		"edits":  slices.Concat([]byte{0xa1, 0x01, 0xa3, 0x01, 0x61, 'w', 0x02, 0x01, 0x04}, rows),
+		"part":   slices.Concat([]byte{0xa1, 0x02, 0xa3, 0x01, 0x61, 'w', 0x06, 0x01, 0x07, 0xa1, 0x04}, rows),
+	}
+	for name, data := range bodies {
+		var before, after runtime.MemStats
+		runtime.ReadMemStats(&before)
+		_, verdict := New().With(stream.Record{Offset: 1, Data: data})
+		runtime.ReadMemStats(&after)
+		if verdict.Kind == Accepted || after.TotalAlloc-before.TotalAlloc > most {
+			t.Errorf("%s: %s, %d bytes allocated", name, verdict.Kind, after.TotalAlloc-before.TotalAlloc)
+		}
+		t.Logf("%s: %d bytes of record, %d bytes allocated: %s", name, len(data), after.TotalAlloc-before.TotalAlloc, verdict)
+	}
+}
+
+func FuzzRecord(f *testing.F) {
+	for _, data := range bigTables(f, 3, 0) {
+		f.Add(data)
+	}
+	state := New()
+	for _, data := range bigTables(f, 3, 0) {
+		state, _ = state.With(stream.Record{Offset: state.Next(), Data: data})
+	}
+	parts, _ := state.Snapshot("seed")
+	f.Add(parts[0])
+	f.Fuzz(func(t *testing.T, data []byte) {
+		for _, reader := range []State{state, New().WithFirst(4)} {
+			next, verdict := reader.With(stream.Record{Offset: reader.Next(), Data: data})
+			if next.Version() < reader.Version() || (verdict.Kind != Accepted && reader.Complete() && next.content() != reader.content()) {
+				t.Fatalf("state changed by %s", verdict)
+			}
+		}
+	})
+}
