--- a/internal/config/setting/parse.go
+++ b/internal/config/setting/parse.go
@@ -149,11 +149,15 @@
 	r.address("listen.callers", listen.Callers, true)
 	r.address("listen.operators", listen.Operators, true)
 	r.address("listen.peers", listen.Peers, true)
-	if listen.Callers != "" && (listen.Callers == listen.Operators || listen.Callers == listen.Peers) {
-		r.addf("listen.callers", "%s is another listener's address too", listen.Callers)
-	}
-	if listen.Peers != "" && listen.Peers == listen.Operators {
-		r.addf("listen.peers", "%s is another listener's address too", listen.Peers)
+	r.distinct("listen.callers", listen.Callers, listen.Operators, listen.Peers)
+	r.distinct("listen.peers", listen.Peers, listen.Operators)
+}
+
+// Port 0 stands for any free port, so two of them do not clash.
+func (r *report) distinct(field, address string, others ...string) {
+	place, err := netip.ParseAddrPort(address)
+	if err == nil && place.Port() != 0 && slices.Contains(others, address) {
+		r.addf(field, "%s is another listener's address too", address)
 	}
 }
 
--- /dev/null
+++ b/internal/config/setting/setting_test.go
@@ -0,0 +1,61 @@
+package setting
+
+import (
+	"os"
+	"path/filepath"
+	"testing"
+
+	"github.com/google/go-cmp/cmp"
+)
+
+const example = "../../../examples/maraval/entry.json"
+
+// A token file is read from beside the settings, less the line end.
+func TestLoad(t *testing.T) {
+	dir := t.TempDir()
+	write := func(name, text string) string {
+		path := filepath.Join(dir, name)
+		if err := os.WriteFile(path, []byte(text), 0o600); err != nil {
+			t.Fatal(err)
+		}
+		return path
+	}
+	write("token", "a-token-for-tests-only\n")
+	file := write("entry.json", `{
+		"name": "e1", "failure_domain": "a", "token_file": "token",
+		"listen": {"callers": "127.0.0.1:0", "operators": "127.0.0.1:0", "peers": "0.0.0.0:7102"},
+		"platform": {"log": "http://[::1]:1", "inventory": "https://10.0.0.1:1/base", "usage": "http://10.0.0.1:1"},
+		"tls": {"cert": "c.pem", "key": "/k.pem", "ca": "ca.pem"}, // beside
+	}`)
+	entry, findings, err := Load(file)
+	if err != nil || len(findings) > 0 {
+		t.Fatal(err, findings)
+	}
+	want := Entry{
+		Name: "e1", FailureDomain: "a", LogLevel: "info", NoticeMS: 5000, Token: "a-token-for-tests-only", TokenFile: filepath.Join(dir, "token"),
+		Listen:   Listen{Callers: "127.0.0.1:0", Operators: "127.0.0.1:0", Peers: "0.0.0.0:7102"},
+		Platform: Platform{Log: "http://[::1]:1", Inventory: "https://10.0.0.1:1/base", Usage: "http://10.0.0.1:1"},
+		TLS:      &TLS{Cert: filepath.Join(dir, "c.pem"), Key: "/k.pem", CA: filepath.Join(dir, "ca.pem")},
+	}
+	if diff := cmp.Diff(want, entry); diff != "" {
+		t.Errorf("settings (-want +got):\n%s", diff)
+	}
+	write("token", "short")
+	if _, _, err := Load(file); err == nil {
+		t.Error("a short token was accepted")
+	}
+}
+
+func FuzzSettings(f *testing.F) {
+	data, err := os.ReadFile(example)
+	if err != nil {
+		f.Fatal(err)
+	}
+	f.Add(data)
+	f.Fuzz(func(t *testing.T, data []byte) {
+		entry, findings := Parse("f", data)
+		if len(findings) == 0 && len(check(entry)) > 0 {
+			t.Fatal("accepted settings that do not pass their own checks")
+		}
+	})
+}
