--- a/internal/config/ledger/adopt.go
+++ b/internal/config/ledger/adopt.go
@@ -78,7 +78,11 @@
 
 // Takes in one part of a snapshot.
 func (s State) withPart(offset stream.Offset, piece part, size int) (State, Verdict) {
-	verdict := Verdict{Kind: Part, Offset: offset, Writer: piece.Writer, Sequence: uint64(max(piece.Index, 0))}
+	verdict := Verdict{Kind: Part, Offset: offset, Version: s.version, Writer: piece.Writer, Sequence: uint64(max(piece.Index, 0))}
+	if slices.ContainsFunc(s.parts, func(other assembly) bool { return other.head.repeats(piece) }) {
+		verdict.Kind, verdict.Reason = Duplicate, "a copy was read before"
+		return s, verdict
+	}
 	whole, problem := s.assembled(offset, piece, size)
 	s.parts = slices.DeleteFunc(slices.Clone(s.parts), func(other assembly) bool { return other.head.Writer == piece.Writer })
 	switch {
@@ -88,6 +92,8 @@
 		if len(s.parts) > maxAssemblies {
 			s.parts = s.parts[1:]
 		}
+	case piece.Reset:
+		s, problem = s.reset(offset, whole)
 	case s.complete:
 		problem = s.compare(whole)
 	default:
@@ -97,8 +103,11 @@
 		s.snapshot = whole.first
 		s.tail = 0
 	}
-	if problem != "" {
+	switch {
+	case problem != "":
 		verdict.Kind, verdict.Reason = Rejected, problem
+	case s.version == int64(offset):
+		verdict.Kind = Accepted
 	}
 	verdict.Version = s.version
 	return s, verdict
@@ -120,7 +129,7 @@
 		whole = s.parts[at]
 		whole.head = piece.bare()
 	}
-	if s.complete {
+	if s.complete && !piece.Reset {
 		return whole, ""
 	}
 	whole.bytes += size
@@ -137,9 +146,14 @@
 	return p
 }
 
-func (p part) followedBy(next part) bool {
-	return p.Writer == next.Writer && p.Through == next.Through && p.Version == next.Version &&
-		p.Hash == next.Hash && p.Count == next.Count && p.Index+1 == next.Index
+func (p part) followedBy(next part) bool { return p.sameSnapshot(next) && p.Index+1 == next.Index }
+
+// Reports whether a part is a copy of this one or of an earlier one.
+func (p part) repeats(other part) bool { return p.sameSnapshot(other) && other.Index <= p.Index }
+
+func (p part) sameSnapshot(other part) bool {
+	return p.Writer == other.Writer && p.Through == other.Through && p.Version == other.Version &&
+		p.Hash == other.Hash && p.Count == other.Count && p.Reset == other.Reset
 }
 
 func (r rows) clipped() rows {
@@ -180,6 +194,27 @@
 	return next, ""
 }
 
+// Returns the state that an operator's reset gives, the same for readers with
+// and without the records before it. Changes since the operator looked are
+// overridden; a copy that arrives much later is not taken.
+func (s State) reset(offset stream.Offset, whole assembly) (State, string) {
+	if whole.first > whole.head.Through+resetReach {
+		return s, fmt.Sprintf("reset after offset %d came too late", whole.head.Through)
+	}
+	name := Change{Writer: whole.head.Writer, Sequence: uint64(whole.head.Through)}
+	if earlier, ok := s.recent.find(name); ok {
+		return s, fmt.Sprintf("the copy of this reset at offset %d counts", earlier)
+	}
+	next, problem := whole.state()
+	if problem != "" {
+		return s, problem
+	}
+	next.next = s.next
+	next.version = int64(offset)
+	next.recent = newRecent().with(offset, name, []string{everything})
+	return next.settled(), ""
+}
+
 // Builds the state that a whole snapshot describes.
 func (a assembly) state() (State, string) {
 	state := New()
--- a/internal/config/ledger/config.go
+++ b/internal/config/ledger/config.go
@@ -27,7 +27,8 @@
 // says so. A reader whose first record is not the stream's first keeps what it
 // has in force, collects records, and judges them as soon as it has read a
 // whole snapshot that reaches back far enough. A snapshot never takes the
-// version back, and readers that know every record only compare it.
+// version back, and readers that know every record only compare it. If
+// everything is lost, an operator's [Reset] starts anew.
 package ledger
 
 import (
--- a/internal/config/ledger/limits.go
+++ b/internal/config/ledger/limits.go
@@ -20,6 +20,7 @@
 	maxParts        = 4096
 	maxAssemblies   = 4 // writers whose snapshots are collected at once
 	maxPendingBytes = 64 << 20
+	resetReach      = 16      // offsets after what its operator has seen in which a reset may begin
 	snapshotShare   = 4       // a snapshot is due after this part of the retention time
 	tailBytes       = 4 << 20 // a newborn reads at most about this much after a snapshot
 )
--- a/internal/config/ledger/snapshot.go
+++ b/internal/config/ledger/snapshot.go
@@ -11,6 +11,7 @@
 	"github.com/oriolepier/oriolepier/internal/config/mark"
 	"github.com/oriolepier/oriolepier/internal/config/pool"
 	"github.com/oriolepier/oriolepier/internal/config/route"
+	"github.com/oriolepier/oriolepier/internal/config/table"
 	"github.com/oriolepier/oriolepier/internal/platform/stream"
 )
 
@@ -24,6 +25,7 @@
 	Index   int           `cbor:"5,keyasint"`
 	Count   int           `cbor:"6,keyasint"`
 	Rows    rows          `cbor:"7,keyasint"`
+	Reset   bool          `cbor:"8,keyasint,omitempty"` // puts the rows into force, see Reset
 }
 
 // rows is some of a state's content.
@@ -54,6 +56,30 @@
 	if !s.complete {
 		return nil, errors.New("this reader has no whole state to write")
 	}
+	return s.encoded(writer, false)
+}
+
+// Reset returns records that put tables into force whatever the stream held
+// before: the way out when the log has lost everything and no entry remembers
+// it. All failure domains are out of service afterwards, since nobody knows
+// which of them operators had taken out. Through is the last offset that the
+// operator has seen; the records must be appended in order and right away.
+func Reset(writer string, through stream.Offset, tables Tables) ([][]byte, []table.Finding, error) {
+	state := New()
+	index, findings := state.index.WithTables(tables.Routes, tables.Pools)
+	if len(findings) > 0 {
+		return nil, findings, nil
+	}
+	state.index = index
+	state.next = through + 1
+	for _, domain := range tables.Pools.Domains {
+		state.marks = state.marks.With(mark.Mark{Kind: mark.Domain, Name: domain.Name, Out: true})
+	}
+	records, err := state.encoded(writer, true)
+	return records, nil, err
+}
+
+func (s State) encoded(writer string, reset bool) ([][]byte, error) {
 	pages, err := s.pages()
 	if err != nil {
 		return nil, err
@@ -66,7 +92,7 @@
 	for at, page := range pages {
 		piece := part{
 			Writer: writer, Through: s.next - 1, Version: s.version, Hash: hash,
-			Index: at, Count: len(pages), Rows: page,
+			Index: at, Count: len(pages), Rows: page, Reset: reset,
 		}
 		data, err := codec.Marshal(record{Part: &piece})
 		if err != nil {
--- a/internal/config/ledger/verdict_test.go
+++ b/internal/config/ledger/verdict_test.go
@@ -160,6 +160,46 @@
 	goldie.New(t).Assert(t, "snapshots", []byte(d.lines.String()))
 }
 
+// An operator starts anew: readers that remember and readers that do not come
+// to the same state, whatever arrives between the parts or again.
+func TestReset(t *testing.T) {
+	d := &desk{t: t, state: New()}
+	for _, data := range bigTables(t, 200, 900) {
+		d.record(data)
+	}
+	config := d.state.Config()
+	knows, lacks := d.state, New().WithFirst(d.state.Next())
+	records, findings, err := Reset("op", d.state.Next()-1, Tables{Routes: config.Routes, Pools: config.Pools})
+	if err != nil || len(findings) > 0 || len(records) < 2 {
+		t.Fatalf("%d records, findings %v, error %v", len(records), findings, err)
+	}
+	between := d.publish("meanwhile a change", 0, Edit{DropRoute: "r3"})
+	back := func(state State) []byte {
+		data, err := Encode(Change{Writer: "op2", Sequence: 1, Base: state.Version(), Edits: []Edit{domainMark("a", false)}})
+		if err != nil {
+			t.Fatal(err)
+		}
+		return data
+	}
+	d.lines.Reset()
+	feed := func(data []byte) {
+		for _, state := range []*State{&knows, &lacks} {
+			var verdict Verdict
+			*state, verdict = state.With(stream.Record{Offset: state.Next(), Data: data})
+			fmt.Fprintln(&d.lines, verdict)
+		}
+	}
+	for _, data := range slices.Concat([][]byte{between, records[0], records[0]}, records[1:]) {
+		feed(data)
+	}
+	feed(back(knows))
+	lo.ForEach(records, func(data []byte, _ int) { feed(data) })
+	if diff := cmp.Diff([]any{knows.Hash(), false}, []any{lacks.Hash(), lacks.Marks().DomainOut("a")}); diff != "" {
+		t.Errorf("state (-knows +lacks):\n%s", diff)
+	}
+	goldie.New(t).Assert(t, "reset", []byte(d.lines.String()))
+}
+
 func edited(t *testing.T, data []byte, edit func(*part)) []byte {
 	t.Helper()
 	entry, err := decode(data)
--- a/internal/operator/command/check.go
+++ b/internal/operator/command/check.go
@@ -20,7 +20,6 @@
 		s.sayf("%s", finding)
 	}
 	if len(findings) > 0 {
-		s.complainf("%d faults in %d files", len(findings), len(files))
 		return option.ExitFailed
 	}
 	s.sayf("%d files are good", len(files))
--- a/internal/operator/command/follow.go
+++ b/internal/operator/command/follow.go
@@ -115,10 +115,31 @@
 	if err == nil {
 		return verdict, nil
 	}
+	return verdict, settled(err, maybe)
+}
+
+// Returns the log's error with the outcome of all tries together.
+func settled(err error, maybe bool) error {
+	outcome := fault.NotRun
 	if maybe {
-		return verdict, fault.New(fault.Unknown, "append", "", err)
+		outcome = fault.Unknown
+	}
+	var last *fault.Fault
+	if errors.As(err, &last) {
+		return &fault.Fault{Outcome: outcome, Step: last.Step, Peer: last.Peer, Cause: last.Cause}
+	}
+	return fault.New(outcome, "append", ledger.Stream, err)
+}
+
+// Appends records one after the other, each until the log has taken it.
+func (f *follower) appendAll(ctx context.Context, records [][]byte) error {
+	for _, data := range records {
+		_, err := retry(ctx, func(ctx context.Context) (stream.Offset, error) { return f.log.Append(ctx, ledger.Stream, data) })
+		if err != nil {
+			return err
+		}
 	}
-	return verdict, fault.New(fault.NotRun, "append", "", err)
+	return nil
 }
 
 var errNotFound = errors.New("the change is not in the log so far")
--- a/internal/operator/command/publish.go
+++ b/internal/operator/command/publish.go
@@ -31,12 +31,15 @@
 	if opts.Find != "" {
 		return s.find(ctx, opts)
 	}
-	routes, err := s.tables(opts.Args.Files)
+	set, err := s.tables(opts.Args.Files)
 	if err != nil {
 		return s.fail(err)
 	}
 	ctx, stop := context.WithTimeout(ctx, opts.TimeoutMS.Duration())
 	defer stop()
+	if opts.Reset {
+		return s.reset(ctx, set)
+	}
 	follow, err := s.follow(ctx, opts.Source)
 	if err != nil {
 		return s.fail(err)
@@ -44,7 +47,7 @@
 	state := follow.state
 	base := baseOr(opts.Base, state)
 	now := ledger.Tables{Routes: state.Config().Routes, Pools: state.Config().Pools}
-	wanted := completed(routes, now)
+	wanted := completed(set, now)
 	edits := ledger.Diff(now, wanted)
 	if len(edits) == 0 {
 		s.sayf("nothing to change: version %d is in force", state.Version())
@@ -84,9 +87,9 @@
 func (s *session) report(follow *follower, verdict ledger.Verdict, err error) int {
 	switch {
 	case err != nil && fault.OutcomeOf(err).Certain():
-		s.sayf("not published: nothing was appended (%s)", errors.Cause(err))
+		s.sayf("not published: nothing was appended: %s", err)
 	case err != nil:
-		s.sayf("unknown: the log did not answer in time (%s)", errors.Cause(err))
+		s.sayf("unknown: the log did not answer in time: %s", err)
 		s.sayf("find out with: oriolepier publish --find %s/%d", follow.writer, follow.sequence)
 	case verdict.Kind == ledger.Accepted:
 		s.sayf("accepted: version %d", verdict.Offset)
@@ -140,7 +143,7 @@
 		s.sayf("%s", finding)
 	}
 	if len(findings) > 0 {
-		return bundle.Set{}, errors.Errorf("%d faults; nothing was published", len(findings))
+		return bundle.Set{}, errors.New("nothing was published")
 	}
 	if len(sets) != 1 {
 		return bundle.Set{}, errors.New("the files are in several directories; publish one deployment at a time")
@@ -179,7 +182,8 @@
 	if err == nil && verdict.Kind == ledger.Accepted {
 		return chunks, verdict, nil
 	}
-	if other, failure := try(state, base, replace); failure == nil && other.Kind == ledger.Accepted {
+	other, failure := try(state, base, replace)
+	if failure == nil && (other.Kind == ledger.Accepted || base == state.Version()) {
 		return replace, other, nil
 	}
 	return chunks, verdict, err
@@ -228,8 +232,17 @@
 	return given
 }
 
-// Opens the log and reads the config stream to its end.
+// Opens the log, reads the config stream to its end, and insists on a whole
+// state.
 func (s *session) follow(ctx context.Context, source option.Source) (*follower, error) {
+	follow, err := s.open(source)
+	if err != nil {
+		return nil, err
+	}
+	return follow, follow.begin(ctx)
+}
+
+func (s *session) open(source option.Source) (*follower, error) {
 	base := source.Log
 	if source.Settings != "" {
 		entry, findings, err := setting.Load(source.Settings)
@@ -245,6 +258,5 @@
 	if newLog == nil {
 		newLog = remote.NewLog
 	}
-	follow := newFollower(newLog(base, &http.Client{}))
-	return follow, follow.begin(ctx)
+	return newFollower(newLog(base, &http.Client{})), nil
 }
--- a/internal/operator/option/option.go
+++ b/internal/operator/option/option.go
@@ -74,6 +74,7 @@
 	Source
 	Base    int64  `long:"base" value-name:"VERSION" default:"-1" default-mask:"the version in force" description:"Version that the edited tables come from"`
 	Replace bool   `long:"replace" description:"Replace both tables whole; loses to any other change since the base"`
+	Reset   bool   `long:"reset" description:"Start anew when the log has lost everything; all failure domains are out of service afterwards"`
 	DryRun  bool   `long:"dry-run" description:"Say what would be published, and append nothing"`
 	Find    string `long:"find" value-name:"WRITER/SEQUENCE" description:"Publish nothing; find out what became of an earlier change"`
 	Args    struct {
@@ -226,7 +227,10 @@
 
 func (p Publish) validate() error {
 	if (len(p.Args.Files) == 0) == (p.Find == "") {
-		return errors.New("give files to publish, or --find")
+		return errors.New("give either files to publish or --find")
+	}
+	if p.Reset && (p.DryRun || p.Replace || p.Base >= 0) {
+		return errors.New("--reset goes without --base, --replace and --dry-run")
 	}
 	if p.Find != "" {
 		if _, _, err := p.FindName(); err != nil {
