Share the built table of routes between versions that do not change it

Change: the slices belong to the index of routes and teams and are built once for each of those.

Conclusion: entries should still put versions in force at most every second or so; all that is in the slices has to be built once for each.

--- a/internal/config/ledger/bench_test.go
+++ b/internal/config/ledger/bench_test.go
@@ -1,8 +1,10 @@
 package ledger
 
 import (
+	"runtime"
 	"testing"
 
+	"github.com/oriolepier/oriolepier/internal/base/clock"
 	"github.com/oriolepier/oriolepier/internal/platform/stream"
 )
 
@@ -17,15 +19,14 @@
 	return state
 }
 
-// One changed route among 43,000, as an entry reads it.
-func BenchmarkWithOneRoute(b *testing.B) {
-	state := benchState(b)
-	rt, _ := state.Route("r20000")
+// Changes one row again and again, as an entry reads it from the stream.
+func benchChange(b *testing.B, state State, next func(count int) Edit, after func(State)) {
+	b.Helper()
 	b.ReportAllocs()
-	bytes := 0
+	bytes, count := 0, 0
 	for b.Loop() {
-		rt = rt.WithDeadline(rt.DeadlineMS%1000 + 1)
-		data, err := Encode(Change{Writer: "01K0000000000000000000000", Sequence: uint64(state.Next()), Base: state.Version(), Edits: []Edit{{PutRoute: &rt}}})
+		count++
+		data, err := Encode(Change{Writer: "01K0000000000000000000000", Sequence: uint64(count), Base: state.Version(), Edits: []Edit{next(count)}})
 		if err != nil {
 			b.Fatal(err)
 		}
@@ -34,22 +35,40 @@
 		if state, verdict = state.With(stream.Record{Offset: state.Next(), Data: data}); verdict.Kind != Accepted {
 			b.Fatal(verdict)
 		}
+		after(state)
 	}
-	b.ReportMetric(float64(bytes)/float64(b.N), "record-bytes/op")
+	b.ReportMetric(float64(bytes)/float64(count), "record-bytes/op")
 }
 
-// The whole tables as slices, which an entry needs once for each version that
-// it puts in force.
-func BenchmarkConfig(b *testing.B) {
-	state := benchState(b)
-	b.ReportAllocs()
-	for b.Loop() {
-		if config := state.settled().Config(); len(config.Routes.Routes) != benchRoutes {
-			b.Fatal("rows are missing")
-		}
+func routeEdit(state State) func(int) Edit {
+	rt, _ := state.Route("r20000")
+	return func(count int) Edit {
+		changed := rt.WithDeadline(clock.Millis(count%1000 + 1))
+		return Edit{PutRoute: &changed}
 	}
 }
 
+func markEdit(count int) Edit { return domainMark("a", count%2 == 0) }
+
+func nothing(State) {}
+
+// Builds the tables as slices, which an entry needs for what it puts in force.
+func build(state State) { _ = state.Config() }
+
+func BenchmarkWithRoute(b *testing.B) {
+	state := benchState(b)
+	benchChange(b, state, routeEdit(state), nothing)
+}
+
+func BenchmarkWithMark(b *testing.B) { benchChange(b, benchState(b), markEdit, nothing) }
+
+func BenchmarkWithRouteAndConfig(b *testing.B) {
+	state := benchState(b)
+	benchChange(b, state, routeEdit(state), build)
+}
+
+func BenchmarkWithMarkAndConfig(b *testing.B) { benchChange(b, benchState(b), markEdit, build) }
+
 func BenchmarkSnapshot(b *testing.B) {
 	state := benchState(b)
 	b.ReportAllocs()
@@ -79,4 +98,18 @@
 			b.Fatal(err)
 		}
 	}
+	before := heap()
+	state, err := Import(records)
+	if err != nil {
+		b.Fatal(err)
+	}
+	b.ReportMetric(float64(heap()-before), "state-bytes")
+	runtime.KeepAlive(state)
+}
+
+func heap() uint64 {
+	var stats runtime.MemStats
+	runtime.GC()
+	runtime.ReadMemStats(&stats)
+	return stats.HeapAlloc
 }
--- a/internal/config/table/index.go
+++ b/internal/config/table/index.go
@@ -27,6 +27,7 @@
 	pools   pool.Table
 	known   map[string]pool.Pool
 	sum     uint64
+	list    func() route.Table
 }
 
 // claim says that a route takes the requests of a key.
@@ -53,7 +54,7 @@
 
 // NewIndex returns the index of two empty tables.
 func NewIndex() Index {
-	return Index{
+	x := Index{
 		routes: btree.NewG(degree, func(a, b *route.Route) bool { return a.Name < b.Name }),
 		teams:  btree.NewG(degree, func(a, b *route.Team) bool { return a.Name < b.Name }),
 		matches: btree.NewG(degree, func(a, b claim) bool {
@@ -63,6 +64,8 @@
 			return cmp.Or(cmp.Compare(a.kind, b.kind), cmp.Compare(a.target, b.target), cmp.Compare(a.route, b.route)) < 0
 		}),
 	}
+	x.list = listOnce(x.routes, x.teams)
+	return x
 }
 
 // WithTables returns the index of two other tables, or what is wrong with them.
@@ -198,7 +201,7 @@
 	if findings := checkPools(table); len(findings) > 0 {
 		return x, findings
 	}
-	next := x.clone()
+	next := x
 	next.setPools(table)
 	for _, old := range x.pools.Pools {
 		now, kept := next.known[old.Name]
--- a/internal/config/table/rows.go
+++ b/internal/config/table/rows.go
@@ -1,7 +1,10 @@
 package table
 
 import (
+	"sync"
+
 	"github.com/cespare/xxhash/v2"
+	"github.com/google/btree"
 	"github.com/samber/lo"
 
 	"github.com/oriolepier/oriolepier/internal/base/codec"
@@ -36,18 +39,25 @@
 // Pools returns the table of pools, which must not be changed.
 func (x Index) Pools() pool.Table { return x.pools }
 
-// Routes returns the table of routes in order of name, a copy of all rows.
-func (x Index) Routes() route.Table {
-	table := route.Table{Routes: make([]route.Route, 0, x.routes.Len()), Teams: make([]route.Team, 0, x.teams.Len())}
-	x.routes.Ascend(func(rt *route.Route) bool {
-		table.Routes = append(table.Routes, *rt)
-		return true
-	})
-	x.teams.Ascend(func(team *route.Team) bool {
-		table.Teams = append(table.Teams, *team)
-		return true
+// Routes returns the table of routes in order of name, which must not be
+// changed. It is built at the first call and shared by all later indexes with
+// the same routes and teams.
+func (x Index) Routes() route.Table { return x.list() }
+
+// Returns the function behind Routes.
+func listOnce(routes *btree.BTreeG[*route.Route], teams *btree.BTreeG[*route.Team]) func() route.Table {
+	return sync.OnceValue(func() route.Table {
+		table := route.Table{Routes: make([]route.Route, 0, routes.Len()), Teams: make([]route.Team, 0, teams.Len())}
+		routes.Ascend(func(rt *route.Route) bool {
+			table.Routes = append(table.Routes, *rt)
+			return true
+		})
+		teams.Ascend(func(team *route.Team) bool {
+			table.Teams = append(table.Teams, *team)
+			return true
+		})
+		return table
 	})
-	return table
 }
 
 // Hash returns a digest of both tables. Equal tables have equal digests,
@@ -64,11 +74,13 @@
 	return xxhash.Sum64(data)
 }
 
+// Returns a copy whose routes and teams can be changed.
 func (x Index) clone() Index {
 	x.routes = x.routes.Clone()
 	x.teams = x.teams.Clone()
 	x.matches = x.matches.Clone()
 	x.uses = x.uses.Clone()
+	x.list = listOnce(x.routes, x.teams)
 	return x
 }
 
--- a/internal/config/table/table_test.go
+++ b/internal/config/table/table_test.go
@@ -65,6 +65,8 @@
 			f.Add(data)
 		}
 	}
+	f.Add([]byte(`{"routes": [{"name": "r", "match": {"path_prefix": "/"}, "deadline_ms": 1}]}`))
+	f.Add([]byte(`{"pools": [{"vm_prefix": "w", "slots": 8}], "failure_domains": [{"name": "a"}]}`))
 	f.Fuzz(func(t *testing.T, data []byte) {
 		routes, bad := ParseRoutes("f", data)
 		pools, worse := ParsePools("f", data)
