Keep loud tasks off full VMs, move throttled ones, make room for urgent

Ruled out by measuring: wrong weights were a small part of it (they were within a third of the truth for what matters); a lower target only throttled more. Most throttled time was in tasks of 4 cores on 16 that were loud to the services of one VM and not of others.

Change: - Harm takes the declared size of the task, not the usual of its kind; Started too. (API: Index.Harm, Estimator.Harm and Started.) - Index.MaxHarm: batch tasks wait while all workers seen would be harmed by at least so much (set it to colocation.BreachHarm); overdue ones do not.

--- a/internal/batch/colocation/decide.go
+++ b/internal/batch/colocation/decide.go
@@ -3,6 +3,7 @@
 import (
 	"slices"
 
+	"github.com/oriolepier/oriolepier/internal/base/amount"
 	"github.com/oriolepier/oriolepier/internal/base/clock"
 )
 
@@ -17,8 +18,10 @@
 	Job       string
 	Attempt   int
 	Kind      string
-	Urgent    bool // never touched
+	Size      amount.Amount // committed; only MakeRoom reads it
+	Urgent    bool          // never touched
 	Throttled bool
+	Stopping  bool         // its eviction is under way
 	Since     clock.Millis // start of the attempt
 	Lost      clock.Millis // work that would be lost if it were evicted now
 }
@@ -71,33 +74,67 @@
 	if state.breaches >= confirmReports {
 		return e.relieve(now, state, permits, tasks)
 	}
-	calm := state.calmSince != never && state.measured-state.calmSince >= calmLags*e.options.Lag
-	if !calm {
+	if state.breaches > 0 || now-state.acted < state.patience {
 		return Action{}, false
 	}
-	state.throttles = 0
-	return e.loosen(state, tasks)
+	if action, found := e.loosen(now, state, tasks); found {
+		return action, true
+	}
+	return e.relocate(now, state, permits, tasks)
+}
+
+// relocate evicts a task that stays throttled here while it would slow nobody
+// past the target elsewhere, at a moment when little work is lost.
+func (e *Estimator) relocate(now clock.Millis, state *machine, permits Permits, tasks []Task) (Action, bool) {
+	if !permits.Evict || len(state.slowed) == 0 {
+		return Action{}, false
+	}
+	for _, task := range tasks {
+		held, known := state.slowed[task.Job]
+		due := known && task.Throttled && !task.Stopping && now-held.since >= relocateLags*e.options.Lag
+		if !due || task.Lost > maxRelocateLoss || !e.harmlessElsewhere(task.Kind, held.cores) || !e.mayEvict(now) {
+			continue
+		}
+		e.evicted = append(e.evicted, now)
+		return Action{Do: Evict, Job: task.Job, Attempt: task.Attempt}, true
+	}
+	return Action{}, false
 }
 
-// relieve throttles the task with the most relief, or evicts once throttling
-// did not help or is not allowed.
+// harmlessElsewhere looks at some VMs in turn for one where a task would keep
+// all services within their targets.
+func (e *Estimator) harmlessElsewhere(kind string, cores float64) bool {
+	size := amount.Amount{MilliCores: int64(cores * 1000)}
+	for range min(relocateLooks, len(e.order)) {
+		e.turn++
+		if e.Harm(e.order[e.turn%len(e.order)], kind, size) < BreachHarm {
+			return true
+		}
+	}
+	return false
+}
+
+// relieve throttles the task that gives the relief at the least cost in work,
+// or evicts once throttling did not help or is not allowed.
 func (e *Estimator) relieve(now clock.Millis, state *machine, permits Permits, tasks []Task) (Action, bool) {
+	e.relapse(now, state)
 	if permits.Throttle && state.throttles < maxThrottles {
-		task, found := e.most(state, tasks, func(task Task, relief float64) float64 {
+		task, found := e.best(state, tasks, func(task Task, relief float64) float64 {
 			if task.Throttled {
 				return 0
 			}
-			return relief
+			return min(relief, e.excess(state)) / e.coresOf(state, task)
 		})
 		if found {
 			state.throttles++
+			state.slowed[task.Job] = slowed{e.coresOf(state, task), now}
 			return Action{Do: Throttle, Job: task.Job, Attempt: task.Attempt}, true
 		}
 	}
 	if !permits.Evict || !e.mayEvict(now) {
 		return Action{}, false
 	}
-	task, found := e.most(state, tasks, func(task Task, relief float64) float64 {
+	task, found := e.best(state, tasks, func(task Task, relief float64) float64 {
 		return relief / float64(task.Lost+evictCost)
 	})
 	if !found {
@@ -107,13 +144,24 @@
 	return Action{Do: Evict, Job: task.Job, Attempt: task.Attempt}, true
 }
 
-// most returns the batch task of the highest merit among those whose relief is
+// relapse doubles the wait for the next Unthrottle if the last one brought the
+// breach back.
+func (e *Estimator) relapse(now clock.Millis, state *machine) {
+	lag := e.options.Lag
+	if now-state.loosened > relapseLags*lag {
+		return
+	}
+	state.loosened = never
+	state.patience = min(2*state.patience, maxLoosenLags*lag)
+}
+
+// best returns the batch task of the highest merit among those whose relief is
 // worth an action.
-func (e *Estimator) most(state *machine, tasks []Task, merit func(Task, float64) float64) (Task, bool) {
+func (e *Estimator) best(state *machine, tasks []Task, merit func(Task, float64) float64) (Task, bool) {
 	var best Task
 	top := 0.0
 	for _, task := range tasks {
-		if task.Urgent {
+		if task.Urgent || task.Stopping {
 			continue
 		}
 		relief := e.relief(state, task)
@@ -130,10 +178,7 @@
 // relief returns how much less the slowed services would be slowed without a
 // task, as a fraction.
 func (e *Estimator) relief(state *machine, task Task) float64 {
-	cores, measured := state.tasks[task.Job]
-	if !measured {
-		cores = e.usual(task.Kind)
-	}
+	cores := e.coresOf(state, task)
 	sum := 0.0
 	for _, service := range state.services {
 		if service.extra > e.options.allowed(service.name) {
@@ -143,29 +188,56 @@
 	return sum
 }
 
-// loosen lets the throttled task run freely whose kind slows services least,
-// if that is not expected to bring the breach back.
-func (e *Estimator) loosen(state *machine, tasks []Task) (Action, bool) {
+// excess returns the slowdown past the targets, summed over services.
+func (e *Estimator) excess(state *machine) float64 {
+	sum := 0.0
+	for _, service := range state.services {
+		sum += max(service.extra-e.options.allowed(service.name), 0)
+	}
+	return sum
+}
+
+// coresOf returns the processors that a task uses, or the usual of its kind.
+func (e *Estimator) coresOf(state *machine, task Task) float64 {
+	cores, measured := state.tasks[task.Job]
+	if !measured {
+		cores = e.usual(task.Kind)
+	}
+	return max(cores, minCores)
+}
+
+// loosen lets the throttled task run freely that slows services least, if that
+// is not expected to bring the breach back.
+func (e *Estimator) loosen(now clock.Millis, state *machine, tasks []Task) (Action, bool) {
 	var best Task
-	found := false
-	least := 0.0
+	least := loosenPart
 	for _, task := range tasks {
-		if !task.Throttled {
+		if !task.Throttled || task.Stopping {
 			continue
 		}
-		load := e.loadWith(state, task.Kind)
-		if load < 1 && (!found || load < least) {
-			best, least, found = task, load, true
+		if load := e.loadFreed(state, task); load < least {
+			best, least = task, load
 		}
 	}
-	return Action{Do: Unthrottle, Job: best.Job, Attempt: best.Attempt}, found
+	if best.Job == "" {
+		return Action{}, false
+	}
+	delete(state.slowed, best.Job)
+	state.loosened = now
+	state.throttles = max(state.throttles-1, 0)
+	return Action{Do: Unthrottle, Job: best.Job, Attempt: best.Attempt}, true
 }
 
-// loadWith returns the VM's load if a task of a kind ran freely besides.
-func (e *Estimator) loadWith(state *machine, kind string) float64 {
+// loadFreed returns the VM's load if a throttled task ran freely.
+func (e *Estimator) loadFreed(state *machine, task Task) float64 {
+	cores := e.coresOf(state, task)
+	before := cores * freedFactor
+	if held, known := state.slowed[task.Job]; known {
+		before = held.cores
+	}
 	load := 0.0
 	for _, service := range state.services {
-		extra := service.extra + e.weight(service.name, kind)*e.usual(kind)
+		extra := service.extra + e.weight(service.name, task.Kind)*max(before-cores, 0)
 		load = max(load, extra/e.options.allowed(service.name))
 	}
 	return load
--- a/internal/batch/colocation/estimator.go
+++ b/internal/batch/colocation/estimator.go
@@ -31,6 +31,9 @@
 package colocation
 
 import (
+	"slices"
+
+	"github.com/oriolepier/oriolepier/internal/base/amount"
 	"github.com/oriolepier/oriolepier/internal/base/clock"
 	"github.com/oriolepier/oriolepier/internal/platform/worker"
 )
@@ -46,8 +49,9 @@
 	priorWeight = 0.01
 	// Processors of a kind that was never seen.
 	priorCores = 1.0
-	// Predicted slowdown past the target counts this many times.
-	breachFactor = 10
+	// BreachHarm is the least that Harm returns where a service is expected to
+	// pass its target.
+	BreachHarm = 10.0
 )
 
 // pair is a service and a kind of batch task.
@@ -58,11 +62,15 @@
 
 // Estimator holds what is known of a cell's colocation.
 type Estimator struct {
-	options Options
-	weights map[pair]float64   // extra slowdown per processor, as a fraction
-	cores   map[string]float64 // usual processors of a task, by kind
-	vms     map[string]*machine
-	evicted []clock.Millis // recent evictions of the cell, oldest first
+	options  Options
+	weights  map[pair]float64   // extra slowdown per processor, as a fraction
+	cores    map[string]float64 // usual processors of a task, by kind
+	vms      map[string]*machine
+	order    []string // of vms, for a turn
+	turn     int
+	norm     float64        // usual sum of squared processors by kind of a VM
+	evicted  []clock.Millis // recent evictions for relief, oldest first
+	roomMade []clock.Millis // recent evictions for room, oldest first
 }
 
 // machine is what is known of one VM.
@@ -73,10 +81,12 @@
 	tasks    map[string]float64 // processors by job, as measured
 	pending  []start            // newer than the measurement
 
-	acted     clock.Millis // time of the last action
-	breaches  int          // reports in a row that show a breach
-	throttles int          // since the VM was last calm
-	calmSince clock.Millis // measurement from which on the VM is calm, or never
+	acted     clock.Millis      // time of the last action
+	breaches  int               // reports in a row that show a breach
+	throttles int               // since a task was last let run freely
+	slowed    map[string]slowed // throttled tasks, by job
+	loosened  clock.Millis      // time of the last Unthrottle
+	patience  clock.Millis      // wait between an action and an Unthrottle
 }
 
 // service is one service of a VM.
@@ -94,8 +104,15 @@
 
 // start is a task that the reports do not show yet.
 type start struct {
-	at   clock.Millis
-	kind string
+	at    clock.Millis
+	kind  string
+	cores float64
+}
+
+// slowed is a throttled task.
+type slowed struct {
+	cores float64      // that it used before
+	since clock.Millis // when it was throttled
 }
 
 // never stands for a time before all others.
@@ -120,28 +137,38 @@
 }
 
 // Forget drops a VM that left the cell.
-func (e *Estimator) Forget(vm string) { delete(e.vms, vm) }
+func (e *Estimator) Forget(vm string) {
+	if _, known := e.vms[vm]; !known {
+		return
+	}
+	delete(e.vms, vm)
+	e.order = slices.DeleteFunc(e.order, func(name string) bool { return name == vm })
+}
 
 // Started counts a task that no report shows yet, so that several are not
 // placed on one VM between two reports.
-func (e *Estimator) Started(now clock.Millis, vm, kind string) {
+func (e *Estimator) Started(now clock.Millis, vm, kind string, size amount.Amount) {
 	state := e.machine(vm)
-	state.pending = append(state.pending, start{now, kind})
+	state.pending = append(state.pending, start{now, kind, e.expected(kind, size)})
 }
 
 // Harm returns the expected extra slowdown of the VM's services, summed, if a
-// task of a kind joins, as a fraction of running alone. What would pass a
-// service's target counts ten times.
-func (e *Estimator) Harm(vm, kind string) float64 {
+// task of a kind and declared size joins, as a fraction of running alone.
+// Where a service would pass its target it is BreachHarm and more.
+func (e *Estimator) Harm(vm, kind string, size amount.Amount) float64 {
 	state, known := e.vms[vm]
 	if !known {
 		return 0
 	}
+	cores := e.expected(kind, size)
 	harm := 0.0
 	for _, service := range state.services {
-		added := e.weight(service.name, kind) * e.usual(kind)
-		expected := service.extra + e.coming(state, service.name) + added
-		harm += added + breachFactor*max(expected-e.options.allowed(service.name), 0)
+		added := e.weight(service.name, kind) * cores
+		harm += added
+		total := service.extra + e.coming(state, service.name) + added
+		if past := total - e.options.allowed(service.name); past > 0 {
+			harm += BreachHarm + past
+		}
 	}
 	return harm
 }
@@ -150,15 +177,25 @@
 func (e *Estimator) coming(state *machine, service string) float64 {
 	sum := 0.0
 	for _, start := range state.pending {
-		sum += e.weight(service, start.kind) * e.usual(start.kind)
+		sum += e.weight(service, start.kind) * start.cores
 	}
 	return sum
 }
 
+// expected returns the processors that a task will use: the declared ones, or
+// the usual of its kind.
+func (e *Estimator) expected(kind string, size amount.Amount) float64 {
+	if size.MilliCores > 0 {
+		return float64(size.MilliCores) / 1000
+	}
+	return e.usual(kind)
+}
+
 func (e *Estimator) machine(vm string) *machine {
 	state, known := e.vms[vm]
 	if !known {
-		state = &machine{measured: never, acted: never, calmSince: never}
+		state = &machine{measured: never, acted: never, loosened: never, patience: loosenLags * e.options.Lag, slowed: map[string]slowed{}}
+		e.order = append(e.order, vm)
 		e.vms[vm] = state
 	}
 	return state
--- a/internal/batch/colocation/observe.go
+++ b/internal/batch/colocation/observe.go
@@ -1,6 +1,7 @@
 package colocation
 
 import (
+	"maps"
 	"slices"
 	"strings"
 
@@ -17,6 +18,10 @@
 	state.measured = measured
 	state.pending = slices.DeleteFunc(state.pending, func(s start) bool { return s.at <= measured })
 	e.count(state, usage.TaskUsage)
+	maps.DeleteFunc(state.slowed, func(job string, _ slowed) bool {
+		_, runs := state.tasks[job]
+		return !runs
+	})
 	state.replace(usage.Services)
 	for i := range state.services {
 		e.learn(state, &state.services[i])
@@ -32,6 +37,9 @@
 		cores := float64(task.Used.MilliCores) / 1000
 		state.add(task.Kind, cores)
 		state.tasks[task.Job] = cores
+		if _, slowed := state.slowed[task.Job]; slowed {
+			continue // says nothing of the kind's usual use
+		}
 		usual, known := e.cores[task.Kind]
 		if !known {
 			usual = cores
@@ -64,37 +72,38 @@
 	m.services = services
 }
 
-// learn corrects the weights of a service by the error of this report.
+// learn corrects the weights of a service by the error of this report. A
+// report with little use beside the usual one says little about weights, so
+// that the noise of its measurement is not blown up.
 func (e *Estimator) learn(state *machine, service *service) {
-	explained, norm := 0.0, 1.0
+	explained, norm := 0.0, 0.0
 	for _, use := range state.use {
 		explained += e.weight(service.name, use.kind) * use.cores
 		norm += use.cores * use.cores
 	}
-	unexplained := service.extra - explained
-	miss := unexplained - service.rest
+	if norm == 0 {
+		service.rest += restRate * (service.extra - service.rest)
+		return
+	}
+	if e.norm == 0 {
+		e.norm = norm
+	}
+	e.norm += useRate * (norm - e.norm)
+	miss := service.extra - explained - service.rest
 	service.rest += restRate * miss
 	for _, use := range state.use {
-		weight := e.weight(service.name, use.kind) + learnRate*miss*use.cores/norm
+		weight := e.weight(service.name, use.kind) + learnRate*miss*use.cores/(norm+e.norm)
 		e.weights[pair{service.name, use.kind}] = max(weight, 0)
 	}
 }
 
-// grade counts breaches and calm from the newest report.
+// grade counts breaches from the newest report.
 func (e *Estimator) grade(state *machine) {
-	load := e.load(state)
-	if load > 1 {
+	if e.load(state) > 1 {
 		state.breaches++
-	} else {
-		state.breaches = 0
-	}
-	if load >= calmPart {
-		state.calmSince = never
 		return
 	}
-	if state.calmSince == never {
-		state.calmSince = state.measured
-	}
+	state.breaches = 0
 }
 
 // load returns the largest slowdown of the VM's services as a part of what is
--- a/internal/batch/colocation/options.go
+++ b/internal/batch/colocation/options.go
@@ -13,13 +13,28 @@
 	confirmReports = 2
 	// Tasks of a VM that are throttled in one breach before one is evicted.
 	maxThrottles = 3
-	// A VM is calm below this part of its allowed slowdown; the gap to a breach
-	// is the hysteresis.
-	calmPart = 0.6
-	// Time that a VM must be calm before a throttled task runs freely again, in lags.
-	calmLags = 3
+	// A throttled task may run freely if its VM is then expected to stay below
+	// this part of the allowed slowdown; the gap to a breach is the hysteresis.
+	loosenPart = 0.85
+	// Lags between an action on a VM and the first Unthrottle.
+	loosenLags = 2
+	// Lags within which a breach after an Unthrottle doubles the wait for the next.
+	relapseLags = 6
+	// Bound of that wait, in lags.
+	maxLoosenLags = 64
+	// Growth of a task's use that is expected when it is let run freely and its
+	// use before is not known.
+	freedFactor = 4.0
 	// Relief below this, as a fraction of running alone, is not worth an action.
 	minRelief = 0.02
+	// Lags for which a task stays throttled before it is moved.
+	relocateLags = 6
+	// Most work that such a move may lose.
+	maxRelocateLoss clock.Millis = 5 * clock.Second
+	// VMs that are looked at for a better place.
+	relocateLooks = 8
+	// Processors of the smallest task, which keeps quotients finite.
+	minCores = 0.05
 	// Work that an eviction costs besides what was lost: stop, wait and start.
 	evictCost clock.Millis = 5 * clock.Second
 	// Evictions of a cell in one lag, as a part of its VMs with reports.
--- a/internal/batch/placement/hold.go
+++ b/internal/batch/placement/hold.go
@@ -1,6 +1,9 @@
 package placement
 
-import "github.com/oriolepier/oriolepier/internal/config/route"
+import (
+	"github.com/oriolepier/oriolepier/internal/base/amount"
+	"github.com/oriolepier/oriolepier/internal/config/route"
+)
 
 const (
 	// One worker in so many of a pool may be held, and always one.
@@ -47,23 +50,43 @@
 // keep holds a worker for an overdue task, or moves its hold to one that has
 // come closer to fitting.
 func (x *Index) keep(need Need) {
-	if need.Job == "" || need.Class == route.Urgent {
-		return
-	}
 	x.lapse()
-	held, holding := x.holds[need.Job]
 	closest := x.closest(need)
 	if closest == nil {
 		return
 	}
+	held, holding := x.holds[need.Job]
 	if holding && closest.lacks(need)+moveGain > held.worker.lacks(need) {
 		return
 	}
-	x.Unhold(need.Job)
-	closest.heldFor = need.Job
-	x.holds[need.Job] = &hold{worker: closest, asked: x.calls}
-	x.pool(closest.Pool).holds++
-	x.refresh(closest)
+	x.hold(need.Job, closest)
+}
+
+// hold keeps batch tasks off a worker for a job, in place of an earlier one.
+func (x *Index) hold(job string, worker *entry) {
+	x.Unhold(job)
+	worker.heldFor = job
+	x.holds[job] = &hold{worker: worker, asked: x.calls}
+	x.pool(worker.Pool).holds++
+	x.refresh(worker)
+}
+
+// Preempt names a worker on which an urgent task that found no room could run
+// if batch tasks made way, and what it lacks there. The worker is held for the
+// task's Job until that is placed or Unhold is called; asked again it names the
+// same worker while that can still serve. The name is empty if there is none.
+func (x *Index) Preempt(need Need) (vm string, lacking amount.Amount) {
+	held, holding := x.holds[need.Job]
+	if holding && !held.worker.SetAside {
+		held.asked = x.calls
+		return held.worker.Name, held.worker.missing(need)
+	}
+	closest := x.closest(need)
+	if closest == nil {
+		return "", amount.Amount{}
+	}
+	x.hold(need.Job, closest)
+	return closest.Name, closest.missing(need)
 }
 
 // closest returns, of some workers that could take the task when empty, the
@@ -72,7 +95,7 @@
 	var best *entry
 	for _, name := range need.Pools {
 		pool, known := x.pools[name]
-		if !known || pool.holds >= max(1, pool.workers/workersPerHold) && !x.holdsIn(need.Job, name) {
+		if !known || !x.mayHold(need, pool) {
 			continue
 		}
 		x.sample(&pool.forests[emptyView(need.Class)], need.Size, func(worker *entry) {
@@ -90,9 +113,18 @@
 	return nil
 }
 
-func (x *Index) holdsIn(job, pool string) bool {
-	held, known := x.holds[job]
-	return known && held.worker.Pool == pool
+// mayHold bounds the workers that are held for batch tasks.
+func (x *Index) mayHold(need Need, pool *group) bool {
+	if need.Class == route.Urgent || pool.holds < max(1, pool.workers/workersPerHold) {
+		return true
+	}
+	held, known := x.holds[need.Job]
+	return known && x.pool(held.worker.Pool) == pool
+}
+
+// missing returns what a worker lacks for a task, no dimension below zero.
+func (e *entry) missing(need Need) amount.Amount {
+	return need.Size.Sub(e.spare(need.Class)).Max(amount.Amount{})
 }
 
 // lacks returns how far a worker is from having room, as a part of its size.
--- a/internal/batch/placement/index.go
+++ b/internal/batch/placement/index.go
@@ -32,6 +32,7 @@
 	"slices"
 
 	"github.com/oriolepier/oriolepier/internal/base/amount"
+	"github.com/oriolepier/oriolepier/internal/base/clock"
 	"github.com/oriolepier/oriolepier/internal/config/route"
 )
 
@@ -51,8 +52,11 @@
 // Index is the set of workers of a cell.
 type Index struct {
 	// Harm, when set, gives the expected extra slowdown of a VM's services if
-	// a task of a kind joins, as a fraction; it is added to the worker's own.
-	Harm func(vm, kind string) float64
+	// a task of a kind and size joins, as a fraction; it is added to the worker's own.
+	Harm func(vm, kind string, size amount.Amount) float64
+	// MaxHarm, when above 0, keeps batch tasks that are not overdue off
+	// workers whose harm is at least this; they wait instead.
+	MaxHarm float64
 
 	workers map[string]*entry
 	pools   map[string]*group
@@ -265,3 +269,19 @@
 		Accelerators: min(excess.Accelerators, room.Accelerators),
 	})
 }
+
+// Ramp returns the reserve of a worker that came back into service some time
+// ago: all of its size at first, falling evenly to the usual reserve.
+func Ramp(size, reserve amount.Amount, since, warmup clock.Millis) amount.Amount {
+	if since >= warmup {
+		return reserve
+	}
+	fall := func(from, to int64) int64 {
+		return from - (from-to)*int64(max(since, 0))/int64(warmup)
+	}
+	return amount.Amount{
+		MilliCores:   fall(size.MilliCores, reserve.MilliCores),
+		MemoryMB:     fall(size.MemoryMB, reserve.MemoryMB),
+		Accelerators: fall(size.Accelerators, reserve.Accelerators),
+	}
+}
--- a/internal/batch/placement/place.go
+++ b/internal/batch/placement/place.go
@@ -15,6 +15,8 @@
 	probes = 8
 	// Visits of one search for a worker off the avoided VMs and used racks.
 	maxVisits = 512
+	// Workers of one search whose harm is asked for besides the candidates.
+	maxHarmAsked = 32
 	// Harm closer than this, as a fraction, is decided by fit.
 	harmStep = 0.01
 )
@@ -59,7 +61,7 @@
 	chosen := x.find(need)
 	if chosen == nil {
 		refusal = x.refuse(need)
-		if refusal.Kind == NoRoom && need.Overdue {
+		if refusal.Kind == NoRoom && need.Overdue && need.Class == route.Batch {
 			x.keep(need)
 		}
 		return "", refusal
@@ -72,13 +74,25 @@
 func (x *Index) find(need Need) *entry {
 	used := x.usedRacks(need.Spread)
 	for _, accept := range preferences(need, used) {
-		if chosen := x.search(need, used, accept); chosen != nil {
+		if chosen := x.search(need, used, x.harmless(need, accept)); chosen != nil {
 			return chosen
 		}
 	}
 	return x.heldRoom(need)
 }
 
+// harmless narrows a filter to workers below MaxHarm, where that applies.
+func (x *Index) harmless(need Need, accept func(*entry) bool) func(*entry) bool {
+	if x.MaxHarm <= 0 || need.Class == route.Urgent || need.Overdue {
+		return accept
+	}
+	asked := 0
+	return func(e *entry) bool {
+		asked++
+		return asked <= probes+maxHarmAsked && accept(e) && x.harm(e, need) < x.MaxHarm
+	}
+}
+
 // preferences returns the filters of a search, strictest first.
 func preferences(need Need, used map[string]int) []func(*entry) bool {
 	welcome := func(e *entry) bool { return !slices.Contains(need.Avoid, e.Name) }
@@ -167,18 +181,21 @@
 }
 
 func (x *Index) rate(worker *entry, need Need, used map[string]int) rate {
-	harm := worker.Worker.Harm
-	if x.Harm != nil {
-		harm += x.Harm(worker.Name, need.Kind)
-	}
 	free := worker.Size.Sub(worker.Committed).Sub(need.Size)
 	return rate{
 		members: used[worker.Rack],
-		harm:    int(harm / harmStep),
+		harm:    int(x.harm(worker, need) / harmStep),
 		left:    free.DominantShare(worker.Size),
 	}
 }
 
+func (x *Index) harm(worker *entry, need Need) float64 {
+	if x.Harm == nil {
+		return worker.Worker.Harm
+	}
+	return worker.Worker.Harm + x.Harm(worker.Name, need.Kind, need.Size)
+}
+
 // refuse tells waiting from never.
 func (x *Index) refuse(need Need) Refusal {
 	names := strings.Join(need.Pools, ", ")
