--- a/internal/base/amount/amount.go
+++ b/internal/base/amount/amount.go
@@ -9,9 +9,9 @@
 
 // Amount is a quantity in the three dimensions that are never overcommitted.
 type Amount struct {
-	MilliCores   int64 `cbor:"1,keyasint,omitempty" json:"milli_cores"`  // thousandths of a processor
-	MemoryMB     int64 `cbor:"2,keyasint,omitempty" json:"memory_mb"`    // 2^20 bytes
-	Accelerators int64 `cbor:"3,keyasint,omitempty" json:"accelerators"` // whole devices
+	MilliCores   int64 `cbor:"1,keyasint,omitempty" json:"milli_cores"`                   // thousandths of a processor
+	MemoryMB     int64 `cbor:"2,keyasint,omitempty" json:"memory_mb"`                     // 2^20 bytes
+	Accelerators int64 `cbor:"3,keyasint,omitempty" json:"accelerators" required:"false"` // whole devices
 }
 
 // Add returns a plus b.
--- a/internal/entry/api/refusal.go
+++ b/internal/entry/api/refusal.go
@@ -19,7 +19,7 @@
 	details = append(details, message)
 	for _, err := range errs {
 		if err != nil {
-			details = append(details, err.Error())
+			details = append(details, detailOf(err))
 		}
 	}
 	return &problem.Problem{
@@ -31,6 +31,18 @@
 	}
 }
 
+// detailOf leaves out the offending value, which may be as large as the body.
+func detailOf(err error) string {
+	var detail *huma.ErrorDetail
+	if !errors.As(err, &detail) {
+		return err.Error()
+	}
+	if detail.Location == "" {
+		return detail.Message
+	}
+	return detail.Location + ": " + detail.Message
+}
+
 // refusal turns an error of the control side into a typed answer.
 func refusal(step string, err error) error {
 	var known *problem.Problem
--- a/internal/entry/control/config.go
+++ b/internal/entry/control/config.go
@@ -87,7 +87,7 @@
 	have := c.config.Version
 	c.options.Effects.Go(fetchTimeout, func(ctx context.Context) func() {
 		var answer peer.ConfigAnswer
-		err := c.options.Peers.Call(ctx, from.Address, peer.Config, peer.ConfigQuery{Have: have}, &answer)
+		err := c.options.Call(ctx, from.Address, peer.Config, peer.ConfigQuery{Have: have}, &answer)
 		if err != nil || len(answer.Records) == 0 {
 			return nil
 		}
--- a/internal/entry/control/control.go
+++ b/internal/entry/control/control.go
@@ -78,7 +78,7 @@
 	Box     *view.Box
 	Stream  stream.Log
 	Agent   worker.Agent
-	Peers   *peer.Client
+	Call    peer.Call
 	Vars    *expvar.Map
 	// InFlight tells how many requests this entry is answering.
 	InFlight func() int
--- a/internal/entry/control/members.go
+++ b/internal/entry/control/members.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"slices"
 
 	"github.com/samber/lo"
 
@@ -55,7 +56,7 @@
 	c.count.heartbeats.Add(1)
 	c.options.Effects.Go(peerTimeout, func(ctx context.Context) func() {
 		var answer member.Beat
-		err := c.options.Peers.Call(ctx, row.Address, peer.Heartbeat, beat, &answer)
+		err := c.options.Call(ctx, row.Address, peer.Heartbeat, beat, &answer)
 		heard := c.options.Clock.Now()
 		if err != nil {
 			return func() { c.count.heartbeatLost.Add(1) }
@@ -92,7 +93,7 @@
 		if c.seen[row.Name] == state {
 			continue
 		}
-		c.options.Log.Info().Str("entry", row.Name).Str("was", string(c.seen[row.Name])).Str("is", string(state)).Msg("membership")
+		c.options.Log.Info().Str("peer", row.Name).Str("was", string(c.seen[row.Name])).Str("is", string(state)).Msg("membership")
 		c.seen[row.Name] = state
 		changed = true
 	}
@@ -115,7 +116,7 @@
 	from := live[int(now/memberInterval)%len(live)]
 	c.options.Effects.Go(fetchTimeout, func(ctx context.Context) func() {
 		var answer peer.FleetAnswer
-		err := c.options.Peers.Call(ctx, from.Address, peer.Fleet, struct{}{}, &answer)
+		err := c.options.Call(ctx, from.Address, peer.Fleet, struct{}{}, &answer)
 		if err != nil || len(answer.VMs) == 0 {
 			return nil
 		}
@@ -191,15 +192,27 @@
 		Renew:    order(c, "renew", agent.Renew),
 		Stop:     order(c, "stop", agent.Stop),
 		Throttle: order(c, "throttle", agent.Throttle),
-		Forget: order(c, "forget", func(ctx context.Context, address string, forget worker.ForgetOrder) (struct{}, error) {
-			return struct{}{}, agent.Forget(ctx, address, forget)
-		}),
-		Look: order(c, "look", func(ctx context.Context, address string, _ struct{}) (worker.Report, error) {
-			return agent.Look(ctx, address)
-		}),
+		Forget:   forget(c, agent.Forget),
+		Look:     look(c, agent.Look),
 	}
 }
 
+func forget(c *Control, call func(context.Context, string, worker.ForgetOrder) error) func(string, worker.ForgetOrder, func(error)) {
+	send := order(c, "forget", func(ctx context.Context, address string, over worker.ForgetOrder) (struct{}, error) {
+		return struct{}{}, call(ctx, address, over)
+	})
+	return func(address string, over worker.ForgetOrder, done func(error)) {
+		send(address, over, func(_ struct{}, err error) { done(err) })
+	}
+}
+
+func look(c *Control, call func(context.Context, string) (worker.Report, error)) func(string, func(worker.Report, error)) {
+	send := order(c, "look", func(ctx context.Context, address string, _ struct{}) (worker.Report, error) {
+		return call(ctx, address)
+	})
+	return func(address string, done func(worker.Report, error)) { send(address, struct{}{}, done) }
+}
+
 // order makes a call to an agent an effect whose result comes back to the
 // control thread.
 func order[Order, Result any](
--- a/internal/entry/control/tasks.go
+++ b/internal/entry/control/tasks.go
@@ -188,22 +188,46 @@
 		return
 	}
 	status, known := own.Status(ev.ID)
-	ev.Reply <- event.Answer{Status: status, Known: known, Follows: true}
+	ev.Reply <- event.Answer{Status: c.whole(status), Known: known, Follows: true}
 }
 
+// list tells of jobs by their home cells; the cells that run handed ones only
+// add to what the home knows.
 func (c *Control) list(ev event.List) []job.Status {
 	jobs := []job.Status{}
 	for _, name := range c.names {
 		own := c.cells[name]
-		if own == nil || len(jobs) >= ev.Limit {
+		if own == nil {
 			continue
 		}
-		filter := cell.Filter{Caller: ev.Caller, Phase: ev.Phase, Limit: ev.Limit - len(jobs)}
-		jobs = append(jobs, own.List(filter)...)
+		for _, status := range own.List(cell.Filter{Caller: ev.Caller}) {
+			status = c.whole(status)
+			if home, _ := job.CellOf(status.ID); home != name || ev.Phase != "" && status.Phase != ev.Phase {
+				continue
+			}
+			if len(jobs) == ev.Limit {
+				return jobs
+			}
+			jobs = append(jobs, status)
+		}
 	}
 	return jobs
 }
 
+// whole completes the status of a handed job by what the cell that runs it says,
+// when this entry follows that too.
+func (c *Control) whole(status job.Status) job.Status {
+	guest := c.cells[status.Cell]
+	if status.Phase != job.Handed || guest == nil {
+		return status
+	}
+	running, known := guest.Status(status.ID)
+	if !known || running.Phase.Over() {
+		return status // the result has not reached the home cell yet
+	}
+	return running
+}
+
 // askPeers looks for a job among entries of its cell's failure domain, then
 // among all others.
 func (c *Control) askPeers(ctx context.Context, id string) (job.Status, bool, error) {
@@ -220,7 +244,7 @@
 	}
 	for _, address := range addresses {
 		var answer peer.StatusAnswer
-		err := c.options.Peers.Call(ctx, address, peer.Status, peer.StatusQuery{ID: id}, &answer)
+		err := c.options.Call(ctx, address, peer.Status, peer.StatusQuery{ID: id}, &answer)
 		if err == nil && answer.Follows {
 			return answer.Status, answer.Known, nil
 		}
--- /dev/null
+++ b/internal/entry/control/tasks_test.go
@@ -0,0 +1,140 @@
+package control
+
+import (
+	"fmt"
+	"testing"
+	"testing/synctest"
+
+	"github.com/google/go-cmp/cmp"
+
+	"github.com/oriolepier/oriolepier/internal/base/clock"
+	"github.com/oriolepier/oriolepier/internal/entry/event"
+	"github.com/oriolepier/oriolepier/internal/standin/journal"
+	"github.com/oriolepier/oriolepier/internal/standin/witness"
+)
+
+// taskFault is something that happens while tasks run. It may end with the
+// domain or entry in any state from which the deployment can still finish.
+type taskFault struct {
+	name string
+	do   func(d *deployment, base int64)
+}
+
+var taskFaults = []taskFault{
+	{"nothing", func(*deployment, int64) {}},
+	{"owner killed", func(d *deployment, _ int64) { d.kill("a-e-0"); d.kill("a-e-1") }},
+	{"all entries of a domain restarted", func(d *deployment, _ int64) {
+		d.kill("b-e-0")
+		d.kill("b-e-1")
+		d.start("b-e-0")
+		d.start("b-e-1")
+	}},
+	{"all entries restarted", func(d *deployment, _ int64) {
+		d.stopAll()
+		d.startAll()
+	}},
+	{"log down for 15 s", func(d *deployment, _ int64) {
+		d.log.SetFaults(journal.Faults{Down: true})
+		d.wait(15 * clock.Second)
+		d.log.SetFaults(journal.Faults{})
+	}},
+	{"log loses answers and is slow", func(d *deployment, _ int64) {
+		d.log.SetFaults(journal.Faults{LosePercent: 30, SlowMS: 500})
+		d.wait(10 * clock.Second)
+		d.log.SetFaults(journal.Faults{})
+	}},
+	{"domain out and back", func(d *deployment, base int64) {
+		out := d.mark(base, "b", true)
+		d.wait(10 * clock.Second)
+		d.mark(out, "b", false)
+	}},
+	{"domain out during a log outage of its own", func(d *deployment, base int64) {
+		d.cutOff("b", true)
+		out := d.mark(base, "b", true)
+		d.wait(12 * clock.Second)
+		d.cutOff("b", false)
+		d.wait(5 * clock.Second)
+		d.mark(out, "b", false)
+	}},
+	{"domain cut off for a minute", func(d *deployment, _ int64) {
+		d.cutOff("c", true)
+		d.wait(clock.Minute)
+		d.cutOff("c", false)
+	}},
+	{"owner drained", func(d *deployment, _ int64) {
+		done := make(chan struct{})
+		_ = d.entry("a-e-0").inbox.Post(d.t.Context(), event.Drain{Done: done})
+		<-done
+		d.kill("a-e-0")
+	}},
+}
+
+// Whatever happens, each accepted task ends once, nothing overlaps, nothing is
+// overcommitted and nothing starts in a domain that is out: the witness judges.
+func TestTasksThroughFaults(t *testing.T) {
+	const tasks = 60
+	for _, fault := range taskFaults {
+		t.Run(fault.name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				d := newDeployment(t, 3)
+				d.startAll()
+				defer d.stopAll()
+				base := d.publishTables()
+				d.until("tables", everywhereWithin, d.allAt(base))
+				d.wait(3 * clock.Second)
+				for index := range tasks {
+					entry := fmt.Sprintf("%s-e-%d", testDomains[index%3], index%2)
+					if _, err := d.submit(entry, fmt.Sprint("key-", index), 4*clock.Second); err != nil {
+						t.Fatal(err)
+					}
+				}
+				d.wait(clock.Second)
+				fault.do(d, base)
+				took := d.until("all tasks to finish", 5*clock.Minute, d.finished(tasks))
+				t.Logf("finished %d ms after the fault", took)
+				judge(t, d, tasks)
+			})
+		})
+	}
+}
+
+// A submission that is repeated through another entry, after its answer was
+// lost, is one job.
+func TestRepeatedSubmissionIsOneJob(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		d := newDeployment(t, 2)
+		d.startAll()
+		defer d.stopAll()
+		base := d.publishTables()
+		d.until("tables", everywhereWithin, d.allAt(base))
+		d.log.SetFaults(journal.Faults{LosePercent: 100})
+		first, firstErr := d.submit("a-e-0", "order", clock.Second)
+		d.log.SetFaults(journal.Faults{})
+		second, err := d.submit("c-e-1", "order", clock.Second)
+		if err != nil {
+			t.Fatal(err)
+		}
+		if firstErr == nil {
+			if diff := cmp.Diff(first, second); diff != "" {
+				t.Error(diff)
+			}
+		}
+		d.until("the job to finish", clock.Minute, d.finished(1))
+		d.wait(20 * clock.Second)
+		judge(t, d, 1)
+		if diff := cmp.Diff(1, d.witness.Verdict().TaskRuns); diff != "" {
+			t.Errorf("runs (-want +got):\n%s", diff)
+		}
+	})
+}
+
+func judge(t *testing.T, d *deployment, tasks int) {
+	t.Helper()
+	verdict := d.witness.Verdict()
+	if diff := cmp.Diff(witness.Rules{}, verdict.Rules); diff != "" {
+		t.Errorf("rules broken (-want +got):\n%s\n%v", diff, verdict.Violations)
+	}
+	if diff := cmp.Diff([]int{tasks, tasks}, []int{verdict.TasksAccepted, verdict.TasksFinished}); diff != "" {
+		t.Errorf("accepted and finished (-want +got):\n%s", diff)
+	}
+}
--- a/internal/entry/node/node.go
+++ b/internal/entry/node/node.go
@@ -139,7 +139,7 @@
 func (n *Node) Serve(ctx context.Context) error {
 	n.add()
 	ended := n.tree.ServeBackground(n.life)
-	n.options.Log.Info().Str("entry", n.options.Setting.Name).Str("boot", n.boot).
+	n.options.Log.Info().Str("boot", n.boot).
 		Str("callers", n.callers.address()).Msg("serving")
 	select {
 	case err := <-ended:
@@ -152,7 +152,7 @@
 		n.shutDown()
 	}
 	n.kill(errKilled)
-	<-ended
+	n.options.Log.Debug().AnErr("supervisor", <-ended).Msg("all parts ended")
 	return nil
 }
 
@@ -203,4 +203,3 @@
 		n.peers.close()
 	}
 }
-
--- a/internal/entry/node/part.go
+++ b/internal/entry/node/part.go
@@ -3,12 +3,14 @@
 import (
 	"context"
 	"fmt"
+	"net/http"
 	"slices"
 	"strings"
 	"sync"
 
 	"github.com/pkg/errors"
 	"github.com/rs/zerolog"
+	"github.com/samber/do/v2"
 	"github.com/samber/lo"
 	"github.com/thejerf/suture/v4"
 
@@ -17,8 +19,6 @@
 	"github.com/oriolepier/oriolepier/internal/entry/feed"
 	"github.com/oriolepier/oriolepier/internal/platform/remote"
 	"github.com/oriolepier/oriolepier/internal/platform/stream"
-	"github.com/samber/do/v2"
-	"net/http"
 )
 
 // Pace of reading streams that stand still.
--- a/internal/entry/node/wire.go
+++ b/internal/entry/node/wire.go
@@ -104,7 +104,7 @@
 			Box:      do.MustInvoke[*view.Box](injector),
 			Stream:   remote.NewLog(entry.Platform.Log, client),
 			Agent:    remote.NewAgent(client),
-			Peers:    do.MustInvoke[*peer.Client](injector),
+			Call:     do.MustInvoke[*peer.Client](injector).Call,
 			Vars:     n.vars,
 			InFlight: traffic.InFlight,
 			Follow:   n.follow,
--- a/internal/entry/peer/peer.go
+++ b/internal/entry/peer/peer.go
@@ -18,6 +18,7 @@
 package peer
 
 import (
+	"context"
 	"crypto/tls"
 	"encoding/json"
 
@@ -45,6 +46,10 @@
 	keepAlivePeriod clock.Millis = 5 * clock.Second
 )
 
+// Call sends a query to the entry at an address and waits for its answer; see
+// [Client.Call].
+type Call func(ctx context.Context, address, method string, query, answer any) error
+
 // Credentials opens a connection.
 type Credentials struct {
 	Token string `json:"token"`
