--- a/internal/config/bundle/bundle_test.go
+++ b/internal/config/bundle/bundle_test.go
@@ -3,6 +3,7 @@
 import (
 	"os"
 	"path/filepath"
+	"reflect"
 	"strings"
 	"testing"
 
@@ -10,6 +11,10 @@
 	"github.com/samber/lo"
 	"github.com/sebdah/goldie/v2"
 
+	"github.com/oriolepier/oriolepier/internal/base/amount"
+	"github.com/oriolepier/oriolepier/internal/config/pool"
+	"github.com/oriolepier/oriolepier/internal/config/route"
+	"github.com/oriolepier/oriolepier/internal/config/setting"
 	"github.com/oriolepier/oriolepier/internal/config/table"
 )
 
@@ -49,6 +54,40 @@
 	}
 }
 
+// The operators' page names every field of every file.
+func TestPageNamesEveryField(t *testing.T) {
+	page, err := os.ReadFile("../../../docs/TABLES.md")
+	if err != nil {
+		t.Fatal(err)
+	}
+	var missing []string
+	for _, row := range []any{
+		route.Table{},
+		route.Route{},
+		route.Match{},
+		route.Team{},
+		amount.Amount{},
+		pool.Table{},
+		pool.Domain{},
+		pool.Pool{},
+		setting.Entry{},
+		setting.Listen{},
+		setting.Peer{},
+		setting.Platform{},
+		setting.TLS{},
+	} {
+		for at := range reflect.TypeOf(row).NumField() {
+			field, _, _ := strings.Cut(reflect.TypeOf(row).Field(at).Tag.Get("json"), ",")
+			if !strings.Contains(string(page), "`"+field+"`") {
+				missing = append(missing, field)
+			}
+		}
+	}
+	if diff := cmp.Diff([]string(nil), missing); diff != "" {
+		t.Errorf("fields that docs/TABLES.md lacks (-want +got):\n%s", diff)
+	}
+}
+
 func readDir(t *testing.T, dir string) []File {
 	t.Helper()
 	names, err := filepath.Glob(dir + "/*.json")
