shared: let the config state itself know the log's oldest record

Change: the state remembers the oldest offset from WithFirst, which readers call anyway, and SnapshotDue takes only times.

--- a/internal/config/ledger/snapshot.go
+++ b/internal/config/ledger/snapshot.go
@@ -107,14 +107,15 @@
 }
 
 // SnapshotDue reports whether an entry should append a snapshot: the newest
-// whole one is old, going by the time since this reader saw it, or is about to
-// leave the log, or a newborn reader would have much to read after it.
-func (s State) SnapshotDue(first stream.Offset, age, retention clock.Millis) bool {
+// whole one is old, going by the time since this reader saw it, or will leave
+// the log soon, or a newborn reader would have much to read after it. The
+// state knows the log's oldest record from WithFirst.
+func (s State) SnapshotDue(age, retention clock.Millis) bool {
 	if !s.complete || s.version == 0 {
 		return false
 	}
 	// Shares of the kept records stand for shares of the retention time.
-	if first > 1 && (s.snapshot-first)*snapshotShare < s.next-first {
+	if s.first > 1 && (s.snapshot-s.first)*snapshotShare < s.next-s.first {
 		return true
 	}
 	return s.tail > tailBytes+2*s.Bytes() || age >= retention/snapshotShare
--- a/internal/config/ledger/state.go
+++ b/internal/config/ledger/state.go
@@ -17,6 +17,7 @@
 // returns the next state, which shares what did not change. One goroutine
 // calls With; any may read.
 type State struct {
+	first    stream.Offset // the oldest record that the log still has
 	next     stream.Offset // the next record to read
 	complete bool          // every record that matters was read
 	version  int64
@@ -42,7 +43,7 @@
 	if rec.Offset < s.next {
 		return s, Verdict{Kind: Duplicate, Offset: rec.Offset, Version: s.version, Reason: "this offset was read before"}
 	}
-	s = s.WithFirst(rec.Offset)
+	s = s.skipped(rec.Offset)
 	s.next = rec.Offset + 1
 	s.tail += int64(len(rec.Data))
 	entry, err := decode(rec.Data)
@@ -63,12 +64,18 @@
 // records that were not read are gone, the state waits for a snapshot; what it
 // had in force stays in force.
 func (s State) WithFirst(first stream.Offset) State {
-	if first <= s.next {
+	s.first = max(s.first, first)
+	return s.skipped(first)
+}
+
+// Goes on at an offset, which is a gap unless it is the next one.
+func (s State) skipped(offset stream.Offset) State {
+	if offset <= s.next {
 		return s
 	}
-	s.next = first
+	s.next = offset
 	s.complete = false
-	s.gap = gap{start: first}
+	s.gap = gap{start: offset}
 	s.parts = nil
 	return s
 }
--- a/internal/config/ledger/verdict_test.go
+++ b/internal/config/ledger/verdict_test.go
@@ -200,6 +200,38 @@
 	goldie.New(t).Assert(t, "reset", []byte(d.lines.String()))
 }
 
+// A snapshot is due by age, by its place in the log and by what follows it, and
+// not again as soon as it is written.
+func TestSnapshotDue(t *testing.T) {
+	const retention = 1000
+	d := &desk{t: t, state: New()}
+	due := []bool{d.state.SnapshotDue(retention, retention)} // nothing to write
+	for _, data := range bigTables(t, 3, 0) {
+		d.record(data)
+	}
+	due = append(due, d.state.SnapshotDue(0, retention), d.state.SnapshotDue(retention/4, retention))
+	write := func() {
+		records, err := d.state.Snapshot("op")
+		if err != nil {
+			t.Fatal(err)
+		}
+		lo.ForEach(records, func(data []byte, _ int) { d.record(data) })
+	}
+	write()
+	last := d.state.LastSnapshot()
+	d.state = d.state.WithFirst(last) // all before it has expired
+	due = append(due, d.state.SnapshotDue(0, retention))
+	write()
+	due = append(due, d.state.SnapshotDue(0, retention))
+	for range 400 {
+		d.publish("", 0, Edit{Replace: &Tables{Pools: d.state.Pools(), Routes: d.state.Config().Routes}})
+	}
+	due = append(due, d.state.SnapshotDue(0, retention))
+	if diff := cmp.Diff([]bool{false, false, true, true, false, true}, due); diff != "" {
+		t.Errorf("due (-want +got):\n%s", diff)
+	}
+}
+
 func edited(t *testing.T, data []byte, edit func(*part)) []byte {
 	t.Helper()
 	entry, err := decode(data)
