--- a/internal/config/ledger/adopt.go
+++ b/internal/config/ledger/adopt.go
@@ -6,52 +6,9 @@
 
 	"github.com/pkg/errors"
 
-	"github.com/oriolepier/oriolepier/internal/config/mark"
-	"github.com/oriolepier/oriolepier/internal/config/pool"
-	"github.com/oriolepier/oriolepier/internal/config/route"
-	"github.com/oriolepier/oriolepier/internal/config/table"
 	"github.com/oriolepier/oriolepier/internal/platform/stream"
 )
 
-// assembly is a snapshot of which some parts were read.
-type assembly struct {
-	head  part // the newest part read, less its rows
-	first stream.Offset
-	rows  rows // empty when the reader is complete and only follows along
-	bytes int
-}
-
-// gap is what a reader that lacks records has collected since. It is immutable.
-type gap struct {
-	start  stream.Offset // all records from here on were read
-	newest *waiting
-	bytes  int
-}
-
-// waiting is a change that could not be judged yet.
-type waiting struct {
-	offset stream.Offset
-	change Change
-	before *waiting
-}
-
-func (g gap) with(offset stream.Offset, change Change, size int) gap {
-	if g.bytes+size > maxPendingBytes {
-		return gap{start: offset + 1}
-	}
-	return gap{start: g.start, newest: &waiting{offset, change, g.newest}, bytes: g.bytes + size}
-}
-
-// Lists the changes after an offset, oldest first.
-func (g gap) after(through stream.Offset) []*waiting {
-	var list []*waiting
-	for item := g.newest; item != nil && item.offset > through; item = item.before {
-		list = append(list, item)
-	}
-	slices.Reverse(list)
-	return list
-}
-
 // Import builds a state from the records of another entry's [State.Snapshot].
 func Import(records [][]byte) (State, error) {
 	var whole assembly
@@ -63,7 +20,7 @@
 		if entry.Part == nil || entry.Part.Index != at || entry.Part.Count != len(records) {
 			return State{}, errors.New("import configuration: not the parts of one snapshot in order")
 		}
-		whole.rows = whole.rows.with(entry.Part.Rows)
+		whole.pages = append(whole.pages, entry.Part.Rows)
 		whole.head = entry.Part.bare()
 	}
 	if len(records) == 0 {
@@ -85,23 +42,12 @@
 	}
 	whole, problem := s.assembled(offset, piece, size)
 	s.parts = slices.DeleteFunc(slices.Clone(s.parts), func(other assembly) bool { return other.head.Writer == piece.Writer })
-	switch {
-	case problem != "":
-	case piece.Index < piece.Count-1:
-		s.parts = append(s.parts, whole)
-		if len(s.parts) > maxAssemblies {
-			s.parts = s.parts[1:]
-		}
-	case piece.Reset:
-		s, problem = s.reset(offset, whole)
-	case s.complete:
-		problem = s.compare(whole)
-	default:
-		s, problem = s.adopted(whole)
+	last := piece.Index == piece.Count-1
+	if problem == "" && !last {
+		s.parts = append(s.parts[max(0, len(s.parts)-maxAssemblies+1):], whole)
 	}
-	if problem == "" && piece.Index == piece.Count-1 {
-		s.snapshot = whole.first
-		s.tail = 0
+	if problem == "" && last {
+		s, problem = s.withWhole(offset, whole)
 	}
 	switch {
 	case problem != "":
@@ -113,54 +59,22 @@
 	return s, verdict
 }
 
-// Adds a part to those of the same snapshot.
-func (s State) assembled(offset stream.Offset, piece part, size int) (assembly, string) {
-	if piece.Writer == "" || len(piece.Writer) > maxWriterBytes || piece.Count < 1 || piece.Count > maxParts ||
-		piece.Index < 0 || piece.Index >= piece.Count || piece.Through < 0 || piece.Through >= offset || piece.Version < 0 ||
-		piece.Version > int64(piece.Through) {
-		return assembly{}, "malformed part of a snapshot"
-	}
-	whole := assembly{head: piece.bare(), first: offset}
-	if piece.Index > 0 {
-		at := slices.IndexFunc(s.parts, func(other assembly) bool { return other.head.followedBy(piece) })
-		if at < 0 {
-			return whole, "part of a snapshot without the part before it"
-		}
-		whole = s.parts[at]
-		whole.head = piece.bare()
-	}
-	if s.complete && !piece.Reset {
-		return whole, ""
-	}
-	whole.bytes += size
-	if whole.bytes > maxPendingBytes {
-		return whole, "snapshot is too large to collect"
+// Takes in a snapshot all of whose parts were read.
+func (s State) withWhole(offset stream.Offset, whole assembly) (State, string) {
+	next, problem := s, ""
+	switch {
+	case whole.head.Reset:
+		next, problem = s.reset(offset, whole)
+	case s.complete:
+		problem = s.compare(whole)
+	default:
+		next, problem = s.adopted(whole)
 	}
-	// Clipped, so that an older state's rows are not overwritten.
-	whole.rows = whole.rows.clipped().with(piece.Rows)
-	return whole, ""
-}
-
-func (p part) bare() part {
-	p.Rows = rows{}
-	return p
-}
-
-func (p part) followedBy(next part) bool { return p.sameSnapshot(next) && p.Index+1 == next.Index }
-
-// Reports whether a part is a copy of this one or of an earlier one.
-func (p part) repeats(other part) bool { return p.sameSnapshot(other) && other.Index <= p.Index }
-
-func (p part) sameSnapshot(other part) bool {
-	return p.Writer == other.Writer && p.Through == other.Through && p.Version == other.Version &&
-		p.Hash == other.Hash && p.Count == other.Count && p.Reset == other.Reset
-}
-
-func (r rows) clipped() rows {
-	return rows{
-		Routes: slices.Clip(r.Routes), Teams: slices.Clip(r.Teams), Domains: slices.Clip(r.Domains),
-		Pools: slices.Clip(r.Pools), Marks: slices.Clip(r.Marks), Traces: slices.Clip(r.Traces),
+	if problem != "" {
+		return s, problem
 	}
+	next.snapshot, next.tail = whole.first, 0
+	return next, ""
 }
 
 // Compares a snapshot with what this reader knows from the records themselves.
@@ -190,7 +104,7 @@
 	for _, item := range s.gap.after(whole.head.Through) {
 		next, _ = next.judge(item.offset, item.change)
 	}
-	next.next = s.next
+	next.first, next.next = s.first, s.next
 	return next, ""
 }
 
@@ -209,56 +123,8 @@
 	if problem != "" {
 		return s, problem
 	}
-	next.next = s.next
+	next.first, next.next = s.first, s.next
 	next.version = int64(offset)
 	next.recent = newRecent().with(offset, name, []string{everything})
 	return next.settled(), ""
 }
-
-// Builds the state that a whole snapshot describes.
-func (a assembly) state() (State, string) {
-	state := New()
-	index, findings := state.index.WithTables(
-		route.Table{Routes: a.rows.Routes, Teams: a.rows.Teams},
-		pool.Table{Domains: a.rows.Domains, Pools: a.rows.Pools},
-	)
-	if len(findings) > 0 {
-		return state, "snapshot holds invalid tables: " + findings[0].String()
-	}
-	marks, problem := marksFrom(a.rows.Marks)
-	if problem != "" {
-		return state, problem
-	}
-	state.next = a.head.Through + 1
-	state.version = a.head.Version
-	state.index = index
-	state.marks = marks
-	for _, item := range a.rows.Traces {
-		if item.Offset > int64(a.head.Through) || len(item.Things) > maxFineEdits {
-			return state, "snapshot holds a malformed trace"
-		}
-		state.recent.add(item)
-	}
-	if state.content() != a.head.Hash {
-		return state, "snapshot does not match its hash"
-	}
-	return state.settled(), ""
-}
-
-func marksFrom(list []mark.Mark) (mark.Set, string) {
-	if len(list) > maxVMMarks+table.MaxDomains {
-		return mark.Set{}, "snapshot holds too many marks"
-	}
-	set := mark.Set{Domains: map[string]bool{}, VMs: map[string]bool{}}
-	for _, item := range list {
-		switch {
-		case item.Kind == mark.Domain && item.Out:
-			set.Domains[item.Name] = true
-		case item.Kind == mark.VM && item.Out:
-			set.VMs[item.Name] = true
-		default:
-			return set, "snapshot holds a malformed mark"
-		}
-	}
-	return set, ""
-}
--- a/internal/config/ledger/snapshot.go
+++ b/internal/config/ledger/snapshot.go
@@ -38,17 +38,6 @@
 	Traces  []trace       `cbor:"6,keyasint,omitempty"`
 }
 
-func (r rows) with(other rows) rows {
-	return rows{
-		Routes:  append(r.Routes, other.Routes...),
-		Teams:   append(r.Teams, other.Teams...),
-		Domains: append(r.Domains, other.Domains...),
-		Pools:   append(r.Pools, other.Pools...),
-		Marks:   append(r.Marks, other.Marks...),
-		Traces:  append(r.Traces, other.Traces...),
-	}
-}
-
 // Snapshot returns the state as records for the stream, or for another entry,
 // see [Import]. They must be appended in order; if one append fails, all are
 // appended again. The state must be complete.
@@ -136,15 +125,16 @@
 	cut := &cutter{}
 	tables := s.index.Routes()
 	pools := s.index.Pools()
-	cutAll(cut, tables.Routes, func(row route.Route) rows { return rows{Routes: []route.Route{row}} })
-	cutAll(cut, tables.Teams, func(row route.Team) rows { return rows{Teams: []route.Team{row}} })
-	cutAll(cut, pools.Domains, func(row pool.Domain) rows { return rows{Domains: []pool.Domain{row}} })
-	cutAll(cut, pools.Pools, func(row pool.Pool) rows { return rows{Pools: []pool.Pool{row}} })
-	cutAll(cut, marksOf(s.marks), func(row mark.Mark) rows { return rows{Marks: []mark.Mark{row}} })
-	cutAll(cut, s.recent.list(), func(row trace) rows { return rows{Traces: []trace{row}} })
+	cutAll(cut, tables.Routes, func(page *rows, row route.Route) { page.Routes = append(page.Routes, row) })
+	cutAll(cut, tables.Teams, func(page *rows, row route.Team) { page.Teams = append(page.Teams, row) })
+	cutAll(cut, pools.Domains, func(page *rows, row pool.Domain) { page.Domains = append(page.Domains, row) })
+	cutAll(cut, pools.Pools, func(page *rows, row pool.Pool) { page.Pools = append(page.Pools, row) })
+	cutAll(cut, marksOf(s.marks), func(page *rows, row mark.Mark) { page.Marks = append(page.Marks, row) })
+	cutAll(cut, s.recent.list(), func(page *rows, row trace) { page.Traces = append(page.Traces, row) })
 	return append(cut.pages, cut.page), cut.err
 }
 
+// cutter fills pages and begins a new one when a page is full.
 type cutter struct {
 	pages []rows
 	page  rows
@@ -152,7 +142,7 @@
 	err   error
 }
 
-func cutAll[T any](cut *cutter, list []T, wrap func(T) rows) {
+func cutAll[T any](cut *cutter, list []T, add func(*rows, T)) {
 	for _, row := range list {
 		data, err := codec.Marshal(row)
 		if err != nil {
@@ -163,7 +153,7 @@
 			cut.pages = append(cut.pages, cut.page)
 			cut.page, cut.bytes = rows{}, 0
 		}
-		cut.page = cut.page.with(wrap(row))
+		add(&cut.page, row)
 		cut.bytes += len(data)
 	}
 }
--- a/internal/config/ledger/state.go
+++ b/internal/config/ledger/state.go
@@ -55,7 +55,7 @@
 	}
 	if !s.complete {
 		s.gap = s.gap.with(rec.Offset, *entry.Change, len(rec.Data))
-		return s, s.verdict(UnknownVersion, rec.Offset, *entry.Change, "this reader has no snapshot yet")
+		return s, s.verdict(Unjudged, rec.Offset, *entry.Change, "this reader has no snapshot yet")
 	}
 	return s.judge(rec.Offset, *entry.Change)
 }
--- a/internal/config/ledger/verdict.go
+++ b/internal/config/ledger/verdict.go
@@ -15,9 +15,10 @@
 	Rejected Kind = "rejected"
 	// Duplicate: the same writer and sequence were read before; that verdict counts.
 	Duplicate Kind = "duplicate"
-	// UnknownVersion: this reader lacks the records or the snapshot to judge by,
-	// or the change is based on a version that the stream has not reached.
+	// UnknownVersion: the change is based on a version that the stream has not reached.
 	UnknownVersion Kind = "unknown_version"
+	// Unjudged: this reader lacks the records or the snapshot to judge by.
+	Unjudged Kind = "unjudged"
 	// Part: part of a snapshot, taken note of.
 	Part Kind = "part"
 )
--- a/internal/config/table/join.go
+++ b/internal/config/table/join.go
@@ -14,7 +14,7 @@
 	known := lo.SliceToMap(pools.Pools, func(pl pool.Pool) (string, pool.Pool) { return pl.Name, pl })
 	whole := &report{}
 	for at, rt := range routes.Routes {
-		whole.found = append(whole.found, under(fmt.Sprintf("routes[%d]", at), checkJoin(rt, known))...)
+		whole.found = append(whole.found, inRow("routes", at, checkJoin(rt, known))...)
 	}
 	return whole.found
 }
--- a/internal/config/table/pools.go
+++ b/internal/config/table/pools.go
@@ -69,10 +69,10 @@
 		return whole.found
 	}
 	for at, domain := range table.Domains {
-		whole.found = append(whole.found, under(fmt.Sprintf("failure_domains[%d]", at), CheckDomain(domain))...)
+		whole.found = append(whole.found, inRow("failure_domains", at, CheckDomain(domain))...)
 	}
 	for at, pl := range table.Pools {
-		whole.found = append(whole.found, under(fmt.Sprintf("pools[%d]", at), CheckPool(pl))...)
+		whole.found = append(whole.found, inRow("pools", at, CheckPool(pl))...)
 	}
 	whole.duplicates("failure_domains", lo.Map(table.Domains, func(domain pool.Domain, _ int) string { return domain.Name }), "failure domain")
 	whole.duplicates("pools", lo.Map(table.Pools, func(pl pool.Pool, _ int) string { return pl.Name }), "pool")
--- a/internal/config/table/routes.go
+++ b/internal/config/table/routes.go
@@ -135,10 +135,10 @@
 		return whole.found
 	}
 	for at, rt := range table.Routes {
-		whole.found = append(whole.found, under(fmt.Sprintf("routes[%d]", at), CheckRoute(rt))...)
+		whole.found = append(whole.found, inRow("routes", at, CheckRoute(rt))...)
 	}
 	for at, team := range table.Teams {
-		whole.found = append(whole.found, under(fmt.Sprintf("teams[%d]", at), CheckTeam(team))...)
+		whole.found = append(whole.found, inRow("teams", at, CheckTeam(team))...)
 	}
 	whole.duplicates("routes", lo.Map(table.Routes, func(rt route.Route, _ int) string { return rt.Name }), "route")
 	whole.duplicates("teams", lo.Map(table.Teams, func(team route.Team, _ int) string { return team.Name }), "team")
@@ -191,7 +191,14 @@
 	return lo.Map(rt.Match.Methods, func(method string, _ int) matchKey { return matchKey{rt.Match.Host, prefix, method} })
 }
 
-// Moves findings of a row under the row's path.
+// Moves findings of a row of a list under the row's path.
+func inRow(list string, at int, findings []Finding) []Finding {
+	if len(findings) == 0 {
+		return nil // spares the path, since most rows are good
+	}
+	return under(fmt.Sprintf("%s[%d]", list, at), findings)
+}
+
 func under(path string, findings []Finding) []Finding {
 	return lo.Map(findings, func(finding Finding, _ int) Finding {
 		finding.Field = path + "." + finding.Field
--- a/internal/operator/command/publish.go
+++ b/internal/operator/command/publish.go
@@ -94,7 +94,7 @@
 	case verdict.Kind == ledger.Accepted:
 		s.sayf("accepted: version %d", verdict.Offset)
 		return option.ExitDone
-	case verdict.Kind == ledger.UnknownVersion && !follow.state.Complete():
+	case verdict.Kind == ledger.Unjudged:
 		s.sayf("unknown: the log lost records while this command read it")
 		s.sayf("find out with: oriolepier publish --find %s/%d", follow.writer, follow.sequence)
 	default:
@@ -124,7 +124,7 @@
 		return option.ExitDone
 	case verdict.Kind == ledger.Duplicate:
 		s.sayf("unknown: the log no longer has the first copy; %s", verdict.Reason)
-	case verdict.Kind == ledger.UnknownVersion && verdict.Version == 0:
+	case verdict.Kind == ledger.Unjudged:
 		s.sayf("unknown: in the log at offset %d, but the log no longer has what it was judged by", verdict.Offset)
 	default:
 		s.sayf("rejected: %s", verdict.Reason)
