shared: say in the settings how long the platform's log keeps records

Cause: entries assumed half an hour.

Change: platform.log_retention_ms, 30 minutes unless given, passed to the control thread as an option.

--- a/internal/config/setting/parse.go
+++ b/internal/config/setting/parse.go
@@ -25,10 +25,15 @@
 	minTokenBytes              = 16 // shorter ones can be guessed
 	maxTokenBytes              = 512
 	maxNotice     clock.Millis = 10 * clock.Minute
+	minRetention  clock.Millis = clock.Minute // snapshots are written several times in it
+	maxRetention  clock.Millis = 366 * 24 * clock.Hour
 )
 
-// Balancers probe every second or two and want several failures in a row.
-const defaultNotice = 5 * clock.Second
+// What stands where the file says nothing.
+const (
+	defaultNotice    = 5 * clock.Second  // balancers probe every second or two and want several failures in a row
+	defaultRetention = 30 * clock.Minute // less than any log in use keeps; a longer time makes fewer snapshots
+)
 
 var shapes = []document.Shape{
 	{
@@ -36,7 +41,7 @@
 		Required:  []string{"name", "failure_domain", "listen", "platform"},
 	},
 	{Prototype: Listen{}, Required: []string{"callers", "operators", "peers"}},
-	{Prototype: Platform{}, Required: []string{"log", "inventory", "usage"}},
+	{Prototype: Platform{LogRetentionMS: defaultRetention}, Required: []string{"log", "inventory", "usage"}},
 	{Prototype: Peer{}, Required: []string{"name", "failure_domain", "address"}},
 	{Prototype: TLS{}, Required: []string{"cert", "key", "ca"}},
 }
@@ -128,15 +133,20 @@
 	list.base("platform.log", entry.Platform.Log)
 	list.base("platform.inventory", entry.Platform.Inventory)
 	list.base("platform.usage", entry.Platform.Usage)
+	list.within("platform.log_retention_ms", entry.Platform.LogRetentionMS, minRetention, maxRetention)
 	list.level(entry.LogLevel)
-	if entry.NoticeMS < 1 || entry.NoticeMS > maxNotice {
-		list.addf("notice_ms", "must be between 1 and %d, not %d", maxNotice, entry.NoticeMS)
-	}
+	list.within("notice_ms", entry.NoticeMS, 1, maxNotice)
 	list.token(entry)
 	list.tls(entry.TLS)
 	return list.found
 }
 
+func (r *report) within(field string, value, least, most clock.Millis) {
+	if value < least || value > most {
+		r.addf(field, "must be between %d and %d, not %d", least, most, value)
+	}
+}
+
 func (r *report) name(field, name string) {
 	if name == "" {
 		r.addf(field, "is missing")
--- a/internal/entry/control/config.go
+++ b/internal/entry/control/config.go
@@ -138,7 +138,7 @@
 		c.snapshotAt = now
 	}
 	turn := snapshotPatient * clock.Millis(c.rank(now))
-	if !c.ledger.SnapshotDue(now-c.snapshotAt-turn, logRetention) {
+	if !c.ledger.SnapshotDue(now-c.snapshotAt-turn, c.options.LogRetention) {
 		return
 	}
 	records, err := c.ledger.Snapshot(c.options.Name + "/" + c.options.Boot)
--- a/internal/entry/control/control.go
+++ b/internal/entry/control/control.go
@@ -25,6 +25,7 @@
 	"time"
 
 	"github.com/rs/zerolog"
+	"github.com/samber/lo"
 
 	"github.com/oriolepier/oriolepier/internal/base/clock"
 	"github.com/oriolepier/oriolepier/internal/batch/journal"
@@ -54,7 +55,7 @@
 	fetchTimeout    clock.Millis = 5 * clock.Second
 	offerInterval   clock.Millis = 2 * clock.Second  // between two fetches of a configuration from peers
 	absentKept      clock.Millis = 10 * clock.Minute // how long a VM that left the list counts as leaving
-	logRetention    clock.Millis = 30 * clock.Minute // assumed of the platform's log
+	logRetention    clock.Millis = 30 * clock.Minute // assumed of the platform's log when the options do not say
 	snapshotPatient clock.Millis = 5 * clock.Second  // per rank: lower ranks write snapshots first
 )
 
@@ -77,9 +78,11 @@
 	Effects *effect.Pool
 	Box     *view.Box
 	Stream  stream.Log
-	Agent   worker.Agent
-	Call    peer.Call
-	Vars    *expvar.Map
+	// LogRetention is how long the platform's log keeps a record; 0 for a default.
+	LogRetention clock.Millis
+	Agent        worker.Agent
+	Call         peer.Call
+	Vars         *expvar.Map
 	// InFlight tells how many requests this entry is answering.
 	InFlight func() int
 	// Follow starts a reader of a stream, Unfollow ends it.
@@ -127,6 +130,7 @@
 
 // New returns a control thread that has heard of nothing yet.
 func New(options Options) *Control {
+	options.LogRetention = lo.CoalesceOrEmpty(options.LogRetention, logRetention)
 	c := &Control{
 		options: options,
 		started: options.Clock.Now(),
