--- a/internal/batch/job/job.go
+++ b/internal/batch/job/job.go
@@ -49,7 +49,8 @@
 	Handed    Phase = "handed"   // another cell runs it
 	Finished  Phase = "finished"
 	Cancelled Phase = "cancelled"
-	Parked    Phase = "parked" // will not be tried again; Reason says why
+	Parked    Phase = "parked"   // will not be tried again; Reason says why
+	Returned  Phase = "returned" // given back to the home cell by the one that was to run it
 )
 
 // Over reports whether the phase is final.
