Run every fault at every step of a task in virtual time

Cause: the invariants of tasks must be shown to hold under failure. Change: fakes of log and workers, one witness that judges by payloads alone, a table of 17 faults x 17 steps, 60 seeded pairs, and six safeguards switched off in turn, each of which the matrix must notice. Ruled out: nondeterminism of maps (200 equal traces with and without -race). Limits: a finish that went down unheard with its worker, or inside a domain cut off past hold and lease, is run again; the witness excuses exactly these.

--- a/internal/batch/cell/apply.go
+++ b/internal/batch/cell/apply.go
@@ -7,6 +7,7 @@
 	"github.com/oriolepier/oriolepier/internal/base/codec"
 	"github.com/oriolepier/oriolepier/internal/batch/job"
 	"github.com/oriolepier/oriolepier/internal/platform/stream"
+	"github.com/oriolepier/oriolepier/internal/platform/worker"
 )
 
 // Event is one record as it was applied.
@@ -22,7 +23,8 @@
 	Domain string // failure domain of Entry, of claims and presences
 	Number uint64 // of heartbeats and presences
 	ReadTo stream.Offset
-	Size   int // bytes
+	Phase  worker.Phase // how an attempt ended
+	Size   int          // bytes
 }
 
 // seen is what is known of one writer's appends.
--- a/internal/batch/cell/attempt.go
+++ b/internal/batch/cell/attempt.go
@@ -3,6 +3,7 @@
 import (
 	"fmt"
 
+	"github.com/oriolepier/oriolepier/internal/base/amount"
 	"github.com/oriolepier/oriolepier/internal/batch/job"
 	"github.com/oriolepier/oriolepier/internal/platform/worker"
 )
@@ -58,10 +59,10 @@
 		return false
 	}
 	vm := cell.vms[body.VM]
-	if vm != nil && (vm.Dropped != 0 || !body.Whole.Fits(vm.Committed.Add(entry.Spec.Size))) {
+	if vm != nil && vm.Dropped != 0 {
 		return false
 	}
-	if !body.Whole.Fits(entry.Spec.Size) {
+	if !cell.fits(vm, body.Whole, entry.Spec.Size) {
 		return false
 	}
 	entry.Phase = job.Running
@@ -72,6 +73,13 @@
 	return true
 }
 
+func (cell *State) fits(vm *VM, whole, size amount.Amount) bool {
+	if vm != nil {
+		size = size.Add(vm.Committed)
+	}
+	return whole.Fits(size) || cell.rules.NoRoom
+}
+
 func (cell *State) occupy(entry *Job) {
 	vm := cell.vm(entry.VM)
 	vm.Committed = vm.Committed.Add(entry.Spec.Size)
@@ -88,7 +96,7 @@
 // end takes note that the newest attempt is over, and decides what the job
 // does next.
 func (cell *State) end(body End, event *Event) bool {
-	event.ID = body.ID
+	event.ID, event.Phase = body.ID, body.Phase
 	entry := cell.jobs[body.ID]
 	event.Job = entry
 	if entry == nil || !entry.Active() || body.Attempt != entry.Attempt {
--- a/internal/batch/cell/cell.go
+++ b/internal/batch/cell/cell.go
@@ -64,6 +64,7 @@
 // that each is needed.
 type Rules struct {
 	NoFence  bool // accept records of older epochs
+	NoRoom   bool // accept starts beyond a worker's size
 	NoDedupe bool // accept a key or an append twice
 }
 
@@ -194,6 +195,9 @@
 	}
 }
 
+// IDs returns the ids of all jobs, in order.
+func (cell *State) IDs() []string { return cell.sortedIDs() }
+
 // Len returns how many jobs are kept, ended ones included.
 func (cell *State) Len() int { return len(cell.jobs) }
 
--- a/internal/batch/lease/peers.go
+++ b/internal/batch/lease/peers.go
@@ -80,6 +80,17 @@
 	return newest, entry
 }
 
+// Others reports whether an entry of a failure domain, other than the named
+// one, has written a sign since a time.
+func (peers *Peers) Others(domain, entry string, since clock.Millis) bool {
+	for _, writer := range peers.writers {
+		if writer.domain == domain && writer.entry != entry && writer.seen >= since {
+			return true
+		}
+	}
+	return false
+}
+
 // Drop takes note that a worker was dropped by the record at an offset.
 func (peers *Peers) Drop(vm string, offset stream.Offset, now clock.Millis) {
 	if _, known := peers.drops[vm]; known {
--- /dev/null
+++ b/internal/batch/owner/bench_test.go
@@ -0,0 +1,375 @@
+package owner
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"slices"
+
+	"github.com/google/btree"
+	"github.com/rs/zerolog"
+
+	"github.com/oriolepier/oriolepier/internal/base/amount"
+	"github.com/oriolepier/oriolepier/internal/base/clock"
+	"github.com/oriolepier/oriolepier/internal/base/codec"
+	"github.com/oriolepier/oriolepier/internal/base/fault"
+	"github.com/oriolepier/oriolepier/internal/batch/cell"
+	"github.com/oriolepier/oriolepier/internal/batch/job"
+	"github.com/oriolepier/oriolepier/internal/batch/journal"
+	"github.com/oriolepier/oriolepier/internal/config/ledger"
+	"github.com/oriolepier/oriolepier/internal/config/mark"
+	"github.com/oriolepier/oriolepier/internal/config/pool"
+	"github.com/oriolepier/oriolepier/internal/platform/inventory"
+	"github.com/oriolepier/oriolepier/internal/platform/stream"
+	"github.com/oriolepier/oriolepier/internal/platform/worker"
+)
+
+// bench runs entries, a log and workers in virtual time, in one thread and in
+// the same order on every run.
+type bench struct {
+	now      clock.Millis
+	agenda   *btree.BTreeG[appointment]
+	serial   int
+	random   *rand.Rand
+	broken   breaks
+	streams  map[string][]stream.Record
+	first    map[string]stream.Offset // oldest record kept
+	latency  clock.Millis             // of an append
+	logDown  bool
+	logCut   map[string]bool         // failure domains that can't reach the log
+	peerCut  map[string]bool         // failure domains that others' orders don't reach
+	cutUntil map[string]clock.Millis // when a failure domain was last cut off from all
+	noConfig map[string]bool         // failure domains whose entries can't read the configuration
+	loseAll  bool                    // answers of appends are lost
+	twice    bool                    // orders arrive a second time, later
+	late     bool                    // workers obey orders whose time is over
+	procs    []*proc
+	agents   map[string]*agent
+	vms      []inventory.VM
+	config   ledger.Config
+	watch    *witness
+	flood    int                    // tasks of the script besides the usual ones
+	step     func(name, who string) // called as a step happens
+}
+
+type appointment struct {
+	at     clock.Millis
+	serial int
+	run    func()
+}
+
+func newBench(seed uint64, broken breaks, domains, entries, workers int) *bench {
+	b := &bench{
+		now: clock.Hour, broken: broken, latency: 20, random: rand.New(rand.NewPCG(seed, seed)),
+		agenda: btree.NewG(32, func(x, y appointment) bool {
+			return x.at < y.at || x.at == y.at && x.serial < y.serial
+		}),
+		streams: map[string][]stream.Record{}, first: map[string]stream.Offset{},
+		logCut: map[string]bool{}, peerCut: map[string]bool{}, agents: map[string]*agent{}, noConfig: map[string]bool{}, cutUntil: map[string]clock.Millis{},
+		step: func(string, string) {},
+	}
+	b.watch = newWitness(b)
+	b.config = ledger.Config{Version: 1}
+	var names []string
+	for d := range domains {
+		names = append(names, string(rune('a'+d)))
+	}
+	for _, domain := range names {
+		b.config.Pools.Domains = append(b.config.Pools.Domains, pool.Domain{Name: domain, Cells: 1})
+		for w := range workers {
+			b.addWorker(domain, fmt.Sprintf("%s-w-%02d", domain, w))
+		}
+	}
+	b.config.Pools.Pools = []pool.Pool{{
+		Name: "batch", FailureDomains: names, HoldMS: 20 * clock.Second, LeaseMS: 6 * clock.Second, MaxMovesPerSec: 10, AllowEvict: true, AllowThrottle: true,
+	}}
+	for _, domain := range names {
+		for e := range entries {
+			b.boot(fmt.Sprintf("%s-e-%d", domain, e), domain)
+		}
+	}
+	return b
+}
+
+func (b *bench) addWorker(domain, name string) {
+	size := amount.Amount{MilliCores: 4000, MemoryMB: 8000, Accelerators: 1}
+	vm := inventory.VM{Name: name, Role: inventory.Worker, FailureDomain: domain, Rack: domain + "-r", State: inventory.Live, Size: size, Agent: name}
+	b.vms = append(b.vms, vm)
+	b.agents[name] = newAgent(b, vm)
+}
+
+func (b *bench) after(d clock.Millis, run func()) {
+	b.serial++
+	b.agenda.ReplaceOrInsert(appointment{b.now + d, b.serial, run})
+}
+
+func (b *bench) run(d clock.Millis) {
+	end := b.now + d
+	for {
+		next, some := b.agenda.Min()
+		if !some || next.at > end {
+			b.now = end
+			return
+		}
+		b.agenda.DeleteMin()
+		b.now = next.at
+		next.run()
+	}
+}
+
+func (b *bench) until(limit clock.Millis, done func() bool) bool {
+	for end := b.now + limit; b.now < end; b.run(100) {
+		if done() {
+			return true
+		}
+	}
+	return done()
+}
+
+func (b *bench) cells() []string {
+	var names []string
+	for _, row := range b.config.Pools.Domains {
+		names = append(names, cellsOf(b.config.Pools, row.Name)...)
+	}
+	return names
+}
+
+// mark is an operator's act, in force from now on.
+func (b *bench) mark(kind mark.Kind, name string, out bool) {
+	b.config.Marks = b.config.Marks.With(mark.Mark{Kind: kind, Name: name, Out: out})
+	b.config.Version++
+	if kind == mark.Domain {
+		b.watch.marked(name, out)
+	}
+}
+
+// proc is one life of an entry.
+type proc struct {
+	bench   *bench
+	name    string
+	domain  string
+	dead    bool
+	paused  clock.Millis // until then nothing runs
+	journal *journal.Journal
+	owners  []*Owner
+	readAt  clock.Millis // of the config stream
+	config  ledger.Config
+	reading map[*Owner]bool
+}
+
+func (b *bench) boot(name, domain string) *proc {
+	b.serial++
+	p := &proc{bench: b, name: name, domain: domain, reading: map[*Owner]bool{}}
+	clk := clock.Clock{Now: func() clock.Millis { return b.now }}
+	p.journal = journal.New(journal.Options{Writer: fmt.Sprintf("%s/%d", name, b.serial), Clock: clk, Append: p.append})
+	for _, at := range b.cells() {
+		options := Options{Cell: at, Entry: name, Domain: domain, Clock: clk, Seed: b.random.Uint64(), Journal: p.journal, Agent: p.agent(), Log: zerolog.Nop()}
+		p.owners = append(p.owners, newWith(options, b.broken))
+	}
+	b.procs = append(b.procs, p)
+	b.loop(p, 20, p.journal.Tick)
+	b.loop(p, 100, p.tick)
+	b.loop(p, 500, p.readConfig)
+	return p
+}
+
+func (b *bench) loop(p *proc, every clock.Millis, run func()) {
+	var again func()
+	again = func() {
+		if p.dead {
+			return
+		}
+		run()
+		b.after(every, func() { p.do(again) })
+	}
+	b.after(clock.Millis(b.random.Int64N(int64(every))), func() { p.do(again) })
+}
+
+// do runs something in the process: never when dead, later when paused.
+func (p *proc) do(run func()) {
+	switch {
+	case p.dead:
+	case p.paused > p.bench.now:
+		p.bench.after(p.paused-p.bench.now, func() { p.do(run) })
+	default:
+		run()
+	}
+}
+
+func (p *proc) tick() {
+	p.bench.cutOff(p.domain)
+	for _, one := range p.owners {
+		if !p.reading[one] {
+			p.read(one)
+		}
+		one.Tick()
+	}
+}
+
+func (p *proc) reaches() bool { return !p.bench.logDown && !p.bench.logCut[p.domain] }
+
+func (p *proc) read(one *Owner) {
+	b, sent := p.bench, p.bench.now
+	p.reading[one] = true
+	b.after(5, func() {
+		page, ok := b.page(one.stream, one.Next()), p.reaches()
+		b.after(5, func() {
+			p.do(func() {
+				p.reading[one] = false
+				if !ok {
+					one.ReadFailed()
+					return
+				}
+				for _, rec := range page.Records {
+					b.noteRecords(rec.Data, "read", p.name)
+				}
+				one.Read(page, sent)
+			})
+		})
+	})
+}
+
+func (b *bench) page(name string, from stream.Offset) stream.Page {
+	kept := b.streams[name]
+	first := max(b.first[name], 1)
+	page := stream.Page{First: first, End: first + stream.Offset(len(kept))}
+	if at := int(max(from, first) - first); at < len(kept) {
+		page.Records = slices.Clone(kept[at:min(len(kept), at+500)])
+	}
+	return page
+}
+
+// expire drops all but the newest records of a stream.
+func (b *bench) expire(name string, keep int) {
+	drop := max(len(b.streams[name])-keep, 0)
+	b.first[name] = max(b.first[name], 1) + stream.Offset(drop)
+	b.streams[name] = b.streams[name][drop:]
+}
+
+func (p *proc) readConfig() {
+	b, sent := p.bench, p.bench.now
+	b.after(10, func() {
+		if !p.reaches() || b.noConfig[p.domain] {
+			return
+		}
+		config := b.config
+		b.after(5, func() { p.do(func() { p.config, p.readAt = config, sent }) })
+	})
+	world := World{Config: p.config, ConfigReadAt: p.readAt, VMs: slices.Clone(b.vms)}
+	for _, other := range b.procs {
+		cut := other.domain != p.domain && (b.peerCut[other.domain] || b.peerCut[p.domain])
+		world.Entries = append(world.Entries, Peer{Name: other.name, Domain: other.domain, Live: !other.dead && other.paused <= b.now && !cut})
+	}
+	for _, one := range p.owners {
+		one.SetWorld(world)
+	}
+}
+
+func (p *proc) append(name string, data []byte, done func(stream.Offset, error)) {
+	b := p.bench
+	answer := func(off stream.Offset, err error) {
+		b.after(b.latency/2, func() { p.do(func() { done(off, err) }) })
+	}
+	b.noteRecords(data, "append", p.name)
+	if !p.reaches() && b.random.IntN(2) == 0 {
+		answer(0, fault.Newf(fault.NotSent, "append", name, "no connection"))
+		return
+	}
+	b.after(b.latency/2, func() {
+		if !p.reaches() {
+			answer(0, fault.Newf(fault.NotRun, "append", name, "down"))
+			return
+		}
+		off := max(b.first[name], 1) + stream.Offset(len(b.streams[name]))
+		b.streams[name] = append(b.streams[name], stream.Record{Offset: off, Data: data})
+		b.noteRecords(data, "landed", p.name)
+		if b.loseAll {
+			answer(0, fault.Newf(fault.Unknown, "append", name, "answer lost"))
+			return
+		}
+		answer(off, nil)
+	})
+}
+
+// cutOff reports whether a failure domain reaches neither the log nor others.
+func (b *bench) cutOff(domain string) bool {
+	off := b.peerCut[domain] && (b.logCut[domain] || b.logDown)
+	if off {
+		b.cutUntil[domain] = b.now
+	}
+	return off
+}
+
+// noteRecords reports what an append carries as steps.
+func (b *bench) noteRecords(data []byte, where, who string) {
+	batch, err := cell.DecodeBatch(data)
+	if err != nil {
+		return
+	}
+	for _, record := range batch.Records {
+		var end cell.End
+		if where == "landed" && record[0] == byte(cell.KindEnd) && codec.Unmarshal(record[1:], &end) == nil && end.Phase == worker.Finished {
+			b.watch.heard(end.ID)
+		}
+		b.step(fmt.Sprintf("%s %d", where, record[0]), who)
+	}
+}
+
+// submit sends a job through an entry; acked is called when it is accepted.
+func (p *proc) submit(spec job.Spec, acked func(id string)) {
+	home := job.Home(spec.Caller, spec.Key, p.bench.cells())
+	p.bench.step("submit", p.name)
+	p.do(func() {
+		p.journal.Add(job.StreamName(home), cell.Encode(cell.Submit{Spec: spec}), func(_ stream.Offset, err error) {
+			if err == nil {
+				p.bench.step("acknowledge", p.name)
+				acked(job.ID(home, spec.Caller, spec.Key))
+			}
+		})
+	})
+}
+
+func (p *proc) cancel(id string) {
+	home, _ := job.CellOf(id)
+	p.do(func() { p.journal.Add(job.StreamName(home), cell.Encode(cell.Cancel{ID: id}), nil) })
+}
+
+func (b *bench) kill(p *proc) {
+	p.dead = true
+	b.after(5*clock.Second, func() { b.boot(p.name, p.domain) })
+	b.procs = slices.DeleteFunc(b.procs, func(other *proc) bool { return other == p })
+}
+
+// owner returns the process that owns a cell and follows it, or nil.
+func (b *bench) owner(name string) *proc {
+	for _, p := range b.procs {
+		for _, one := range p.owners {
+			if one.options.Cell == name && one.Owns() && p.paused <= b.now {
+				return p
+			}
+		}
+	}
+	return nil
+}
+
+func (b *bench) follower(p *proc, name string) *Owner {
+	for _, one := range p.owners {
+		if one.options.Cell == name {
+			return one
+		}
+	}
+	return nil
+}
+
+// status asks the live entry that read furthest.
+func (b *bench) status(id string) (job.Status, bool) {
+	home, _ := job.CellOf(id)
+	var best *Owner
+	for _, p := range b.procs {
+		for _, one := range p.owners {
+			if one.options.Cell == home && (best == nil || one.state.Applied() > best.state.Applied()) {
+				best = one
+			}
+		}
+	}
+	return best.Status(id)
+}
--- /dev/null
+++ b/internal/batch/owner/copy.go
@@ -0,0 +1,67 @@
+package owner
+
+import (
+	"github.com/oriolepier/oriolepier/internal/base/clock"
+	"github.com/oriolepier/oriolepier/internal/batch/cell"
+	"github.com/oriolepier/oriolepier/internal/platform/stream"
+)
+
+const (
+	// snapshotEvery is the time between snapshots. The log keeps records for
+	// half an hour at least (docs/PLATFORM.md), so that two may fail.
+	snapshotEvery clock.Millis = 8 * clock.Minute
+	// snapshotRecords asks for a snapshot sooner in a busy cell, to bound replay.
+	snapshotRecords stream.Offset = 50_000
+	// firstSnapshotAfter is when a new owner writes one, since it does not know
+	// how old the newest is.
+	firstSnapshotAfter clock.Millis = 20 * clock.Second
+	// snapshotAgain is the wait after a snapshot that could not be finished.
+	snapshotAgain clock.Millis = 30 * clock.Second
+)
+
+// copying is the writing of a snapshot into the stream, chunk by chunk.
+type copying struct {
+	next    clock.Millis  // when the next one is due
+	at      stream.Offset // position of the newest one
+	chunks  [][]byte      // still to be written
+	waiting bool          // a chunk has no outcome yet
+}
+
+// snapshot writes the state into the stream when it is due. Each chunk waits
+// for the one before, which also spreads the bytes over time.
+func (sched *scheduler) snapshot(now clock.Millis) {
+	at := &sched.copying
+	if at.waiting {
+		return
+	}
+	if len(at.chunks) > 0 {
+		sched.writeChunk(at)
+		return
+	}
+	state := sched.owner.state
+	if now < at.next && state.Applied()-at.at < snapshotRecords {
+		return
+	}
+	at.at = state.Applied()
+	at.next = now + snapshotEvery
+	at.chunks = cell.Chunks(at.at, state.Snapshot())
+	sched.owner.count.Snapshots++
+}
+
+func (sched *scheduler) writeChunk(at *copying) {
+	at.waiting = true
+	chunk := at.chunks[0]
+	owner := sched.owner
+	owner.add(chunk, func(_ stream.Offset, err error) {
+		if owner.sched != sched {
+			return
+		}
+		at.waiting = false
+		if err != nil {
+			at.chunks = nil
+			at.next = owner.now() + snapshotAgain
+			return
+		}
+		at.chunks = at.chunks[1:]
+	})
+}
