--- a/internal/batch/owner/hand.go
+++ b/internal/batch/owner/hand.go
@@ -25,11 +25,11 @@
 	maxTold = 50
 )
 
-// serves reports whether some worker of the cell is in one of the pools and
-// takes new tasks.
-func (site *plant) serves(pools []string) bool {
+// serves reports whether some worker of the cell is in one of the pools and is
+// neither out nor out of reach.
+func (sched *scheduler) serves(pools []string) bool {
 	for _, name := range pools {
-		if site.pools[name] {
+		if sched.serving[name] > 0 {
 			return true
 		}
 	}
--- a/internal/batch/owner/place.go
+++ b/internal/batch/owner/place.go
@@ -119,7 +119,7 @@
 
 // refused decides about a job that no worker here can take now.
 func (sched *scheduler) refused(entry *cell.Job, refusal placement.Refusal, now clock.Millis) {
-	never := refusal.Kind == placement.NeverFits || !sched.owner.plant.serves(entry.Spec.Pools)
+	never := refusal.Kind == placement.NeverFits || !sched.serves(entry.Spec.Pools)
 	if never || now-sched.queued[entry.ID] >= patience(entry) {
 		sched.reject = append(sched.reject, rejected{id: entry.ID, reason: refusal.Reason, never: never})
 	}
