--- a/internal/standin/process/platform.go
+++ b/internal/standin/process/platform.go
@@ -33,31 +33,34 @@
 	Domains   map[string]string `json:"failure_domains,omitempty"`
 }
 
-// site is the platform's services in one process.
-type site struct {
-	log    *journal.Journal
-	list   *fleet.Fleet
-	record *witness.Witness
+// Site is the platform's services in one process, with the witness.
+type Site struct {
+	Clock  clock.Clock // the witness's
+	Log    *journal.Journal
+	List   *fleet.Fleet
+	Record *witness.Witness
 }
 
-func newSite(flags PlatformFlags) *site {
+// NewSite returns services that nobody serves yet.
+func NewSite(flags PlatformFlags) *Site {
 	shared := witness.SharedClock()
-	return &site{
-		log: journal.New(journal.Options{
+	return &Site{
+		Clock: shared,
+		Log: journal.New(journal.Options{
 			Clock: shared, RetentionMS: clock.Millis(flags.RetentionMS), MaxAppendsPerSecond: flags.MaxAppends, Seed: flags.Seed,
 		}),
-		list:   fleet.New(fleet.Options{Clock: shared, LagMS: clock.Millis(flags.ListLagMS), UsageLagMS: clock.Millis(flags.UsageLagMS)}),
-		record: witness.New(witness.Options{OutGraceMS: clock.Millis(flags.OutGraceMS)}),
+		List:   fleet.New(fleet.Options{Clock: shared, LagMS: clock.Millis(flags.ListLagMS), UsageLagMS: clock.Millis(flags.UsageLagMS)}),
+		Record: witness.New(witness.Options{OutGraceMS: clock.Millis(flags.OutGraceMS)}),
 	}
 }
 
-// handler serves clients of a failure domain, or of none.
-func (site *site) handler(domain string) http.Handler {
+// Handler serves clients of a failure domain, or of none.
+func (site *Site) Handler(domain string) http.Handler {
 	mux := http.NewServeMux()
-	log, list := site.log.HandlerFrom(domain), site.list.HandlerFrom(domain)
+	log, list := site.Log.HandlerFrom(domain), site.List.HandlerFrom(domain)
 	mux.Handle("/streams/", log)
 	mux.Handle("/standin/log/", log)
-	mux.Handle("/standin/witness/", site.record.Handler())
+	mux.Handle("/standin/witness/", site.Record.Handler())
 	mux.Handle("/", list)
 	return mux
 }
@@ -71,16 +74,16 @@
 	if err != nil {
 		return err
 	}
-	site := newSite(flags)
+	site := NewSite(flags)
 	group, ctx := errgroup.WithContext(ctx)
-	serve(ctx, group, listener, site.handler(""))
+	serve(ctx, group, listener, site.Handler(""))
 	line := listening{Listening: listener.Addr().String(), Domains: map[string]string{}}
 	for domain, address := range addresses {
 		listener, err := listen(ctx, address)
 		if err != nil {
 			return err
 		}
-		serve(ctx, group, listener, site.handler(domain))
+		serve(ctx, group, listener, site.Handler(domain))
 		line.Domains[domain] = listener.Addr().String()
 	}
 	printJSON(out, line)
