--- a/internal/batch/owner/plant.go
+++ b/internal/batch/owner/plant.go
@@ -28,10 +28,9 @@
 	names    []string // of machines, in order
 	whole    amount.Amount
 	terms    cell.Terms
-	out      bool            // the cell's failure domain is out
-	moves    float64         // pace of evacuation, tasks a second
-	others   []other         // cells of other failure domains, in order of name
-	pools    map[string]bool // that have a worker here which takes new tasks
+	out      bool    // the cell's failure domain is out
+	moves    float64 // pace of evacuation, tasks a second
+	others   []other // cells of other failure domains, in order of name
 	split    map[string]string
 	cells    int
 }
@@ -129,11 +128,7 @@
 
 // sum works out what follows from the machines.
 func (site *plant) sum() {
-	site.pools = map[string]bool{}
 	for name, vm := range site.machines {
-		if !vm.stopped && !vm.gone {
-			site.pools[vm.pool.Name] = true
-		}
 		site.names = append(site.names, name)
 		site.whole = site.whole.Add(vm.Size)
 		site.terms.Hold = max(site.terms.Hold, vm.pool.HoldMS)
--- a/internal/batch/owner/scheduler.go
+++ b/internal/batch/owner/scheduler.go
@@ -30,6 +30,8 @@
 	estimator *colocation.Estimator
 
 	placed  map[string]placement.Worker // as last put into the index
+	serving map[string]int              // workers in service and in reach, by pool
+	inPool  map[string]string           // pool of each of those workers
 	taken   map[string]amount.Amount    // committed by worker
 	commits map[string]commit           // by job
 	queued  map[string]clock.Millis     // by job: when it began to wait here
@@ -81,10 +83,10 @@
 		index:     placement.New(owner.options.Seed),
 		shares:    quota.New(owner.world.Config.Routes.Teams, owner.plant.whole),
 		estimator: colocation.New(colocation.Options{}),
-		placed:    map[string]placement.Worker{}, taken: map[string]amount.Amount{},
+		serving:   map[string]int{}, inPool: map[string]string{},
+		placed: map[string]placement.Worker{}, taken: map[string]amount.Amount{},
 		commits: map[string]commit{}, queued: map[string]clock.Millis{}, plans: map[string]plan{},
 		delayed: agenda.New(), orders: agenda.New(), tasks: map[string]*task{}, outbox: agenda.New(),
-		pace:     rate.NewLimiter(rate.Limit(owner.plant.moves), 1),
 		suspects: map[string]clock.Millis{}, trials: map[string]*trial{}, throttle: map[string]bool{},
 	}
 	sched.waiting = queue.New(queue.Options{Share: sched.shares.Share})
@@ -100,14 +102,17 @@
 // refit follows a change of the plant.
 func (sched *scheduler) refit() {
 	site := sched.owner.plant
-	sched.pace.SetLimit(rate.Limit(site.moves))
-	sched.pace.SetBurst(max(int(site.moves), 1))
+	if sched.pace == nil || sched.pace.Limit() != rate.Limit(site.moves) {
+		// A new limiter, since changing one reads the real clock.
+		sched.pace = rate.NewLimiter(rate.Limit(site.moves), max(int(site.moves), 1))
+	}
 	sched.shares.SetTeams(sched.owner.world.Config.Routes.Teams, site.whole)
 	for _, name := range sortedKeys(sched.placed) {
 		if _, still := site.machines[name]; !still {
 			sched.index.Remove(name)
 			sched.estimator.Forget(name)
 			delete(sched.placed, name)
+			sched.count(name, "")
 		}
 	}
 	for _, name := range site.names {
@@ -131,6 +136,7 @@
 		Size: vm.Size, Reserve: reserve(vm), Committed: sched.taken[name],
 		SetAside: sched.unusable(name, vm),
 	}
+	sched.serve(name, vm)
 	if sched.placed[name] == row {
 		return
 	}
@@ -143,6 +149,29 @@
 	return amount.Amount{MilliCores: vm.Size.MilliCores * percent / 100, MemoryMB: vm.Size.MemoryMB * percent / 100}
 }
 
+// serve counts a worker for its pool while it is in service and not dropped.
+func (sched *scheduler) serve(name string, vm machine) {
+	kept := sched.owner.state.VM(name)
+	if vm.stopped || vm.gone || kept != nil && kept.Dropped != 0 {
+		sched.count(name, "")
+		return
+	}
+	sched.count(name, vm.pool.Name)
+}
+
+func (sched *scheduler) count(name, pool string) {
+	old := sched.inPool[name]
+	if old == pool {
+		return
+	}
+	sched.serving[old]--
+	sched.serving[pool]++
+	sched.inPool[name] = pool
+	if pool == "" {
+		delete(sched.inPool, name)
+	}
+}
+
 // unusable reports whether a worker gets no new task for now.
 func (sched *scheduler) unusable(name string, vm machine) bool {
 	if vm.stopped || vm.gone || !sched.owner.readings[name].Known() {
--- a/internal/batch/owner/workers.go
+++ b/internal/batch/owner/workers.go
@@ -155,7 +155,7 @@
 func (sched *scheduler) blind(lost int, now clock.Millis) bool {
 	used := 0
 	sched.owner.state.VMs(func(string, *cell.VM) { used++ })
-	if lost < 2 || float64(lost) < dropShare*float64(used) {
+	if sched.owner.options.Domain != sched.owner.domain || lost < 2 || float64(lost) < dropShare*float64(used) {
 		return false
 	}
 	return sched.owner.peers.Others(sched.owner.domain, sched.owner.options.Entry, now-2*presenceEvery)
--- a/internal/entry/control/config.go
+++ b/internal/entry/control/config.go
@@ -78,7 +78,7 @@
 	if newest <= c.config.Version {
 		return
 	}
-	c.options.Poke()
+	c.options.Poke(ConfigStream)
 	logWorks := !c.configLost && c.configReadAt > 0
 	if logWorks || now-c.lastOffer < offerInterval {
 		return
@@ -138,7 +138,7 @@
 		c.snapshotAt = now
 	}
 	turn := snapshotPatient * clock.Millis(c.rank(now))
-	if !c.ledger.SnapshotDue(now-c.snapshotAt-turn, logRetention) {
+	if !c.ledger.SnapshotDue(now-c.snapshotAt-turn, c.options.LogRetention) {
 		return
 	}
 	records, err := c.ledger.Snapshot(c.options.Name + "/" + c.options.Boot)
