--- a/internal/config/bundle/bundle.go
+++ b/internal/config/bundle/bundle.go
@@ -74,84 +74,84 @@
 	return sets, findings
 }
 
-func (g *group) read(file File) {
+func (dir *group) read(file File) {
 	doc, findings := document.Parse(file.Name, file.Data, table.MaxFileBytes)
 	switch {
 	case len(findings) > 0:
-		g.findings = append(g.findings, findings...)
+		dir.findings = append(dir.findings, findings...)
 	case doc.Member("routes") || doc.Member("teams"):
-		g.readRoutes(file)
+		dir.readRoutes(file)
 	case doc.Member("pools") || doc.Member("failure_domains"):
-		g.readPools(file)
+		dir.readPools(file)
 	default:
 		doc, entry, findings := setting.Decode(file.Name, file.Data)
-		g.findings = append(g.findings, findings...)
+		dir.findings = append(dir.findings, findings...)
 		if len(findings) == 0 {
-			g.set.Entries = append(g.set.Entries, entry)
-			g.entryDocs = append(g.entryDocs, doc)
+			dir.set.Entries = append(dir.set.Entries, entry)
+			dir.entryDocs = append(dir.entryDocs, doc)
 		}
 	}
 }
 
-func (g *group) readRoutes(file File) {
-	if g.routesFile != "" {
-		g.second(file.Name, "table of routes", g.routesFile)
+func (dir *group) readRoutes(file File) {
+	if dir.routesFile != "" {
+		dir.second(file.Name, "table of routes", dir.routesFile)
 		return
 	}
-	g.routesFile = file.Name
+	dir.routesFile = file.Name
 	doc, routes, findings := table.DecodeRoutes(file.Name, file.Data)
-	g.routesDoc, g.set.Routes = doc, &routes
-	g.tablesBad = g.tablesBad || len(findings) > 0
-	g.findings = append(g.findings, findings...)
+	dir.routesDoc, dir.set.Routes = doc, &routes
+	dir.tablesBad = dir.tablesBad || len(findings) > 0
+	dir.findings = append(dir.findings, findings...)
 }
 
-func (g *group) readPools(file File) {
-	if g.poolsFile != "" {
-		g.second(file.Name, "table of pools", g.poolsFile)
+func (dir *group) readPools(file File) {
+	if dir.poolsFile != "" {
+		dir.second(file.Name, "table of pools", dir.poolsFile)
 		return
 	}
-	g.poolsFile = file.Name
+	dir.poolsFile = file.Name
 	doc, pools, findings := table.DecodePools(file.Name, file.Data)
-	g.poolsDoc, g.set.Pools = doc, &pools
-	g.tablesBad = g.tablesBad || len(findings) > 0
-	g.findings = append(g.findings, findings...)
+	dir.poolsDoc, dir.set.Pools = doc, &pools
+	dir.tablesBad = dir.tablesBad || len(findings) > 0
+	dir.findings = append(dir.findings, findings...)
 }
 
-func (g *group) second(name, kind, first string) {
-	g.findings = append(g.findings, table.Finding{
+func (dir *group) second(name, kind, first string) {
+	dir.findings = append(dir.findings, table.Finding{
 		File: name, Line: 1, Column: 1, Message: fmt.Sprintf("a second %s beside %s; one directory is one deployment", kind, first),
 	})
 }
 
 // Checks what holds between the files of the group.
-func (g *group) join() {
-	if g.tablesBad {
+func (dir *group) join() {
+	if dir.tablesBad {
 		return
 	}
-	if g.set.Routes != nil && g.set.Pools != nil {
-		g.findings = append(g.findings, table.CheckJoins(g.routesDoc, *g.set.Routes, *g.set.Pools)...)
+	if dir.set.Routes != nil && dir.set.Pools != nil {
+		dir.findings = append(dir.findings, table.CheckJoins(dir.routesDoc, *dir.set.Routes, *dir.set.Pools)...)
 	}
-	if g.set.Pools == nil {
+	if dir.set.Pools == nil {
 		return
 	}
-	for at, entry := range g.set.Entries {
-		g.joinEntry(g.entryDocs[at], entry)
+	for at, entry := range dir.set.Entries {
+		dir.joinEntry(dir.entryDocs[at], entry)
 	}
 }
 
 // Checks the settings of an entry against the table of pools.
-func (g *group) joinEntry(doc *document.Document, entry setting.Entry) {
-	known := lo.SliceToMap(g.set.Pools.Domains, func(domain pool.Domain) (string, bool) { return domain.Name, true })
+func (dir *group) joinEntry(doc *document.Document, entry setting.Entry) {
+	known := lo.SliceToMap(dir.set.Pools.Domains, func(domain pool.Domain) (string, bool) { return domain.Name, true })
 	if !known[entry.FailureDomain] {
-		g.findings = append(g.findings, doc.Locate(table.Finding{
+		dir.findings = append(dir.findings, doc.Locate(table.Finding{
 			Field:   "failure_domain",
-			Message: fmt.Sprintf("no failure domain %q in %s", entry.FailureDomain, g.poolsFile),
+			Message: fmt.Sprintf("no failure domain %q in %s", entry.FailureDomain, dir.poolsFile),
 		}))
 	}
 	entries := len(lo.UniqBy(append(entry.Peers, setting.Peer{Name: entry.Name}), func(peer setting.Peer) string { return peer.Name }))
-	for at, pl := range g.set.Pools.Pools {
+	for at, pl := range dir.set.Pools.Pools {
 		if pl.Connections < entries {
-			g.findings = append(g.findings, g.poolsDoc.Locate(table.Finding{
+			dir.findings = append(dir.findings, dir.poolsDoc.Locate(table.Finding{
 				Field:   fmt.Sprintf("pools[%d].connections", at),
 				Message: fmt.Sprintf("unsafe: %d connections are fewer than the %d entries of %s", pl.Connections, entries, doc.File()),
 			}))
--- a/internal/config/document/decode.go
+++ b/internal/config/document/decode.go
@@ -38,14 +38,14 @@
 }
 
 // Decode fills target, a pointer to a struct, and returns what is wrong.
-func (d *Document) Decode(target any, shapes ...Shape) []Finding {
-	walk := &walker{doc: d, shapes: map[reflect.Type]Shape{}}
+func (doc *Document) Decode(target any, shapes ...Shape) []Finding {
+	walk := &walker{doc: doc, shapes: map[reflect.Type]Shape{}}
 	for _, shape := range shapes {
 		walk.shapes[reflect.TypeOf(shape.Prototype)] = shape
 	}
-	d.found = nil
-	walk.value(&d.root, reflect.ValueOf(target).Elem(), "")
-	return d.found
+	doc.found = nil
+	walk.value(&doc.root, reflect.ValueOf(target).Elem(), "")
+	return doc.found
 }
 
 type walker struct {
@@ -53,41 +53,41 @@
 	shapes map[reflect.Type]Shape
 }
 
-func (w *walker) faultf(source *hujson.Value, path, format string, values ...any) {
-	if len(w.doc.found) < maxFindings {
-		w.doc.found = append(w.doc.found, w.doc.at(source.StartOffset, path, fmt.Sprintf(format, values...)))
+func (walk *walker) faultf(source *hujson.Value, path, format string, values ...any) {
+	if len(walk.doc.found) < maxFindings {
+		walk.doc.found = append(walk.doc.found, walk.doc.at(source.StartOffset, path, fmt.Sprintf(format, values...)))
 	}
 }
 
-func (w *walker) value(source *hujson.Value, target reflect.Value, path string) {
-	w.doc.places[path] = source.StartOffset
+func (walk *walker) value(source *hujson.Value, target reflect.Value, path string) {
+	walk.doc.places[path] = source.StartOffset
 	switch target.Kind() {
 	case reflect.Struct:
-		w.object(source, target, path)
+		walk.object(source, target, path)
 	case reflect.Pointer:
 		fresh := reflect.New(target.Type().Elem())
-		w.value(source, fresh.Elem(), path)
+		walk.value(source, fresh.Elem(), path)
 		target.Set(fresh)
 	case reflect.Slice:
-		w.array(source, target, path)
+		walk.array(source, target, path)
 	case reflect.String:
-		if literal, ok := w.literal(source, path, '"', "a string"); ok {
+		if literal, ok := walk.literal(source, path, '"', "a string"); ok {
 			target.SetString(literal.String())
 		}
 	case reflect.Bool:
-		w.boolean(source, target, path)
+		walk.boolean(source, target, path)
 	default:
-		w.number(source, target, path)
+		walk.number(source, target, path)
 	}
 }
 
-func (w *walker) object(source *hujson.Value, target reflect.Value, path string) {
+func (walk *walker) object(source *hujson.Value, target reflect.Value, path string) {
 	object, ok := source.Value.(*hujson.Object)
 	if !ok {
-		w.faultf(source, path, "must be an object, not %s", describe(source))
+		walk.faultf(source, path, "must be an object, not %s", describe(source))
 		return
 	}
-	shape := w.shapes[target.Type()]
+	shape := walk.shapes[target.Type()]
 	if shape.Prototype != nil {
 		target.Set(reflect.ValueOf(shape.Prototype))
 	}
@@ -102,65 +102,65 @@
 		case !known:
 			meant := similar(name, fields)
 			seen[meant] = true // one fault, not another for the member that is missing
-			w.faultf(&member.Name, where, "%s", unknown(meant, fields))
+			walk.faultf(&member.Name, where, "%s", unknown(meant, fields))
 		case seen[name]:
-			w.faultf(&member.Name, where, "given twice")
+			walk.faultf(&member.Name, where, "given twice")
 		default:
-			w.value(&member.Value, target.Field(index), where)
+			walk.value(&member.Value, target.Field(index), where)
 		}
 		seen[name] = true
 	}
 	for _, name := range shape.Required {
 		if !seen[name] {
-			w.faultf(source, join(path, name), "is missing")
+			walk.faultf(source, join(path, name), "is missing")
 		}
 	}
 }
 
-func (w *walker) array(source *hujson.Value, target reflect.Value, path string) {
+func (walk *walker) array(source *hujson.Value, target reflect.Value, path string) {
 	array, ok := source.Value.(*hujson.Array)
 	if !ok {
-		w.faultf(source, path, "must be an array, not %s", describe(source))
+		walk.faultf(source, path, "must be an array, not %s", describe(source))
 		return
 	}
 	list := reflect.MakeSlice(target.Type(), len(array.Elements), len(array.Elements))
 	for at := range array.Elements {
-		w.value(&array.Elements[at], list.Index(at), fmt.Sprintf("%s[%d]", path, at))
+		walk.value(&array.Elements[at], list.Index(at), fmt.Sprintf("%s[%d]", path, at))
 	}
 	target.Set(list)
 }
 
-func (w *walker) boolean(source *hujson.Value, target reflect.Value, path string) {
+func (walk *walker) boolean(source *hujson.Value, target reflect.Value, path string) {
 	kind := source.Value.Kind()
 	if kind != 't' && kind != 'f' {
-		w.faultf(source, path, "must be true or false, not %s", describe(source))
+		walk.faultf(source, path, "must be true or false, not %s", describe(source))
 		return
 	}
 	target.SetBool(kind == 't')
 }
 
-func (w *walker) number(source *hujson.Value, target reflect.Value, path string) {
+func (walk *walker) number(source *hujson.Value, target reflect.Value, path string) {
 	expected := expectation(path)
-	literal, ok := w.literal(source, path, '0', expected)
+	literal, ok := walk.literal(source, path, '0', expected)
 	if !ok {
 		return
 	}
 	number, err := strconv.ParseInt(string(literal), 10, target.Type().Bits())
 	if errors.Is(err, strconv.ErrRange) {
-		w.faultf(source, path, "%s is out of range", clip(string(literal)))
+		walk.faultf(source, path, "%s is out of range", clip(string(literal)))
 		return
 	}
 	if err != nil {
-		w.faultf(source, path, "must be %s, not %s", expected, clip(string(literal)))
+		walk.faultf(source, path, "must be %s, not %s", expected, clip(string(literal)))
 		return
 	}
 	target.SetInt(number)
 }
 
-func (w *walker) literal(source *hujson.Value, path string, kind hujson.Kind, expected string) (hujson.Literal, bool) {
+func (walk *walker) literal(source *hujson.Value, path string, kind hujson.Kind, expected string) (hujson.Literal, bool) {
 	literal, ok := source.Value.(hujson.Literal)
 	if !ok || literal.Kind() != kind {
-		w.faultf(source, path, "must be %s, not %s", expected, describe(source))
+		walk.faultf(source, path, "must be %s, not %s", expected, describe(source))
 		return nil, false
 	}
 	return literal, true
--- a/internal/config/document/document.go
+++ b/internal/config/document/document.go
@@ -61,11 +61,11 @@
 }
 
 // File returns the name of the file.
-func (d *Document) File() string { return d.file }
+func (doc *Document) File() string { return doc.file }
 
 // Member reports whether the file is an object with a member of that name.
-func (d *Document) Member(name string) bool {
-	object, ok := d.root.Value.(*hujson.Object)
+func (doc *Document) Member(name string) bool {
+	object, ok := doc.root.Value.(*hujson.Object)
 	if !ok {
 		return false
 	}
@@ -79,19 +79,19 @@
 
 // Locate fills in the place of a finding from its field. A field that the file
 // does not have gets the place of the nearest one that encloses it.
-func (d *Document) Locate(finding Finding) Finding {
+func (doc *Document) Locate(finding Finding) Finding {
 	path := finding.Field
 	for {
-		if offset, ok := d.places[path]; ok {
-			return d.at(offset, finding.Field, finding.Message)
+		if offset, ok := doc.places[path]; ok {
+			return doc.at(offset, finding.Field, finding.Message)
 		}
 		path = parent(path)
 	}
 }
 
 // Has reports whether the file gave a value for the field.
-func (d *Document) Has(field string) bool {
-	_, ok := d.places[field]
+func (doc *Document) Has(field string) bool {
+	_, ok := doc.places[field]
 	return ok
 }
 
@@ -100,10 +100,10 @@
 	return path[:max(at, 0)]
 }
 
-func (d *Document) at(offset int, field, message string) Finding {
-	before := d.data[:min(offset, len(d.data))]
+func (doc *Document) at(offset int, field, message string) Finding {
+	before := doc.data[:min(offset, len(doc.data))]
 	return Finding{
-		File:    d.file,
+		File:    doc.file,
 		Line:    1 + bytes.Count(before, []byte("\n")),
 		Column:  len(before) - bytes.LastIndexByte(before, '\n'),
 		Field:   field,
@@ -112,9 +112,9 @@
 }
 
 // The library's message reads "hujson: line 3, column 9: what is wrong".
-func (d *Document) syntax(err error) Finding {
+func (doc *Document) syntax(err error) Finding {
 	text := strings.TrimPrefix(err.Error(), "hujson: ")
-	finding := Finding{File: d.file, Line: 1, Column: 1, Message: "not JSON with comments: " + text}
+	finding := Finding{File: doc.file, Line: 1, Column: 1, Message: "not JSON with comments: " + text}
 	place, message, ok := strings.Cut(text, ": ")
 	if !ok {
 		return finding
--- a/internal/config/document/finding.go
+++ b/internal/config/document/finding.go
@@ -17,18 +17,18 @@
 }
 
 // String returns "file:line:column: field: message", less what is not known.
-func (f Finding) String() string {
-	text := f.Message
-	if f.Field != "" {
-		text = f.Field + ": " + text
+func (finding Finding) String() string {
+	text := finding.Message
+	if finding.Field != "" {
+		text = finding.Field + ": " + text
 	}
-	if f.File == "" {
+	if finding.File == "" {
 		return text
 	}
-	if f.Line == 0 {
-		return f.File + ": " + text
+	if finding.Line == 0 {
+		return finding.File + ": " + text
 	}
-	return fmt.Sprintf("%s:%d:%d: %s", f.File, f.Line, f.Column, text)
+	return fmt.Sprintf("%s:%d:%d: %s", finding.File, finding.Line, finding.Column, text)
 }
 
 // Sort puts findings in the order of their places, keeping others as they are.
--- a/internal/config/ledger/adopt.go
+++ b/internal/config/ledger/adopt.go
@@ -34,96 +34,96 @@
 }
 
 // Takes in one part of a snapshot.
-func (s State) withPart(offset stream.Offset, piece part, size int) (State, Verdict) {
-	verdict := Verdict{Kind: Part, Offset: offset, Version: s.version, Writer: piece.Writer, Sequence: uint64(max(piece.Index, 0))}
-	if slices.ContainsFunc(s.parts, func(other assembly) bool { return other.head.repeats(piece) }) {
+func (state State) withPart(offset stream.Offset, piece part, size int) (State, Verdict) {
+	verdict := Verdict{Kind: Part, Offset: offset, Version: state.version, Writer: piece.Writer, Sequence: uint64(max(piece.Index, 0))}
+	if slices.ContainsFunc(state.parts, func(other assembly) bool { return other.head.repeats(piece) }) {
 		verdict.Kind, verdict.Reason = Duplicate, "a copy was read before"
-		return s, verdict
+		return state, verdict
 	}
-	whole, problem := s.assembled(offset, piece, size)
-	s.parts = slices.DeleteFunc(slices.Clone(s.parts), func(other assembly) bool { return other.head.Writer == piece.Writer })
+	whole, problem := state.assembled(offset, piece, size)
+	state.parts = slices.DeleteFunc(slices.Clone(state.parts), func(other assembly) bool { return other.head.Writer == piece.Writer })
 	last := piece.Index == piece.Count-1
 	if problem == "" && !last {
-		s.parts = append(s.parts[max(0, len(s.parts)-maxAssemblies+1):], whole)
+		state.parts = append(state.parts[max(0, len(state.parts)-maxAssemblies+1):], whole)
 	}
 	if problem == "" && last {
-		s, problem = s.withWhole(offset, whole)
+		state, problem = state.withWhole(offset, whole)
 	}
 	switch {
 	case problem != "":
 		verdict.Kind, verdict.Reason = Rejected, problem
-	case s.version == int64(offset):
+	case state.version == int64(offset):
 		verdict.Kind = Accepted
 	}
-	verdict.Version = s.version
-	return s, verdict
+	verdict.Version = state.version
+	return state, verdict
 }
 
 // Takes in a snapshot all of whose parts were read.
-func (s State) withWhole(offset stream.Offset, whole assembly) (State, string) {
-	next, problem := s, ""
+func (state State) withWhole(offset stream.Offset, whole assembly) (State, string) {
+	next, problem := state, ""
 	switch {
 	case whole.head.Reset:
-		next, problem = s.reset(offset, whole)
-	case s.complete:
-		problem = s.compare(whole)
+		next, problem = state.reset(offset, whole)
+	case state.complete:
+		problem = state.compare(whole)
 	default:
-		next, problem = s.adopted(whole)
+		next, problem = state.adopted(whole)
 	}
 	if problem != "" {
-		return s, problem
+		return state, problem
 	}
 	next.snapshot, next.tail = whole.first, 0
 	return next, ""
 }
 
 // Compares a snapshot with what this reader knows from the records themselves.
-func (s State) compare(whole assembly) string {
-	if whole.head.Version > s.version {
-		return fmt.Sprintf("snapshot of version %d, but version %d is in force", whole.head.Version, s.version)
+func (state State) compare(whole assembly) string {
+	if whole.head.Version > state.version {
+		return fmt.Sprintf("snapshot of version %d, but version %d is in force", whole.head.Version, state.version)
 	}
-	if whole.head.Version == s.version && whole.head.Hash != s.content() {
-		return fmt.Sprintf("snapshot of version %d differs from the records", s.version)
+	if whole.head.Version == state.version && whole.head.Hash != state.content() {
+		return fmt.Sprintf("snapshot of version %d differs from the records", state.version)
 	}
 	return ""
 }
 
 // Returns the state that a snapshot and the changes read since give, or why
 // the snapshot can't be used.
-func (s State) adopted(whole assembly) (State, string) {
-	if whole.head.Version < s.version {
-		return s, fmt.Sprintf("snapshot of version %d, but version %d is in force", whole.head.Version, s.version)
+func (state State) adopted(whole assembly) (State, string) {
+	if whole.head.Version < state.version {
+		return state, fmt.Sprintf("snapshot of version %d, but version %d is in force", whole.head.Version, state.version)
 	}
-	if whole.head.Through < s.gap.start-1 {
-		return s, fmt.Sprintf("snapshot through offset %d, but this reader began at %d", whole.head.Through, s.gap.start)
+	if whole.head.Through < state.gap.start-1 {
+		return state, fmt.Sprintf("snapshot through offset %d, but this reader began at %d", whole.head.Through, state.gap.start)
 	}
 	next, problem := whole.state()
 	if problem != "" {
-		return s, problem
+		return state, problem
 	}
-	for _, item := range s.gap.after(whole.head.Through) {
+	for _, item := range state.gap.after(whole.head.Through) {
 		next, _ = next.judge(item.offset, item.change)
 	}
-	next.first, next.next = s.first, s.next
+	next.first, next.next = state.first, state.next
 	return next, ""
 }
 
 // Returns the state that an operator's reset gives, the same for readers with
 // and without the records before it. Changes since the operator looked are
 // overridden; a copy that arrives much later is not taken.
-func (s State) reset(offset stream.Offset, whole assembly) (State, string) {
+func (state State) reset(offset stream.Offset, whole assembly) (State, string) {
 	if whole.first > whole.head.Through+resetReach {
-		return s, fmt.Sprintf("reset after offset %d came too late", whole.head.Through)
+		return state, fmt.Sprintf("reset after offset %d came too late", whole.head.Through)
 	}
 	name := Change{Writer: whole.head.Writer, Sequence: uint64(whole.head.Through)}
-	if earlier, ok := s.recent.find(name); ok {
-		return s, fmt.Sprintf("the copy of this reset at offset %d counts", earlier)
+	if earlier, ok := state.recent.find(name); ok {
+		return state, fmt.Sprintf("the copy of this reset at offset %d counts", earlier)
 	}
 	next, problem := whole.state()
 	if problem != "" {
-		return s, problem
+		return state, problem
 	}
-	next.first, next.next = s.first, s.next
+	next.first, next.next = state.first, state.next
 	next.version = int64(offset)
 	next.recent = newRecent().with(offset, name, []string{everything})
 	return next.settled(), ""
--- a/internal/config/ledger/assembly.go
+++ b/internal/config/ledger/assembly.go
@@ -21,7 +21,7 @@
 }
 
 // Adds a part to those of the same snapshot.
-func (s State) assembled(offset stream.Offset, piece part, size int) (assembly, string) {
+func (state State) assembled(offset stream.Offset, piece part, size int) (assembly, string) {
 	if piece.Writer == "" || len(piece.Writer) > maxWriterBytes || piece.Count < 1 || piece.Count > maxParts ||
 		piece.Index < 0 || piece.Index >= piece.Count || piece.Through < 0 || piece.Through >= offset || piece.Version < 0 ||
 		piece.Version > int64(piece.Through) {
@@ -29,14 +29,14 @@
 	}
 	whole := assembly{head: piece.bare(), first: offset}
 	if piece.Index > 0 {
-		at := slices.IndexFunc(s.parts, func(other assembly) bool { return other.head.followedBy(piece) })
+		at := slices.IndexFunc(state.parts, func(other assembly) bool { return other.head.followedBy(piece) })
 		if at < 0 {
 			return whole, "part of a snapshot without the part before it"
 		}
-		whole = s.parts[at]
+		whole = state.parts[at]
 		whole.head = piece.bare()
 	}
-	if s.complete && !piece.Reset {
+	if state.complete && !piece.Reset {
 		return whole, ""
 	}
 	whole.bytes += size
@@ -47,37 +47,41 @@
 	return whole, ""
 }
 
-func (p part) bare() part {
-	p.Rows = rows{}
-	return p
+func (piece part) bare() part {
+	piece.Rows = rows{}
+	return piece
 }
 
-func (p part) followedBy(next part) bool { return p.sameSnapshot(next) && p.Index+1 == next.Index }
+func (piece part) followedBy(next part) bool {
+	return piece.sameSnapshot(next) && piece.Index+1 == next.Index
+}
 
 // Reports whether a part is a copy of this one or of an earlier one.
-func (p part) repeats(other part) bool { return p.sameSnapshot(other) && other.Index <= p.Index }
+func (piece part) repeats(other part) bool {
+	return piece.sameSnapshot(other) && other.Index <= piece.Index
+}
 
-func (p part) sameSnapshot(other part) bool {
-	return p.Writer == other.Writer && p.Through == other.Through && p.Version == other.Version &&
-		p.Hash == other.Hash && p.Count == other.Count && p.Reset == other.Reset
+func (piece part) sameSnapshot(other part) bool {
+	return piece.Writer == other.Writer && piece.Through == other.Through && piece.Version == other.Version &&
+		piece.Hash == other.Hash && piece.Count == other.Count && piece.Reset == other.Reset
 }
 
 // Joins the rows of all parts.
-func (a assembly) rows() rows {
+func (whole assembly) rows() rows {
 	return rows{
-		Routes:  lo.FlatMap(a.pages, func(page rows, _ int) []route.Route { return page.Routes }),
-		Teams:   lo.FlatMap(a.pages, func(page rows, _ int) []route.Team { return page.Teams }),
-		Domains: lo.FlatMap(a.pages, func(page rows, _ int) []pool.Domain { return page.Domains }),
-		Pools:   lo.FlatMap(a.pages, func(page rows, _ int) []pool.Pool { return page.Pools }),
-		Marks:   lo.FlatMap(a.pages, func(page rows, _ int) []mark.Mark { return page.Marks }),
-		Traces:  lo.FlatMap(a.pages, func(page rows, _ int) []trace { return page.Traces }),
+		Routes:  lo.FlatMap(whole.pages, func(page rows, _ int) []route.Route { return page.Routes }),
+		Teams:   lo.FlatMap(whole.pages, func(page rows, _ int) []route.Team { return page.Teams }),
+		Domains: lo.FlatMap(whole.pages, func(page rows, _ int) []pool.Domain { return page.Domains }),
+		Pools:   lo.FlatMap(whole.pages, func(page rows, _ int) []pool.Pool { return page.Pools }),
+		Marks:   lo.FlatMap(whole.pages, func(page rows, _ int) []mark.Mark { return page.Marks }),
+		Traces:  lo.FlatMap(whole.pages, func(page rows, _ int) []trace { return page.Traces }),
 	}
 }
 
 // Builds the state that a whole snapshot describes.
-func (a assembly) state() (State, string) {
+func (whole assembly) state() (State, string) {
 	state := New()
-	all := a.rows()
+	all := whole.rows()
 	index, findings := state.index.WithTables(
 		route.Table{Routes: all.Routes, Teams: all.Teams},
 		pool.Table{Domains: all.Domains, Pools: all.Pools},
@@ -89,17 +93,17 @@
 	if problem != "" {
 		return state, problem
 	}
-	state.next = a.head.Through + 1
-	state.version = a.head.Version
+	state.next = whole.head.Through + 1
+	state.version = whole.head.Version
 	state.index = index
 	state.marks = marks
 	for _, item := range all.Traces {
-		if item.Offset > int64(a.head.Through) || len(item.Things) > maxFineEdits {
+		if item.Offset > int64(whole.head.Through) || len(item.Things) > maxFineEdits {
 			return state, "snapshot holds a malformed trace"
 		}
 		state.recent.add(item)
 	}
-	if state.content() != a.head.Hash {
+	if state.content() != whole.head.Hash {
 		return state, "snapshot does not match its hash"
 	}
 	return state.settled(), ""
--- a/internal/config/ledger/change.go
+++ b/internal/config/ledger/change.go
@@ -105,12 +105,12 @@
 	return ""
 }
 
-func (e Edit) members() int {
+func (edit Edit) members() int {
 	count := 0
 	for _, set := range []bool{
-		e.Replace != nil, e.Pools != nil,
-		e.PutRoute != nil, e.DropRoute != "", e.PutTeam != nil, e.DropTeam != "",
-		e.PutPool != nil, e.DropPool != "", e.PutDomain != nil, e.DropDomain != "", e.Mark != nil,
+		edit.Replace != nil, edit.Pools != nil,
+		edit.PutRoute != nil, edit.DropRoute != "", edit.PutTeam != nil, edit.DropTeam != "",
+		edit.PutPool != nil, edit.DropPool != "", edit.PutDomain != nil, edit.DropDomain != "", edit.Mark != nil,
 	} {
 		if set {
 			count++
@@ -121,26 +121,26 @@
 
 // What an edit writes, as a name that is the same for all edits that touch it.
 // Whole tables are "".
-func (e Edit) touches() string {
+func (edit Edit) touches() string {
 	switch {
-	case e.PutRoute != nil:
-		return "route " + e.PutRoute.Name
-	case e.DropRoute != "":
-		return "route " + e.DropRoute
-	case e.PutTeam != nil:
-		return "team " + e.PutTeam.Name
-	case e.DropTeam != "":
-		return "team " + e.DropTeam
-	case e.PutPool != nil:
-		return "pool " + e.PutPool.Name
-	case e.DropPool != "":
-		return "pool " + e.DropPool
-	case e.PutDomain != nil:
-		return "failure domain " + e.PutDomain.Name
-	case e.DropDomain != "":
-		return "failure domain " + e.DropDomain
-	case e.Mark != nil:
-		return "mark of " + string(e.Mark.Kind) + " " + e.Mark.Name
+	case edit.PutRoute != nil:
+		return "route " + edit.PutRoute.Name
+	case edit.DropRoute != "":
+		return "route " + edit.DropRoute
+	case edit.PutTeam != nil:
+		return "team " + edit.PutTeam.Name
+	case edit.DropTeam != "":
+		return "team " + edit.DropTeam
+	case edit.PutPool != nil:
+		return "pool " + edit.PutPool.Name
+	case edit.DropPool != "":
+		return "pool " + edit.DropPool
+	case edit.PutDomain != nil:
+		return "failure domain " + edit.PutDomain.Name
+	case edit.DropDomain != "":
+		return "failure domain " + edit.DropDomain
+	case edit.Mark != nil:
+		return "mark of " + string(edit.Mark.Kind) + " " + edit.Mark.Name
 	}
 	return ""
 }
--- a/internal/config/ledger/gap.go
+++ b/internal/config/ledger/gap.go
@@ -20,17 +20,17 @@
 	before *waiting
 }
 
-func (g gap) with(offset stream.Offset, change Change, size int) gap {
-	if g.bytes+size > maxPendingBytes {
+func (span gap) with(offset stream.Offset, change Change, size int) gap {
+	if span.bytes+size > maxPendingBytes {
 		return gap{start: offset + 1}
 	}
-	return gap{start: g.start, newest: &waiting{offset, change, g.newest}, bytes: g.bytes + size}
+	return gap{start: span.start, newest: &waiting{offset, change, span.newest}, bytes: span.bytes + size}
 }
 
 // Lists the changes after an offset, oldest first.
-func (g gap) after(through stream.Offset) []*waiting {
+func (span gap) after(through stream.Offset) []*waiting {
 	var list []*waiting
-	for item := g.newest; item != nil && item.offset > through; item = item.before {
+	for item := span.newest; item != nil && item.offset > through; item = item.before {
 		list = append(list, item)
 	}
 	slices.Reverse(list)
--- a/internal/config/ledger/judge.go
+++ b/internal/config/ledger/judge.go
@@ -12,45 +12,45 @@
 )
 
 // Decides on a change at its offset. The state must be complete.
-func (s State) judge(offset stream.Offset, change Change) (State, Verdict) {
-	s.recent = s.recent.pruned(offset)
+func (state State) judge(offset stream.Offset, change Change) (State, Verdict) {
+	state.recent = state.recent.pruned(offset)
 	if problem := shapeProblem(change); problem != "" {
-		return s, s.verdict(Rejected, offset, change, problem)
+		return state, state.verdict(Rejected, offset, change, problem)
 	}
-	if earlier, ok := s.recent.find(change); ok {
-		return s, s.verdict(Duplicate, offset, change, fmt.Sprintf("the copy at offset %d counts", earlier))
+	if earlier, ok := state.recent.find(change); ok {
+		return state, state.verdict(Duplicate, offset, change, fmt.Sprintf("the copy at offset %d counts", earlier))
 	}
-	kind, reason := s.stale(offset, change)
-	next := s
+	kind, reason := state.stale(offset, change)
+	next := state
 	if kind == Accepted {
-		next, reason = s.applied(change)
+		next, reason = state.applied(change)
 	}
 	if reason != "" {
 		kind = lo.Ternary(kind == Accepted, Rejected, kind)
-		s.recent = s.recent.with(offset, change, nil)
-		return s, s.verdict(kind, offset, change, reason)
+		state.recent = state.recent.with(offset, change, nil)
+		return state, state.verdict(kind, offset, change, reason)
 	}
 	next.version = int64(offset)
-	next.recent = s.recent.with(offset, change, touched(change))
+	next.recent = state.recent.with(offset, change, touched(change))
 	return next.settled(), next.verdict(Accepted, offset, change, "")
 }
 
 // Says whether what the operator looked at still holds for what is written.
-func (s State) stale(offset stream.Offset, change Change) (Kind, string) {
-	if change.Base > s.version {
-		return UnknownVersion, fmt.Sprintf("based on version %d, but version %d is in force", change.Base, s.version)
+func (state State) stale(offset stream.Offset, change Change) (Kind, string) {
+	if change.Base > state.version {
+		return UnknownVersion, fmt.Sprintf("based on version %d, but version %d is in force", change.Base, state.version)
 	}
-	if change.Base == s.version {
+	if change.Base == state.version {
 		return Accepted, ""
 	}
 	if change.Base < int64(offset)-window {
-		return Rejected, fmt.Sprintf("based on version %d, which is too old; version %d is in force", change.Base, s.version)
+		return Rejected, fmt.Sprintf("based on version %d, which is too old; version %d is in force", change.Base, state.version)
 	}
-	for _, thing := range touched(s.unmet(change)) {
+	for _, thing := range touched(state.unmet(change)) {
 		if thing == everything {
-			return Rejected, fmt.Sprintf("replaces whole tables based on version %d, but version %d is in force", change.Base, s.version)
+			return Rejected, fmt.Sprintf("replaces whole tables based on version %d, but version %d is in force", change.Base, state.version)
 		}
-		at, ok := s.recent.changed(thing)
+		at, ok := state.recent.changed(thing)
 		if ok && int64(at) > change.Base {
 			return Rejected, fmt.Sprintf("%s was changed by version %d, after version %d that this change is based on", thing, at, change.Base)
 		}
@@ -59,86 +59,86 @@
 }
 
 // Applies all edits, or says why not.
-func (s State) applied(change Change) (State, string) {
-	next := s
+func (state State) applied(change Change) (State, string) {
+	next := state
 	for at, edit := range change.Edits {
 		var problem string
-		next, problem = next.edited(edit, s.marks)
+		next, problem = next.edited(edit, state.marks)
 		if problem == "" {
 			continue
 		}
 		if len(change.Edits) > 1 {
 			problem = fmt.Sprintf("edit %d of %d: %s", at+1, len(change.Edits), problem)
 		}
-		return s, problem
+		return state, problem
 	}
 	return next, ""
 }
 
 // Applies one edit. Whether a failure domain is out is decided by the marks
 // before the change, since its tasks need time to leave.
-func (s State) edited(edit Edit, before mark.Set) (State, string) {
+func (state State) edited(edit Edit, before mark.Set) (State, string) {
 	if edit.Mark != nil {
-		return s.marked(*edit.Mark)
+		return state.marked(*edit.Mark)
 	}
-	index, findings := edit.apply(s.index)
+	index, findings := edit.apply(state.index)
 	if len(findings) == 1 {
-		return s, findings[0].String()
+		return state, findings[0].String()
 	}
 	if len(findings) > 1 {
-		return s, fmt.Sprintf("%s (and %d more)", findings[0], len(findings)-1)
+		return state, fmt.Sprintf("%s (and %d more)", findings[0], len(findings)-1)
 	}
-	if problem := domainProblem(s.index.Pools(), index.Pools(), before); problem != "" {
-		return s, problem
+	if problem := domainProblem(state.index.Pools(), index.Pools(), before); problem != "" {
+		return state, problem
 	}
-	s.index = index
-	return s, ""
+	state.index = index
+	return state, ""
 }
 
-func (e Edit) apply(index table.Index) (table.Index, []table.Finding) {
+func (edit Edit) apply(index table.Index) (table.Index, []table.Finding) {
 	switch {
-	case e.Replace != nil:
-		return index.WithTables(e.Replace.Routes, e.Replace.Pools)
-	case e.Pools != nil:
-		return index.WithPools(*e.Pools)
-	case e.PutRoute != nil:
-		return index.WithRoute(*e.PutRoute)
-	case e.DropRoute != "":
-		return index.WithoutRoute(e.DropRoute)
-	case e.PutTeam != nil:
-		return index.WithTeam(*e.PutTeam)
-	case e.DropTeam != "":
-		return index.WithoutTeam(e.DropTeam)
-	case e.PutPool != nil:
-		return index.WithPool(*e.PutPool)
-	case e.DropPool != "":
-		return index.WithoutPool(e.DropPool)
-	case e.PutDomain != nil:
-		return index.WithDomain(*e.PutDomain)
+	case edit.Replace != nil:
+		return index.WithTables(edit.Replace.Routes, edit.Replace.Pools)
+	case edit.Pools != nil:
+		return index.WithPools(*edit.Pools)
+	case edit.PutRoute != nil:
+		return index.WithRoute(*edit.PutRoute)
+	case edit.DropRoute != "":
+		return index.WithoutRoute(edit.DropRoute)
+	case edit.PutTeam != nil:
+		return index.WithTeam(*edit.PutTeam)
+	case edit.DropTeam != "":
+		return index.WithoutTeam(edit.DropTeam)
+	case edit.PutPool != nil:
+		return index.WithPool(*edit.PutPool)
+	case edit.DropPool != "":
+		return index.WithoutPool(edit.DropPool)
+	case edit.PutDomain != nil:
+		return index.WithDomain(*edit.PutDomain)
 	default:
-		return index.WithoutDomain(e.DropDomain)
+		return index.WithoutDomain(edit.DropDomain)
 	}
 }
 
-func (s State) marked(change mark.Mark) (State, string) {
+func (state State) marked(change mark.Mark) (State, string) {
 	switch change.Kind {
 	case mark.Domain:
-		known := lo.ContainsBy(s.index.Pools().Domains, func(domain pool.Domain) bool { return domain.Name == change.Name })
-		if !known && (change.Out || !s.marks.DomainOut(change.Name)) {
-			return s, fmt.Sprintf("no failure domain %q in the table of pools", change.Name)
+		known := lo.ContainsBy(state.index.Pools().Domains, func(domain pool.Domain) bool { return domain.Name == change.Name })
+		if !known && (change.Out || !state.marks.DomainOut(change.Name)) {
+			return state, fmt.Sprintf("no failure domain %q in the table of pools", change.Name)
 		}
 	case mark.VM:
 		if !table.ValidVM(change.Name) {
-			return s, fmt.Sprintf("%q can't be the name of a VM", change.Name)
+			return state, fmt.Sprintf("%q can't be the name of a VM", change.Name)
 		}
-		if change.Out && len(s.marks.VMs) >= maxVMMarks && !s.marks.VMs[change.Name] {
-			return s, fmt.Sprintf("%d VMs are marked out, which is the limit", maxVMMarks)
+		if change.Out && len(state.marks.VMs) >= maxVMMarks && !state.marks.VMs[change.Name] {
+			return state, fmt.Sprintf("%d VMs are marked out, which is the limit", maxVMMarks)
 		}
 	default:
-		return s, fmt.Sprintf("a mark is of a %s or a %s, not %q", mark.Domain, mark.VM, change.Kind)
+		return state, fmt.Sprintf("a mark is of a %s or a %s, not %q", mark.Domain, mark.VM, change.Kind)
 	}
-	s.marks = s.marks.With(change)
-	return s, ""
+	state.marks = state.marks.With(change)
+	return state, ""
 }
 
 // A failure domain that is in service keeps its cells, since jobs are found by
@@ -160,9 +160,9 @@
 
 // Leaves out the marks that are in force already: who asks for what is so does
 // not lose to another operator who asked first.
-func (s State) unmet(change Change) Change {
+func (state State) unmet(change Change) Change {
 	change.Edits = lo.Reject(change.Edits, func(edit Edit, _ int) bool {
-		return edit.Mark != nil && s.marks.Has(*edit.Mark)
+		return edit.Mark != nil && state.marks.Has(*edit.Mark)
 	})
 	return change
 }
--- a/internal/config/ledger/twin_test.go
+++ b/internal/config/ledger/model_test.go
@@ -18,43 +18,43 @@
 	"github.com/oriolepier/oriolepier/internal/platform/stream"
 )
 
-// twin decides on changes the plain way: it keeps whole copies of the tables,
+// model decides on changes the plain way: it keeps whole copies of the tables,
 // every change ever judged, and checks everything each time.
-type twin struct {
+type model struct {
 	version int64
 	tables  Tables
 	marks   mark.Set
 	judged  map[string]bool
-	changes []twinChange
+	changes []modelChange
 }
 
-type twinChange struct {
+type modelChange struct {
 	version int64
 	things  []string // empty for whole tables
 }
 
-func (t *twin) judge(offset stream.Offset, change Change) Kind {
+func (model *model) judge(offset stream.Offset, change Change) Kind {
 	name := fmt.Sprint(change.Writer, change.Sequence)
-	if t.judged[name] {
+	if model.judged[name] {
 		return Duplicate
 	}
-	t.judged[name] = true
-	if change.Base > t.version {
+	model.judged[name] = true
+	if change.Base > model.version {
 		return UnknownVersion
 	}
-	if t.conflicts(change) {
+	if model.conflicts(change) {
 		return Rejected
 	}
-	tables, marks := t.tables, t.marks
+	tables, marks := model.tables, model.marks
 	for _, edit := range change.Edits {
-		next, nextMarks, ok := t.apply(tables, marks, edit)
+		next, nextMarks, ok := model.apply(tables, marks, edit)
 		if !ok || len(table.Check(next.Routes, next.Pools)) > 0 {
 			return Rejected
 		}
 		tables, marks = next, nextMarks
 	}
-	t.tables, t.marks, t.version = tables, marks, int64(offset)
-	t.changes = append(t.changes, twinChange{t.version, things(change)})
+	model.tables, model.marks, model.version = tables, marks, int64(offset)
+	model.changes = append(model.changes, modelChange{model.version, things(change)})
 	return Accepted
 }
 
@@ -66,17 +66,17 @@
 	return list
 }
 
-func (t *twin) conflicts(change Change) bool {
+func (model *model) conflicts(change Change) bool {
 	wanted := things(change)
 	if wanted == nil {
-		return change.Base != t.version
+		return change.Base != model.version
 	}
 	for _, edit := range change.Edits {
-		if edit.Mark != nil && t.marks.Has(*edit.Mark) {
+		if edit.Mark != nil && model.marks.Has(*edit.Mark) {
 			wanted = lo.Without(wanted, edit.touches())
 		}
 	}
-	return lo.SomeBy(t.changes, func(earlier twinChange) bool {
+	return lo.SomeBy(model.changes, func(earlier modelChange) bool {
 		overlap := (earlier.things == nil && len(wanted) > 0) || lo.Some(earlier.things, wanted)
 		return earlier.version > change.Base && overlap
 	})
@@ -98,7 +98,7 @@
 	return next, len(next) < len(rows)
 }
 
-func (t *twin) apply(now Tables, marks mark.Set, edit Edit) (Tables, mark.Set, bool) {
+func (model *model) apply(now Tables, marks mark.Set, edit Edit) (Tables, mark.Set, bool) {
 	ok := true
 	next := now
 	switch {
@@ -130,7 +130,7 @@
 		same := lo.ContainsBy(next.Pools.Domains, func(other pool.Domain) bool {
 			return other.Name == domain.Name && other.Cells == domain.Cells
 		})
-		ok = ok && (same || t.marks.DomainOut(domain.Name))
+		ok = ok && (same || model.marks.DomainOut(domain.Name))
 	}
 	return next, marks, ok
 }
@@ -192,12 +192,12 @@
 	return lo.Ternary(a > b, 1, 0)
 }
 
-// Racing operators, stale bases and repeated appends: the state and its plain
-// twin reach the same verdicts and tables, and a reader that begins later from
+// Racing operators, stale bases and repeated appends: the state and its reference
+// model reach the same verdicts and tables, and a reader that begins later from
 // a snapshot reaches the same state, hash and later verdicts.
-func TestStateAgainstTwin(t *testing.T) {
+func TestStateAgainstModel(t *testing.T) {
 	rapid.Check(t, func(t *rapid.T) {
-		state, plain := New(), &twin{judged: map[string]bool{}}
+		state, plain := New(), &model{judged: map[string]bool{}}
 		var late *State
 		sent := [][]byte{first(t)}
 		for step := range rapid.IntRange(1, 60).Draw(t, "steps") {
@@ -213,7 +213,7 @@
 			var verdict Verdict
 			state, verdict = state.With(rec)
 			if diff := cmp.Diff(wanted, verdict.Kind); diff != "" {
-				t.Fatalf("verdict on %+v (-twin +state):\n%s%s", change, diff, verdict)
+				t.Fatalf("verdict on %+v (-model +state):\n%s%s", change, diff, verdict)
 			}
 			if state.Version() < before {
 				t.Fatalf("version went from %d back to %d", before, state.Version())
@@ -223,10 +223,10 @@
 		config := state.Config()
 		got := sorted(Tables{Routes: config.Routes, Pools: config.Pools})
 		if diff := cmp.Diff(sorted(plain.tables), got, cmpopts.EquateEmpty()); diff != "" {
-			t.Fatalf("tables (-twin +state):\n%s", diff)
+			t.Fatalf("tables (-model +state):\n%s", diff)
 		}
 		if diff := cmp.Diff(plain.marks, config.Marks, cmpopts.EquateEmpty()); diff != "" {
-			t.Fatalf("marks (-twin +state):\n%s", diff)
+			t.Fatalf("marks (-model +state):\n%s", diff)
 		}
 	})
 }
--- a/internal/config/ledger/readers_test.go
+++ b/internal/config/ledger/readers_test.go
@@ -23,8 +23,8 @@
 	_ = flag.Set("rapid.nofailfile", "true")
 }
 
-// site is a log that forgets, and what all readers of an offset must agree on.
-type site struct {
+// fakeLog is a log that forgets, and what all readers of an offset must agree on.
+type fakeLog struct {
 	t       *testing.T
 	lots    *rand.Rand
 	first   stream.Offset
@@ -34,34 +34,34 @@
 	adopted int
 }
 
-func (s *site) append(data []byte) {
-	s.records = append(s.records, stream.Record{Offset: stream.Offset(len(s.records) + 1), Data: data})
+func (log *fakeLog) append(data []byte) {
+	log.records = append(log.records, stream.Record{Offset: stream.Offset(len(log.records) + 1), Data: data})
 }
 
 // Reads at most limit records and compares with the other readers.
-func (s *site) read(state State, limit int) State {
-	state = state.WithFirst(s.first)
+func (log *fakeLog) read(state State, limit int) State {
+	state = state.WithFirst(log.first)
 	for range limit {
 		at := int(state.Next()) - 1
-		if at >= len(s.records) {
+		if at >= len(log.records) {
 			break
 		}
 		before, waited := state.Version(), !state.Complete()
-		state, _ = state.With(s.records[at])
+		state, _ = state.With(log.records[at])
 		if state.Version() < before {
-			s.t.Fatalf("offset %d: version went from %d back to %d", at+1, before, state.Version())
+			log.t.Fatalf("offset %d: version went from %d back to %d", at+1, before, state.Version())
 		}
 		if !state.Complete() {
 			continue
 		}
 		if waited {
-			s.adopted++
+			log.adopted++
 		}
-		known, ok := s.hashes[state.Next()]
+		known, ok := log.hashes[state.Next()]
 		if ok && known != state.Hash() {
-			s.t.Fatalf("offset %d: readers have hashes %x and %x", at+1, known, state.Hash())
+			log.t.Fatalf("offset %d: readers have hashes %x and %x", at+1, known, state.Hash())
 		}
-		s.hashes[state.Next()] = state.Hash()
+		log.hashes[state.Next()] = state.Hash()
 	}
 	return state
 }
@@ -69,70 +69,70 @@
 // Readers pause, are replaced, fall behind the retention and come back, while
 // operators race and snapshots of several parts arrive between their changes.
 func TestReadersAgree(t *testing.T) {
-	s := &site{t: t, lots: rand.New(rand.NewPCG(7, 11)), first: 1, hashes: map[stream.Offset]uint64{}}
+	log := &fakeLog{t: t, lots: rand.New(rand.NewPCG(7, 11)), first: 1, hashes: map[stream.Offset]uint64{}}
 	for _, data := range bigTables(t, 200, 900) {
-		s.append(data)
+		log.append(data)
 	}
-	leader := s.read(New(), 100) // knows every record
+	leader := log.read(New(), 100) // knows every record
 	readers := lo.Times(5, func(int) State { return New() })
 	versions := 0
 	for step := range 700 {
-		s.act(step, leader)
+		log.act(step, leader)
 		before := leader.Version()
-		leader = s.read(leader, 100)
+		leader = log.read(leader, 100)
 		versions += lo.Ternary(leader.Version() > before, 1, 0)
-		at := s.lots.IntN(len(readers))
-		if s.lots.IntN(30) == 0 {
+		at := log.lots.IntN(len(readers))
+		if log.lots.IntN(30) == 0 {
 			readers[at] = New()
 		}
-		readers[at] = s.read(readers[at], 1+s.lots.IntN(60))
-		if keep := stream.Offset(60 + s.lots.IntN(80)); leader.Next()-s.first > keep {
-			s.first = leader.Next() - keep
+		readers[at] = log.read(readers[at], 1+log.lots.IntN(60))
+		if keep := stream.Offset(60 + log.lots.IntN(80)); leader.Next()-log.first > keep {
+			log.first = leader.Next() - keep
 		}
 	}
 	records, err := leader.Snapshot("last")
 	if err != nil {
 		t.Fatal(err)
 	}
-	lo.ForEach(records, func(data []byte, _ int) { s.append(data) })
-	leader = s.read(leader, 100)
+	lo.ForEach(records, func(data []byte, _ int) { log.append(data) })
+	leader = log.read(leader, 100)
 	for _, state := range readers {
-		state = s.read(state, len(s.records))
+		state = log.read(state, len(log.records))
 		if diff := cmp.Diff([]any{leader.Hash(), leader.Marks()}, []any{state.Hash(), state.Marks()}, cmpopts.EquateEmpty()); diff != "" {
 			t.Errorf("state in the end (-leader +reader):\n%s", diff)
 		}
 	}
-	if versions < 300 || s.adopted < 15 || len(records) < 2 {
-		t.Errorf("the run proves little: %d versions, %d snapshots adopted, %d parts", versions, s.adopted, len(records))
+	if versions < 300 || log.adopted < 15 || len(records) < 2 {
+		t.Errorf("the run proves little: %d versions, %d snapshots adopted, %d parts", versions, log.adopted, len(records))
 	}
 }
 
 // Appends a change, a copy of an older one, or a part of a snapshot.
-func (s *site) act(step int, leader State) {
-	if len(s.waiting) > 0 && s.lots.IntN(2) == 0 {
-		s.append(s.waiting[0])
-		s.waiting = s.waiting[1:]
+func (log *fakeLog) act(step int, leader State) {
+	if len(log.waiting) > 0 && log.lots.IntN(2) == 0 {
+		log.append(log.waiting[0])
+		log.waiting = log.waiting[1:]
 		return
 	}
 	if step%50 == 25 {
-		s.waiting, _ = leader.Snapshot(fmt.Sprint("snapshotter ", step))
+		log.waiting, _ = leader.Snapshot(fmt.Sprint("snapshotter ", step))
 		if step%150 == 25 {
-			s.waiting = s.waiting[:1] // its writer dies
+			log.waiting = log.waiting[:1] // its writer dies
 		}
 	}
-	if s.lots.IntN(8) == 0 {
-		s.append(s.records[max(0, len(s.records)-1-s.lots.IntN(40))].Data)
+	if log.lots.IntN(8) == 0 {
+		log.append(log.records[max(0, len(log.records)-1-log.lots.IntN(40))].Data)
 		return
 	}
-	name := fmt.Sprint("r", s.lots.IntN(20))
+	name := fmt.Sprint("r", log.lots.IntN(20))
 	rt, _ := leader.Route(name)
 	rt = rt.WithDeadline(rt.DeadlineMS + 1)
 	edit := Edit{PutRoute: &rt}
-	if s.lots.IntN(3) == 0 {
-		edit = Edit{Mark: &mark.Mark{Kind: mark.VM, Name: name, Out: s.lots.IntN(2) == 0}}
+	if log.lots.IntN(3) == 0 {
+		edit = Edit{Mark: &mark.Mark{Kind: mark.VM, Name: name, Out: log.lots.IntN(2) == 0}}
 	}
-	data, _ := Encode(Change{Writer: "w", Sequence: uint64(step), Base: max(0, leader.Version()-s.lots.Int64N(6)), Edits: []Edit{edit}})
-	s.append(data)
+	data, _ := Encode(Change{Writer: "w", Sequence: uint64(step), Base: max(0, leader.Version()-log.lots.Int64N(6)), Edits: []Edit{edit}})
+	log.append(data)
 }
 
 // Returns records that put tables of so many routes into force, with paths
--- a/internal/config/ledger/recent.go
+++ b/internal/config/ledger/recent.go
@@ -44,32 +44,32 @@
 	}
 }
 
-func (r recent) clone() recent {
-	return recent{byOffset: r.byOffset.Clone(), byWriter: r.byWriter.Clone(), byThing: r.byThing.Clone(), sum: r.sum}
+func (past recent) clone() recent {
+	return recent{byOffset: past.byOffset.Clone(), byWriter: past.byWriter.Clone(), byThing: past.byThing.Clone(), sum: past.sum}
 }
 
-func (r recent) with(offset stream.Offset, change Change, things []string) recent {
-	next := r.clone()
+func (past recent) with(offset stream.Offset, change Change, things []string) recent {
+	next := past.clone()
 	next.add(trace{Offset: int64(offset), Writer: change.Writer, Sequence: change.Sequence, Things: things})
 	return next
 }
 
-func (r *recent) add(item trace) {
-	r.byOffset.ReplaceOrInsert(item)
-	r.byWriter.ReplaceOrInsert(item)
+func (past *recent) add(item trace) {
+	past.byOffset.ReplaceOrInsert(item)
+	past.byWriter.ReplaceOrInsert(item)
 	for _, thing := range item.Things {
-		r.byThing.ReplaceOrInsert(touch{thing: thing, offset: item.Offset})
+		past.byThing.ReplaceOrInsert(touch{thing: thing, offset: item.Offset})
 	}
-	r.sum += item.digest()
+	past.sum += item.digest()
 }
 
 // Forgets what lies outside of the window that ends at an offset.
-func (r recent) pruned(offset stream.Offset) recent {
+func (past recent) pruned(offset stream.Offset) recent {
 	oldest := int64(offset) - window
-	if first, ok := r.byOffset.Min(); !ok || first.Offset >= oldest {
-		return r
+	if first, ok := past.byOffset.Min(); !ok || first.Offset >= oldest {
+		return past
 	}
-	next := r.clone()
+	next := past.clone()
 	for {
 		first, ok := next.byOffset.Min()
 		if !ok || first.Offset >= oldest {
@@ -79,41 +79,41 @@
 	}
 }
 
-func (r *recent) remove(item trace) {
-	r.byOffset.Delete(item)
-	r.byWriter.Delete(item)
+func (past *recent) remove(item trace) {
+	past.byOffset.Delete(item)
+	past.byWriter.Delete(item)
 	for _, thing := range item.Things {
-		if newest, _ := r.byThing.Get(touch{thing: thing}); newest.offset == item.Offset {
-			r.byThing.Delete(newest)
+		if newest, _ := past.byThing.Get(touch{thing: thing}); newest.offset == item.Offset {
+			past.byThing.Delete(newest)
 		}
 	}
-	r.sum -= item.digest()
+	past.sum -= item.digest()
 }
 
-func (r recent) find(change Change) (stream.Offset, bool) {
-	item, ok := r.byWriter.Get(trace{Writer: change.Writer, Sequence: change.Sequence})
+func (past recent) find(change Change) (stream.Offset, bool) {
+	item, ok := past.byWriter.Get(trace{Writer: change.Writer, Sequence: change.Sequence})
 	return stream.Offset(item.Offset), ok
 }
 
 // Returns the newest offset at which a thing, or everything, was changed.
-func (r recent) changed(thing string) (stream.Offset, bool) {
-	own, one := r.byThing.Get(touch{thing: thing})
-	all, any := r.byThing.Get(touch{thing: everything})
+func (past recent) changed(thing string) (stream.Offset, bool) {
+	own, one := past.byThing.Get(touch{thing: thing})
+	all, any := past.byThing.Get(touch{thing: everything})
 	return stream.Offset(max(own.offset, all.offset)), one || any
 }
 
 // Lists all traces, oldest first.
-func (r recent) list() []trace {
-	items := make([]trace, 0, r.byOffset.Len())
-	r.byOffset.Ascend(func(item trace) bool {
+func (past recent) list() []trace {
+	items := make([]trace, 0, past.byOffset.Len())
+	past.byOffset.Ascend(func(item trace) bool {
 		items = append(items, item)
 		return true
 	})
 	return items
 }
 
-func (t trace) digest() uint64 {
-	data, err := codec.Marshal(t)
+func (item trace) digest() uint64 {
+	data, err := codec.Marshal(item)
 	if err != nil {
 		panic(err) // plain values always encode
 	}
--- a/internal/config/ledger/snapshot.go
+++ b/internal/config/ledger/snapshot.go
@@ -41,11 +41,11 @@
 // Snapshot returns the state as records for the stream, or for another entry,
 // see [Import]. They must be appended in order; if one append fails, all are
 // appended again. The state must be complete.
-func (s State) Snapshot(writer string) ([][]byte, error) {
-	if !s.complete {
+func (state State) Snapshot(writer string) ([][]byte, error) {
+	if !state.complete {
 		return nil, errors.New("this reader has no whole state to write")
 	}
-	return s.encoded(writer, false)
+	return state.encoded(writer, false)
 }
 
 // Reset returns records that put tables into force whatever the stream held
@@ -68,8 +68,8 @@
 	return records, nil, err
 }
 
-func (s State) encoded(writer string, reset bool) ([][]byte, error) {
-	pages, err := s.pages()
+func (state State) encoded(writer string, reset bool) ([][]byte, error) {
+	pages, err := state.pages()
 	if err != nil {
 		return nil, err
 	}
@@ -77,10 +77,10 @@
 		return nil, errors.Errorf("the snapshot takes %d records; the limit is %d", len(pages), maxParts)
 	}
 	records := make([][]byte, 0, len(pages))
-	hash := s.content()
+	hash := state.content()
 	for at, page := range pages {
 		piece := part{
-			Writer: writer, Through: s.next - 1, Version: s.version, Hash: hash,
+			Writer: writer, Through: state.next - 1, Version: state.version, Hash: hash,
 			Index: at, Count: len(pages), Rows: page, Reset: reset,
 		}
 		data, err := codec.Marshal(record{Part: &piece})
@@ -99,38 +99,38 @@
 // whole one is old, going by the time since this reader saw it, or will leave
 // the log soon, or a newborn reader would have much to read after it. The
 // state knows the log's oldest record from WithFirst.
-func (s State) SnapshotDue(age, retention clock.Millis) bool {
-	if !s.complete || s.version == 0 {
+func (state State) SnapshotDue(age, retention clock.Millis) bool {
+	if !state.complete || state.version == 0 {
 		return false
 	}
 	// Shares of the kept records stand for shares of the retention time.
-	if s.first > 1 && (s.snapshot-s.first)*snapshotShare < s.next-s.first {
+	if state.first > 1 && (state.snapshot-state.first)*snapshotShare < state.next-state.first {
 		return true
 	}
-	return s.tail > tailBytes+2*s.Bytes() || age >= retention/snapshotShare
+	return state.tail > tailBytes+2*state.Bytes() || age >= retention/snapshotShare
 }
 
 // LastSnapshot returns the offset at which the newest whole snapshot begins, 0
 // for none.
-func (s State) LastSnapshot() stream.Offset { return s.snapshot }
+func (state State) LastSnapshot() stream.Offset { return state.snapshot }
 
 // Bytes estimates the size of a snapshot.
-func (s State) Bytes() int64 {
+func (state State) Bytes() int64 {
 	const perRow = 150
-	return perRow * int64(s.index.Rows()+len(s.marks.VMs)+s.recent.byOffset.Len())
+	return perRow * int64(state.index.Rows()+len(state.marks.VMs)+state.recent.byOffset.Len())
 }
 
 // Cuts the state into rows of about partBytes each.
-func (s State) pages() ([]rows, error) {
+func (state State) pages() ([]rows, error) {
 	cut := &cutter{}
-	tables := s.index.Routes()
-	pools := s.index.Pools()
+	tables := state.index.Routes()
+	pools := state.index.Pools()
 	cutAll(cut, tables.Routes, func(page *rows, row route.Route) { page.Routes = append(page.Routes, row) })
 	cutAll(cut, tables.Teams, func(page *rows, row route.Team) { page.Teams = append(page.Teams, row) })
 	cutAll(cut, pools.Domains, func(page *rows, row pool.Domain) { page.Domains = append(page.Domains, row) })
 	cutAll(cut, pools.Pools, func(page *rows, row pool.Pool) { page.Pools = append(page.Pools, row) })
-	cutAll(cut, marksOf(s.marks), func(page *rows, row mark.Mark) { page.Marks = append(page.Marks, row) })
-	cutAll(cut, s.recent.list(), func(page *rows, row trace) { page.Traces = append(page.Traces, row) })
+	cutAll(cut, marksOf(state.marks), func(page *rows, row mark.Mark) { page.Marks = append(page.Marks, row) })
+	cutAll(cut, state.recent.list(), func(page *rows, row trace) { page.Traces = append(page.Traces, row) })
 	return append(cut.pages, cut.page), cut.err
 }
 
--- a/internal/config/ledger/verdict.go
+++ b/internal/config/ledger/verdict.go
@@ -35,13 +35,13 @@
 }
 
 // String returns a line for people.
-func (v Verdict) String() string {
-	text := fmt.Sprintf("offset %d, %s/%d: %s", v.Offset, v.Writer, v.Sequence, v.Kind)
-	if v.Kind == Accepted {
-		return fmt.Sprintf("%s, version %d", text, v.Version)
+func (verdict Verdict) String() string {
+	text := fmt.Sprintf("offset %d, %s/%d: %s", verdict.Offset, verdict.Writer, verdict.Sequence, verdict.Kind)
+	if verdict.Kind == Accepted {
+		return fmt.Sprintf("%s, version %d", text, verdict.Version)
 	}
-	if v.Reason == "" {
+	if verdict.Reason == "" {
 		return text
 	}
-	return text + ": " + v.Reason
+	return text + ": " + verdict.Reason
 }
--- a/internal/config/ledger/verdict_test.go
+++ b/internal/config/ledger/verdict_test.go
@@ -19,34 +19,34 @@
 	"github.com/oriolepier/oriolepier/internal/platform/stream"
 )
 
-// desk is operators at their command lines, with a line for each verdict.
-type desk struct {
+// publisher is operators at their command lines, with a line for each verdict.
+type publisher struct {
 	t     *testing.T
 	state State
 	lines strings.Builder
 	count uint64
 }
 
-func (d *desk) record(data []byte) {
+func (pub *publisher) record(data []byte) {
 	var verdict Verdict
-	d.state, verdict = d.state.With(stream.Record{Offset: d.state.Next(), Data: data})
-	fmt.Fprintln(&d.lines, verdict)
+	pub.state, verdict = pub.state.With(stream.Record{Offset: pub.state.Next(), Data: data})
+	fmt.Fprintln(&pub.lines, verdict)
 }
 
 // Publishes edits on a base, which counts back from the version in force if it
 // is not positive.
-func (d *desk) publish(title string, base int64, edits ...Edit) []byte {
-	d.t.Helper()
-	fmt.Fprintln(&d.lines, "#", title)
-	d.count++
+func (pub *publisher) publish(title string, base int64, edits ...Edit) []byte {
+	pub.t.Helper()
+	fmt.Fprintln(&pub.lines, "#", title)
+	pub.count++
 	if base <= 0 {
-		base += d.state.Version()
+		base += pub.state.Version()
 	}
-	data, err := Encode(Change{Writer: "op", Sequence: d.count, Base: base, Edits: edits})
+	data, err := Encode(Change{Writer: "op", Sequence: pub.count, Base: base, Edits: edits})
 	if err != nil {
-		d.t.Fatal(err)
+		pub.t.Fatal(err)
 	}
-	d.record(data)
+	pub.record(data)
 	return data
 }
 
@@ -55,57 +55,57 @@
 }
 
 func TestVerdicts(t *testing.T) {
-	d := &desk{t: t, state: New()}
+	pub := &publisher{t: t, state: New()}
 	for _, data := range bigTables(t, 3, 0) {
-		d.record(data)
+		pub.record(data)
 	}
-	r0, _ := d.state.Route("r0")
+	r0, _ := pub.state.Route("r0")
 	faster, slower, unmatched := r0.WithDeadline(50), r0.WithDeadline(5000), r0.WithPools("nowhere")
-	r1, _ := d.state.Route("r1")
+	r1, _ := pub.state.Route("r1")
 	r1 = r1.WithDeadline(60)
-	start := d.state.Version()
+	start := pub.state.Version()
 
-	d.publish("the first operator changes a route", 0, Edit{PutRoute: &faster})
-	d.publish("the second changes it from the same base and loses", start, Edit{PutRoute: &slower})
-	d.publish("a third changes another row from the same base", start, Edit{PutRoute: &r1})
-	d.publish("whole tables need the newest base", start, Edit{Replace: &Tables{}})
-	data := d.publish("a failure domain goes out", 0, domainMark("a", true))
-	d.record(data)
-	d.publish("another operator takes it out from an older base", start, domainMark("a", true))
-	d.publish("back from a base before it was taken out", start, domainMark("a", false))
-	d.publish("cells may change now", 0, Edit{PutDomain: &pool.Domain{Name: "a", Cells: 2}})
-	d.publish("back", 0, domainMark("a", false))
-	d.publish("cells may not change any more", 0, Edit{PutDomain: &pool.Domain{Name: "a", Cells: 3}})
-	d.publish("out and cells in one change", 0, domainMark("a", true), Edit{PutDomain: &pool.Domain{Name: "a", Cells: 3}})
-	d.publish("a failure domain that is not known", 0, domainMark("z", true))
-	d.publish("a VM whose name is none", 0, Edit{Mark: &mark.Mark{Kind: mark.VM, Name: "a b", Out: true}})
-	d.publish("a mark of a rack", 0, Edit{Mark: &mark.Mark{Kind: "rack", Name: "r", Out: true}})
-	d.publish("a pool that routes name", 0, Edit{DropPool: "p"})
-	d.publish("a team that routes name", 0, Edit{DropTeam: "t"})
-	d.publish("a pool that is not there", 0, Edit{PutRoute: &unmatched})
-	d.publish("several faults", 0, Edit{PutTeam: &route.Team{Name: "t t", Quota: amount.Amount{MilliCores: -1, MemoryMB: -1}}})
-	d.publish("one of two edits is bad, so neither holds", 0, Edit{DropRoute: "r2"}, Edit{DropRoute: "r9"})
-	d.publish("a base that is yet to come", 999, domainMark("a", true))
-	d.record([]byte("not a record"))
+	pub.publish("the first operator changes a route", 0, Edit{PutRoute: &faster})
+	pub.publish("the second changes it from the same base and loses", start, Edit{PutRoute: &slower})
+	pub.publish("a third changes another row from the same base", start, Edit{PutRoute: &r1})
+	pub.publish("whole tables need the newest base", start, Edit{Replace: &Tables{}})
+	data := pub.publish("a failure domain goes out", 0, domainMark("a", true))
+	pub.record(data)
+	pub.publish("another operator takes it out from an older base", start, domainMark("a", true))
+	pub.publish("back from a base before it was taken out", start, domainMark("a", false))
+	pub.publish("cells may change now", 0, Edit{PutDomain: &pool.Domain{Name: "a", Cells: 2}})
+	pub.publish("back", 0, domainMark("a", false))
+	pub.publish("cells may not change any more", 0, Edit{PutDomain: &pool.Domain{Name: "a", Cells: 3}})
+	pub.publish("out and cells in one change", 0, domainMark("a", true), Edit{PutDomain: &pool.Domain{Name: "a", Cells: 3}})
+	pub.publish("a failure domain that is not known", 0, domainMark("z", true))
+	pub.publish("a VM whose name is none", 0, Edit{Mark: &mark.Mark{Kind: mark.VM, Name: "a b", Out: true}})
+	pub.publish("a mark of a rack", 0, Edit{Mark: &mark.Mark{Kind: "rack", Name: "r", Out: true}})
+	pub.publish("a pool that routes name", 0, Edit{DropPool: "p"})
+	pub.publish("a team that routes name", 0, Edit{DropTeam: "t"})
+	pub.publish("a pool that is not there", 0, Edit{PutRoute: &unmatched})
+	pub.publish("several faults", 0, Edit{PutTeam: &route.Team{Name: "t t", Quota: amount.Amount{MilliCores: -1, MemoryMB: -1}}})
+	pub.publish("one of two edits is bad, so neither holds", 0, Edit{DropRoute: "r2"}, Edit{DropRoute: "r9"})
+	pub.publish("a base that is yet to come", 999, domainMark("a", true))
+	pub.record([]byte("not a record"))
 	malformed, err := codec.Marshal(record{Change: &Change{Writer: "op", Sequence: 900, Edits: []Edit{{}}}})
 	if err != nil {
 		t.Fatal(err)
 	}
-	d.record(malformed)
-	goldie.New(t).Assert(t, "verdicts", []byte(d.lines.String()))
+	pub.record(malformed)
+	goldie.New(t).Assert(t, "verdicts", []byte(pub.lines.String()))
 }
 
 // What is remembered stays bounded, and a copy from before that is refused.
 func TestWindow(t *testing.T) {
-	d := &desk{t: t, state: New()}
-	old := d.publish("the first", 0, Edit{PutTeam: &route.Team{Name: "t"}})
+	pub := &publisher{t: t, state: New()}
+	old := pub.publish("the first", 0, Edit{PutTeam: &route.Team{Name: "t"}})
 	for at := range window + 10 {
-		d.publish("marks", 0, Edit{Mark: &mark.Mark{Kind: mark.VM, Name: fmt.Sprint("w", at%10), Out: at%2 == 0}})
+		pub.publish("marks", 0, Edit{Mark: &mark.Mark{Kind: mark.VM, Name: fmt.Sprint("w", at%10), Out: at%2 == 0}})
 	}
-	if diff := cmp.Diff(window+1, d.state.recent.byOffset.Len()); diff != "" {
+	if diff := cmp.Diff(window+1, pub.state.recent.byOffset.Len()); diff != "" {
 		t.Errorf("traces (-want +got):\n%s", diff)
 	}
-	_, verdict := d.state.With(stream.Record{Offset: d.state.Next(), Data: old})
+	_, verdict := pub.state.With(stream.Record{Offset: pub.state.Next(), Data: old})
 	if diff := cmp.Diff([]any{Rejected, "based on version 0, which is too old; version 4107 is in force"}, []any{verdict.Kind, verdict.Reason}); diff != "" {
 		t.Errorf("late copy (-want +got):\n%s", diff)
 	}
@@ -113,67 +113,67 @@
 
 // A reader without the records takes no snapshot that would harm it.
 func TestHarmfulSnapshots(t *testing.T) {
-	d := &desk{t: t, state: New()}
+	pub := &publisher{t: t, state: New()}
 	for _, data := range bigTables(t, 3, 0) {
-		d.record(data)
+		pub.record(data)
 	}
-	early, err := d.state.Snapshot("early")
+	early, err := pub.state.Snapshot("early")
 	if err != nil {
 		t.Fatal(err)
 	}
-	behind := d.state // pauses here, with its version in force
-	d.publish("a change", 0, domainMark("a", true))
-	missed := d.state.Next()
-	d.publish("another", 0, domainMark("a", false))
-	late, err := d.state.Snapshot("late")
+	behind := pub.state // pauses here, with its version in force
+	pub.publish("a change", 0, domainMark("a", true))
+	missed := pub.state.Next()
+	pub.publish("another", 0, domainMark("a", false))
+	late, err := pub.state.Snapshot("late")
 	if err != nil {
 		t.Fatal(err)
 	}
 	tampered := lo.Map(late, func(data []byte, _ int) []byte { return edited(t, data, func(piece *part) { piece.Hash++ }) })
 	ahead := lo.Map(late, func(data []byte, _ int) []byte { return edited(t, data, func(piece *part) { piece.Version-- }) })
 
-	first := d.state.Next()
+	first := pub.state.Next()
 	for _, reader := range []struct {
 		title string
 		state State
 		parts [][]byte
 	}{
-		{"a reader that knows all, and its own snapshot", d.state, late},
-		{"a reader that knows all, and one that is older", d.state, early},
-		{"a reader that knows all, and one that differs", d.state, tampered},
+		{"a reader that knows all, and its own snapshot", pub.state, late},
+		{"a reader that knows all, and one that is older", pub.state, early},
+		{"a reader that knows all, and one that differs", pub.state, tampered},
 		{"a reader that lacks records, and a snapshot from before them", behind.WithFirst(first), early},
 		{"a reader that lacks records, and a hash that does not match", behind.WithFirst(first), tampered},
 		{"a reader that lacks records, and a version that does not match", behind.WithFirst(first), ahead},
 		{"a newborn that lacks the record after the snapshot", New().WithFirst(missed + 1), early},
-		{"a reader that lacks records, and an older version", d.state.WithFirst(first + 1), early},
+		{"a reader that lacks records, and an older version", pub.state.WithFirst(first + 1), early},
 		{"a newborn", New().WithFirst(first), late},
 	} {
-		fmt.Fprintln(&d.lines, "#", reader.title)
+		fmt.Fprintln(&pub.lines, "#", reader.title)
 		state := reader.state
 		for _, data := range reader.parts {
 			var verdict Verdict
 			state, verdict = state.With(stream.Record{Offset: state.Next(), Data: data})
-			fmt.Fprintln(&d.lines, verdict)
+			fmt.Fprintln(&pub.lines, verdict)
 		}
-		fmt.Fprintf(&d.lines, "version %d, complete %t\n", state.Version(), state.Complete())
+		fmt.Fprintf(&pub.lines, "version %d, complete %t\n", state.Version(), state.Complete())
 	}
-	goldie.New(t).Assert(t, "snapshots", []byte(d.lines.String()))
+	goldie.New(t).Assert(t, "snapshots", []byte(pub.lines.String()))
 }
 
 // An operator starts anew: readers that remember and readers that do not come
 // to the same state, whatever arrives between the parts or again.
 func TestReset(t *testing.T) {
-	d := &desk{t: t, state: New()}
+	pub := &publisher{t: t, state: New()}
 	for _, data := range bigTables(t, 200, 900) {
-		d.record(data)
+		pub.record(data)
 	}
-	config := d.state.Config()
-	knows, lacks := d.state, New().WithFirst(d.state.Next())
-	records, findings, err := Reset("op", d.state.Next()-1, Tables{Routes: config.Routes, Pools: config.Pools})
+	config := pub.state.Config()
+	knows, lacks := pub.state, New().WithFirst(pub.state.Next())
+	records, findings, err := Reset("op", pub.state.Next()-1, Tables{Routes: config.Routes, Pools: config.Pools})
 	if err != nil || len(findings) > 0 || len(records) < 2 {
 		t.Fatalf("%d records, findings %v, error %v", len(records), findings, err)
 	}
-	between := d.publish("meanwhile a change", 0, Edit{DropRoute: "r3"})
+	between := pub.publish("meanwhile a change", 0, Edit{DropRoute: "r3"})
 	back := func(state State) []byte {
 		data, err := Encode(Change{Writer: "op2", Sequence: 1, Base: state.Version(), Edits: []Edit{domainMark("a", false)}})
 		if err != nil {
@@ -181,12 +181,12 @@
 		}
 		return data
 	}
-	d.lines.Reset()
+	pub.lines.Reset()
 	feed := func(data []byte) {
 		for _, state := range []*State{&knows, &lacks} {
 			var verdict Verdict
 			*state, verdict = state.With(stream.Record{Offset: state.Next(), Data: data})
-			fmt.Fprintln(&d.lines, verdict)
+			fmt.Fprintln(&pub.lines, verdict)
 		}
 	}
 	for _, data := range slices.Concat([][]byte{between, records[0], records[0]}, records[1:]) {
@@ -197,36 +197,36 @@
 	if diff := cmp.Diff([]any{knows.Hash(), false}, []any{lacks.Hash(), lacks.Marks().DomainOut("a")}); diff != "" {
 		t.Errorf("state (-knows +lacks):\n%s", diff)
 	}
-	goldie.New(t).Assert(t, "reset", []byte(d.lines.String()))
+	goldie.New(t).Assert(t, "reset", []byte(pub.lines.String()))
 }
 
 // A snapshot is due by age, by its place in the log and by what follows it, and
 // not again as soon as it is written.
 func TestSnapshotDue(t *testing.T) {
 	const retention = 1000
-	d := &desk{t: t, state: New()}
-	due := []bool{d.state.SnapshotDue(retention, retention)} // nothing to write
+	pub := &publisher{t: t, state: New()}
+	due := []bool{pub.state.SnapshotDue(retention, retention)} // nothing to write
 	for _, data := range bigTables(t, 3, 0) {
-		d.record(data)
+		pub.record(data)
 	}
-	due = append(due, d.state.SnapshotDue(0, retention), d.state.SnapshotDue(retention/4, retention))
+	due = append(due, pub.state.SnapshotDue(0, retention), pub.state.SnapshotDue(retention/4, retention))
 	write := func() {
-		records, err := d.state.Snapshot("op")
+		records, err := pub.state.Snapshot("op")
 		if err != nil {
 			t.Fatal(err)
 		}
-		lo.ForEach(records, func(data []byte, _ int) { d.record(data) })
+		lo.ForEach(records, func(data []byte, _ int) { pub.record(data) })
 	}
 	write()
-	last := d.state.LastSnapshot()
-	d.state = d.state.WithFirst(last) // all before it has expired
-	due = append(due, d.state.SnapshotDue(0, retention))
+	last := pub.state.LastSnapshot()
+	pub.state = pub.state.WithFirst(last) // all before it has expired
+	due = append(due, pub.state.SnapshotDue(0, retention))
 	write()
-	due = append(due, d.state.SnapshotDue(0, retention))
+	due = append(due, pub.state.SnapshotDue(0, retention))
 	for range 400 {
-		d.publish("", 0, Edit{Replace: &Tables{Pools: d.state.Pools(), Routes: d.state.Config().Routes}})
+		pub.publish("", 0, Edit{Replace: &Tables{Pools: pub.state.Pools(), Routes: pub.state.Config().Routes}})
 	}
-	due = append(due, d.state.SnapshotDue(0, retention))
+	due = append(due, pub.state.SnapshotDue(0, retention))
 	if diff := cmp.Diff([]bool{false, false, true, true, false, true}, due); diff != "" {
 		t.Errorf("due (-want +got):\n%s", diff)
 	}
--- a/internal/config/mark/mark.go
+++ b/internal/config/mark/mark.go
@@ -32,13 +32,13 @@
 }
 
 // With returns the set after a mark.
-func (s Set) With(m Mark) Set {
+func (set Set) With(m Mark) Set {
 	if m.Kind == Domain {
-		s.Domains = with(s.Domains, m)
-		return s
+		set.Domains = with(set.Domains, m)
+		return set
 	}
-	s.VMs = with(s.VMs, m)
-	return s
+	set.VMs = with(set.VMs, m)
+	return set
 }
 
 func with(old map[string]bool, m Mark) map[string]bool {
@@ -55,15 +55,15 @@
 }
 
 // Has reports whether a mark is in force already.
-func (s Set) Has(m Mark) bool {
+func (set Set) Has(m Mark) bool {
 	if m.Kind == Domain {
-		return s.Domains[m.Name] == m.Out
+		return set.Domains[m.Name] == m.Out
 	}
-	return s.VMs[m.Name] == m.Out
+	return set.VMs[m.Name] == m.Out
 }
 
 // DomainOut reports whether a failure domain is out.
-func (s Set) DomainOut(domain string) bool { return s.Domains[domain] }
+func (set Set) DomainOut(domain string) bool { return set.Domains[domain] }
 
 // Out reports whether a VM is out, by itself or with its failure domain.
-func (s Set) Out(domain, vm string) bool { return s.Domains[domain] || s.VMs[vm] }
+func (set Set) Out(domain, vm string) bool { return set.Domains[domain] || set.VMs[vm] }
--- a/internal/config/pool/pool.go
+++ b/internal/config/pool/pool.go
@@ -39,17 +39,17 @@
 }
 
 // WithReserve returns the pool with another reserve, in percent.
-func (p Pool) WithReserve(percent int) Pool {
-	p.ReservePercent = percent
-	return p
+func (row Pool) WithReserve(percent int) Pool {
+	row.ReservePercent = percent
+	return row
 }
 
 // Selects reports whether a VM of that name and failure domain is in the pool.
-func (p Pool) Selects(vm, domain string) bool {
-	if !strings.HasPrefix(vm, p.VMPrefix) {
+func (row Pool) Selects(vm, domain string) bool {
+	if !strings.HasPrefix(vm, row.VMPrefix) {
 		return false
 	}
-	for _, name := range p.FailureDomains {
+	for _, name := range row.FailureDomains {
 		if name == domain {
 			return true
 		}
@@ -64,8 +64,8 @@
 }
 
 // Find returns the pool of a name.
-func (t Table) Find(name string) (Pool, bool) {
-	for _, pl := range t.Pools {
+func (table Table) Find(name string) (Pool, bool) {
+	for _, pl := range table.Pools {
 		if pl.Name == name {
 			return pl, true
 		}
@@ -74,8 +74,8 @@
 }
 
 // Of returns the pool that a VM belongs to.
-func (t Table) Of(vm, domain string) (Pool, bool) {
-	for _, pl := range t.Pools {
+func (table Table) Of(vm, domain string) (Pool, bool) {
+	for _, pl := range table.Pools {
 		if pl.Selects(vm, domain) {
 			return pl, true
 		}
--- a/internal/config/route/route.go
+++ b/internal/config/route/route.go
@@ -50,15 +50,15 @@
 }
 
 // WithDeadline returns the route with another deadline.
-func (r Route) WithDeadline(d clock.Millis) Route {
-	r.DeadlineMS = d
-	return r
+func (row Route) WithDeadline(d clock.Millis) Route {
+	row.DeadlineMS = d
+	return row
 }
 
 // WithPools returns the route with another order of pools.
-func (r Route) WithPools(pools ...string) Route {
-	r.Pools = pools
-	return r
+func (row Route) WithPools(pools ...string) Route {
+	row.Pools = pools
+	return row
 }
 
 // Team owns routes and has a quota over all cells together.
@@ -74,8 +74,8 @@
 }
 
 // Find returns the route of a name.
-func (t Table) Find(name string) (Route, bool) {
-	for _, rt := range t.Routes {
+func (table Table) Find(name string) (Route, bool) {
+	for _, rt := range table.Routes {
 		if rt.Name == name {
 			return rt, true
 		}
--- a/internal/config/setting/parse.go
+++ b/internal/config/setting/parse.go
@@ -120,8 +120,8 @@
 
 type report struct{ found []table.Finding }
 
-func (r *report) addf(field, format string, values ...any) {
-	r.found = append(r.found, table.Finding{Field: field, Message: fmt.Sprintf(format, values...)})
+func (list *report) addf(field, format string, values ...any) {
+	list.found = append(list.found, table.Finding{Field: field, Message: fmt.Sprintf(format, values...)})
 }
 
 func check(entry Entry) []table.Finding {
@@ -141,108 +141,108 @@
 	return list.found
 }
 
-func (r *report) within(field string, value, least, most clock.Millis) {
+func (list *report) within(field string, value, least, most clock.Millis) {
 	if value < least || value > most {
-		r.addf(field, "must be between %d and %d, not %d", least, most, value)
+		list.addf(field, "must be between %d and %d, not %d", least, most, value)
 	}
 }
 
-func (r *report) name(field, name string) {
+func (list *report) name(field, name string) {
 	if name == "" {
-		r.addf(field, "is missing")
+		list.addf(field, "is missing")
 	} else if !table.ValidName(name) {
-		r.addf(field, "%q is not a name: letters, digits, '-' and '_', the first a letter or digit", name)
+		list.addf(field, "%q is not a name: letters, digits, '-' and '_', the first a letter or digit", name)
 	}
 }
 
-func (r *report) listen(listen Listen) {
-	r.address("listen.callers", listen.Callers, true)
-	r.address("listen.operators", listen.Operators, true)
-	r.address("listen.peers", listen.Peers, true)
-	r.distinct("listen.callers", listen.Callers, listen.Operators, listen.Peers)
-	r.distinct("listen.peers", listen.Peers, listen.Operators)
+func (list *report) listen(listen Listen) {
+	list.address("listen.callers", listen.Callers, true)
+	list.address("listen.operators", listen.Operators, true)
+	list.address("listen.peers", listen.Peers, true)
+	list.distinct("listen.callers", listen.Callers, listen.Operators, listen.Peers)
+	list.distinct("listen.peers", listen.Peers, listen.Operators)
 }
 
 // Port 0 stands for any free port, so two of them do not clash.
-func (r *report) distinct(field, address string, others ...string) {
+func (list *report) distinct(field, address string, others ...string) {
 	place, err := netip.ParseAddrPort(address)
 	if err == nil && place.Port() != 0 && slices.Contains(others, address) {
-		r.addf(field, "%s is another listener's address too", address)
+		list.addf(field, "%s is another listener's address too", address)
 	}
 }
 
 // A listener may stand at all addresses of the VM and, in tests, at a port
 // that the system picks; others must be reached and may not.
-func (r *report) address(field, address string, listener bool) {
+func (list *report) address(field, address string, listener bool) {
 	place, err := netip.ParseAddrPort(address)
 	switch {
 	case address == "":
-		r.addf(field, "is missing")
+		list.addf(field, "is missing")
 	case err != nil:
-		r.addf(field, "%q is not an IP address and port", address)
+		list.addf(field, "%q is not an IP address and port", address)
 	case !listener && place.Addr().IsUnspecified():
-		r.addf(field, "%q is the address of no VM", address)
+		list.addf(field, "%q is the address of no VM", address)
 	case !listener && place.Port() == 0:
-		r.addf(field, "%q has no port", address)
+		list.addf(field, "%q has no port", address)
 	}
 }
 
-func (r *report) peers(entry Entry) {
+func (list *report) peers(entry Entry) {
 	if len(entry.Peers) > maxPeers {
-		r.addf("peers", "names %d entries; the limit is %d", len(entry.Peers), maxPeers)
+		list.addf("peers", "names %d entries; the limit is %d", len(entry.Peers), maxPeers)
 		return
 	}
 	names, addresses := map[string]bool{}, map[string]bool{}
 	for at, peer := range entry.Peers {
 		field := fmt.Sprintf("peers[%d]", at)
-		r.name(field+".name", peer.Name)
-		r.name(field+".failure_domain", peer.FailureDomain)
-		r.address(field+".address", peer.Address, false)
+		list.name(field+".name", peer.Name)
+		list.name(field+".failure_domain", peer.FailureDomain)
+		list.address(field+".address", peer.Address, false)
 		if names[peer.Name] {
-			r.addf(field+".name", "duplicate entry %q", peer.Name)
+			list.addf(field+".name", "duplicate entry %q", peer.Name)
 		}
 		if addresses[peer.Address] {
-			r.addf(field+".address", "%s is another entry's address too", peer.Address)
+			list.addf(field+".address", "%s is another entry's address too", peer.Address)
 		}
 		if peer.Name == entry.Name && peer.FailureDomain != entry.FailureDomain {
-			r.addf(field+".failure_domain", "%q, but this entry's own failure_domain is %q", peer.FailureDomain, entry.FailureDomain)
+			list.addf(field+".failure_domain", "%q, but this entry's own failure_domain is %q", peer.FailureDomain, entry.FailureDomain)
 		}
 		names[peer.Name], addresses[peer.Address] = true, true
 	}
 }
 
-func (r *report) base(field, text string) {
+func (list *report) base(field, text string) {
 	if text == "" {
-		r.addf(field, "is missing")
+		list.addf(field, "is missing")
 		return
 	}
 	link, err := url.Parse(text)
 	if err != nil || (link.Scheme != "http" && link.Scheme != "https") || link.Host == "" {
-		r.addf(field, "%q is not a base URL such as http://10.0.0.1:7000", text)
+		list.addf(field, "%q is not a base URL such as http://10.0.0.1:7000", text)
 		return
 	}
 	if _, err := netip.ParseAddr(link.Hostname()); err != nil {
-		r.addf(field, "the host of %q is not an IP address", text)
+		list.addf(field, "the host of %q is not an IP address", text)
 	}
 	if link.User != nil || link.RawQuery != "" || link.Fragment != "" {
-		r.addf(field, "%q has more than scheme, address and path", text)
+		list.addf(field, "%q has more than scheme, address and path", text)
 	}
 }
 
-func (r *report) level(level string) {
+func (list *report) level(level string) {
 	levels := []string{"trace", "debug", "info", "warn", "error"}
 	if !slices.Contains(levels, level) {
-		r.addf("log_level", "must be one of %s, not %q", strings.Join(levels, ", "), level)
+		list.addf("log_level", "must be one of %s, not %q", strings.Join(levels, ", "), level)
 	}
 }
 
-func (r *report) token(entry Entry) {
+func (list *report) token(entry Entry) {
 	if entry.Token != "" && entry.TokenFile != "" {
-		r.addf("token_file", "given beside token; give one of them")
+		list.addf("token_file", "given beside token; give one of them")
 	}
 	if entry.Token != "" {
 		if problem := tokenProblem(entry.Token); problem != "" {
-			r.addf("token", "%s", problem)
+			list.addf("token", "%s", problem)
 		}
 		return
 	}
@@ -253,12 +253,12 @@
 		{"listen.operators", entry.Listen.Operators}, {"listen.peers", entry.Listen.Peers},
 	} {
 		if _, err := netip.ParseAddrPort(listener.address); err == nil && !Loopback(listener.address) {
-			r.addf(listener.field, "unsafe: %s is open to other VMs, so a token or token_file is needed", listener.address)
+			list.addf(listener.field, "unsafe: %s is open to other VMs, so a token or token_file is needed", listener.address)
 		}
 	}
 }
 
-func (r *report) tls(files *TLS) {
+func (list *report) tls(files *TLS) {
 	if files == nil {
 		return
 	}
@@ -266,7 +266,7 @@
 		{"tls.cert", files.Cert}, {"tls.key", files.Key}, {"tls.ca", files.CA},
 	} {
 		if file.path == "" {
-			r.addf(file.field, "is missing")
+			list.addf(file.field, "is missing")
 		}
 	}
 }
--- a/internal/config/setting/setting.go
+++ b/internal/config/setting/setting.go
@@ -61,9 +61,9 @@
 }
 
 // WithToken returns the settings with another token.
-func (e Entry) WithToken(token string) Entry {
-	e.Token = token
-	return e
+func (entry Entry) WithToken(token string) Entry {
+	entry.Token = token
+	return entry
 }
 
 // Loopback reports whether an ip:port can be reached from this VM only.
--- a/internal/config/table/index.go
+++ b/internal/config/table/index.go
@@ -70,9 +70,9 @@
 
 // WithTables returns the index of two other tables, or what is wrong with them.
 // It costs a check of all rows.
-func (x Index) WithTables(routes route.Table, pools pool.Table) (Index, []Finding) {
+func (index Index) WithTables(routes route.Table, pools pool.Table) (Index, []Finding) {
 	if findings := Check(routes, pools); len(findings) > 0 {
-		return x, findings
+		return index, findings
 	}
 	next := NewIndex()
 	next.setPools(pools)
@@ -86,63 +86,63 @@
 }
 
 // WithRoute returns the index with a new or changed route.
-func (x Index) WithRoute(rt route.Route) (Index, []Finding) {
+func (index Index) WithRoute(rt route.Route) (Index, []Finding) {
 	path := fmt.Sprintf("routes[%s]", rt.Name)
-	if findings := append(CheckRoute(rt), checkJoin(rt, x.known)...); len(findings) > 0 {
-		return x, under(path, findings)
+	if findings := append(CheckRoute(rt), checkJoin(rt, index.known)...); len(findings) > 0 {
+		return index, under(path, findings)
 	}
 	row := &report{prefix: path}
-	if _, ok := x.Team(rt.Team); !ok {
+	if _, ok := index.Team(rt.Team); !ok {
 		row.addf("team", "no team %q in this table", rt.Team)
 	}
 	for _, key := range matchKeys(rt) {
-		if taken, ok := x.matches.Get(claim{key: key}); ok && taken.route != rt.Name {
+		if taken, ok := index.matches.Get(claim{key: key}); ok && taken.route != rt.Name {
 			row.addf("match", "%s", overlap(taken.route, key))
 		}
 	}
-	if _, ok := x.Route(rt.Name); !ok && x.routes.Len() >= maxRoutes {
+	if _, ok := index.Route(rt.Name); !ok && index.routes.Len() >= maxRoutes {
 		row.addf("", "the limit is %d routes", maxRoutes)
 	}
 	if len(row.found) > 0 {
-		return x, row.found
+		return index, row.found
 	}
-	next := x.clone()
+	next := index.clone()
 	next.putRoute(rt)
 	return next, nil
 }
 
 // WithoutRoute returns the index less a route.
-func (x Index) WithoutRoute(name string) (Index, []Finding) {
-	if _, ok := x.Route(name); !ok {
-		return x, absent("routes", "route", name)
+func (index Index) WithoutRoute(name string) (Index, []Finding) {
+	if _, ok := index.Route(name); !ok {
+		return index, absent("routes", "route", name)
 	}
-	next := x.clone()
+	next := index.clone()
 	next.removeRoute(name)
 	return next, nil
 }
 
 // WithTeam returns the index with a new or changed team.
-func (x Index) WithTeam(team route.Team) (Index, []Finding) {
+func (index Index) WithTeam(team route.Team) (Index, []Finding) {
 	if findings := CheckTeam(team); len(findings) > 0 {
-		return x, under(fmt.Sprintf("teams[%s]", team.Name), findings)
+		return index, under(fmt.Sprintf("teams[%s]", team.Name), findings)
 	}
-	if _, ok := x.Team(team.Name); !ok && x.teams.Len() >= maxTeams {
-		return x, []Finding{{Field: "teams", Message: fmt.Sprintf("the limit is %d teams", maxTeams)}}
+	if _, ok := index.Team(team.Name); !ok && index.teams.Len() >= maxTeams {
+		return index, []Finding{{Field: "teams", Message: fmt.Sprintf("the limit is %d teams", maxTeams)}}
 	}
-	next := x.clone()
+	next := index.clone()
 	next.putTeam(team)
 	return next, nil
 }
 
 // WithoutTeam returns the index less a team that no route names.
-func (x Index) WithoutTeam(name string) (Index, []Finding) {
-	if _, ok := x.Team(name); !ok {
-		return x, absent("teams", "team", name)
+func (index Index) WithoutTeam(name string) (Index, []Finding) {
+	if _, ok := index.Team(name); !ok {
+		return index, absent("teams", "team", name)
 	}
-	if user, ok := x.user(usesTeam, name); ok {
-		return x, inUse("teams", "team", name, user)
+	if user, ok := index.user(usesTeam, name); ok {
+		return index, inUse("teams", "team", name, user)
 	}
-	next := x.clone()
+	next := index.clone()
 	gone, _ := next.teams.Delete(&route.Team{Name: name})
 	next.sum -= digest(*gone)
 	return next, nil
@@ -150,8 +150,8 @@
 
 // WithPool returns the index with a pool changed in its place, or a new one as
 // the last.
-func (x Index) WithPool(pl pool.Pool) (Index, []Finding) {
-	table := x.pools
+func (index Index) WithPool(pl pool.Pool) (Index, []Finding) {
+	table := index.pools
 	table.Pools = slices.Clone(table.Pools)
 	at := slices.IndexFunc(table.Pools, func(other pool.Pool) bool { return other.Name == pl.Name })
 	if at < 0 {
@@ -159,22 +159,22 @@
 	} else {
 		table.Pools[at] = pl
 	}
-	return x.WithPools(table)
+	return index.WithPools(table)
 }
 
 // WithoutPool returns the index less a pool that no route names.
-func (x Index) WithoutPool(name string) (Index, []Finding) {
-	table := x.pools
+func (index Index) WithoutPool(name string) (Index, []Finding) {
+	table := index.pools
 	table.Pools = lo.Reject(table.Pools, func(pl pool.Pool, _ int) bool { return pl.Name == name })
-	if len(table.Pools) == len(x.pools.Pools) {
-		return x, absent("pools", "pool", name)
+	if len(table.Pools) == len(index.pools.Pools) {
+		return index, absent("pools", "pool", name)
 	}
-	return x.WithPools(table)
+	return index.WithPools(table)
 }
 
 // WithDomain returns the index with a new or changed failure domain.
-func (x Index) WithDomain(domain pool.Domain) (Index, []Finding) {
-	table := x.pools
+func (index Index) WithDomain(domain pool.Domain) (Index, []Finding) {
+	table := index.pools
 	table.Domains = slices.Clone(table.Domains)
 	at := slices.IndexFunc(table.Domains, func(other pool.Domain) bool { return other.Name == domain.Name })
 	if at < 0 {
@@ -182,43 +182,43 @@
 	} else {
 		table.Domains[at] = domain
 	}
-	return x.WithPools(table)
+	return index.WithPools(table)
 }
 
 // WithoutDomain returns the index less a failure domain that no pool names.
-func (x Index) WithoutDomain(name string) (Index, []Finding) {
-	table := x.pools
+func (index Index) WithoutDomain(name string) (Index, []Finding) {
+	table := index.pools
 	table.Domains = lo.Reject(table.Domains, func(domain pool.Domain, _ int) bool { return domain.Name == name })
-	if len(table.Domains) == len(x.pools.Domains) {
-		return x, absent("failure_domains", "failure domain", name)
+	if len(table.Domains) == len(index.pools.Domains) {
+		return index, absent("failure_domains", "failure domain", name)
 	}
-	return x.WithPools(table)
+	return index.WithPools(table)
 }
 
 // WithPools returns the index with another table of pools. It costs a check of
 // all pools and of the routes whose pools went away or changed their reserve.
-func (x Index) WithPools(table pool.Table) (Index, []Finding) {
+func (index Index) WithPools(table pool.Table) (Index, []Finding) {
 	if findings := checkPools(table); len(findings) > 0 {
-		return x, findings
+		return index, findings
 	}
-	next := x
+	next := index
 	next.setPools(table)
-	for _, old := range x.pools.Pools {
+	for _, old := range index.pools.Pools {
 		now, kept := next.known[old.Name]
 		if kept && (now.ReservePercent < 100 || old.ReservePercent == 100) {
 			continue
 		}
 		if findings := next.checkUsers(old.Name, kept); len(findings) > 0 {
-			return x, findings
+			return index, findings
 		}
 	}
 	return next, nil
 }
 
 // Checks the routes that name a pool; any at all is a fault if it is gone.
-func (x Index) checkUsers(target string, kept bool) []Finding {
+func (index Index) checkUsers(target string, kept bool) []Finding {
 	var findings []Finding
-	x.uses.AscendGreaterOrEqual(use{kind: usesPool, target: target}, func(item use) bool {
+	index.uses.AscendGreaterOrEqual(use{kind: usesPool, target: target}, func(item use) bool {
 		if item.kind != usesPool || item.target != target {
 			return false
 		}
@@ -226,15 +226,15 @@
 			findings = inUse("pools", "pool", target, item.route)
 			return false
 		}
-		rt, _ := x.Route(item.route)
-		findings = under(fmt.Sprintf("routes[%s]", rt.Name), checkJoin(rt, x.known))
+		rt, _ := index.Route(item.route)
+		findings = under(fmt.Sprintf("routes[%s]", rt.Name), checkJoin(rt, index.known))
 		return len(findings) == 0
 	})
 	return findings
 }
 
-func (x Index) user(kind useKind, target string) (name string, found bool) {
-	x.uses.AscendGreaterOrEqual(use{kind: kind, target: target}, func(item use) bool {
+func (index Index) user(kind useKind, target string) (name string, found bool) {
+	index.uses.AscendGreaterOrEqual(use{kind: kind, target: target}, func(item use) bool {
 		found = item.kind == kind && item.target == target
 		name = item.route
 		return false
--- a/internal/config/table/report.go
+++ b/internal/config/table/report.go
@@ -20,17 +20,17 @@
 	found  []Finding
 }
 
-func (r *report) addf(field, format string, values ...any) {
-	path := r.prefix
+func (row *report) addf(field, format string, values ...any) {
+	path := row.prefix
 	if field != "" && path != "" {
 		path += "."
 	}
-	r.found = append(r.found, Finding{Field: path + field, Message: fmt.Sprintf(format, values...)})
+	row.found = append(row.found, Finding{Field: path + field, Message: fmt.Sprintf(format, values...)})
 }
 
-func (r *report) name(field, name string) {
+func (row *report) name(field, name string) {
 	if problem := nameProblem(name); problem != "" {
-		r.addf(field, "%s", problem)
+		row.addf(field, "%s", problem)
 	}
 }
 
@@ -63,19 +63,19 @@
 	}
 }
 
-func (r *report) amount(field string, value, most amount.Amount) {
-	within(r, field+".milli_cores", value.MilliCores, 0, most.MilliCores)
-	within(r, field+".memory_mb", value.MemoryMB, 0, most.MemoryMB)
-	within(r, field+".accelerators", value.Accelerators, 0, most.Accelerators)
+func (row *report) amount(field string, value, most amount.Amount) {
+	within(row, field+".milli_cores", value.MilliCores, 0, most.MilliCores)
+	within(row, field+".memory_mb", value.MemoryMB, 0, most.MemoryMB)
+	within(row, field+".accelerators", value.Accelerators, 0, most.Accelerators)
 }
 
 // Reports the second of two equal names in a list of rows.
-func (r *report) duplicates(field string, names []string, kind string) {
+func (row *report) duplicates(field string, names []string, kind string) {
 	first := make(map[string]int, len(names))
 	for at, name := range names {
 		earlier, seen := first[name]
 		if seen && name != "" {
-			r.addf(fmt.Sprintf("%s[%d].name", field, at), "duplicate %s %q; %s[%d] has it too", kind, name, field, earlier)
+			row.addf(fmt.Sprintf("%s[%d].name", field, at), "duplicate %s %q; %s[%d] has it too", kind, name, field, earlier)
 			continue
 		}
 		first[name] = at
--- a/internal/config/table/rows.go
+++ b/internal/config/table/rows.go
@@ -13,8 +13,8 @@
 )
 
 // Route returns a route by name.
-func (x Index) Route(name string) (route.Route, bool) {
-	rt, ok := x.routes.Get(&route.Route{Name: name})
+func (index Index) Route(name string) (route.Route, bool) {
+	rt, ok := index.routes.Get(&route.Route{Name: name})
 	if !ok {
 		return route.Route{}, false
 	}
@@ -22,8 +22,8 @@
 }
 
 // Team returns a team by name.
-func (x Index) Team(name string) (route.Team, bool) {
-	team, ok := x.teams.Get(&route.Team{Name: name})
+func (index Index) Team(name string) (route.Team, bool) {
+	team, ok := index.teams.Get(&route.Team{Name: name})
 	if !ok {
 		return route.Team{}, false
 	}
@@ -31,18 +31,18 @@
 }
 
 // Pool returns a pool by name.
-func (x Index) Pool(name string) (pool.Pool, bool) {
-	pl, ok := x.known[name]
+func (index Index) Pool(name string) (pool.Pool, bool) {
+	pl, ok := index.known[name]
 	return pl, ok
 }
 
 // Pools returns the table of pools, which must not be changed.
-func (x Index) Pools() pool.Table { return x.pools }
+func (index Index) Pools() pool.Table { return index.pools }
 
 // Routes returns the table of routes in order of name, which must not be
 // changed. It is built at the first call and shared by all later indexes with
 // the same routes and teams.
-func (x Index) Routes() route.Table { return x.list() }
+func (index Index) Routes() route.Table { return index.list() }
 
 // Returns the function behind Routes.
 func listOnce(routes *btree.BTreeG[*route.Route], teams *btree.BTreeG[*route.Team]) func() route.Table {
@@ -62,7 +62,7 @@
 
 // Hash returns a digest of both tables. Equal tables have equal digests,
 // whichever way they came about.
-func (x Index) Hash() uint64 { return x.sum + digest(x.pools) }
+func (index Index) Hash() uint64 { return index.sum + digest(index.pools) }
 
 // The digest of the routes and teams is a sum over rows, so that one changed
 // row changes it at the cost of that row.
@@ -75,51 +75,51 @@
 }
 
 // Returns a copy whose routes and teams can be changed.
-func (x Index) clone() Index {
-	x.routes = x.routes.Clone()
-	x.teams = x.teams.Clone()
-	x.matches = x.matches.Clone()
-	x.uses = x.uses.Clone()
-	x.list = listOnce(x.routes, x.teams)
-	return x
+func (index Index) clone() Index {
+	index.routes = index.routes.Clone()
+	index.teams = index.teams.Clone()
+	index.matches = index.matches.Clone()
+	index.uses = index.uses.Clone()
+	index.list = listOnce(index.routes, index.teams)
+	return index
 }
 
-func (x *Index) putRoute(rt route.Route) {
-	x.removeRoute(rt.Name)
-	x.routes.ReplaceOrInsert(&rt)
-	x.sum += digest(rt)
+func (index *Index) putRoute(rt route.Route) {
+	index.removeRoute(rt.Name)
+	index.routes.ReplaceOrInsert(&rt)
+	index.sum += digest(rt)
 	for _, key := range matchKeys(rt) {
-		x.matches.ReplaceOrInsert(claim{key: key, route: rt.Name})
+		index.matches.ReplaceOrInsert(claim{key: key, route: rt.Name})
 	}
 	for _, item := range usesOf(rt) {
-		x.uses.ReplaceOrInsert(item)
+		index.uses.ReplaceOrInsert(item)
 	}
 }
 
-func (x *Index) removeRoute(name string) {
-	old, ok := x.routes.Delete(&route.Route{Name: name})
+func (index *Index) removeRoute(name string) {
+	old, ok := index.routes.Delete(&route.Route{Name: name})
 	if !ok {
 		return
 	}
-	x.sum -= digest(*old)
+	index.sum -= digest(*old)
 	for _, key := range matchKeys(*old) {
-		x.matches.Delete(claim{key: key})
+		index.matches.Delete(claim{key: key})
 	}
 	for _, item := range usesOf(*old) {
-		x.uses.Delete(item)
+		index.uses.Delete(item)
 	}
 }
 
-func (x *Index) putTeam(team route.Team) {
-	if old, replaced := x.teams.ReplaceOrInsert(&team); replaced {
-		x.sum -= digest(*old)
+func (index *Index) putTeam(team route.Team) {
+	if old, replaced := index.teams.ReplaceOrInsert(&team); replaced {
+		index.sum -= digest(*old)
 	}
-	x.sum += digest(team)
+	index.sum += digest(team)
 }
 
-func (x *Index) setPools(table pool.Table) {
-	x.pools = pool.Table{Domains: compact(table.Domains), Pools: compact(table.Pools)}
-	x.known = lo.SliceToMap(table.Pools, func(pl pool.Pool) (string, pool.Pool) { return pl.Name, pl })
+func (index *Index) setPools(table pool.Table) {
+	index.pools = pool.Table{Domains: compact(table.Domains), Pools: compact(table.Pools)}
+	index.known = lo.SliceToMap(table.Pools, func(pl pool.Pool) (string, pool.Pool) { return pl.Name, pl })
 }
 
 // Makes empty lists alike, so that their digests are.
@@ -136,6 +136,6 @@
 }
 
 // Rows returns the number of rows of both tables.
-func (x Index) Rows() int {
-	return x.routes.Len() + x.teams.Len() + len(x.pools.Domains) + len(x.pools.Pools)
+func (index Index) Rows() int {
+	return index.routes.Len() + index.teams.Len() + len(index.pools.Domains) + len(index.pools.Pools)
 }
--- a/internal/operator/command/check.go
+++ b/internal/operator/command/check.go
@@ -10,19 +10,19 @@
 )
 
 // Prints every fault of the files.
-func (s *session) check() int {
-	files, err := readFiles(s.opts.Check.Args.Files)
+func (ses *session) check() int {
+	files, err := readFiles(ses.opts.Check.Args.Files)
 	if err != nil {
-		return s.fail(err)
+		return ses.fail(err)
 	}
 	_, findings := bundle.Load(files)
 	for _, finding := range findings {
-		s.sayf("%s", finding)
+		ses.sayf("%s", finding)
 	}
 	if len(findings) > 0 {
 		return option.ExitFailed
 	}
-	s.sayf("%d files are good", len(files))
+	ses.sayf("%d files are good", len(files))
 	return option.ExitDone
 }
 
--- a/internal/operator/command/truth_test.go
+++ b/internal/operator/command/claims_test.go
@@ -40,7 +40,7 @@
 			for _, claim := range claims {
 				word, _, _ := strings.Cut(claim.said, ":")
 				counts[word]++
-				if problem := claim.lie(word, truth); problem != "" {
+				if problem := claim.mismatch(word, truth); problem != "" {
 					t.Errorf("seed %d: %s said %q, but %s", seed, claim.args, claim.said, problem)
 				}
 			}
@@ -126,20 +126,20 @@
 }
 
 // Says in what the claim is wrong, if it is.
-func (c claim) lie(word string, truth map[string]ledger.Verdict) string {
+func (made claim) mismatch(word string, truth map[string]ledger.Verdict) string {
 	var verdicts []ledger.Verdict
-	for writer := range c.writers {
+	for writer := range made.writers {
 		if verdict, ok := truth[writer]; ok {
 			verdicts = append(verdicts, verdict)
 		}
 	}
 	switch word {
 	case "accepted":
-		if len(verdicts) != 1 || verdicts[0].Kind != ledger.Accepted || c.said != fmt.Sprintf("accepted: version %d\n", verdicts[0].Offset) {
+		if len(verdicts) != 1 || verdicts[0].Kind != ledger.Accepted || made.said != fmt.Sprintf("accepted: version %d\n", verdicts[0].Offset) {
 			return fmt.Sprint("the log has ", verdicts)
 		}
 	case "rejected":
-		if len(verdicts) != 1 || verdicts[0].Kind == ledger.Accepted || c.said != fmt.Sprintf("rejected: %s\n", verdicts[0].Reason) {
+		if len(verdicts) != 1 || verdicts[0].Kind == ledger.Accepted || made.said != fmt.Sprintf("rejected: %s\n", verdicts[0].Reason) {
 			return fmt.Sprint("the log has ", verdicts)
 		}
 	case "not published", "":
--- a/internal/operator/command/command.go
+++ b/internal/operator/command/command.go
@@ -63,60 +63,60 @@
 	return ses.dispatch(ctx)
 }
 
-func (s *session) dispatch(ctx context.Context) int {
-	switch s.opts.Command {
+func (ses *session) dispatch(ctx context.Context) int {
+	switch ses.opts.Command {
 	case "entry":
-		return s.foreign(ctx, s.runners.Entry)
+		return ses.foreign(ctx, ses.runners.Entry)
 	case "demo":
-		return s.foreign(ctx, s.runners.Demo)
+		return ses.foreign(ctx, ses.runners.Demo)
 	case "standin platform", "standin worker":
-		return s.standin(ctx)
+		return ses.standin(ctx)
 	case "check":
-		return s.check()
+		return ses.check()
 	case "publish":
-		return s.publish(ctx)
+		return ses.publish(ctx)
 	case "show":
-		return s.show(ctx)
+		return ses.show(ctx)
 	case "out":
-		return s.mark(ctx, s.opts.Out, true)
+		return ses.mark(ctx, ses.opts.Out, true)
 	case "back":
-		return s.mark(ctx, s.opts.Back, false)
+		return ses.mark(ctx, ses.opts.Back, false)
 	case "submit":
-		return s.submit(ctx)
+		return ses.submit(ctx)
 	case "status":
-		return s.status(ctx)
+		return ses.status(ctx)
 	case "cancel":
-		return s.cancel(ctx)
+		return ses.cancel(ctx)
 	case "dump":
-		return s.dump(ctx)
+		return ses.dump(ctx)
 	default:
-		return s.version()
+		return ses.version()
 	}
 }
 
-func (s *session) foreign(ctx context.Context, run func(context.Context, option.Options) int) int {
+func (ses *session) foreign(ctx context.Context, run func(context.Context, option.Options) int) int {
 	if run == nil {
-		return s.fail(errors.Errorf("%s is not part of this binary", s.opts.Command))
+		return ses.fail(errors.Errorf("%s is not part of this binary", ses.opts.Command))
 	}
-	return run(ctx, s.opts)
+	return run(ctx, ses.opts)
 }
 
-func (s *session) standin(ctx context.Context) int {
-	if s.runners.Standin != nil {
-		return s.runners.Standin(ctx, s.opts)
+func (ses *session) standin(ctx context.Context) int {
+	if ses.runners.Standin != nil {
+		return ses.runners.Standin(ctx, ses.opts)
 	}
-	return process.RunStandin(ctx, s.opts.Standin, s.out)
+	return process.RunStandin(ctx, ses.opts.Standin, ses.out)
 }
 
-func (s *session) sayf(format string, values ...any) {
-	_, _ = fmt.Fprintf(s.out, format+"\n", values...) // nobody to tell when the terminal is gone
+func (ses *session) sayf(format string, values ...any) {
+	_, _ = fmt.Fprintf(ses.out, format+"\n", values...) // nobody to tell when the terminal is gone
 }
 
-func (s *session) complainf(format string, values ...any) {
-	_, _ = fmt.Fprintf(s.errOut, format+"\n", values...)
+func (ses *session) complainf(format string, values ...any) {
+	_, _ = fmt.Fprintf(ses.errOut, format+"\n", values...)
 }
 
-func (s *session) fail(err error) int {
-	s.complainf("oriolepier %s: %s", s.opts.Command, err)
+func (ses *session) fail(err error) int {
+	ses.complainf("oriolepier %s: %s", ses.opts.Command, err)
 	return option.ExitFailed
 }
--- a/internal/operator/command/command_test.go
+++ b/internal/operator/command/command_test.go
@@ -38,20 +38,20 @@
 
 var ulids = regexp.MustCompile(`\b[0-9A-HJKMNP-TV-Z]{26}\b`)
 
-func (s *shell) run(title string, args ...string) {
-	s.t.Helper()
+func (sh *shell) run(title string, args ...string) {
+	sh.t.Helper()
 	var out, errOut bytes.Buffer
-	code := Run(context.Background(), args, &out, &errOut, s.runners)
-	fmt.Fprintf(&s.text, "# %s\n%s%sexit %d\n", title, &out, &errOut, code)
+	code := Run(context.Background(), args, &out, &errOut, sh.runners)
+	fmt.Fprintf(&sh.text, "# %s\n%s%sexit %d\n", title, &out, &errOut, code)
 	if found := ulids.FindString(out.String()); found != "" {
-		s.writer = found
+		sh.writer = found
 	}
 }
 
 var directories = regexp.MustCompile(`/\S*/(\w+\.json)`)
 
-func (s *shell) transcript() []byte {
-	return directories.ReplaceAll(ulids.ReplaceAll([]byte(s.text.String()), []byte("ULID")), []byte("$1"))
+func (sh *shell) transcript() []byte {
+	return directories.ReplaceAll(ulids.ReplaceAll([]byte(sh.text.String()), []byte("ULID")), []byte("$1"))
 }
 
 // Writes the example tables with one change to a directory of the test.
--- a/internal/operator/command/dump.go
+++ b/internal/operator/command/dump.go
@@ -9,21 +9,21 @@
 )
 
 // Prints the state of an entry.
-func (s *session) dump(ctx context.Context) int {
-	opts := s.opts.Dump
+func (ses *session) dump(ctx context.Context) int {
+	opts := ses.opts.Dump
 	peer, err := newServer(opts.Server)
 	if err != nil {
-		return s.fail(err)
+		return ses.fail(err)
 	}
 	peer.token = opts.Token
 	if opts.TokenFile != "" {
 		if peer.token, err = setting.ReadToken(opts.TokenFile); err != nil {
-			return s.fail(err)
+			return ses.fail(err)
 		}
 	}
 	var state json.RawMessage
 	if err := peer.call(ctx, http.MethodGet, "/v1/dump", nil, &state); err != nil {
-		return s.fail(err)
+		return ses.fail(err)
 	}
-	return s.print(state)
+	return ses.print(state)
 }
--- a/internal/operator/command/follow.go
+++ b/internal/operator/command/follow.go
@@ -49,16 +49,16 @@
 }
 
 // Reads to the end of the stream.
-func (f *follower) catchUp(ctx context.Context) error {
+func (follow *follower) catchUp(ctx context.Context) error {
 	for {
-		page, err := f.read(ctx)
+		page, err := follow.read(ctx)
 		if err != nil {
 			return err
 		}
-		from := f.state.Next()
-		f.state = f.state.WithFirst(page.First)
+		from := follow.state.Next()
+		follow.state = follow.state.WithFirst(page.First)
 		for _, record := range page.Records {
-			f.take(record)
+			follow.take(record)
 		}
 		if page.AtEnd(from) {
 			return nil
@@ -66,28 +66,28 @@
 	}
 }
 
-func (f *follower) read(ctx context.Context) (stream.Page, error) {
+func (follow *follower) read(ctx context.Context) (stream.Page, error) {
 	return retry(ctx, func(ctx context.Context) (stream.Page, error) {
-		return f.log.Read(ctx, ledger.Stream, f.state.Next(), pageRecords)
+		return follow.log.Read(ctx, ledger.Stream, follow.state.Next(), pageRecords)
 	})
 }
 
-func (f *follower) take(record stream.Record) {
-	next, verdict := f.state.With(record)
-	f.state = next
+func (follow *follower) take(record stream.Record) {
+	next, verdict := follow.state.With(record)
+	follow.state = next
 	key := name{verdict.Writer, verdict.Sequence}
 	// A copy that comes later changes nothing about what became of the first.
-	if _, known := f.wanted[key]; !known && verdict.Kind != ledger.Part {
-		f.wanted[key] = verdict
+	if _, known := follow.wanted[key]; !known && verdict.Kind != ledger.Part {
+		follow.wanted[key] = verdict
 	}
 }
 
 // Reads to the end and refuses to go on without the state in force.
-func (f *follower) begin(ctx context.Context) error {
-	if err := f.catchUp(ctx); err != nil {
+func (follow *follower) begin(ctx context.Context) error {
+	if err := follow.catchUp(ctx); err != nil {
 		return errors.Wrap(err, "read the config stream")
 	}
-	if !f.state.Complete() {
+	if !follow.state.Complete() {
 		return errors.New("the log has lost its oldest records and holds no whole snapshot yet; entries write one, try again soon")
 	}
 	return nil
@@ -96,21 +96,21 @@
 // Appends edits as one change and finds out what became of it. An error means
 // that the outcome is not known, unless it is certain that nothing was
 // appended.
-func (f *follower) append(ctx context.Context, base int64, edits []ledger.Edit) (ledger.Verdict, error) {
-	f.sequence++
-	key := name{f.writer, f.sequence}
-	data, err := ledger.Encode(ledger.Change{Writer: f.writer, Sequence: f.sequence, Base: base, Edits: edits})
+func (follow *follower) append(ctx context.Context, base int64, edits []ledger.Edit) (ledger.Verdict, error) {
+	follow.sequence++
+	key := name{follow.writer, follow.sequence}
+	data, err := ledger.Encode(ledger.Change{Writer: follow.writer, Sequence: follow.sequence, Base: base, Edits: edits})
 	if err != nil {
 		return ledger.Verdict{}, fault.New(fault.NotSent, "encode", "", err)
 	}
 	maybe := false // whether a copy may be in the log, or on its way
 	verdict, err := retry(ctx, func(ctx context.Context) (ledger.Verdict, error) {
-		_, failure := f.log.Append(ctx, ledger.Stream, data)
+		_, failure := follow.log.Append(ctx, ledger.Stream, data)
 		if failure != nil && fault.OutcomeOf(failure).Certain() {
 			return ledger.Verdict{}, failure
 		}
 		maybe = true
-		return f.find(ctx, key, failure)
+		return follow.find(ctx, key, failure)
 	})
 	if err == nil {
 		return verdict, nil
@@ -132,9 +132,9 @@
 }
 
 // Appends records one after the other, each until the log has taken it.
-func (f *follower) appendAll(ctx context.Context, records [][]byte) error {
+func (follow *follower) appendAll(ctx context.Context, records [][]byte) error {
 	for _, data := range records {
-		_, err := retry(ctx, func(ctx context.Context) (stream.Offset, error) { return f.log.Append(ctx, ledger.Stream, data) })
+		_, err := retry(ctx, func(ctx context.Context) (stream.Offset, error) { return follow.log.Append(ctx, ledger.Stream, data) })
 		if err != nil {
 			return err
 		}
@@ -145,11 +145,11 @@
 var errNotFound = errors.New("the change is not in the log so far")
 
 // Reads on for the verdict of a change.
-func (f *follower) find(ctx context.Context, key name, failure error) (ledger.Verdict, error) {
-	if err := f.catchUp(ctx); err != nil {
+func (follow *follower) find(ctx context.Context, key name, failure error) (ledger.Verdict, error) {
+	if err := follow.catchUp(ctx); err != nil {
 		return ledger.Verdict{}, err
 	}
-	if verdict, ok := f.wanted[key]; ok {
+	if verdict, ok := follow.wanted[key]; ok {
 		return verdict, nil
 	}
 	if failure != nil {
--- a/internal/operator/command/mark.go
+++ b/internal/operator/command/mark.go
@@ -9,17 +9,17 @@
 )
 
 // Takes a failure domain or a VM out of service, or puts it back.
-func (s *session) mark(ctx context.Context, opts option.Mark, out bool) int {
+func (ses *session) mark(ctx context.Context, opts option.Mark, out bool) int {
 	wanted := mark.Mark{Kind: mark.Domain, Name: opts.FailureDomain, Out: out}
 	if opts.VM != "" {
 		wanted = mark.Mark{Kind: mark.VM, Name: opts.VM, Out: out}
 	}
 	ctx, stop := context.WithTimeout(ctx, opts.TimeoutMS.Duration())
 	defer stop()
-	follow, err := s.follow(ctx, opts.Source)
+	follow, err := ses.follow(ctx, opts.Source)
 	if err != nil {
-		return s.fail(err)
+		return ses.fail(err)
 	}
 	verdict, err := follow.append(ctx, baseOr(opts.Base, follow.state), []ledger.Edit{{Mark: &wanted}})
-	return s.report(follow, verdict, err)
+	return ses.report(follow, verdict, err)
 }
--- a/internal/operator/command/publish.go
+++ b/internal/operator/command/publish.go
@@ -26,23 +26,23 @@
 // Publishes the rows of the files that differ from the version in force.
 //
 //	files ──check──> tables ──diff──> edits ──trial──> records ──append, read back──> accepted | rejected | unknown
-func (s *session) publish(ctx context.Context) int {
-	opts := s.opts.Publish
+func (ses *session) publish(ctx context.Context) int {
+	opts := ses.opts.Publish
 	if opts.Find != "" {
-		return s.find(ctx, opts)
+		return ses.find(ctx, opts)
 	}
-	set, err := s.tables(opts.Args.Files)
+	set, err := ses.tables(opts.Args.Files)
 	if err != nil {
-		return s.fail(err)
+		return ses.fail(err)
 	}
 	ctx, stop := context.WithTimeout(ctx, opts.TimeoutMS.Duration())
 	defer stop()
 	if opts.Reset {
-		return s.reset(ctx, set)
+		return ses.reset(ctx, set)
 	}
-	follow, err := s.follow(ctx, opts.Source)
+	follow, err := ses.follow(ctx, opts.Source)
 	if err != nil {
-		return s.fail(err)
+		return ses.fail(err)
 	}
 	state := follow.state
 	base := baseOr(opts.Base, state)
@@ -50,31 +50,31 @@
 	wanted := completed(set, now)
 	edits := ledger.Diff(now, wanted)
 	if len(edits) == 0 {
-		s.sayf("nothing to change: version %d is in force", state.Version())
+		ses.sayf("nothing to change: version %d is in force", state.Version())
 		return option.ExitDone
 	}
 	chunks, verdict, err := plan(state, base, edits, wanted, opts.Replace)
 	if err != nil {
-		return s.fail(err)
+		return ses.fail(err)
 	}
 	if verdict.Kind != ledger.Accepted {
-		s.sayf("rejected: %s; nothing was published", verdict.Reason)
+		ses.sayf("rejected: %s; nothing was published", verdict.Reason)
 		return option.ExitFailed
 	}
 	if opts.DryRun {
-		s.sayf("%d edits in %d records would be accepted after version %d", len(edits), len(chunks), state.Version())
+		ses.sayf("%d edits in %d records would be accepted after version %d", len(edits), len(chunks), state.Version())
 		return option.ExitDone
 	}
-	return s.send(ctx, follow, base, chunks)
+	return ses.send(ctx, follow, base, chunks)
 }
 
 // Appends chunks one after the other, each based on the one before.
-func (s *session) send(ctx context.Context, follow *follower, base int64, chunks [][]ledger.Edit) int {
+func (ses *session) send(ctx context.Context, follow *follower, base int64, chunks [][]ledger.Edit) int {
 	for at, edits := range chunks {
 		verdict, err := follow.append(ctx, base, edits)
-		if code := s.report(follow, verdict, err); code != option.ExitDone {
+		if code := ses.report(follow, verdict, err); code != option.ExitDone {
 			if at > 0 {
-				s.sayf("%d of %d records were accepted before; publish again for the rest", at, len(chunks))
+				ses.sayf("%d of %d records were accepted before; publish again for the rest", at, len(chunks))
 			}
 			return code
 		}
@@ -84,63 +84,63 @@
 }
 
 // Says what became of the newest change.
-func (s *session) report(follow *follower, verdict ledger.Verdict, err error) int {
+func (ses *session) report(follow *follower, verdict ledger.Verdict, err error) int {
 	switch {
 	case err != nil && fault.OutcomeOf(err).Certain():
-		s.sayf("not published: nothing was appended: %s", err)
+		ses.sayf("not published: nothing was appended: %s", err)
 	case err != nil:
-		s.sayf("unknown: the log did not answer in time: %s", err)
-		s.sayf("find out with: oriolepier publish --find %s/%d", follow.writer, follow.sequence)
+		ses.sayf("unknown: the log did not answer in time: %s", err)
+		ses.sayf("find out with: oriolepier publish --find %s/%d", follow.writer, follow.sequence)
 	case verdict.Kind == ledger.Accepted:
-		s.sayf("accepted: version %d", verdict.Offset)
+		ses.sayf("accepted: version %d", verdict.Offset)
 		return option.ExitDone
 	case verdict.Kind == ledger.Unjudged:
-		s.sayf("unknown: the log lost records while this command read it")
-		s.sayf("find out with: oriolepier publish --find %s/%d", follow.writer, follow.sequence)
+		ses.sayf("unknown: the log lost records while this command read it")
+		ses.sayf("find out with: oriolepier publish --find %s/%d", follow.writer, follow.sequence)
 	default:
-		s.sayf("rejected: %s", verdict.Reason)
+		ses.sayf("rejected: %s", verdict.Reason)
 	}
 	return option.ExitFailed
 }
 
 // Finds out what became of an earlier change.
-func (s *session) find(ctx context.Context, opts option.Publish) int {
+func (ses *session) find(ctx context.Context, opts option.Publish) int {
 	writer, sequence, err := opts.FindName()
 	if err != nil {
-		return s.fail(err)
+		return ses.fail(err)
 	}
 	ctx, stop := context.WithTimeout(ctx, opts.TimeoutMS.Duration())
 	defer stop()
-	follow, err := s.follow(ctx, opts.Source)
+	follow, err := ses.follow(ctx, opts.Source)
 	if err != nil {
-		return s.fail(err)
+		return ses.fail(err)
 	}
 	verdict, ok := follow.wanted[name{writer, sequence}]
 	switch {
 	case !ok:
-		s.sayf("unknown: not in the log up to offset %d; it was not appended, is still under way, or has expired", follow.state.Next()-1)
+		ses.sayf("unknown: not in the log up to offset %d; it was not appended, is still under way, or has expired", follow.state.Next()-1)
 	case verdict.Kind == ledger.Accepted:
-		s.sayf("accepted: version %d (version %d is in force)", verdict.Offset, follow.state.Version())
+		ses.sayf("accepted: version %d (version %d is in force)", verdict.Offset, follow.state.Version())
 		return option.ExitDone
 	case verdict.Kind == ledger.Duplicate:
-		s.sayf("unknown: the log no longer has the first copy; %s", verdict.Reason)
+		ses.sayf("unknown: the log no longer has the first copy; %s", verdict.Reason)
 	case verdict.Kind == ledger.Unjudged:
-		s.sayf("unknown: in the log at offset %d, but the log no longer has what it was judged by", verdict.Offset)
+		ses.sayf("unknown: in the log at offset %d, but the log no longer has what it was judged by", verdict.Offset)
 	default:
-		s.sayf("rejected: %s", verdict.Reason)
+		ses.sayf("rejected: %s", verdict.Reason)
 	}
 	return option.ExitFailed
 }
 
 // Reads the tables of the files, which must be of one deployment.
-func (s *session) tables(names []string) (bundle.Set, error) {
+func (ses *session) tables(names []string) (bundle.Set, error) {
 	files, err := readFiles(names)
 	if err != nil {
 		return bundle.Set{}, err
 	}
 	sets, findings := bundle.Load(files)
 	for _, finding := range findings {
-		s.sayf("%s", finding)
+		ses.sayf("%s", finding)
 	}
 	if len(findings) > 0 {
 		return bundle.Set{}, errors.New("nothing was published")
@@ -234,15 +234,15 @@
 
 // Opens the log, reads the config stream to its end, and insists on a whole
 // state.
-func (s *session) follow(ctx context.Context, source option.Source) (*follower, error) {
-	follow, err := s.open(source)
+func (ses *session) follow(ctx context.Context, source option.Source) (*follower, error) {
+	follow, err := ses.open(source)
 	if err != nil {
 		return nil, err
 	}
 	return follow, follow.begin(ctx)
 }
 
-func (s *session) open(source option.Source) (*follower, error) {
+func (ses *session) open(source option.Source) (*follower, error) {
 	base := source.Log
 	if source.Settings != "" {
 		entry, findings, err := setting.Load(source.Settings)
@@ -254,7 +254,7 @@
 		}
 		base = entry.Platform.Log
 	}
-	newLog := s.runners.Log
+	newLog := ses.runners.Log
 	if newLog == nil {
 		newLog = remote.NewLog
 	}
--- a/internal/operator/command/server.go
+++ b/internal/operator/command/server.go
@@ -48,43 +48,43 @@
 
 // Sends one request and decodes the answer into target, if that is not nil. A
 // refusal is returned as *problem.Problem, any other failure as *fault.Fault.
-func (s *server) call(ctx context.Context, method, path string, body, target any) error {
-	ctx, stop := context.WithTimeout(ctx, s.timeout.Duration())
+func (peer *server) call(ctx context.Context, method, path string, body, target any) error {
+	ctx, stop := context.WithTimeout(ctx, peer.timeout.Duration())
 	defer stop()
-	data, err := s.exchange(ctx, method, path, body)
+	data, err := peer.exchange(ctx, method, path, body)
 	if err != nil || target == nil {
 		return err
 	}
 	if err := json.Unmarshal(data, target); err != nil {
-		return fault.New(fault.Answered, "decode", s.base, err)
+		return fault.New(fault.Answered, "decode", peer.base, err)
 	}
 	return nil
 }
 
-func (s *server) exchange(ctx context.Context, method, path string, body any) ([]byte, error) {
-	request, err := s.request(ctx, method, path, body)
+func (peer *server) exchange(ctx context.Context, method, path string, body any) ([]byte, error) {
+	request, err := peer.request(ctx, method, path, body)
 	if err != nil {
-		return nil, fault.New(fault.NotSent, "request", s.base, err)
+		return nil, fault.New(fault.NotSent, "request", peer.base, err)
 	}
-	answer, err := s.client.Do(request)
+	answer, err := peer.client.Do(request)
 	if err != nil {
-		return nil, fault.New(fault.Unknown, "call", s.base, err)
+		return nil, fault.New(fault.Unknown, "call", peer.base, err)
 	}
 	defer func() { _ = answer.Body.Close() }()
 	data, err := io.ReadAll(io.LimitReader(answer.Body, maxAnswerBytes+1))
 	if err != nil {
-		return nil, fault.New(fault.Unknown, "read answer", s.base, err)
+		return nil, fault.New(fault.Unknown, "read answer", peer.base, err)
 	}
 	if len(data) > maxAnswerBytes {
-		return nil, fault.Newf(fault.Unknown, "read answer", s.base, "answer has more than %d bytes", maxAnswerBytes)
+		return nil, fault.Newf(fault.Unknown, "read answer", peer.base, "answer has more than %d bytes", maxAnswerBytes)
 	}
 	if answer.StatusCode < http.StatusMultipleChoices {
 		return data, nil
 	}
-	return nil, refusal(s.base, answer, data)
+	return nil, refusal(peer.base, answer, data)
 }
 
-func (s *server) request(ctx context.Context, method, path string, body any) (*http.Request, error) {
+func (peer *server) request(ctx context.Context, method, path string, body any) (*http.Request, error) {
 	var payload io.Reader
 	if body != nil {
 		data, err := json.Marshal(body)
@@ -93,7 +93,7 @@
 		}
 		payload = bytes.NewReader(data)
 	}
-	request, err := http.NewRequestWithContext(ctx, method, s.base+path, payload)
+	request, err := http.NewRequestWithContext(ctx, method, peer.base+path, payload)
 	if err != nil {
 		return nil, err
 	}
@@ -101,8 +101,8 @@
 	if body != nil {
 		request.Header.Set("Content-Type", "application/json")
 	}
-	if s.token != "" {
-		request.Header.Set("Authorization", "Bearer "+s.token)
+	if peer.token != "" {
+		request.Header.Set("Authorization", "Bearer "+peer.token)
 	}
 	return request, nil
 }
--- a/internal/operator/command/show.go
+++ b/internal/operator/command/show.go
@@ -10,31 +10,31 @@
 )
 
 // Prints the configuration in force.
-func (s *session) show(ctx context.Context) int {
-	opts := s.opts.Show
+func (ses *session) show(ctx context.Context) int {
+	opts := ses.opts.Show
 	ctx, stop := context.WithTimeout(ctx, opts.TimeoutMS.Duration())
 	defer stop()
-	follow, err := s.follow(ctx, opts.Source)
+	follow, err := ses.follow(ctx, opts.Source)
 	if err != nil {
-		return s.fail(err)
+		return ses.fail(err)
 	}
 	config := follow.state.Config()
 	switch opts.Only {
 	case "routes":
-		return s.print(config.Routes)
+		return ses.print(config.Routes)
 	case "pools":
-		return s.print(config.Pools)
+		return ses.print(config.Pools)
 	case "marks":
-		return s.print(config.Marks)
+		return ses.print(config.Marks)
 	}
-	return s.print(config)
+	return ses.print(config)
 }
 
-func (s *session) print(value any) int {
-	encoder := json.NewEncoder(s.out)
+func (ses *session) print(value any) int {
+	encoder := json.NewEncoder(ses.out)
 	encoder.SetIndent("", "  ")
 	if err := encoder.Encode(value); err != nil {
-		return s.fail(errors.Wrap(err, "print"))
+		return ses.fail(errors.Wrap(err, "print"))
 	}
 	return option.ExitDone
 }
--- a/internal/operator/command/task.go
+++ b/internal/operator/command/task.go
@@ -54,16 +54,16 @@
 }
 
 // Submits one task or those of a file.
-func (s *session) submit(ctx context.Context) int {
-	tasks, err := s.tasks()
+func (ses *session) submit(ctx context.Context) int {
+	tasks, err := ses.tasks()
 	if err != nil {
-		return s.fail(err)
+		return ses.fail(err)
 	}
-	peer, err := newServer(s.opts.Submit.Server)
+	peer, err := newServer(ses.opts.Submit.Server)
 	if err != nil {
-		return s.fail(err)
+		return ses.fail(err)
 	}
-	return each(ctx, s, tasks, func(ctx context.Context, item task) (any, error) {
+	return each(ctx, ses, tasks, func(ctx context.Context, item task) (any, error) {
 		var answer struct {
 			ID    string    `json:"id"`
 			Phase job.Phase `json:"phase"`
@@ -75,10 +75,10 @@
 	})
 }
 
-func (s *session) tasks() ([]task, error) {
-	opts := s.opts.Submit
+func (ses *session) tasks() ([]task, error) {
+	opts := ses.opts.Submit
 	if opts.File != "" {
-		return s.tasksOf(opts.File)
+		return ses.tasksOf(opts.File)
 	}
 	item := task{
 		Caller: opts.Caller, Key: opts.Key, Route: opts.Route, Kind: opts.Kind, Payload: opts.Payload, RunMS: opts.RunMS,
@@ -87,12 +87,12 @@
 	if item.Key == "" {
 		item.Key = ulid.Make().String()
 		// Printed before the call: whoever stops waiting needs it to ask again.
-		s.complainf("key %s", item.Key)
+		ses.complainf("key %s", item.Key)
 	}
 	return []task{item}, nil
 }
 
-func (s *session) tasksOf(name string) ([]task, error) {
+func (ses *session) tasksOf(name string) ([]task, error) {
 	data, err := os.ReadFile(name)
 	if err != nil {
 		return nil, errors.Wrap(err, "read tasks")
@@ -115,7 +115,7 @@
 		seen[pair] = true
 	}
 	for _, finding := range findings {
-		s.complainf("%s", finding)
+		ses.complainf("%s", finding)
 	}
 	if len(findings) > 0 {
 		return nil, errors.New("nothing was submitted")
@@ -124,16 +124,16 @@
 }
 
 // Prints tasks by id, or lists them.
-func (s *session) status(ctx context.Context) int {
-	opts := s.opts.Status
+func (ses *session) status(ctx context.Context) int {
+	opts := ses.opts.Status
 	peer, err := newServer(opts.Server)
 	if err != nil {
-		return s.fail(err)
+		return ses.fail(err)
 	}
 	if len(opts.Args.IDs) == 0 {
-		return s.list(ctx, peer, opts)
+		return ses.list(ctx, peer, opts)
 	}
-	return each(ctx, s, opts.Args.IDs, func(ctx context.Context, id string) (any, error) {
+	return each(ctx, ses, opts.Args.IDs, func(ctx context.Context, id string) (any, error) {
 		var status job.Status
 		if err := peer.call(ctx, http.MethodGet, taskPath(id), nil, &status); err != nil {
 			return failed(outcome{ID: id}, err), err
@@ -142,7 +142,7 @@
 	})
 }
 
-func (s *session) list(ctx context.Context, peer *server, opts option.Status) int {
+func (ses *session) list(ctx context.Context, peer *server, opts option.Status) int {
 	query := url.Values{}
 	if opts.Caller != "" {
 		query.Set("caller", opts.Caller)
@@ -152,14 +152,14 @@
 	}
 	var raw json.RawMessage
 	if err := peer.call(ctx, http.MethodGet, tasksPath+"?"+query.Encode(), nil, &raw); err != nil {
-		return s.fail(err)
+		return ses.fail(err)
 	}
 	rows, err := listed(raw)
 	if err != nil {
-		return s.fail(err)
+		return ses.fail(err)
 	}
 	for _, row := range rows {
-		s.line(row)
+		ses.line(row)
 	}
 	return option.ExitDone
 }
@@ -178,13 +178,13 @@
 }
 
 // Cancels tasks.
-func (s *session) cancel(ctx context.Context) int {
-	opts := s.opts.Cancel
+func (ses *session) cancel(ctx context.Context) int {
+	opts := ses.opts.Cancel
 	peer, err := newServer(opts.Server)
 	if err != nil {
-		return s.fail(err)
+		return ses.fail(err)
 	}
-	return each(ctx, s, opts.Args.IDs, func(ctx context.Context, id string) (any, error) {
+	return each(ctx, ses, opts.Args.IDs, func(ctx context.Context, id string) (any, error) {
 		if err := peer.call(ctx, http.MethodDelete, taskPath(id), nil, nil); err != nil {
 			return failed(outcome{ID: id}, err), err
 		}
@@ -235,11 +235,11 @@
 	return option.ExitDone
 }
 
-func (s *session) line(value any) {
+func (ses *session) line(value any) {
 	data, err := json.Marshal(value)
 	if err != nil {
-		s.complainf("print: %s", err)
+		ses.complainf("print: %s", err)
 		return
 	}
-	s.sayf("%s", data)
+	ses.sayf("%s", data)
 }
--- a/internal/operator/command/version.go
+++ b/internal/operator/command/version.go
@@ -7,10 +7,10 @@
 )
 
 // Prints the module's version, or the revision that it was built from.
-func (s *session) version() int {
+func (ses *session) version() int {
 	info, ok := debug.ReadBuildInfo()
 	if !ok {
-		s.sayf("oriolepier (unknown version)")
+		ses.sayf("oriolepier (unknown version)")
 		return option.ExitDone
 	}
 	revision := ""
@@ -19,6 +19,6 @@
 			revision = " " + item.Value
 		}
 	}
-	s.sayf("oriolepier %s%s %s", info.Main.Version, revision, info.GoVersion)
+	ses.sayf("oriolepier %s%s %s", info.Main.Version, revision, info.GoVersion)
 	return option.ExitDone
 }
--- a/internal/operator/option/option.go
+++ b/internal/operator/option/option.go
@@ -155,7 +155,7 @@
 type Help struct{ Text string }
 
 // Error implements error.
-func (h *Help) Error() string { return h.Text }
+func (help *Help) Error() string { return help.Text }
 
 // Parse reads the arguments after the program's name. The error is a *Help, or
 // a mistake in usage.
@@ -190,105 +190,105 @@
 }
 
 // Checks what the declarations above can't express.
-func (o Options) validate() error {
-	switch o.Command {
+func (opts Options) validate() error {
+	switch opts.Command {
 	case "publish":
-		return o.Publish.validate()
+		return opts.Publish.validate()
 	case "show":
-		return o.Show.validate()
+		return opts.Show.validate()
 	case "out":
-		return o.Out.validate()
+		return opts.Out.validate()
 	case "back":
-		return o.Back.validate()
+		return opts.Back.validate()
 	case "submit":
-		return o.Submit.validate()
+		return opts.Submit.validate()
 	case "status":
-		return o.Status.validate()
+		return opts.Status.validate()
 	case "cancel":
-		return o.Cancel.validate()
+		return opts.Cancel.validate()
 	case "dump":
-		return o.Dump.validate()
+		return opts.Dump.validate()
 	}
 	return nil
 }
 
-func (s Source) validate() error {
-	if s.Log == "" && s.Settings == "" {
+func (source Source) validate() error {
+	if source.Log == "" && source.Settings == "" {
 		return errors.New("give --log or --settings")
 	}
-	if s.TimeoutMS < 1 {
+	if source.TimeoutMS < 1 {
 		return errors.New("--timeout-ms must be at least 1")
 	}
-	if s.Log == "" {
+	if source.Log == "" {
 		return nil
 	}
-	return validURL("--log", s.Log)
+	return validURL("--log", source.Log)
 }
 
-func (p Publish) validate() error {
-	if (len(p.Args.Files) == 0) == (p.Find == "") {
+func (opts Publish) validate() error {
+	if (len(opts.Args.Files) == 0) == (opts.Find == "") {
 		return errors.New("give either files to publish or --find")
 	}
-	if p.Reset && (p.DryRun || p.Replace || p.Base >= 0) {
+	if opts.Reset && (opts.DryRun || opts.Replace || opts.Base >= 0) {
 		return errors.New("--reset goes without --base, --replace and --dry-run")
 	}
-	if p.Find != "" {
-		if _, _, err := p.FindName(); err != nil {
+	if opts.Find != "" {
+		if _, _, err := opts.FindName(); err != nil {
 			return err
 		}
 	}
-	return p.Source.validate()
+	return opts.Source.validate()
 }
 
 // FindName returns the writer and sequence given by --find.
-func (p Publish) FindName() (string, uint64, error) {
-	writer, text, _ := strings.Cut(p.Find, "/")
+func (opts Publish) FindName() (string, uint64, error) {
+	writer, text, _ := strings.Cut(opts.Find, "/")
 	sequence, err := strconv.ParseUint(text, 10, 64)
 	if err != nil || writer == "" {
-		return "", 0, errors.Errorf("--find %q is not WRITER/SEQUENCE", p.Find)
+		return "", 0, errors.Errorf("--find %q is not WRITER/SEQUENCE", opts.Find)
 	}
 	return writer, sequence, nil
 }
 
-func (m Mark) validate() error {
-	if (m.FailureDomain == "") == (m.VM == "") {
+func (opts Mark) validate() error {
+	if (opts.FailureDomain == "") == (opts.VM == "") {
 		return errors.New("give one of --failure-domain and --vm")
 	}
-	return m.Source.validate()
+	return opts.Source.validate()
 }
 
-func (s Server) validate() error {
-	if s.TimeoutMS < 1 {
+func (server Server) validate() error {
+	if server.TimeoutMS < 1 {
 		return errors.New("--timeout-ms must be at least 1")
 	}
-	return validURL("--entry", s.Entry)
+	return validURL("--entry", server.Entry)
 }
 
-func (s Submit) validate() error {
-	if s.File != "" && (s.Caller != "" || s.Key != "" || s.Route != "") {
+func (opts Submit) validate() error {
+	if opts.File != "" && (opts.Caller != "" || opts.Key != "" || opts.Route != "") {
 		return errors.New("--file goes without --caller, --key and --route")
 	}
-	if s.File == "" && (s.Caller == "" || s.Route == "") {
+	if opts.File == "" && (opts.Caller == "" || opts.Route == "") {
 		return errors.New("give --caller and --route, or --file")
 	}
-	if s.MilliCores < 0 || s.MemoryMB < 0 || s.Accelerators < 0 || s.RunMS < 0 {
+	if opts.MilliCores < 0 || opts.MemoryMB < 0 || opts.Accelerators < 0 || opts.RunMS < 0 {
 		return errors.New("sizes and --run-ms can't be negative")
 	}
-	return s.Server.validate()
+	return opts.Server.validate()
 }
 
-func (s Status) validate() error {
-	if len(s.Args.IDs) > 0 && (s.Caller != "" || s.Phase != "") {
+func (opts Status) validate() error {
+	if len(opts.Args.IDs) > 0 && (opts.Caller != "" || opts.Phase != "") {
 		return errors.New("give ids, or --caller and --phase")
 	}
-	return s.Server.validate()
+	return opts.Server.validate()
 }
 
-func (d Dump) validate() error {
-	if d.TokenFile != "" && d.Token != "" {
+func (opts Dump) validate() error {
+	if opts.TokenFile != "" && opts.Token != "" {
 		return errors.New("give one of --token and --token-file")
 	}
-	return d.Server.validate()
+	return opts.Server.validate()
 }
 
 func validURL(flag, text string) error {
