--- a/internal/entry/control/cells.go
+++ b/internal/entry/control/cells.go
@@ -37,6 +37,7 @@
 			c.options.Unfollow(job.StreamName(name))
 		}
 	}
+	c.domains.Store(new(wantedDomains(c.options.Domain, c.config, wanted)))
 }
 
 // follows reports whether this entry reads a cell: those of its own failure
--- a/internal/entry/control/config.go
+++ b/internal/entry/control/config.go
@@ -65,7 +65,8 @@
 	c.config = c.ledger.Config()
 	c.version.Store(c.config.Version)
 	c.names = cellNames(c.config)
-	c.fleet = c.fleet.withService(c.config, c.firstList(), c.options.Clock.Now())
+	now := c.options.Clock.Now()
+	c.fleet = c.fleet.withService(c.config, c.fresh(now), now)
 	c.dirty = true
 	c.followCells()
 	c.options.Log.Info().Int64("config_version", c.config.Version).Msg("configuration in force")
--- a/internal/entry/control/control.go
+++ b/internal/entry/control/control.go
@@ -57,6 +57,7 @@
 	peerTimeout     clock.Millis = 1 * clock.Second
 	fetchTimeout    clock.Millis = 5 * clock.Second
 	offerInterval   clock.Millis = 2 * clock.Second  // between two fetches of a configuration from peers
+	startGrace      clock.Millis = 20 * clock.Second // VMs found within it after the start count as warm
 	absentKept      clock.Millis = 10 * clock.Minute // how long a VM that left the list counts as leaving
 	logRetention    clock.Millis = 30 * clock.Minute // assumed of the platform's log when the options do not say
 	snapshotPatient clock.Millis = 5 * clock.Second  // per rank: lower ranks write snapshots first
@@ -125,10 +126,12 @@
 	leaving   bool
 	drainDone []chan struct{}
 
-	beat    atomic.Pointer[member.Beat]
-	version atomic.Int64
-	ready   atomic.Pointer[string] // why not ready; "" when ready
-	count   counters
+	beat      atomic.Pointer[member.Beat]
+	version   atomic.Int64
+	domains   atomic.Pointer[[]string]
+	schedules atomic.Bool
+	ready     atomic.Pointer[string] // why not ready; "" when ready
+	count     counters
 }
 
 // New returns a control thread that has heard of nothing yet.
@@ -150,6 +153,7 @@
 		Append: c.append,
 	})
 	c.setReady("no configuration yet")
+	c.domains.Store(&[]string{options.Domain})
 	c.publishBeat()
 	return c
 }
--- a/internal/entry/control/fleet.go
+++ b/internal/entry/control/fleet.go
@@ -5,6 +5,8 @@
 	"slices"
 	"strings"
 
+	"github.com/samber/lo"
+
 	"github.com/oriolepier/oriolepier/internal/base/clock"
 	"github.com/oriolepier/oriolepier/internal/config/ledger"
 	"github.com/oriolepier/oriolepier/internal/entry/member"
@@ -16,11 +18,12 @@
 type fleet struct {
 	rows   map[string]vmRow
 	readAt clock.Millis // 0: never read
+	absent bool         // some rows are of VMs that are no longer listed
 }
 
 type vmRow struct {
 	vm       inventory.VM
-	listedAt clock.Millis // newest list that named it
+	absentAt clock.Millis // first list that no longer named it; 0: listed
 	serving  clock.Millis // when it came into service; see withService
 	out      bool         // not to get new work: marked out, leaving or no longer listed
 }
@@ -29,49 +32,57 @@
 // names counts as leaving, since absence is no proof of death, and is dropped
 // after absentKept.
 func (f fleet) withList(vms []inventory.VM, now clock.Millis) fleet {
-	rows := maps.Clone(f.rows)
-	if rows == nil {
-		rows = map[string]vmRow{}
-	}
-	listed := make(map[string]bool, len(vms))
+	rows := make(map[string]vmRow, len(vms))
 	for _, vm := range vms {
-		row := rows[vm.Name]
-		row.vm, row.listedAt = vm, now
+		row := f.rows[vm.Name]
+		row.vm, row.absentAt = vm, 0
 		rows[vm.Name] = row
-		listed[vm.Name] = true
 	}
-	for name, row := range rows {
-		if listed[name] {
+	next := fleet{rows: rows, readAt: now}
+	for name, row := range f.rows {
+		if _, listed := rows[name]; listed {
 			continue
 		}
-		if now-row.listedAt > absentKept {
-			delete(rows, name)
-			continue
+		if row.absentAt == 0 {
+			row.absentAt = now
+		}
+		if now-row.absentAt <= absentKept {
+			row.vm.State = inventory.Leaving
+			rows[name] = row
+			next.absent = true
 		}
-		row.vm.State = inventory.Leaving
-		rows[name] = row
 	}
-	return fleet{rows: rows, readAt: now}
+	return next
+}
+
+// withSeen returns the fleet after a list that had not changed.
+func (f fleet) withSeen(now clock.Millis) fleet {
+	if f.absent {
+		listed := lo.PickBy(f.rows, func(_ string, row vmRow) bool { return row.absentAt == 0 })
+		return f.withList(lo.MapToSlice(listed, func(_ string, row vmRow) inventory.VM { return row.vm }), now)
+	}
+	f.readAt = now
+	return f
 }
 
 // withService returns the fleet with each VM's time of coming into service. A
-// VM that is in service when it is first seen by a new process counts as warm;
-// one that appears later or returns is ramped up from now.
-func (f fleet) withService(cfg ledger.Config, first bool, now clock.Millis) fleet {
+// VM that a new process finds in service counts as warm; one that appears later
+// or returns is ramped up from now.
+func (f fleet) withService(cfg ledger.Config, fresh bool, now clock.Millis) fleet {
 	rows := make(map[string]vmRow, len(f.rows))
 	for name, row := range f.rows {
 		known := row.serving != 0
 		wasOut := row.out
 		row.out = row.vm.State != inventory.Live || cfg.Marks.Out(row.vm.FailureDomain, name)
 		switch {
-		case !known && first && !row.out:
+		case !known && fresh && !row.out:
 			row.serving = 1
 		case !known, wasOut && !row.out:
 			row.serving = now
 		}
 		rows[name] = row
 	}
-	return fleet{rows: rows, readAt: f.readAt}
+	return fleet{rows: rows, readAt: f.readAt, absent: f.absent}
 }
 
 // vms returns all VMs in order of name.
@@ -125,3 +136,20 @@
 	}
 	return pools
 }
+
+// wantedDomains are those whose VMs an entry must know: they share a pool with
+// its own failure domain, or have a cell that it follows. Before the first
+// configuration it is its own alone.
+func wantedDomains(own string, cfg ledger.Config, cells []string) []string {
+	wanted := []string{own}
+	for _, pl := range cfg.Pools.Pools {
+		if slices.Contains(pl.FailureDomains, own) {
+			wanted = append(wanted, pl.FailureDomains...)
+		}
+	}
+	for _, cell := range cells {
+		wanted = append(wanted, domainOf(cell))
+	}
+	slices.Sort(wanted)
+	return slices.Compact(wanted)
+}
--- a/internal/entry/control/members.go
+++ b/internal/entry/control/members.go
@@ -21,18 +21,32 @@
 	if ev.FromPeer && c.fleet.readAt > 0 {
 		return
 	}
-	first := c.firstList()
-	c.fleet = c.fleet.withList(ev.VMs, ev.At)
-	c.fleet = c.fleet.withService(c.config, first, ev.At)
+	next := c.fleet.withList
+	if ev.Unchanged {
+		next = func([]inventory.VM, clock.Millis) fleet { return c.fleet.withSeen(ev.At) }
+	}
+	had := len(c.fleet.rows)
+	c.fleet = next(ev.VMs, ev.At)
+	if ev.Unchanged && len(c.fleet.rows) == had {
+		return
+	}
+	c.fleet = c.fleet.withService(c.config, c.fresh(ev.At), ev.At)
 	c.members = c.members.WithSeeds(c.fleet.entries())
 	c.dirty = true
 	c.shareWorld()
 }
 
-// firstList reports whether no VM has been put in service by this process yet.
-func (c *Control) firstList() bool {
-	return !lo.SomeBy(lo.Values(c.fleet.rows), func(row vmRow) bool { return row.serving != 0 })
-}
+// fresh reports whether this process has just started, so that the VMs that it
+// finds have been in service before.
+func (c *Control) fresh(now clock.Millis) bool { return now-c.started < startGrace }
+
+// Domains returns the failure domains whose VMs this entry must know. Any
+// goroutine may call it.
+func (c *Control) Domains() []string { return *c.domains.Load() }
+
+// Schedules reports whether this entry owns a cell, and so needs usage reports.
+// Any goroutine may call it.
+func (c *Control) Schedules() bool { return c.schedules.Load() }
 
 func (c *Control) usageRead(ev event.UsageRead) {
 	for _, cell := range c.cells {
@@ -67,12 +81,15 @@
 
 // publishBeat renews what this entry tells of itself.
 func (c *Control) publishBeat() {
+	owned := 0
 	queued := lo.SumBy(lo.Values(c.cells), func(cell *owner.Owner) int {
 		if !cell.Owns() {
 			return 0
 		}
+		owned++
 		return cell.QueueLength()
 	})
+	c.schedules.Store(owned > 0)
 	c.beat.Store(&member.Beat{
 		Name:          c.options.Name,
 		FailureDomain: c.options.Domain,
--- a/internal/entry/event/event.go
+++ b/internal/entry/event/event.go
@@ -49,9 +49,10 @@
 
 // VMsRead is the VM list, from the platform or from a peer.
 type VMsRead struct {
-	VMs      []inventory.VM
-	At       clock.Millis
-	FromPeer bool
+	VMs       []inventory.VM
+	At        clock.Millis
+	Unchanged bool // the last list still holds
+	FromPeer  bool
 }
 
 // UsageRead is the usage reports of one failure domain.
--- a/internal/entry/feed/feed.go
+++ b/internal/entry/feed/feed.go
@@ -11,6 +11,8 @@
 import (
 	"context"
 
+	"github.com/pkg/errors"
+
 	"github.com/oriolepier/oriolepier/internal/base/clock"
 	"github.com/oriolepier/oriolepier/internal/entry/event"
 	"github.com/oriolepier/oriolepier/internal/platform/inventory"
@@ -101,11 +103,12 @@
 	}
 }
 
-// VMs reads the VM list.
+// VMs reads the VM list of the failure domains that matter to this entry.
 type VMs struct {
-	List  inventory.List
-	Inbox *event.Inbox
-	Clock clock.Clock
+	List    inventory.List
+	Domains func() []string // none: all
+	Inbox   *event.Inbox
+	Clock   clock.Clock
 }
 
 // String names the reader in the supervisor's reports.
@@ -115,10 +118,11 @@
 func (v *VMs) Serve(ctx context.Context) error {
 	for ctx.Err() == nil {
 		limited, cancel := context.WithTimeout(ctx, listTimeout.Duration())
-		vms, err := v.List.Fetch(limited)
+		vms, err := v.List.Fetch(limited, v.Domains()...)
 		cancel()
-		if err == nil {
-			if err := v.Inbox.Post(ctx, event.VMsRead{VMs: vms, At: v.Clock.Now()}); err != nil {
+		read := event.VMsRead{VMs: vms, At: v.Clock.Now(), Unchanged: errors.Is(err, inventory.ErrUnchanged)}
+		if err == nil || read.Unchanged {
+			if err := v.Inbox.Post(ctx, read); err != nil {
 				return err
 			}
 		}
@@ -129,9 +133,10 @@
 	return ctx.Err()
 }
 
-// Usage reads the usage reports of one failure domain.
+// Usage reads the usage reports of one failure domain, while they are wanted.
 type Usage struct {
 	Domain string
+	Wanted func() bool
 	Usages worker.Usages
 	Inbox  *event.Inbox
 	Clock  clock.Clock
@@ -144,6 +149,12 @@
 // let old measurements fade.
 func (u *Usage) Serve(ctx context.Context) error {
 	for ctx.Err() == nil {
+		if err := u.Clock.Sleep(ctx, usagePause); err != nil {
+			return err
+		}
+		if !u.Wanted() {
+			continue
+		}
 		limited, cancel := context.WithTimeout(ctx, listTimeout.Duration())
 		usages, err := u.Usages.Fetch(limited, u.Domain)
 		cancel()
@@ -152,9 +163,6 @@
 				return err
 			}
 		}
-		if err := u.Clock.Sleep(ctx, usagePause); err != nil {
-			return err
-		}
 	}
 	return ctx.Err()
 }
--- a/internal/entry/node/wire.go
+++ b/internal/entry/node/wire.go
@@ -127,9 +127,15 @@
 	n.tree.Add(&critical{inner: n.control, fail: n.kill})
 	n.tree.Add(&part{name: "effects", serve: effects.Run})
 	n.tree.Add(&part{name: "gate", serve: n.gate.Run})
-	n.tree.Add(&feed.VMs{List: remote.NewList(entry.Platform.Inventory, client), Inbox: n.inbox, Clock: n.options.Clock})
+	n.tree.Add(&feed.VMs{
+		List:    remote.NewList(entry.Platform.Inventory, client),
+		Domains: n.control.Domains,
+		Inbox:   n.inbox,
+		Clock:   n.options.Clock,
+	})
 	n.tree.Add(&feed.Usage{
 		Domain: entry.FailureDomain,
+		Wanted: n.control.Schedules,
 		Usages: remote.NewUsages(entry.Platform.Usage, client),
 		Inbox:  n.inbox,
 		Clock:  n.options.Clock,
--- a/internal/platform/inventory/inventory.go
+++ b/internal/platform/inventory/inventory.go
@@ -3,12 +3,15 @@
 //
 // # Usage
 //
-//	vms, err := list.Fetch(ctx)
+//	vms, err := list.Fetch(ctx, "a", "b")
+//	if errors.Is(err, inventory.ErrUnchanged) { ... } // the last answer still holds
 package inventory
 
 import (
 	"context"
 
+	"github.com/pkg/errors"
+
 	"github.com/oriolepier/oriolepier/internal/base/amount"
 )
 
@@ -42,8 +45,13 @@
 	Agent         string        `cbor:"8,keyasint" json:"agent"`    // ip:port of the task agent, or of an entry's peer listener
 }
 
+// ErrUnchanged says that the list is the one that the client returned last.
+var ErrUnchanged = errors.New("list is unchanged")
+
 // List is a client of the VM list.
 type List struct {
-	// Fetch returns all VMs, in order of name.
-	Fetch func(ctx context.Context) ([]VM, error)
+	// Fetch returns the VMs of some failure domains, or of all when none is
+	// named, in order of name. A client that can tell returns ErrUnchanged in
+	// place of what it returned last for the same failure domains.
+	Fetch func(ctx context.Context, domains ...string) ([]VM, error)
 }
--- a/internal/platform/remote/remote.go
+++ b/internal/platform/remote/remote.go
@@ -32,6 +32,7 @@
 
 	"github.com/oriolepier/oriolepier/internal/base/fault"
 	"github.com/oriolepier/oriolepier/internal/platform/backend"
+	"github.com/oriolepier/oriolepier/internal/platform/inventory"
 )
 
 const (
@@ -79,6 +80,10 @@
 	body   []byte // nil for none
 	media  string // type of the body
 	answer any    // JSON target; nil to drop the answer
+
+	// etag, when not nil, holds the entity tag to compare with and takes that of
+	// the answer; an answer that has not changed is inventory.ErrUnchanged.
+	etag *string
 }
 
 // do sends one request and decodes its answer.
@@ -92,6 +97,9 @@
 	if call.media != "" {
 		request.Header.Set("Content-Type", call.media)
 	}
+	if call.etag != nil && *call.etag != "" {
+		request.Header.Set("If-None-Match", *call.etag)
+	}
 	answer, err := caller.client.Do(request)
 	if err != nil {
 		return fault.New(outcome(connected.Load()), call.step, call.peer, err)
@@ -115,6 +123,9 @@
 }
 
 func read(call call, answer *http.Response) error {
+	if call.etag != nil && answer.StatusCode == http.StatusNotModified {
+		return inventory.ErrUnchanged
+	}
 	if answer.StatusCode != http.StatusOK {
 		return refusal(call, answer)
 	}
@@ -131,6 +142,9 @@
 	if err := json.Unmarshal(data, call.answer); err != nil {
 		return fault.New(fault.Unknown, call.step, call.peer, err)
 	}
+	if call.etag != nil {
+		*call.etag = answer.Header.Get("Etag")
+	}
 	return nil
 }
 
--- a/internal/standin/fleet/fleet.go
+++ b/internal/standin/fleet/fleet.go
@@ -153,8 +153,8 @@
 
 // List returns a client that calls directly, from a failure domain or none.
 func (fleet *Fleet) List(domain string) inventory.List {
-	return inventory.List{Fetch: func(ctx context.Context) ([]inventory.VM, error) {
-		return fleet.fetchFrom(ctx, domain)
+	return inventory.List{Fetch: func(ctx context.Context, of ...string) ([]inventory.VM, error) {
+		return fleet.fetchFrom(ctx, domain, of...)
 	}}
 }
 
@@ -170,7 +170,7 @@
 	return fleet.fetchFrom(ctx, "")
 }
 
-func (fleet *Fleet) fetchFrom(ctx context.Context, domain string) ([]inventory.VM, error) {
+func (fleet *Fleet) fetchFrom(ctx context.Context, domain string, of ...string) ([]inventory.VM, error) {
 	if err := fleet.enter(ctx, domain, "list VMs"); err != nil {
 		return nil, err
 	}
@@ -178,6 +178,9 @@
 	defer fleet.mu.Unlock()
 	fleet.catchUp(fleet.options.Clock.Now() - fleet.options.LagMS)
 	vms := slices.AppendSeq(make([]inventory.VM, 0, len(fleet.seen)), maps.Values(fleet.seen))
+	if len(of) > 0 {
+		vms = slices.DeleteFunc(vms, func(vm inventory.VM) bool { return !slices.Contains(of, vm.FailureDomain) })
+	}
 	slices.SortFunc(vms, func(one, other inventory.VM) int { return cmp.Compare(one.Name, other.Name) })
 	return vms, nil
 }
--- a/internal/standin/fleet/handler.go
+++ b/internal/standin/fleet/handler.go
@@ -13,7 +13,7 @@
 
 // HandlerFrom serves clients of one failure domain, which can be cut off.
 //
-//	GET    /vms                       -> []inventory.VM
+//	GET    /vms?failure_domain=       -> []inventory.VM, with an entity tag
 //	GET    /usage?failure_domain=     -> []worker.Usage
 //	PUT    /standin/vms               inventory.VM
 //	PUT    /standin/vms/{name}/state  "live" or "leaving"
@@ -23,8 +23,8 @@
 func (fleet *Fleet) HandlerFrom(domain string) http.Handler {
 	mux := http.NewServeMux()
 	mux.HandleFunc("GET /vms", func(w http.ResponseWriter, r *http.Request) {
-		vms, err := fleet.fetchFrom(r.Context(), domain)
-		wire.Answer(w, vms, err)
+		vms, err := fleet.fetchFrom(r.Context(), domain, r.URL.Query()["failure_domain"]...)
+		wire.AnswerTagged(w, r, vms, err)
 	})
 	mux.HandleFunc("GET /usage", func(w http.ResponseWriter, r *http.Request) {
 		usages, err := fleet.usagesFrom(r.Context(), domain, r.FormValue("failure_domain"))
--- a/internal/standin/wire/wire.go
+++ b/internal/standin/wire/wire.go
@@ -10,9 +10,12 @@
 
 import (
 	"encoding/json"
+	"fmt"
 	"io"
 	"net/http"
 
+	"github.com/cespare/xxhash/v2"
+
 	"github.com/oriolepier/oriolepier/internal/base/fault"
 	"github.com/oriolepier/oriolepier/internal/base/problem"
 )
@@ -47,6 +50,24 @@
 	Abort()
 }
 
+// AnswerTagged is Answer with an entity tag: a client that names the tag of the
+// present value gets 304 and no body.
+func AnswerTagged(w http.ResponseWriter, r *http.Request, value any, err error) {
+	data, encodeErr := json.Marshal(value)
+	if err != nil || encodeErr != nil {
+		Answer(w, value, err)
+		return
+	}
+	tag := fmt.Sprintf(`"%016x"`, xxhash.Sum64(data))
+	w.Header().Set("Etag", tag)
+	if r.Header.Get("If-None-Match") == tag {
+		w.WriteHeader(http.StatusNotModified)
+		return
+	}
+	w.Header().Set("Content-Type", "application/json")
+	_, _ = w.Write(data) // the client may be gone
+}
+
 // Send answers 200 with a JSON value.
 func Send(w http.ResponseWriter, value any) {
 	w.Header().Set("Content-Type", "application/json")
