--- a/internal/batch/cell/attempt.go
+++ b/internal/batch/cell/attempt.go
@@ -68,6 +68,7 @@
 	entry.Phase = job.Running
 	entry.Attempt = body.Attempt
 	entry.VM, entry.Boot, entry.NotAfter = body.VM, body.Boot, body.NotAfter
+	entry.Begun = cell.applied
 	cell.occupy(entry)
 	cell.count.Starts++
 	return true
--- a/internal/batch/cell/job.go
+++ b/internal/batch/cell/job.go
@@ -5,32 +5,34 @@
 
 	"github.com/oriolepier/oriolepier/internal/base/clock"
 	"github.com/oriolepier/oriolepier/internal/batch/job"
+	"github.com/oriolepier/oriolepier/internal/platform/stream"
 	"github.com/oriolepier/oriolepier/internal/platform/worker"
 )
 
 // Job is a job as its cell keeps it. A guest is a job of another home cell
 // that this cell runs.
 type Job struct {
-	ID       string       `cbor:"1,keyasint" json:"id"`
-	Spec     job.Spec     `cbor:"2,keyasint" json:"spec"`
-	Phase    job.Phase    `cbor:"3,keyasint" json:"phase"`
-	Attempt  int          `cbor:"4,keyasint,omitempty" json:"attempt"` // newest one started, 0 before any
-	VM       string       `cbor:"5,keyasint,omitempty" json:"vm"`      // of the newest attempt
-	Boot     string       `cbor:"6,keyasint,omitempty" json:"boot"`
-	NotAfter worker.Time  `cbor:"7,keyasint,omitempty" json:"not_after"` // latest start of the newest attempt
-	Failures int          `cbor:"8,keyasint,omitempty" json:"failures"`
-	Evicted  int          `cbor:"9,keyasint,omitempty" json:"evicted"`
-	Resume   string       `cbor:"10,keyasint,omitempty" json:"resume"` // checkpoint for the next attempt
-	Avoid    []string     `cbor:"11,keyasint,omitempty" json:"avoid"`  // workers that failed it, newest last
-	Cancel   bool         `cbor:"12,keyasint,omitempty" json:"cancel"` // its caller wants it ended
-	Reason   string       `cbor:"13,keyasint,omitempty" json:"reason"`
-	Since    clock.Millis `cbor:"14,keyasint,omitempty" json:"since"` // cell time of submission
-	EndedAt  clock.Millis `cbor:"15,keyasint,omitempty" json:"ended_at"`
-	EndSeq   int64        `cbor:"20,keyasint,omitempty" json:"-"`      // order of ends in the cell
-	Hand     int          `cbor:"16,keyasint,omitempty" json:"hand"`   // number of the newest hand-over between cells
-	To       string       `cbor:"17,keyasint,omitempty" json:"to"`     // cell that runs it while handed
-	From     string       `cbor:"18,keyasint,omitempty" json:"from"`   // home cell of a guest
-	Result   bool         `cbor:"19,keyasint,omitempty" json:"result"` // a guest's end is not yet with its home cell
+	ID       string        `cbor:"1,keyasint" json:"id"`
+	Spec     job.Spec      `cbor:"2,keyasint" json:"spec"`
+	Phase    job.Phase     `cbor:"3,keyasint" json:"phase"`
+	Attempt  int           `cbor:"4,keyasint,omitempty" json:"attempt"` // newest one started, 0 before any
+	VM       string        `cbor:"5,keyasint,omitempty" json:"vm"`      // of the newest attempt
+	Boot     string        `cbor:"6,keyasint,omitempty" json:"boot"`
+	NotAfter worker.Time   `cbor:"7,keyasint,omitempty" json:"not_after"` // latest start of the newest attempt
+	Failures int           `cbor:"8,keyasint,omitempty" json:"failures"`
+	Evicted  int           `cbor:"9,keyasint,omitempty" json:"evicted"`
+	Resume   string        `cbor:"10,keyasint,omitempty" json:"resume"` // checkpoint for the next attempt
+	Avoid    []string      `cbor:"11,keyasint,omitempty" json:"avoid"`  // workers that failed it, newest last
+	Cancel   bool          `cbor:"12,keyasint,omitempty" json:"cancel"` // its caller wants it ended
+	Reason   string        `cbor:"13,keyasint,omitempty" json:"reason"`
+	Since    clock.Millis  `cbor:"14,keyasint,omitempty" json:"since"` // cell time of submission
+	EndedAt  clock.Millis  `cbor:"15,keyasint,omitempty" json:"ended_at"`
+	Begun    stream.Offset `cbor:"21,keyasint,omitempty" json:"begun"`  // offset of the newest start's record
+	EndSeq   int64         `cbor:"20,keyasint,omitempty" json:"-"`      // order of ends in the cell
+	Hand     int           `cbor:"16,keyasint,omitempty" json:"hand"`   // number of the newest hand-over between cells
+	To       string        `cbor:"17,keyasint,omitempty" json:"to"`     // cell that runs it while handed
+	From     string        `cbor:"18,keyasint,omitempty" json:"from"`   // home cell of a guest
+	Result   bool          `cbor:"19,keyasint,omitempty" json:"result"` // a guest's end is not yet with its home cell
 }
 
 // Active reports whether the newest attempt is not known to be over.
--- a/internal/batch/owner/renew.go
+++ b/internal/batch/owner/renew.go
@@ -4,6 +4,7 @@
 	"github.com/oriolepier/oriolepier/internal/base/clock"
 	"github.com/oriolepier/oriolepier/internal/batch/cell"
 	"github.com/oriolepier/oriolepier/internal/batch/lease"
+	"github.com/oriolepier/oriolepier/internal/platform/stream"
 	"github.com/oriolepier/oriolepier/internal/platform/worker"
 )
 
@@ -16,6 +17,9 @@
 	silentAfter clock.Millis = 10 * clock.Second
 	// silentEvery is the time between two such records of one worker.
 	silentEvery clock.Millis = 10 * clock.Second
+	// answerWait is how long an answer is waited for, should the agent's client
+	// never report a fault.
+	answerWait clock.Millis = 10 * clock.Second
 	// maxRenewals bounds one tick.
 	maxRenewals = 200
 )
@@ -24,9 +28,12 @@
 type check struct {
 	failing clock.Millis // since when no answer came; 0 when the last one did
 	told    clock.Millis // when that was last recorded
-	asking  bool         // a Look or Renew has no answer yet
+	asked   clock.Millis // when the Look or Renew without an answer was sent; 0 when none is
 }
 
+// asking reports whether an answer is still to be expected.
+func (at *check) asking(now clock.Millis) bool { return at.asked != 0 && now-at.asked < answerWait }
+
 func (owner *Owner) check(vm string) *check {
 	at := owner.checks[vm]
 	if at == nil {
@@ -56,7 +63,7 @@
 	if vm == nil || len(vm.Jobs) == 0 {
 		return 0
 	}
-	if !owner.renews(name, now) || owner.check(name).asking {
+	if !owner.renews(name, now) || owner.check(name).asking(now) {
 		return now + othersEvery
 	}
 	terms := owner.state.Terms()
@@ -80,13 +87,13 @@
 		return
 	}
 	owner.count.Renewals++
-	owner.check(name).asking = true
+	asked := owner.ask(name)
 	owner.options.Agent.Renew(address, order, func(report worker.Report, err error) {
 		if err != nil {
 			owner.count.RenewalsLost++
 			owner.renewals.Set(name, owner.now()+min(lease.RetryAfter, interval))
 		}
-		owner.answered(name, report, err)
+		owner.answered(name, asked, report, err)
 	})
 }
 
@@ -104,37 +111,51 @@
 func (owner *Owner) look(name string) {
 	at := owner.check(name)
 	address, known := owner.address(name)
-	if at.asking || !known {
+	if at.asking(owner.now()) || !known {
 		return
 	}
-	at.asking = true
+	asked := owner.ask(name)
 	owner.count.Looks++
 	owner.options.Agent.Look(address, func(report worker.Report, err error) {
 		if err == nil && !owner.readings[name].Known() {
 			owner.renewals.Set(name, owner.now())
 		}
-		owner.answered(name, report, err)
+		owner.answered(name, asked, report, err)
 	})
 }
 
+// asked is what was known when a worker was asked for its report. The report
+// is newer than that, however late it arrives.
+type asked struct {
+	at      clock.Millis
+	applied stream.Offset
+}
+
+func (owner *Owner) ask(name string) asked {
+	owner.check(name).asked = owner.now()
+	return asked{at: owner.now(), applied: owner.state.Applied()}
+}
+
 func (owner *Owner) address(name string) (string, bool) {
 	vm, known := owner.plant.machines[name]
 	return vm.Agent, known && vm.Agent != ""
 }
 
 // answered takes in the answer to a Look or Renew.
-func (owner *Owner) answered(name string, report worker.Report, err error) {
+func (owner *Owner) answered(name string, asked asked, report worker.Report, err error) {
 	now := owner.now()
 	at := owner.check(name)
-	at.asking = false
+	at.asked = 0
 	if err != nil {
 		owner.unreached(name, at, now)
 		return
 	}
 	at.failing = 0
-	owner.readings[name] = lease.Reading{Boot: report.Boot, Now: report.Now, Received: now}
+	if asked.at >= owner.readings[name].Received {
+		owner.readings[name] = lease.Reading{Boot: report.Boot, Now: report.Now, Received: now}
+	}
 	if owner.state.Untrusted() == "" {
-		owner.reported(name, report)
+		owner.reported(name, asked, report)
 	}
 	if owner.sched != nil {
 		owner.sched.reached(name, report, now)
@@ -154,7 +175,7 @@
 
 // reported turns what a worker says into records of what is over. Whoever
 // learned a fact writes it; the second record of one is void.
-func (owner *Owner) reported(name string, report worker.Report) {
+func (owner *Owner) reported(name string, asked asked, report worker.Report) {
 	listed := make(map[string]worker.Task, len(report.Tasks))
 	for _, task := range report.Tasks {
 		if task.Cell != owner.options.Cell {
@@ -172,6 +193,9 @@
 	for _, id := range sortedKeys(vm.Jobs) {
 		entry, _ := owner.state.Job(id)
 		task, found := listed[id]
+		if entry.Begun > asked.applied {
+			continue // the report may be older than the start
+		}
 		owner.compare(entry, report, task, found && task.Attempt == entry.Attempt)
 	}
 }
