--- a/internal/batch/owner/place.go
+++ b/internal/batch/owner/place.go
@@ -89,7 +89,7 @@
 		NotAfter: reading.Until(now, lease.StartAllowance), Whole: sched.placed[vm].Size,
 	}))
 	sched.commit(entry.ID, sched.wanted(entry, next))
-	sched.estimator.Started(now, vm, entry.Spec.Kind)
+	sched.estimator.Started(now, vm, entry.Spec.Kind, entry.Spec.Size)
 	sched.probed(vm)
 	if now-reading.Received > lookAgain {
 		sched.owner.look(vm)
