--- a/internal/batch/colocation/room.go
+++ b/internal/batch/colocation/room.go
@@ -12,8 +12,8 @@
 	maxVictims = 8
 	// Tasks of a cell that make way in one lag, as a part of its VMs, and a
 	// bound for small cells.
-	roomPart = 0.5
-	minRoom  = 16
+	roomPart = 0.25
+	minRoom  = 8
 )
 
 // MakeRoom returns the evictions of batch tasks that free what an urgent task
--- a/internal/batch/placement/place_test.go
+++ b/internal/batch/placement/place_test.go
@@ -126,7 +126,7 @@
 					Size:  drawAmount(t, "need", 8, 8, 1),
 					Pools: rapid.SliceOfNDistinct(pool, 1, 2, rapid.ID).Draw(t, "pools"),
 					Class: rapid.SampledFrom([]route.Class{route.Urgent, route.Batch}).Draw(t, "class"),
-					Avoid: rapid.SliceOfN(vm, 0, 4).Draw(t, "avoid"),
+					Avoid: rapid.SliceOfN(vm, 0, 8).Draw(t, "avoid"),
 				}
 				if rapid.Bool().Draw(t, "spread") {
 					need.Spread = "group"
@@ -178,3 +178,26 @@
 		twin.members[vm]++
 	}
 }
+
+// TestOneWelcomeWorker looks for the one worker among many that is neither
+// avoided nor on a used rack.
+func TestOneWelcomeWorker(t *testing.T) {
+	const count, welcome = 400, "vm-317"
+	index := placement.New(1)
+	need := placement.Need{Size: amount.Amount{MilliCores: 1}, Pools: []string{"p"}, Class: route.Batch}
+	apart := need
+	apart.Spread = "group"
+	for i := range count {
+		name := fmt.Sprint("vm-", i)
+		index.Put(placement.Worker{Name: name, Rack: name, Pool: "p", Size: amount.Amount{MilliCores: 10}})
+		if name != welcome {
+			need.Avoid = append(need.Avoid, name)
+			index.Join(apart.Spread, name)
+		}
+	}
+	for _, need := range []placement.Need{need, apart} {
+		if vm, refusal := index.Place(need); vm != welcome {
+			t.Errorf("placed on %q (%+v), want %s", vm, refusal, welcome)
+		}
+	}
+}
--- a/internal/batch/queue/queue_test.go
+++ b/internal/batch/queue/queue_test.go
@@ -72,17 +72,18 @@
 			Share:    func(team string) float64 { return twin.share[team] },
 			Patience: clock.Hour, MaxTries: 10_000,
 		})
+		size := rapid.SampledFrom([]int64{0, 8, 9, 30, 40})
 		serial := 0
 		t.Repeat(map[string]func(*rapid.T){
 			"push": func(t *rapid.T) {
-				for range rapid.IntRange(1, 10).Draw(t, "count") {
+				for range rapid.IntRange(1, 60).Draw(t, "count") {
 					serial++
 					item := queue.Item{
 						ID:    fmt.Sprint(serial),
 						Team:  rapid.SampledFrom([]string{"x", "y", "z"}).Draw(t, "team"),
 						Class: rapid.SampledFrom([]route.Class{route.Urgent, route.Batch}).Draw(t, "class"),
 						Lane:  rapid.SampledFrom([]string{"p", "q"}).Draw(t, "lane"),
-						Size:  amount.Amount{MilliCores: rapid.Int64Range(0, 40).Draw(t, "cores"), MemoryMB: rapid.Int64Range(0, 40).Draw(t, "memory")},
+						Size:  amount.Amount{MilliCores: size.Draw(t, "cores"), MemoryMB: size.Draw(t, "memory")},
 						Since: clock.Millis(rapid.IntRange(0, 20).Draw(t, "since")),
 					}
 					if err := waiting.Push(item); err != nil {
@@ -92,13 +93,15 @@
 				}
 			},
 			"remove": func(t *rapid.T) {
-				id := fmt.Sprint(rapid.IntRange(0, serial+1).Draw(t, "id"))
-				at := slices.IndexFunc(twin.items, func(item queue.Item) bool { return item.ID == id })
-				if waiting.Remove(id) != (at >= 0) {
-					t.Fatalf("remove %s: twin has it at %d", id, at)
-				}
-				if at >= 0 {
-					twin.items = slices.Delete(twin.items, at, at+1)
+				first := rapid.IntRange(0, serial+1).Draw(t, "first")
+				for id := first; id <= first+rapid.IntRange(0, 90).Draw(t, "count"); id++ {
+					at := slices.IndexFunc(twin.items, func(item queue.Item) bool { return item.ID == fmt.Sprint(id) })
+					if waiting.Remove(fmt.Sprint(id)) != (at >= 0) {
+						t.Fatalf("remove %d: twin has it at %d", id, at)
+					}
+					if at >= 0 {
+						twin.items = slices.Delete(twin.items, at, at+1)
+					}
 				}
 			},
 			"share": func(t *rapid.T) {
--- a/internal/batch/quota/quota.go
+++ b/internal/batch/quota/quota.go
@@ -64,10 +64,14 @@
 func (s *Shares) Used(team string) amount.Amount { return s.used[team] }
 
 // Share returns the largest dimension in use over its quota. A dimension
-// without quota counts as past the guarantee: 1 plus its part of the whole.
+// without quota counts as past the guarantee once used: 1 plus its part of the
+// whole. A team without any quota is past it from the start.
 func (s *Shares) Share(team string) float64 {
 	used := s.used[team]
 	quota := s.quotas[team]
+	if quota.IsZero() {
+		return 1 + used.DominantShare(s.whole)
+	}
 	return max(
 		part(used.MilliCores, quota.MilliCores, s.whole.MilliCores),
 		part(used.MemoryMB, quota.MemoryMB, s.whole.MemoryMB),
