Print the tasks as the entry answers them, and list at most so many

Cause: the tasks interface landed; submit and cancel answer with the whole status, and a list has a limit.

--- a/internal/operator/command/command_test.go
+++ b/internal/operator/command/command_test.go
@@ -198,7 +198,7 @@
 		case "odd":
 			answer(w, 502, "bad gateway")
 		default:
-			answer(w, 202, map[string]any{"id": job.ID("a.0", item.Caller, item.Key), "phase": "queued", "size": item.Size})
+			answer(w, 202, job.Status{ID: job.ID("a.0", item.Caller, item.Key), Caller: item.Caller, Key: item.Key, Phase: job.Queued})
 		}
 	})
 	mux.HandleFunc("GET /v1/tasks", func(w http.ResponseWriter, r *http.Request) {
@@ -212,7 +212,7 @@
 			problem.Write(w, problem.Problem{Status: 404, Outcome: fault.NotRun, Step: "cancel", Detail: "no such task"})
 			return
 		}
-		w.WriteHeader(202)
+		answer(w, 202, job.Status{ID: r.PathValue("id"), Phase: job.Cancelled})
 	})
 	mux.HandleFunc("GET /v1/dump", func(w http.ResponseWriter, r *http.Request) {
 		if r.Header.Get("Authorization") != "Bearer a-token-for-tests-only" {
--- a/internal/operator/command/task.go
+++ b/internal/operator/command/task.go
@@ -7,6 +7,7 @@
 	"net/http"
 	"net/url"
 	"os"
+	"strconv"
 
 	"github.com/oklog/ulid/v2"
 	"github.com/pkg/errors"
@@ -43,14 +44,13 @@
 	Tasks []task `json:"tasks"`
 }
 
-// outcome is the line that is printed of one task.
+// outcome is the line that is printed of a call that failed.
 type outcome struct {
 	ID      string        `json:"id,omitempty"`
 	Caller  string        `json:"caller,omitempty"`
 	Key     string        `json:"key,omitempty"`
-	Phase   job.Phase     `json:"phase,omitempty"`
-	Outcome fault.Outcome `json:"outcome,omitempty"` // of a call that failed
-	Detail  string        `json:"detail,omitempty"`
+	Outcome fault.Outcome `json:"outcome"`
+	Detail  string        `json:"detail"`
 }
 
 // Submits one task or those of a file.
@@ -64,14 +64,11 @@
 		return ses.fail(err)
 	}
 	return each(ctx, ses, tasks, func(ctx context.Context, item task) (any, error) {
-		var answer struct {
-			ID    string    `json:"id"`
-			Phase job.Phase `json:"phase"`
-		}
-		if err := peer.call(ctx, http.MethodPost, tasksPath, item, &answer); err != nil {
+		var status job.Status
+		if err := peer.call(ctx, http.MethodPost, tasksPath, item, &status); err != nil {
 			return failed(outcome{Caller: item.Caller, Key: item.Key}, err), err
 		}
-		return outcome{ID: answer.ID, Caller: item.Caller, Key: item.Key, Phase: answer.Phase}, nil
+		return status, nil
 	})
 }
 
@@ -143,40 +140,25 @@
 }
 
 func (ses *session) list(ctx context.Context, peer *server, opts option.Status) int {
-	query := url.Values{}
+	query := url.Values{"limit": {strconv.Itoa(opts.Limit)}}
 	if opts.Caller != "" {
 		query.Set("caller", opts.Caller)
 	}
 	if opts.Phase != "" {
 		query.Set("phase", opts.Phase)
 	}
-	var raw json.RawMessage
-	if err := peer.call(ctx, http.MethodGet, tasksPath+"?"+query.Encode(), nil, &raw); err != nil {
-		return ses.fail(err)
+	var answer struct {
+		Tasks []job.Status `json:"tasks"`
 	}
-	rows, err := listed(raw)
-	if err != nil {
+	if err := peer.call(ctx, http.MethodGet, tasksPath+"?"+query.Encode(), nil, &answer); err != nil {
 		return ses.fail(err)
 	}
-	for _, row := range rows {
+	for _, row := range answer.Tasks {
 		ses.line(row)
 	}
 	return option.ExitDone
 }
 
-// The list is an array, or an object with the member "tasks".
-func listed(raw json.RawMessage) ([]job.Status, error) {
-	var rows []job.Status
-	if err := json.Unmarshal(raw, &rows); err == nil {
-		return rows, nil
-	}
-	var wrapped struct {
-		Tasks []job.Status `json:"tasks"`
-	}
-	err := json.Unmarshal(raw, &wrapped)
-	return wrapped.Tasks, errors.Wrap(err, "decode list of tasks")
-}
-
 // Cancels tasks.
 func (ses *session) cancel(ctx context.Context) int {
 	opts := ses.opts.Cancel
@@ -185,10 +167,11 @@
 		return ses.fail(err)
 	}
 	return each(ctx, ses, opts.Args.IDs, func(ctx context.Context, id string) (any, error) {
-		if err := peer.call(ctx, http.MethodDelete, taskPath(id), nil, nil); err != nil {
+		var status job.Status
+		if err := peer.call(ctx, http.MethodDelete, taskPath(id), nil, &status); err != nil {
 			return failed(outcome{ID: id}, err), err
 		}
-		return outcome{ID: id, Detail: "cancellation accepted"}, nil
+		return status, nil
 	})
 }
 
@@ -228,11 +211,14 @@
 	for _, line := range lines {
 		ses.line(line)
 	}
-	if bad := len(lo.Compact(faults)); bad > 0 {
+	bad := len(lo.Compact(faults))
+	if bad == 0 {
+		return option.ExitDone
+	}
+	if len(items) > 1 {
 		ses.complainf("%d of %d calls failed", bad, len(items))
-		return option.ExitFailed
 	}
-	return option.ExitDone
+	return option.ExitFailed
 }
 
 func (ses *session) line(value any) {
--- a/internal/operator/option/option.go
+++ b/internal/operator/option/option.go
@@ -122,7 +122,8 @@
 type Status struct {
 	Server
 	Caller string `long:"caller" value-name:"NAME" description:"List the tasks of a caller"`
-	Phase  string `long:"phase" value-name:"PHASE" description:"List the tasks in a phase"`
+	Phase  string `long:"phase" choice:"queued" choice:"running" choice:"evicting" choice:"handed" choice:"finished" choice:"cancelled" choice:"parked" description:"List the tasks in a phase"`
+	Limit  int    `long:"limit" value-name:"N" default:"100" description:"List at most so many, up to 1000"`
 	Args   struct {
 		IDs []string `positional-arg-name:"ID"`
 	} `positional-args:"true"`
@@ -281,6 +282,9 @@
 	if len(opts.Args.IDs) > 0 && (opts.Caller != "" || opts.Phase != "") {
 		return errors.New("give ids, or --caller and --phase")
 	}
+	if opts.Limit < 1 || opts.Limit > 1000 {
+		return errors.New("--limit must be between 1 and 1000")
+	}
 	return opts.Server.validate()
 }
 
