Read each file's syntax once, and bound what is built from it by its limit

Cause: check parsed every file twice, and a limit of values for all kinds of files would have refused a full table of 43,000 routes while it let settings grow large.

Change: the number of values is bounded by the size limit of the kind of file, arrays to 200,000 elements.

--- a/internal/config/bundle/bundle.go
+++ b/internal/config/bundle/bundle.go
@@ -80,11 +80,11 @@
 	case len(findings) > 0:
 		dir.findings = append(dir.findings, findings...)
 	case doc.Member("routes") || doc.Member("teams"):
-		dir.readRoutes(file)
+		dir.readRoutes(doc)
 	case doc.Member("pools") || doc.Member("failure_domains"):
-		dir.readPools(file)
+		dir.readPools(doc)
 	default:
-		doc, entry, findings := setting.Decode(file.Name, file.Data)
+		entry, findings := setting.Decode(doc)
 		dir.findings = append(dir.findings, findings...)
 		if len(findings) == 0 {
 			dir.set.Entries = append(dir.set.Entries, entry)
@@ -93,25 +93,25 @@
 	}
 }
 
-func (dir *group) readRoutes(file File) {
+func (dir *group) readRoutes(doc *document.Document) {
 	if dir.routesFile != "" {
-		dir.second(file.Name, "table of routes", dir.routesFile)
+		dir.second(doc.File(), "table of routes", dir.routesFile)
 		return
 	}
-	dir.routesFile = file.Name
-	doc, routes, findings := table.DecodeRoutes(file.Name, file.Data)
+	dir.routesFile = doc.File()
+	routes, findings := table.DecodeRoutes(doc)
 	dir.routesDoc, dir.set.Routes = doc, &routes
 	dir.tablesBad = dir.tablesBad || len(findings) > 0
 	dir.findings = append(dir.findings, findings...)
 }
 
-func (dir *group) readPools(file File) {
+func (dir *group) readPools(doc *document.Document) {
 	if dir.poolsFile != "" {
-		dir.second(file.Name, "table of pools", dir.poolsFile)
+		dir.second(doc.File(), "table of pools", dir.poolsFile)
 		return
 	}
-	dir.poolsFile = file.Name
-	doc, pools, findings := table.DecodePools(file.Name, file.Data)
+	dir.poolsFile = doc.File()
+	pools, findings := table.DecodePools(doc)
 	dir.poolsDoc, dir.set.Pools = doc, &pools
 	dir.tablesBad = dir.tablesBad || len(findings) > 0
 	dir.findings = append(dir.findings, findings...)
--- a/internal/config/document/decode.go
+++ b/internal/config/document/decode.go
@@ -123,6 +123,10 @@
 		walk.faultf(source, path, "must be an array, not %s", describe(source))
 		return
 	}
+	if len(array.Elements) > maxElements {
+		walk.faultf(source, path, "has %d elements; the limit is %d", len(array.Elements), maxElements)
+		return
+	}
 	list := reflect.MakeSlice(target.Type(), len(array.Elements), len(array.Elements))
 	for at := range array.Elements {
 		walk.value(&array.Elements[at], list.Index(at), fmt.Sprintf("%s[%d]", path, at))
--- a/internal/config/document/document.go
+++ b/internal/config/document/document.go
@@ -26,11 +26,12 @@
 	"github.com/tailscale/hujson"
 )
 
-// Limits that keep the syntax tree of a hostile file small.
+// Limits that keep what is built from a hostile file small.
 const (
-	maxNesting  = 16        // levels of objects and arrays
-	maxValues   = 1_500_000 // values in a file; a tree takes about 160 bytes for each
-	maxFindings = 100       // faults reported of one file
+	maxNesting  = 16      // levels of objects and arrays
+	valueBytes  = 8       // of the size limit for each value; the tree takes about 100 bytes for one
+	maxElements = 200_000 // of one array, twice the largest list that is accepted
+	maxFindings = 100     // faults reported of one file
 )
 
 // Document is a parsed file. It is not safe for concurrent use.
@@ -49,7 +50,7 @@
 	if len(data) > maxBytes {
 		return doc, []Finding{{File: file, Message: fmt.Sprintf("file has %d bytes; the limit is %d", len(data), maxBytes)}}
 	}
-	if offset, problem := measure(data); problem != "" {
+	if offset, problem := measure(data, maxBytes/valueBytes); problem != "" {
 		return doc, []Finding{doc.at(offset, "", problem)}
 	}
 	root, err := hujson.Parse(data)
@@ -63,6 +64,9 @@
 // File returns the name of the file.
 func (doc *Document) File() string { return doc.file }
 
+// Size returns the length of the file in bytes.
+func (doc *Document) Size() int { return len(doc.data) }
+
 // Member reports whether the file is an object with a member of that name.
 func (doc *Document) Member(name string) bool {
 	object, ok := doc.root.Value.(*hujson.Object)
@@ -130,7 +134,7 @@
 }
 
 // Checks nesting and the number of values without building anything.
-func measure(data []byte) (offset int, problem string) {
+func measure(data []byte, maxValues int) (offset int, problem string) {
 	depth, values := 0, 1
 	for at := 0; at < len(data); at++ {
 		switch data[at] {
--- a/internal/config/setting/parse.go
+++ b/internal/config/setting/parse.go
@@ -48,23 +48,25 @@
 
 // Parse reads a settings file. It opens no other file; see Load.
 func Parse(file string, data []byte) (Entry, []table.Finding) {
-	_, entry, findings := Decode(file, data)
-	return entry, findings
+	doc, findings := document.Parse(file, data, MaxFileBytes)
+	if len(findings) > 0 {
+		return Entry{}, findings
+	}
+	return Decode(doc)
 }
 
-// Decode is Parse for those who need places in the file later.
-func Decode(file string, data []byte) (*document.Document, Entry, []table.Finding) {
+// Decode is Parse of a document whose syntax was read before.
+func Decode(doc *document.Document) (Entry, []table.Finding) {
 	var entry Entry
-	doc, findings := document.Parse(file, data, MaxFileBytes)
-	if len(findings) > 0 {
-		return doc, entry, findings
+	if doc.Size() > MaxFileBytes {
+		return entry, []table.Finding{doc.Locate(table.Finding{Message: fmt.Sprintf("file has %d bytes; the limit of settings is %d", doc.Size(), MaxFileBytes)})}
 	}
 	if findings := doc.Decode(&entry, shapes...); len(findings) > 0 {
-		return doc, entry, findings
+		return entry, findings
 	}
-	findings = lo.Map(check(entry), func(finding table.Finding, _ int) table.Finding { return doc.Locate(finding) })
+	findings := lo.Map(check(entry), func(finding table.Finding, _ int) table.Finding { return doc.Locate(finding) })
 	document.Sort(findings)
-	return doc, entry, findings
+	return entry, findings
 }
 
 // Load reads a settings file and the token file that it names. The paths in
--- a/internal/config/table/limits.go
+++ b/internal/config/table/limits.go
@@ -7,7 +7,7 @@
 
 // Limits of the tables as a whole. They bound the memory of an entry.
 const (
-	MaxFileBytes = 32 << 20 // 43,000 routes take about 12 MB as indented JSON
+	MaxFileBytes = 32 << 20 // 43,000 routes with all fields take 22 MB as indented JSON
 	maxRoutes    = 100_000
 	maxTeams     = 10_000
 	maxPools     = 1_000
--- a/internal/config/table/table.go
+++ b/internal/config/table/table.go
@@ -63,15 +63,21 @@
 // ParseRoutes reads a table of routes. The file is an object with the members
 // "routes" and "teams". Joins to pools are not checked here.
 func ParseRoutes(file string, data []byte) (route.Table, []Finding) {
-	_, table, findings := DecodeRoutes(file, data)
-	return table, findings
+	doc, findings := document.Parse(file, data, MaxFileBytes)
+	if len(findings) > 0 {
+		return route.Table{}, findings
+	}
+	return DecodeRoutes(doc)
 }
 
 // ParsePools reads a table of pools. The file is an object with the members
 // "failure_domains" and "pools".
 func ParsePools(file string, data []byte) (pool.Table, []Finding) {
-	_, table, findings := DecodePools(file, data)
-	return table, findings
+	doc, findings := document.Parse(file, data, MaxFileBytes)
+	if len(findings) > 0 {
+		return pool.Table{}, findings
+	}
+	return DecodePools(doc)
 }
 
 // Check reports every fault of the two tables together: of single rows, of
@@ -87,34 +93,25 @@
 	return locate(doc, checkJoins(routes, pools))
 }
 
-// DecodeRoutes is ParseRoutes for those who need places in the file later.
-func DecodeRoutes(file string, data []byte) (*document.Document, route.Table, []Finding) {
+// DecodeRoutes is ParseRoutes of a document whose syntax was read before.
+func DecodeRoutes(doc *document.Document) (route.Table, []Finding) {
 	var table route.Table
-	doc, findings := document.Parse(file, data, MaxFileBytes)
-	if len(findings) > 0 {
-		return doc, table, findings
+	if findings := doc.Decode(&table, routeShapes...); len(findings) > 0 {
+		return table, findings
 	}
-	findings = doc.Decode(&table, routeShapes...)
 	for at := range table.Routes {
 		table.Routes[at] = settleClass(doc, table.Routes[at], at)
 	}
-	if len(findings) > 0 {
-		return doc, table, findings
-	}
-	return doc, table, locate(doc, checkRoutes(table))
+	return table, locate(doc, checkRoutes(table))
 }
 
-// DecodePools is ParsePools for those who need places in the file later.
-func DecodePools(file string, data []byte) (*document.Document, pool.Table, []Finding) {
+// DecodePools is ParsePools of a document whose syntax was read before.
+func DecodePools(doc *document.Document) (pool.Table, []Finding) {
 	var table pool.Table
-	doc, findings := document.Parse(file, data, MaxFileBytes)
-	if len(findings) > 0 {
-		return doc, table, findings
-	}
-	if findings = doc.Decode(&table, poolShapes...); len(findings) > 0 {
-		return doc, table, findings
+	if findings := doc.Decode(&table, poolShapes...); len(findings) > 0 {
+		return table, findings
 	}
-	return doc, table, locate(doc, checkPools(table))
+	return table, locate(doc, checkPools(table))
 }
 
 // Clears the defaults that do not apply to a row's class, so that a row reads
