--- a/internal/config/ledger/change.go
+++ b/internal/config/ledger/change.go
@@ -17,8 +17,15 @@
 	Sequence uint64 `cbor:"2,keyasint" json:"sequence"`
 	Base     int64  `cbor:"3,keyasint,omitempty" json:"base"` // version that the operator looked at
 	Edits    []Edit `cbor:"4,keyasint,omitempty" json:"edits"`
+	Rules    int    `cbor:"5,keyasint,omitempty" json:"rules"` // set by Encode
 }
 
+// Rules numbers what is accepted. Readers of different releases must judge a
+// record alike, so a check that is added or relaxed gets the next number and
+// holds only for records that carry it. A reader that meets a higher number
+// than it knows judges nothing until it reads a snapshot.
+const Rules = 1
+
 // Edit is one step of a change. Exactly one member is set. Edits apply in
 // order and each must leave valid tables.
 type Edit struct {
@@ -53,6 +60,7 @@
 	if problem := shapeProblem(change); problem != "" {
 		return nil, errors.New(problem)
 	}
+	change.Rules = Rules
 	data, err := codec.Marshal(record{Change: &change})
 	if err != nil {
 		return nil, err
--- a/internal/config/ledger/state.go
+++ b/internal/config/ledger/state.go
@@ -53,6 +53,12 @@
 	if entry.Part != nil {
 		return state.withPart(rec.Offset, *entry.Part, len(rec.Data))
 	}
+	if state.complete && entry.Change.Rules > Rules {
+		state.complete = false
+		state.gap = gap{start: rec.Offset + 1}
+		state.parts = nil
+		return state, state.verdict(Unjudged, rec.Offset, *entry.Change, "it was made by a newer release")
+	}
 	if !state.complete {
 		state.gap = state.gap.with(rec.Offset, *entry.Change, len(rec.Data))
 		return state, state.verdict(Unjudged, rec.Offset, *entry.Change, "this reader has no snapshot yet")
--- a/internal/config/ledger/verdict_test.go
+++ b/internal/config/ledger/verdict_test.go
@@ -111,6 +111,39 @@
 	}
 }
 
+// A reader of an older release judges nothing that it may not understand, keeps
+// what is in force, and goes on from a snapshot of a newer one.
+func TestNewerRules(t *testing.T) {
+	pub := &publisher{t: t, state: New()}
+	for _, data := range bigTables(t, 3, 0) {
+		pub.record(data)
+	}
+	newer, old := pub.state, pub.state
+	data := pub.publish("", 0, domainMark("a", true))
+	newer, _ = newer.With(stream.Record{Offset: newer.Next(), Data: data})
+	entry, err := decode(data)
+	if err != nil {
+		t.Fatal(err)
+	}
+	entry.Change.Rules = Rules + 1
+	if data, err = codec.Marshal(entry); err != nil {
+		t.Fatal(err)
+	}
+	old, verdict := old.With(stream.Record{Offset: old.Next(), Data: data})
+	if diff := cmp.Diff([]any{Unjudged, int64(1), false}, []any{verdict.Kind, old.Version(), old.Complete()}); diff != "" {
+		t.Errorf("older release (-want +got):\n%s", diff)
+	}
+	records, err := newer.Snapshot("newer")
+	if err != nil {
+		t.Fatal(err)
+	}
+	old, _ = old.With(stream.Record{Offset: old.Next(), Data: records[0]})
+	newer, _ = newer.With(stream.Record{Offset: newer.Next(), Data: records[0]})
+	if diff := cmp.Diff([]any{newer.Hash(), true}, []any{old.Hash(), old.Complete()}); diff != "" {
+		t.Errorf("after the snapshot (-newer +older):\n%s", diff)
+	}
+}
+
 // A reader without the records takes no snapshot that would harm it.
 func TestHarmfulSnapshots(t *testing.T) {
 	pub := &publisher{t: t, state: New()}
