--- a/internal/operator/demo/entry.go
+++ b/internal/operator/demo/entry.go
@@ -57,7 +57,7 @@
 		stage.entries = append(stage.entries, &member{settings: setting.Entry{
 			Name: peer.Name, FailureDomain: peer.FailureDomain, Peers: peers, LogLevel: "error", NoticeMS: noticeTime,
 			Listen:   setting.Listen{Callers: "127.0.0.1:0", Operators: "127.0.0.1:0", Peers: peer.Address},
-			Platform: setting.Platform{Log: platform, Inventory: platform, Usage: platform},
+			Platform: setting.Platform{Log: platform, LogRetentionMS: logRetention, Inventory: platform, Usage: platform},
 		}})
 	}
 	return nil
--- a/internal/operator/demo/stage.go
+++ b/internal/operator/demo/stage.go
@@ -28,6 +28,7 @@
 	slots            = 8
 	connections      = 64
 	serviceTime      = 8 * clock.Millis(1)
+	logRetention     = 10 * clock.Minute
 	listLag          = 500 * clock.Millis(1)
 	usageLag         = 1 * clock.Second
 	usageEvery       = 500 * clock.Millis(1)
@@ -64,7 +65,7 @@
 
 func newStage(ctx context.Context, options Options) (*stage, error) {
 	site := process.NewSite(process.PlatformFlags{
-		RetentionMS: int64(10 * clock.Minute), ListLagMS: int64(listLag), UsageLagMS: int64(usageLag), OutGraceMS: int64(outGrace),
+		RetentionMS: int64(logRetention), ListLagMS: int64(listLag), UsageLagMS: int64(usageLag), OutGraceMS: int64(outGrace),
 	})
 	stage := &stage{options: options, site: site, started: site.Clock.Now()}
 	for _, domain := range append([]string{""}, domains...) {
--- a/internal/standin/process/process.go
+++ b/internal/standin/process/process.go
@@ -22,7 +22,7 @@
 	"net"
 	"net/http"
 	"strings"
-	"sync/atomic"
+	"sync"
 
 	"github.com/pkg/errors"
 	"github.com/samber/lo"
@@ -78,12 +78,21 @@
 	return listener, errors.Wrapf(err, "listen on %s", address)
 }
 
+// Observer returns an observer that tells the witness of a platform process,
+// under a name of its own, until its life ends.
+func Observer(life context.Context, platformURL, source string) witness.Observer {
+	platform := &platform{base: platformURL, source: source, clock: witness.SharedClock()}
+	return platform.observer(life)
+}
+
 // platform is a worker's connection to the platform process.
 type platform struct {
-	base     string
-	source   string
-	clock    clock.Clock
-	sequence atomic.Int64
+	base   string
+	source string
+	clock  clock.Clock
+
+	mu       sync.Mutex // held while the witness is told, so that it hears in order
+	sequence int64
 }
 
 // put sends one JSON value.
@@ -114,7 +123,10 @@
 // what the witness has not heard yet.
 func (platform *platform) observer(life context.Context) witness.Observer {
 	return func(_ context.Context, event witness.Event) {
-		event.Source, event.Sequence = platform.source, platform.sequence.Add(1)
+		platform.mu.Lock()
+		defer platform.mu.Unlock()
+		platform.sequence++
+		event.Source, event.Sequence = platform.source, platform.sequence
 		for platform.put(context.WithoutCancel(life), http.MethodPost, "/standin/witness/events", event) != nil {
 			if platform.clock.Sleep(life, retryPause) != nil {
 				return // the process ends; so does what it would tell
