--- a/internal/operator/demo/report.go
+++ b/internal/operator/demo/report.go
@@ -33,38 +33,44 @@
 	broken bool
 }
 
+// report puts together what the witness, the callers and the balancer saw.
 func (stage *stage) report() Report {
-	verdict := stage.site.Record.Verdict()
 	stage.figures.mu.Lock()
 	defer stage.figures.mu.Unlock()
-	return Report{
-		RequestsSent:          verdict.RequestsSent,
-		RequestsAnswered:      verdict.RequestsAnswered,
-		RequestsRefusedNotRun: verdict.RequestsRefusedNotRun,
-		RequestsUnknown:       verdict.RequestsUnknown,
-		RequestsWrongAnswer:   verdict.RequestsWrongAnswer,
-		RequestsRefusedButRan: verdict.RequestsRefusedButRan,
-		NotRepeatableRanTwice: verdict.NotRepeatableRanTwice,
-		LatencyP50MS:          stage.caller.Latency(50),
-		LatencyP99MS:          stage.caller.Latency(99),
-		TasksAccepted:         verdict.TasksAccepted,
-		TasksFinished:         verdict.TasksFinished,
-		TasksCancelled:        stage.figures.cancelled,
-		TasksResubmitted:      stage.figures.resubmitted,
-		TasksNotAccepted:      stage.figures.unaccepted,
-		TasksLost:             verdict.TasksOpen,
-		TasksDoubled:          doubled(verdict) + stage.figures.otherID,
-		Evictions:             verdict.Evictions,
-		LeasesLapsed:          verdict.LeasesLapsed,
-		StartsInOutDomain:     verdict.StartsInOutDomain,
-		RequestsAfterOut:      verdict.RequestsAfterOut,
-		OvercommittedVMs:      verdict.OvercommittedVMs,
-		CheckpointsMisused:    verdict.CheckpointsResumedTwice + verdict.ResumesMissed,
-		EntriesLost:           stage.lost,
-		AppendsPerSecondMost:  stage.site.Log.Stats().MostAppendsInSec,
-		ConfigVersion:         stage.lowestVersion(),
-		broken:                verdict.Broken(),
-	}
+	return newReport(stage.site.Record.Verdict(), Report{
+		LatencyP50MS:         stage.caller.Latency(50),
+		LatencyP99MS:         stage.caller.Latency(99),
+		TasksCancelled:       stage.figures.cancelled,
+		TasksResubmitted:     stage.figures.resubmitted,
+		TasksNotAccepted:     stage.figures.unaccepted,
+		TasksDoubled:         stage.figures.otherID,
+		EntriesLost:          stage.lost,
+		AppendsPerSecondMost: stage.site.Log.Stats().MostAppendsInSec,
+		ConfigVersion:        stage.lowestVersion(),
+	})
+}
+
+// newReport adds the witness's figures to a report.
+func newReport(verdict witness.Verdict, report Report) Report {
+	report.RequestsSent = verdict.RequestsSent
+	report.RequestsAnswered = verdict.RequestsAnswered
+	report.RequestsRefusedNotRun = verdict.RequestsRefusedNotRun
+	report.RequestsUnknown = verdict.RequestsUnknown
+	report.RequestsWrongAnswer = verdict.RequestsWrongAnswer
+	report.RequestsRefusedButRan = verdict.RequestsRefusedButRan
+	report.NotRepeatableRanTwice = verdict.NotRepeatableRanTwice
+	report.TasksAccepted = verdict.TasksAccepted
+	report.TasksFinished = verdict.TasksFinished
+	report.TasksLost = verdict.TasksOpen
+	report.TasksDoubled += doubled(verdict)
+	report.Evictions = verdict.Evictions
+	report.LeasesLapsed = verdict.LeasesLapsed
+	report.StartsInOutDomain = verdict.StartsInOutDomain
+	report.RequestsAfterOut = verdict.RequestsAfterOut
+	report.OvercommittedVMs = verdict.OvercommittedVMs
+	report.CheckpointsMisused = verdict.CheckpointsResumedTwice + verdict.ResumesMissed
+	report.broken = verdict.Broken()
+	return report
 }
 
 func doubled(verdict witness.Verdict) int {
