Count leaving entries in connection budgets; accept tasks during the notice time

Cause: entries that leave go on answering for the balancer's notice time, but others dropped them from the budgets at once, so that the sum of connections to a worker could pass its limit; and they refused tasks that the balancer still sent them. Change: budgets count live, suspected and leaving entries, and as the most all that are named or were heard of late. Submissions are taken until the listener closes.

--- a/internal/entry/control/members.go
+++ b/internal/entry/control/members.go
@@ -147,12 +147,11 @@
 func (c *Control) publishView(now clock.Millis) {
 	c.dirty = false
 	c.count.views.Add(1)
-	seeds := lo.CountBy(c.members.Rows(), func(row member.Member) bool { return c.members.State(row.Name, now) != member.Dead })
 	c.options.Box.Store(&view.Snapshot{
 		Version:    c.config.Version,
 		Domain:     c.options.Domain,
-		Entries:    1 + len(c.members.Live(now)),
-		SeedCount:  1 + seeds,
+		Entries:    1 + c.members.Serving(now),
+		SeedCount:  1 + len(c.members.Rows()),
 		Routes:     c.config.Routes.Routes,
 		Pools:      c.fleet.pools(c.config),
 		DomainsOut: c.config.Marks.Domains,
--- a/internal/entry/control/tasks.go
+++ b/internal/entry/control/tasks.go
@@ -105,9 +105,6 @@
 
 // completed fills in what the route decides, or says why the job is refused.
 func (c *Control) completed(spec job.Spec) (job.Spec, *problem.Problem) {
-	if c.leaving {
-		return spec, refuse(http.StatusServiceUnavailable, "admit", "this entry is shutting down", clock.Second)
-	}
 	if len(c.names) == 0 {
 		return spec, refuse(http.StatusServiceUnavailable, "admit", "no configuration yet", clock.Second)
 	}
--- a/internal/entry/member/member.go
+++ b/internal/entry/member/member.go
@@ -179,6 +179,15 @@
 	})
 }
 
+// Serving returns how many members may be sending requests: the live ones and
+// those that leave but still answer for the balancer's notice time.
+func (t Table) Serving(now clock.Millis) int {
+	return lo.CountBy(t.Rows(), func(row Member) bool {
+		state := t.State(row.Name, now)
+		return state == Live || state == Suspect || state == Leaving
+	})
+}
+
 // Newest returns the highest configuration version that a live member has
 // told of, and that member.
 func (t Table) Newest(now clock.Millis) (int64, Member) {
--- a/internal/entry/member/member_test.go
+++ b/internal/entry/member/member_test.go
@@ -57,8 +57,8 @@
 	leaving := beat("a2", "a", 1)
 	leaving.Leaving = true
 	table := New("a1", "a").WithHeard(leaving, 100)
-	if diff := cmp.Diff(0, len(table.Live(101))); diff != "" {
-		t.Error(diff)
+	if diff := cmp.Diff([]int{0, 1}, []int{len(table.Live(101)), table.Serving(101)}); diff != "" {
+		t.Errorf("live and serving (-want +got):\n%s", diff)
 	}
 	// A new life of the same VM serves again.
 	table = table.WithHeard(beat("a2", "a", 1), 200)
--- a/internal/traffic/view/view.go
+++ b/internal/traffic/view/view.go
@@ -37,8 +37,8 @@
 type Snapshot struct {
 	Version    int64  // of the configuration in force
 	Domain     string // failure domain of this entry
-	Entries    int    // entries believed live, this one included; at least 1
-	SeedCount  int    // entries that settings and the VM list name; budgets never assume fewer than half of them
+	Entries    int    // entries that may be sending requests, this one included; at least 1
+	SeedCount  int    // entries that settings and the VM list name or that were heard of late, this one included
 	Routes     []route.Route
 	Pools      map[string]Pool
 	DomainsOut map[string]bool
