--- a/internal/batch/owner/copy.go
+++ b/internal/batch/owner/copy.go
@@ -8,8 +8,8 @@
 
 const (
 	// snapshotEvery is the time between snapshots. The log keeps records for
-	// half an hour at least (docs/PLATFORM.md), so that two may fail.
-	snapshotEvery clock.Millis = 8 * clock.Minute
+	// half an hour at least (docs/PLATFORM.md), so that one may fail.
+	snapshotEvery clock.Millis = 10 * clock.Minute
 	// snapshotRecords asks for a snapshot sooner in a busy cell, to bound replay.
 	snapshotRecords stream.Offset = 50_000
 	// firstSnapshotAfter is when a new owner writes one, since it does not know
