--- a/internal/batch/colocation/decide.go
+++ b/internal/batch/colocation/decide.go
@@ -246,14 +246,23 @@
 // mayEvict reports whether the cell may evict one more task now.
 func (e *Estimator) mayEvict(now clock.Millis) bool {
 	e.evicted = slices.DeleteFunc(e.evicted, func(at clock.Millis) bool { return now-at >= e.options.Lag })
-	fresh := 0
-	for _, state := range e.vms {
-		if e.fresh(now, state) {
-			fresh++
-		}
-	}
+	fresh := e.countFresh(now)
 	if float64(fresh) < freshPart*float64(len(e.vms)) {
 		return false
 	}
 	return float64(len(e.evicted)) < max(evictPart*float64(fresh), 1)
 }
+
+// countFresh returns the VMs with fresh reports, counted anew once a second.
+func (e *Estimator) countFresh(now clock.Millis) int {
+	if now-e.counted < countEvery {
+		return e.freshVMs
+	}
+	e.counted, e.freshVMs = now, 0
+	for _, state := range e.vms {
+		if e.fresh(now, state) {
+			e.freshVMs++
+		}
+	}
+	return e.freshVMs
+}
--- a/internal/batch/colocation/estimator.go
+++ b/internal/batch/colocation/estimator.go
@@ -66,7 +66,9 @@
 	weights  map[pair]float64   // extra slowdown per processor, as a fraction
 	cores    map[string]float64 // usual processors of a task, by kind
 	vms      map[string]*machine
-	order    []string // of vms, for a turn
+	order    []string     // of vms, for a turn
+	counted  clock.Millis // when freshVMs was counted
+	freshVMs int
 	turn     int
 	norm     float64        // usual sum of squared processors by kind of a VM
 	evicted  []clock.Millis // recent evictions for relief, oldest first
@@ -122,6 +124,7 @@
 func New(options Options) *Estimator {
 	return &Estimator{
 		options: options.withDefaults(),
+		counted: never,
 		weights: map[pair]float64{},
 		cores:   map[string]float64{},
 		vms:     map[string]*machine{},
--- a/internal/batch/colocation/options.go
+++ b/internal/batch/colocation/options.go
@@ -41,6 +41,8 @@
 	evictPart = 0.05
 	// Part of a cell's VMs whose reports must be fresh before anything is evicted.
 	freshPart = 0.5
+	// Pause between counts of fresh reports, which look at every VM.
+	countEvery clock.Millis = clock.Second
 )
 
 // Options are the limits of an estimator. Zero values give the defaults.
--- a/internal/batch/placement/index.go
+++ b/internal/batch/placement/index.go
@@ -184,6 +184,25 @@
 	return held.Worker, true
 }
 
+// Room returns what a worker has free for batch and for urgent tasks; nothing
+// if it is unknown, set aside or held.
+func (x *Index) Room(vm string) (batch, urgent amount.Amount) {
+	none := amount.Amount{MilliCores: -1, MemoryMB: -1, Accelerators: -1}
+	held, known := x.workers[vm]
+	if !known {
+		return none, none
+	}
+	batch, open := held.offers(freeForBatch)
+	if !open {
+		batch = none
+	}
+	urgent, open = held.offers(freeForUrgent)
+	if !open {
+		urgent = none
+	}
+	return batch, urgent
+}
+
 // Len returns the number of workers.
 func (x *Index) Len() int { return len(x.workers) }
 
--- a/internal/batch/placement/place.go
+++ b/internal/batch/placement/place.go
@@ -1,6 +1,7 @@
 package placement
 
 import (
+	"cmp"
 	"fmt"
 	"slices"
 	"strings"
@@ -73,6 +74,9 @@
 // find returns a worker with room, or nil.
 func (x *Index) find(need Need) *entry {
 	used := x.usedRacks(need.Spread)
+	if len(used) == 0 && len(need.Avoid) == 0 {
+		return cmp.Or(x.search(need, nil, x.harmless(need, anyone)), x.heldRoom(need))
+	}
 	for _, accept := range preferences(need, used) {
 		if chosen := x.search(need, used, x.harmless(need, accept)); chosen != nil {
 			return chosen
@@ -93,11 +97,12 @@
 	}
 }
 
+func anyone(*entry) bool { return true }
+
 // preferences returns the filters of a search, strictest first.
 func preferences(need Need, used map[string]int) []func(*entry) bool {
 	welcome := func(e *entry) bool { return !slices.Contains(need.Avoid, e.Name) }
 	apart := func(e *entry) bool { return used[e.Rack] == 0 && welcome(e) }
-	anyone := func(*entry) bool { return true }
 	var filters []func(*entry) bool
 	if len(used) > 0 {
 		filters = append(filters, apart)
@@ -208,13 +213,20 @@
 		empty := &pool.forests[emptyView(need.Class)]
 		seen = seen || pool.workers > 0 || len(pool.gone) > 0
 		if empty.fits(need.Size) || pool.fitted(need) {
-			return Refusal{NoRoom, fmt.Sprintf("no worker of %s has %s free", names, text(need.Size))}
+			return Refusal{NoRoom, fmt.Sprintf("no worker of %s has %s free%s", names, text(need.Size), beside(need.Class))}
 		}
 	}
 	if !seen {
 		return Refusal{NoRoom, fmt.Sprintf("no worker of %s is known", names)}
 	}
-	return Refusal{NeverFits, fmt.Sprintf("no worker of %s could hold %s when empty", names, text(need.Size))}
+	return Refusal{NeverFits, fmt.Sprintf("no worker of %s could hold %s when empty%s", names, text(need.Size), beside(need.Class))}
+}
+
+func beside(class route.Class) string {
+	if class == route.Urgent {
+		return ""
+	}
+	return " beside its reserve"
 }
 
 // fitted reports whether a worker that is gone could have taken the task.
@@ -227,6 +239,17 @@
 	})
 }
 
+// text names the dimensions that are asked for.
 func text(a amount.Amount) string {
-	return fmt.Sprintf("%d.%03d cores, %d MB, %d accelerators", a.MilliCores/1000, a.MilliCores%1000, a.MemoryMB, a.Accelerators)
+	var parts []string
+	if a.MilliCores != 0 {
+		parts = append(parts, fmt.Sprintf("%g cores", float64(a.MilliCores)/1000))
+	}
+	if a.MemoryMB != 0 {
+		parts = append(parts, fmt.Sprintf("%d MB", a.MemoryMB))
+	}
+	if a.Accelerators != 0 {
+		parts = append(parts, fmt.Sprintf("%d accelerators", a.Accelerators))
+	}
+	return strings.Join(parts, ", ")
 }
--- a/internal/batch/placement/place_test.go
+++ b/internal/batch/placement/place_test.go
@@ -4,9 +4,11 @@
 	"fmt"
 	"maps"
 	"slices"
+	"strings"
 	"testing"
 
 	"github.com/google/go-cmp/cmp"
+	"github.com/sebdah/goldie/v2"
 	"pgregory.net/rapid"
 
 	"github.com/oriolepier/oriolepier/internal/base/amount"
@@ -201,3 +203,25 @@
 		}
 	}
 }
+
+// TestRefusals pins the reasons that operators and callers read.
+func TestRefusals(t *testing.T) {
+	index := placement.New(1)
+	index.Put(placement.Worker{
+		Name: "a", Pool: "batch", Size: amount.Amount{MilliCores: 64_000, MemoryMB: 250_000, Accelerators: 2},
+		Reserve: amount.Amount{MilliCores: 6400}, Committed: amount.Amount{MilliCores: 32_000},
+	})
+	var text strings.Builder
+	for _, need := range []placement.Need{
+		{Size: amount.Amount{MilliCores: 30_000}, Pools: []string{"batch"}, Class: route.Batch},
+		{Size: amount.Amount{MilliCores: 30_000}, Pools: []string{"batch"}, Class: route.Urgent},
+		{Size: amount.Amount{MilliCores: 60_500, MemoryMB: 512}, Pools: []string{"batch", "spare"}, Class: route.Batch},
+		{Size: amount.Amount{Accelerators: 3}, Pools: []string{"batch"}, Class: route.Urgent},
+		{Size: amount.Amount{MilliCores: 1}, Pools: []string{"spare"}, Class: route.Batch},
+		{Size: amount.Amount{MilliCores: -1}, Pools: []string{"batch"}, Class: route.Batch},
+	} {
+		vm, refusal := index.Place(need)
+		fmt.Fprintf(&text, "%s %v on %q: %s %s\n", need.Class, need.Size, vm, refusal.Kind, refusal.Reason)
+	}
+	goldie.New(t).Assert(t, "refusals", []byte(text.String()))
+}
--- a/internal/batch/placement/tree.go
+++ b/internal/batch/placement/tree.go
@@ -140,10 +140,18 @@
 
 // first returns the first node from a rank on with enough memory.
 func (n *node) first(rank int32, memory int64) *node {
-	var found *node
-	n.walk(rank, memory, func(hit *node) bool {
-		found = hit
-		return false
-	})
-	return found
+	for n != nil && rank < n.count && n.maxMemory >= memory {
+		before := n.left.size()
+		if rank < before {
+			if found := n.left.first(rank, memory); found != nil {
+				return found
+			}
+		}
+		if rank <= before && n.memory >= memory {
+			return n
+		}
+		rank = max(0, rank-before-1)
+		n = n.right
+	}
+	return nil
 }
--- a/internal/batch/queue/line.go
+++ b/internal/batch/queue/line.go
@@ -19,6 +19,8 @@
 // line is the tasks of one lane, team and size: a heap by age.
 type line struct {
 	size *sizeClass
+	team *team
+	at   int // in the team's lines
 	heap []*entry
 	live int
 }
@@ -52,6 +54,19 @@
 	}
 }
 
+// close takes an empty line out of its size and team.
+func (l *line) close() {
+	delete(l.size.lines, l.team)
+	if !l.size.refused {
+		l.team.open--
+	}
+	last := len(l.team.lines) - 1
+	l.team.lines[l.at] = l.team.lines[last]
+	l.team.lines[l.at].at = l.at
+	l.team.lines[last] = nil
+	l.team.lines = l.team.lines[:last]
+}
+
 // head returns the oldest task; the line must not be empty.
 func (l *line) head() *entry {
 	for l.heap[0].gone {
--- a/internal/batch/queue/queue.go
+++ b/internal/batch/queue/queue.go
@@ -27,12 +27,11 @@
 //	waiting := queue.New(queue.Options{Limit: 100_000, Share: shares.Share})
 //	err := waiting.Push(queue.Item{ID: id, Team: "forecast", Class: route.Batch, Size: size, Since: now})
 //	item, ok := waiting.Pick(now, func(item queue.Item) bool { return place(item) })
-//	waiting.Freed() // a worker has more room than before
+//	waiting.FreedRoom(index.Room(vm)) // a worker has more room than before
 package queue
 
 import (
-	"slices"
-	"strings"
+	"math"
 
 	"github.com/pkg/errors"
 
@@ -54,6 +53,9 @@
 	maxOverdue = 4
 )
 
+// anything fits into this.
+var anything = amount.Amount{MilliCores: math.MaxInt64, MemoryMB: math.MaxInt64, Accelerators: math.MaxInt64}
+
 // Errors of Push.
 var (
 	ErrFull  = errors.New("the queue is at its limit")
@@ -92,6 +94,8 @@
 	serial  uint64
 	fresh   clock.Millis // when refusals were last dropped
 	stale   bool         // room was freed since
+
+	standings []standing // of the teams in the running call
 }
 
 // New returns an empty queue.
@@ -153,10 +157,18 @@
 	return true
 }
 
-// Freed says that a worker has more room than before, so that refused sizes
-// are offered again.
+// Freed says that some worker has more room than before, so that all refused
+// sizes are offered again.
 func (q *Queue) Freed() { q.stale = true }
 
+// FreedRoom says how much a worker has free now, for batch and for urgent
+// tasks, after it got more: only refused sizes that fit there are offered
+// again. It saves most of the futile offers that Freed causes in a full cell.
+func (q *Queue) FreedRoom(batch, urgent amount.Amount) {
+	q.batch.forget(batch)
+	q.urgent.forget(urgent)
+}
+
 // Pick offers tasks in order until try accepts one, which leaves the queue. It
 // returns false when none was accepted within the bound of tries.
 func (q *Queue) Pick(now clock.Millis, try func(Item) bool) (Item, bool) {
@@ -178,8 +190,8 @@
 		return
 	}
 	q.stale, q.fresh = false, now
-	q.urgent.forget()
-	q.batch.forget()
+	q.urgent.forget(anything)
+	q.batch.forget(anything)
 }
 
 func (q *Queue) ranks(class route.Class) *ranks {
@@ -199,80 +211,53 @@
 
 // offer tries the tasks of one class in order.
 func (q *Queue) offer(turn *turn, ranks *ranks) *entry {
-	if !ranks.open() {
-		return nil
-	}
-	teams := q.order(ranks)
-	if chosen := offerOverdue(turn, ranks, teams); chosen != nil {
+	q.standings = ranks.standings(q.standings[:0], q.options.Share)
+	if chosen := q.offerOverdue(turn, ranks); chosen != nil {
 		return chosen
 	}
-	for _, team := range teams {
-		for turn.left > 0 {
-			head := team.oldest()
-			if head == nil {
-				break
-			}
-			if turn.offer(head, false) {
-				return head
-			}
-		}
-	}
-	return nil
-}
-
-// order returns the teams with something to offer, lowest share first.
-func (q *Queue) order(ranks *ranks) []*team {
-	type ranked struct {
-		*team
-		share float64
-	}
-	var all []ranked
-	for _, team := range ranks.teams {
-		if team.open() {
-			all = append(all, ranked{team, q.options.Share(team.name)})
+	for turn.left > 0 {
+		head := q.next()
+		if head == nil {
+			return nil
 		}
-	}
-	slices.SortFunc(all, func(a, b ranked) int {
-		if a.share != b.share {
-			if a.share < b.share {
-				return -1
-			}
-			return 1
+		if turn.offer(head, false) {
+			return head
 		}
-		return strings.Compare(a.name, b.name)
-	})
-	teams := make([]*team, len(all))
-	for i := range all {
-		teams[i] = all[i].team
 	}
-	return teams
+	return nil
 }
 
 // offerOverdue offers the next task of the sizes that wait too long.
-func offerOverdue(turn *turn, ranks *ranks, teams []*team) *entry {
+func (q *Queue) offerOverdue(turn *turn, ranks *ranks) *entry {
 	for _, size := range ranks.overdue(turn.now, turn.patience) {
 		if turn.left == 0 {
 			return nil
 		}
-		head := headOf(size, teams)
-		if head == nil {
+		first := size.first(q.standings)
+		if first == nil {
 			continue
 		}
-		if turn.offer(head, true) {
+		if head := first.head(); turn.offer(head, true) {
 			return head
 		}
 	}
 	return nil
 }
 
-// headOf returns the oldest task of a size, of the first team that has one.
-func headOf(class *sizeClass, teams []*team) *entry {
-	for _, team := range teams {
-		if line, has := team.lines[class]; has {
-			return line.head()
+// next returns the oldest task that is not refused of the team that comes
+// first, or nil.
+func (q *Queue) next() *entry {
+	var first *standing
+	for at := range q.standings {
+		standing := &q.standings[at]
+		if standing.team.open > 0 && (first == nil || standing.before(first)) {
+			first = standing
 		}
 	}
-	return nil
+	if first == nil {
+		return nil
+	}
+	return first.team.oldest()
 }
 
 // offer tries one task and remembers a refusal or a start.
--- a/internal/batch/queue/ranks.go
+++ b/internal/batch/queue/ranks.go
@@ -1,21 +1,12 @@
 package queue
 
 import (
-	"cmp"
-	"math/bits"
 	"slices"
-	"strings"
 
 	"github.com/oriolepier/oriolepier/internal/base/amount"
 	"github.com/oriolepier/oriolepier/internal/base/clock"
 )
 
-// Leading bits of a size that tell lines apart: four steps to an octave.
-const keptBits = 3
-
-// never stands for a size that was not refused since its last start.
-const never clock.Millis = -1 << 62
-
 // ranks is the waiting tasks of one class.
 type ranks struct {
 	teams map[string]*team
@@ -25,24 +16,8 @@
 // team is the lines of one team.
 type team struct {
 	name  string
-	lines map[*sizeClass]*line
-}
-
-// lane is the sizes that wait for the same workers.
-type lane struct {
-	name  string
-	sizes map[amount.Amount]*sizeClass
-	// Sizes refused since the last call of forget. None contains another.
-	refused []amount.Amount
-}
-
-// sizeClass is all tasks of a lane whose rounded sizes are equal.
-type sizeClass struct {
-	lane         *lane
-	floor        amount.Amount
-	live         int
-	refused      bool
-	refusedSince clock.Millis // first refusal after the last start, or never
+	lines []*line
+	open  int // lines whose size is not refused
 }
 
 func newRanks() *ranks {
@@ -55,62 +30,61 @@
 		lane = newLane(added.Lane)
 		r.lanes[added.Lane] = lane
 	}
-	size := lane.size(floor(added.Size))
 	owner, known := r.teams[added.Team]
 	if !known {
-		owner = &team{name: added.Team, lines: map[*sizeClass]*line{}}
+		owner = &team{name: added.Team}
 		r.teams[added.Team] = owner
 	}
-	queue, known := owner.lines[size]
-	if !known {
-		queue = &line{size: size}
-		owner.lines[size] = queue
-	}
-	queue.push(added)
-	size.live++
+	lane.size(floor(added.Size)).line(owner).push(added)
 }
 
 func (r *ranks) remove(gone *entry) {
 	line := gone.line
 	line.drop(gone)
-	line.size.live--
-	if line.live == 0 {
-		owner := r.teams[gone.Team]
-		delete(owner.lines, line.size)
-		if len(owner.lines) == 0 {
-			delete(r.teams, gone.Team)
-		}
-	}
-	if line.size.live > 0 {
+	if line.live > 0 {
 		return
 	}
+	line.close()
+	if len(line.team.lines) == 0 {
+		delete(r.teams, line.team.name)
+	}
 	lane := line.size.lane
-	delete(lane.sizes, line.size.floor)
+	if len(line.size.lines) == 0 {
+		lane.drop(line.size)
+	}
 	if len(lane.sizes) == 0 {
 		delete(r.lanes, lane.name)
 	}
 }
 
-// forget drops all refusals.
-func (r *ranks) forget() {
+// forget drops the refusals of what fits into an amount.
+func (r *ranks) forget(room amount.Amount) {
 	for _, lane := range r.lanes {
-		lane.refused = lane.refused[:0]
-		for _, size := range lane.sizes {
-			size.refused = false
-		}
+		lane.forget(room)
 	}
 }
 
-// open reports whether any size is not refused.
-func (r *ranks) open() bool {
-	for _, lane := range r.lanes {
-		for _, size := range lane.sizes {
-			if !size.refused {
-				return true
-			}
+// standing is a team's place in the order of one call.
+type standing struct {
+	team  *team
+	share float64
+}
+
+func (s *standing) before(other *standing) bool {
+	if s.share != other.share {
+		return s.share < other.share
+	}
+	return s.team.name < other.team.name
+}
+
+// standings appends the teams with something to offer, in no order.
+func (r *ranks) standings(found []standing, share func(string) float64) []standing {
+	for _, team := range r.teams {
+		if team.open > 0 {
+			found = append(found, standing{team, share(team.name)})
 		}
 	}
-	return false
+	return found
 }
 
 // overdue returns the sizes that were refused for too long and not in this
@@ -128,32 +102,14 @@
 	return found[:min(len(found), maxOverdue)]
 }
 
-func (s *sizeClass) compare(other *sizeClass) int {
-	// Of sizes refused together the larger goes first: it waits for more.
-	return cmp.Or(
-		cmp.Compare(s.refusedSince, other.refusedSince),
-		cmp.Compare(other.floor.Accelerators, s.floor.Accelerators),
-		cmp.Compare(other.floor.MilliCores, s.floor.MilliCores),
-		cmp.Compare(other.floor.MemoryMB, s.floor.MemoryMB),
-		strings.Compare(s.lane.name, other.lane.name),
-	)
-}
-
-// open reports whether any of the team's lines is not refused.
-func (t *team) open() bool {
-	for size := range t.lines {
-		if !size.refused {
-			return true
-		}
-	}
-	return false
-}
-
 // oldest returns the oldest task of the team whose size is not refused, or nil.
 func (t *team) oldest() *entry {
+	if t.open == 0 {
+		return nil
+	}
 	var oldest *entry
-	for size, line := range t.lines {
-		if size.refused {
+	for _, line := range t.lines {
+		if line.size.refused {
 			continue
 		}
 		if head := line.head(); oldest == nil || head.before(oldest) {
@@ -162,50 +118,3 @@
 	}
 	return oldest
 }
-
-func newLane(name string) *lane {
-	return &lane{name: name, sizes: map[amount.Amount]*sizeClass{}}
-}
-
-// size returns the size with a floor. A new one is refused if a smaller one is.
-func (l *lane) size(floor amount.Amount) *sizeClass {
-	found, known := l.sizes[floor]
-	if known {
-		return found
-	}
-	found = &sizeClass{lane: l, floor: floor, refusedSince: never}
-	found.refused = slices.ContainsFunc(l.refused, floor.Fits)
-	l.sizes[floor] = found
-	return found
-}
-
-// refuse remembers that a size found no room; what is no smaller will not.
-func (l *lane) refuse(refused *sizeClass, now clock.Millis) {
-	l.refused = slices.DeleteFunc(l.refused, func(kept amount.Amount) bool { return kept.Fits(refused.floor) })
-	l.refused = append(l.refused, refused.floor)
-	for _, size := range l.sizes {
-		if !size.floor.Fits(refused.floor) {
-			continue
-		}
-		size.refused = true
-		if size.refusedSince == never {
-			size.refusedSince = now
-		}
-	}
-}
-
-// floor rounds each dimension down to a quarter of an octave, so that sizes
-// that differ by less than a fifth wait in one line. Accelerators are exact.
-func floor(a amount.Amount) amount.Amount {
-	return amount.Amount{
-		MilliCores:   quarterOctave(a.MilliCores),
-		MemoryMB:     quarterOctave(a.MemoryMB),
-		Accelerators: a.Accelerators,
-	}
-}
-
-// quarterOctave keeps the three leading bits.
-func quarterOctave(v int64) int64 {
-	drop := max(bits.Len64(uint64(max(v, 0)))-keptBits, 0)
-	return v >> drop << drop
-}
--- a/internal/batch/quota/quota.go
+++ b/internal/batch/quota/quota.go
@@ -23,15 +23,21 @@
 
 // Shares counts what each team uses against its quota.
 type Shares struct {
-	whole  amount.Amount
-	quotas map[string]amount.Amount
-	used   map[string]amount.Amount
+	whole    amount.Amount
+	accounts map[string]*account
+}
+
+// account is one team's.
+type account struct {
+	quota amount.Amount
+	used  amount.Amount
+	share float64
 }
 
 // New returns counts of zero. Whole is the capacity that a dimension without
 // quota is measured against.
 func New(teams []route.Team, whole amount.Amount) *Shares {
-	shares := &Shares{used: map[string]amount.Amount{}}
+	shares := &Shares{accounts: map[string]*account{}}
 	shares.SetTeams(teams, whole)
 	return shares
 }
@@ -39,43 +45,57 @@
 // SetTeams replaces the quotas and the whole capacity; what is in use stays.
 func (s *Shares) SetTeams(teams []route.Team, whole amount.Amount) {
 	s.whole = whole
-	s.quotas = make(map[string]amount.Amount, len(teams))
+	for name, held := range s.accounts {
+		held.quota = amount.Amount{}
+		if held.used.IsZero() {
+			delete(s.accounts, name)
+		}
+	}
 	for _, team := range teams {
-		s.quotas[team.Name] = team.Quota
+		s.account(team.Name).quota = team.Quota
+	}
+	for _, held := range s.accounts {
+		held.refresh(whole)
 	}
 }
 
 // Charge counts an amount as used by a team, known or not.
 func (s *Shares) Charge(team string, a amount.Amount) {
-	s.used[team] = s.used[team].Add(a)
+	held := s.account(team)
+	held.used = held.used.Add(a)
+	held.refresh(s.whole)
 }
 
 // Refund takes back an amount that was charged.
-func (s *Shares) Refund(team string, a amount.Amount) {
-	left := s.used[team].Sub(a)
-	if left.IsZero() {
-		delete(s.used, team)
-		return
-	}
-	s.used[team] = left
-}
+func (s *Shares) Refund(team string, a amount.Amount) { s.Charge(team, amount.Amount{}.Sub(a)) }
 
 // Used returns what a team uses now.
-func (s *Shares) Used(team string) amount.Amount { return s.used[team] }
+func (s *Shares) Used(team string) amount.Amount { return s.account(team).used }
 
 // Share returns the largest dimension in use over its quota. A dimension
 // without quota counts as past the guarantee once used: 1 plus its part of the
 // whole. A team without any quota is past it from the start.
-func (s *Shares) Share(team string) float64 {
-	used := s.used[team]
-	quota := s.quotas[team]
-	if quota.IsZero() {
-		return 1 + used.DominantShare(s.whole)
+func (s *Shares) Share(team string) float64 { return s.account(team).share }
+
+func (s *Shares) account(team string) *account {
+	held, known := s.accounts[team]
+	if !known {
+		held = &account{}
+		held.refresh(s.whole)
+		s.accounts[team] = held
+	}
+	return held
+}
+
+func (a *account) refresh(whole amount.Amount) {
+	if a.quota.IsZero() {
+		a.share = 1 + a.used.DominantShare(whole)
+		return
 	}
-	return max(
-		part(used.MilliCores, quota.MilliCores, s.whole.MilliCores),
-		part(used.MemoryMB, quota.MemoryMB, s.whole.MemoryMB),
-		part(used.Accelerators, quota.Accelerators, s.whole.Accelerators),
+	a.share = max(
+		part(a.used.MilliCores, a.quota.MilliCores, whole.MilliCores),
+		part(a.used.MemoryMB, a.quota.MemoryMB, whole.MemoryMB),
+		part(a.used.Accelerators, a.quota.Accelerators, whole.Accelerators),
 	)
 }
 
