--- a/internal/config/ledger/state.go
+++ b/internal/config/ledger/state.go
@@ -34,6 +34,7 @@
 // New returns the state before the first record of the stream.
 func New() State {
 	state := State{next: 1, complete: true, index: table.NewIndex(), recent: newRecent()}
+	state.marks = mark.Set{Domains: map[string]bool{}, VMs: map[string]bool{}}
 	return state.settled()
 }
 
--- a/internal/operator/command/follow.go
+++ b/internal/operator/command/follow.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"time"
 
 	"github.com/cenkalti/backoff/v5"
 	"github.com/oklog/ulid/v2"
@@ -21,8 +22,8 @@
 	lastPause  clock.Millis = 1000
 )
 
-// Longest time that one call to the log may take before it is tried again.
-const callTimeout clock.Millis = 5000
+// Least time that one call to the log gets; a longer one is tried again.
+const callTimeout = 2 * clock.Second
 
 // follower reads the config stream and appends to it under a name of its own.
 //
@@ -60,7 +61,7 @@
 		for _, record := range page.Records {
 			follow.take(record)
 		}
-		if page.AtEnd(from) {
+		if len(page.Records) == 0 || page.AtEnd(from) {
 			return nil
 		}
 	}
@@ -166,7 +167,7 @@
 	pauses.InitialInterval = firstPause.Duration()
 	pauses.MaxInterval = lastPause.Duration()
 	value, err := backoff.Retry(ctx, func() (T, error) {
-		limited, stop := context.WithTimeout(ctx, callTimeout.Duration())
+		limited, stop := context.WithTimeout(ctx, share(ctx))
 		defer stop()
 		value, err := call(limited)
 		if err == nil {
@@ -182,3 +183,13 @@
 	}
 	return value, err
 }
+
+// Returns half of the time left, so that a slow log is waited for and a call
+// that hangs leaves time for another.
+func share(ctx context.Context) time.Duration {
+	deadline, ok := ctx.Deadline()
+	if !ok {
+		return callTimeout.Duration()
+	}
+	return max(time.Until(deadline)/2, callTimeout.Duration())
+}
