--- a/internal/config/ledger/readers_test.go
+++ b/internal/config/ledger/readers_test.go
@@ -9,7 +9,9 @@
 
 	"github.com/google/go-cmp/cmp"
 	"github.com/google/go-cmp/cmp/cmpopts"
+	"github.com/pkg/errors"
 	"github.com/samber/lo"
+	"golang.org/x/sync/errgroup"
 
 	"github.com/oriolepier/oriolepier/internal/config/mark"
 	"github.com/oriolepier/oriolepier/internal/config/pool"
@@ -160,3 +162,37 @@
 	}
 	return records
 }
+
+// Any goroutine may read a state from which another makes the next one; the
+// race detector watches.
+func TestReadWhileWriting(t *testing.T) {
+	state := New()
+	for _, data := range bigTables(t, 100, 0) {
+		state, _ = state.With(stream.Record{Offset: state.Next(), Data: data})
+	}
+	rt, _ := state.Route("r7")
+	var group errgroup.Group
+	for count := range 50 {
+		older, hash := state, state.Hash()
+		group.Go(func() error {
+			records, err := older.Snapshot("reader")
+			if err != nil {
+				return err
+			}
+			copied, err := Import(records)
+			if err == nil && (copied.Hash() != hash || older.Hash() != hash || len(older.Config().Routes.Routes) != 100) {
+				err = errors.Errorf("the state at %d changed under its reader", older.Next())
+			}
+			return err
+		})
+		rt = rt.WithDeadline(rt.DeadlineMS + 1)
+		data, err := Encode(Change{Writer: "w", Sequence: uint64(count), Base: state.Version(), Edits: []Edit{{PutRoute: &rt}}})
+		if err != nil {
+			t.Fatal(err)
+		}
+		state, _ = state.With(stream.Record{Offset: state.Next(), Data: data})
+	}
+	if err := group.Wait(); err != nil {
+		t.Error(err)
+	}
+}
