Move throttled tasks after 3 lags, evict after 2 throttles in a breach

Change: relocateLags 6 to 3, maxThrottles 3 to 2. A hold leaves a worker that was set aside or shrank.

--- a/internal/batch/colocation/options.go
+++ b/internal/batch/colocation/options.go
@@ -12,7 +12,7 @@
 	// Reports in a row that must show a breach, so that one outlier does nothing.
 	confirmReports = 2
 	// Tasks of a VM that are throttled in one breach before one is evicted.
-	maxThrottles = 3
+	maxThrottles = 2
 	// A throttled task may run freely if its VM is then expected to stay below
 	// this part of the allowed slowdown; the gap to a breach is the hysteresis.
 	loosenPart = 0.85
@@ -28,7 +28,7 @@
 	// Relief below this, as a fraction of running alone, is not worth an action.
 	minRelief = 0.02
 	// Lags for which a task stays throttled before it is moved.
-	relocateLags = 6
+	relocateLags = 3
 	// Most work that such a move may lose.
 	maxRelocateLoss clock.Millis = 5 * clock.Second
 	// VMs that are looked at for a better place.
--- a/internal/batch/placement/hold.go
+++ b/internal/batch/placement/hold.go
@@ -57,7 +57,7 @@
 		return
 	}
 	held, holding := x.holds[need.Job]
-	if holding && closest.lacks(need)+moveGain > held.worker.lacks(need) {
+	if holding && held.worker.serves(need) && closest.lacks(need)+moveGain > held.worker.lacks(need) {
 		return
 	}
 	x.hold(need, closest)
@@ -78,7 +78,7 @@
 // same worker while that can still serve. The name is empty if there is none.
 func (x *Index) Preempt(need Need) (vm string, lacking amount.Amount) {
 	held, holding := x.holds[need.Job]
-	if holding && !held.worker.SetAside {
+	if holding && held.worker.serves(need) {
 		held.asked = x.calls
 		return held.worker.Name, held.worker.missing(need)
 	}
@@ -124,6 +124,12 @@
 	return known && x.pool(held.worker.Pool) == pool
 }
 
+// serves reports whether a worker could take the task if it were empty.
+func (e *entry) serves(need Need) bool {
+	empty, _ := e.offers(emptyView(need.Class))
+	return !e.SetAside && empty.Fits(need.Size)
+}
+
 // missing returns what a worker lacks for a task, no dimension below zero.
 func (e *entry) missing(need Need) amount.Amount {
 	return need.Size.Sub(e.spare(need.Class)).Max(amount.Amount{})
--- a/internal/batch/placement/hold_test.go
+++ b/internal/batch/placement/hold_test.go
@@ -158,7 +158,11 @@
 	place(need("large", size, route.Batch, true)) // b is closer now, the hold moves
 	index.Release("a", size)
 	place(need("small", small, route.Batch, false))
-	index.Remove("b")
+	index.Put(placement.Worker{Name: "b", Pool: "p", Size: size, SetAside: true})
+	index.Commit("a", small)
+	place(need("large", size, route.Batch, true)) // back to a, as b is set aside
+	index.Release("a", small)
+	place(need("small", small, route.Batch, false))
 	place(need("large", size, route.Batch, true)) // ends the hold
 	place(need("small", small, route.Batch, false))
 	index.Commit("a", size)
@@ -171,7 +175,7 @@
 	want := []string{
 		`large "" no_room`, `small "" no_room`, `urgent "a" `,
 		`small "a" `, `large "" no_room`, `small "" no_room`,
-		`large "" no_room`, `small "a" `, `large "a" `, `small "a" `,
+		`large "" no_room`, `small "a" `, `large "" no_room`, `small "" no_room`, `large "a" `, `small "a" `,
 		`preempt "a" 2000`, `second "" no_room`, `urgent "a" `, `second "a" `,
 	}
 	if diff := cmp.Diff(want, got); diff != "" {
