--- a/internal/standin/process/endtoend_test.go
+++ b/internal/standin/process/endtoend_test.go
@@ -44,6 +44,7 @@
 // killed and another one is paused until its cell has another owner. The
 // witness in the platform process is the only judge.
 func TestSeparateProcesses(t *testing.T) {
+	t.Parallel()
 	site := newSite(t)
 	site.publish()
 	caller := load.New(load.Options{
