Fetch the VM list again only when it changed, and take it packed

Cause: the list and usage reports are the largest answers that an entry reads, and the list seldom changes. Clients send the entity tag they have; the stand-in answers 304, and packs large answers.

--- a/internal/platform/remote/log.go
+++ b/internal/platform/remote/log.go
@@ -22,7 +22,7 @@
 	return stream.Log{
 		Append: func(ctx context.Context, name string, data []byte) (stream.Offset, error) {
 			var answer Appended
-			err := caller.do(ctx, call{
+			_, err := caller.do(ctx, call{
 				step: "append", peer: name, method: http.MethodPost, url: base + url.PathEscape(name),
 				body: data, media: "application/octet-stream", answer: &answer,
 			})
--- a/internal/platform/remote/remote.go
+++ b/internal/platform/remote/remote.go
@@ -30,6 +30,8 @@
 	"sync/atomic"
 	"time"
 
+	"github.com/pkg/errors"
+
 	"github.com/oriolepier/oriolepier/internal/base/fault"
 	"github.com/oriolepier/oriolepier/internal/platform/backend"
 )
@@ -79,25 +81,35 @@
 	body   []byte // nil for none
 	media  string // type of the body
 	answer any    // JSON target; nil to drop the answer
+	known  string // entity tag of the answer had before; empty for none
 }
 
-// do sends one request and decodes its answer.
-func (caller caller) do(ctx context.Context, call call) error {
+// errNotModified says that the answer had before still holds.
+var errNotModified = errors.New("not modified")
+
+// do sends one request and decodes its answer, whose entity tag it returns.
+func (caller caller) do(ctx context.Context, call call) (tag string, err error) {
 	var connected atomic.Bool
 	trace := &httptrace.ClientTrace{GotConn: func(httptrace.GotConnInfo) { connected.Store(true) }}
 	request, err := http.NewRequestWithContext(httptrace.WithClientTrace(ctx, trace), call.method, call.url, body(call.body))
 	if err != nil {
-		return fault.New(fault.NotSent, call.step, call.peer, err)
+		return "", fault.New(fault.NotSent, call.step, call.peer, err)
 	}
 	if call.media != "" {
 		request.Header.Set("Content-Type", call.media)
 	}
+	if call.known != "" {
+		request.Header.Set("If-None-Match", call.known)
+	}
 	answer, err := caller.client.Do(request)
 	if err != nil {
-		return fault.New(outcome(connected.Load()), call.step, call.peer, err)
+		return "", fault.New(outcome(connected.Load()), call.step, call.peer, err)
 	}
 	defer func() { _ = answer.Body.Close() }()
-	return read(call, answer)
+	if call.known != "" && answer.StatusCode == http.StatusNotModified {
+		return call.known, errNotModified
+	}
+	return answer.Header.Get("ETag"), read(call, answer)
 }
 
 func body(data []byte) io.Reader {
@@ -151,12 +163,14 @@
 	if err != nil {
 		return fault.New(fault.NotSent, step, peer, err)
 	}
-	return caller.do(ctx, call{
+	_, err = caller.do(ctx, call{
 		step: step, peer: peer, method: http.MethodPost, url: url,
 		body: data, media: "application/json", answer: target,
 	})
+	return err
 }
 
 func (caller caller) get(ctx context.Context, step, peer, url string, target any) error {
-	return caller.do(ctx, call{step: step, peer: peer, method: http.MethodGet, url: url, answer: target})
+	_, err := caller.do(ctx, call{step: step, peer: peer, method: http.MethodGet, url: url, answer: target})
+	return err
 }
--- a/internal/platform/remote/remote_test.go
+++ b/internal/platform/remote/remote_test.go
@@ -3,7 +3,9 @@
 import (
 	"bufio"
 	"context"
+	"fmt"
 	"io"
+	"maps"
 	"net"
 	"net/http"
 	"net/http/httptest"
@@ -90,6 +92,38 @@
 	wantSame(t, []worker.Usage{usage}, usages)
 }
 
+// A list that has not changed is not sent again; one that has, is.
+func TestUnchangedListIsNotSentAgain(t *testing.T) {
+	list := fleet.New(fleet.Options{Clock: clock.NewFake(clock.Hour).Clock()})
+	var want []inventory.VM
+	for number := range 200 {
+		want = append(want, inventory.VM{Name: fmt.Sprintf("a%03d", number), FailureDomain: "a", State: inventory.Live})
+		list.Put(want[number])
+	}
+	var statuses []int
+	handler := list.Handler()
+	url := server(t, http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		recorder := httptest.NewRecorder()
+		handler.ServeHTTP(recorder, r)
+		statuses = append(statuses, recorder.Code)
+		maps.Copy(w.Header(), recorder.Header())
+		w.WriteHeader(recorder.Code)
+		_, _ = w.Write(recorder.Body.Bytes())
+	})).URL
+	client := remote.NewList(url, nil)
+	for round := range 4 {
+		if round == 2 {
+			list.SetState("a007", inventory.Leaving)
+			want[7].State = inventory.Leaving
+		}
+		vms, err := client.Fetch(t.Context())
+		check(t, err)
+		wantSame(t, want, vms)
+		vms[0].Name = "changed by the caller"
+	}
+	wantSame(t, []int{200, 304, 200, 304}, statuses)
+}
+
 func TestAgentOverHTTP(t *testing.T) {
 	vm := machine.New(machine.Options{VM: inventory.VM{Name: "a1"}, Clock: clock.NewFake(clock.Hour).Clock()})
 	address := strings.TrimPrefix(server(t, vm.AgentHandler()).URL, "http://")
--- a/internal/standin/fleet/handler.go
+++ b/internal/standin/fleet/handler.go
@@ -24,11 +24,11 @@
 	mux := http.NewServeMux()
 	mux.HandleFunc("GET /vms", func(w http.ResponseWriter, r *http.Request) {
 		vms, err := fleet.fetchFrom(r.Context(), domain)
-		wire.Answer(w, vms, err)
+		answerLarge(w, r, vms, err)
 	})
 	mux.HandleFunc("GET /usage", func(w http.ResponseWriter, r *http.Request) {
 		usages, err := fleet.usagesFrom(r.Context(), domain, r.FormValue("failure_domain"))
-		wire.Answer(w, usages, err)
+		answerLarge(w, r, usages, err)
 	})
 	fleet.handleChanges(mux)
 	return mux
@@ -67,6 +67,14 @@
 	})
 }
 
+func answerLarge(w http.ResponseWriter, r *http.Request, value any, err error) {
+	if err != nil {
+		wire.Answer(w, nil, err)
+		return
+	}
+	wire.SendLarge(w, r, value)
+}
+
 func found(w http.ResponseWriter, yes bool) {
 	if !yes {
 		wire.Refuse(w, http.StatusNotFound, "find VM", "no VM of that name")
