--- a/internal/config/document/document.go
+++ b/internal/config/document/document.go
@@ -26,11 +26,12 @@
 	"github.com/tailscale/hujson"
 )
 
-// Limits that keep the syntax tree of a hostile file small.
+// Limits that keep what is built from a hostile file small.
 const (
-	maxNesting  = 16        // levels of objects and arrays
-	maxValues   = 1_500_000 // values in a file; a tree takes about 160 bytes for each
-	maxFindings = 100       // faults reported of one file
+	maxNesting  = 16      // levels of objects and arrays
+	valueBytes  = 8       // of the size limit for each value; the tree takes about 100 bytes for one
+	maxElements = 200_000 // of one array, twice the largest list that is accepted
+	maxFindings = 100     // faults reported of one file
 )
 
 // Document is a parsed file. It is not safe for concurrent use.
@@ -49,7 +50,7 @@
 	if len(data) > maxBytes {
 		return doc, []Finding{{File: file, Message: fmt.Sprintf("file has %d bytes; the limit is %d", len(data), maxBytes)}}
 	}
-	if offset, problem := measure(data); problem != "" {
+	if offset, problem := measure(data, maxBytes/valueBytes); problem != "" {
 		return doc, []Finding{doc.at(offset, "", problem)}
 	}
 	root, err := hujson.Parse(data)
@@ -61,11 +62,14 @@
 }
 
 // File returns the name of the file.
-func (d *Document) File() string { return d.file }
+func (doc *Document) File() string { return doc.file }
+
+// Size returns the length of the file in bytes.
+func (doc *Document) Size() int { return len(doc.data) }
 
 // Member reports whether the file is an object with a member of that name.
-func (d *Document) Member(name string) bool {
-	object, ok := d.root.Value.(*hujson.Object)
+func (doc *Document) Member(name string) bool {
+	object, ok := doc.root.Value.(*hujson.Object)
 	if !ok {
 		return false
 	}
@@ -79,19 +83,19 @@
 
 // Locate fills in the place of a finding from its field. A field that the file
 // does not have gets the place of the nearest one that encloses it.
-func (d *Document) Locate(finding Finding) Finding {
+func (doc *Document) Locate(finding Finding) Finding {
 	path := finding.Field
 	for {
-		if offset, ok := d.places[path]; ok {
-			return d.at(offset, finding.Field, finding.Message)
+		if offset, ok := doc.places[path]; ok {
+			return doc.at(offset, finding.Field, finding.Message)
 		}
 		path = parent(path)
 	}
 }
 
 // Has reports whether the file gave a value for the field.
-func (d *Document) Has(field string) bool {
-	_, ok := d.places[field]
+func (doc *Document) Has(field string) bool {
+	_, ok := doc.places[field]
 	return ok
 }
 
@@ -100,10 +104,10 @@
 	return path[:max(at, 0)]
 }
 
-func (d *Document) at(offset int, field, message string) Finding {
-	before := d.data[:min(offset, len(d.data))]
+func (doc *Document) at(offset int, field, message string) Finding {
+	before := doc.data[:min(offset, len(doc.data))]
 	return Finding{
-		File:    d.file,
+		File:    doc.file,
 		Line:    1 + bytes.Count(before, []byte("\n")),
 		Column:  len(before) - bytes.LastIndexByte(before, '\n'),
 		Field:   field,
@@ -112,9 +116,9 @@
 }
 
 // The library's message reads "hujson: line 3, column 9: what is wrong".
-func (d *Document) syntax(err error) Finding {
+func (doc *Document) syntax(err error) Finding {
 	text := strings.TrimPrefix(err.Error(), "hujson: ")
-	finding := Finding{File: d.file, Line: 1, Column: 1, Message: "not JSON with comments: " + text}
+	finding := Finding{File: doc.file, Line: 1, Column: 1, Message: "not JSON with comments: " + text}
 	place, message, ok := strings.Cut(text, ": ")
 	if !ok {
 		return finding
@@ -130,7 +134,7 @@
 }
 
 // Checks nesting and the number of values without building anything.
-func measure(data []byte) (offset int, problem string) {
+func measure(data []byte, maxValues int) (offset int, problem string) {
 	depth, values := 0, 1
 	for at := 0; at < len(data); at++ {
 		switch data[at] {
--- a/internal/operator/command/task.go
+++ b/internal/operator/command/task.go
@@ -7,6 +7,7 @@
 	"net/http"
 	"net/url"
 	"os"
+	"strconv"
 
 	"github.com/oklog/ulid/v2"
 	"github.com/pkg/errors"
@@ -43,42 +44,38 @@
 	Tasks []task `json:"tasks"`
 }
 
-// outcome is the line that is printed of one task.
+// outcome is the line that is printed of a call that failed.
 type outcome struct {
 	ID      string        `json:"id,omitempty"`
 	Caller  string        `json:"caller,omitempty"`
 	Key     string        `json:"key,omitempty"`
-	Phase   job.Phase     `json:"phase,omitempty"`
-	Outcome fault.Outcome `json:"outcome,omitempty"` // of a call that failed
-	Detail  string        `json:"detail,omitempty"`
+	Outcome fault.Outcome `json:"outcome"`
+	Detail  string        `json:"detail"`
 }
 
 // Submits one task or those of a file.
-func (s *session) submit(ctx context.Context) int {
-	tasks, err := s.tasks()
+func (ses *session) submit(ctx context.Context) int {
+	tasks, err := ses.tasks()
 	if err != nil {
-		return s.fail(err)
+		return ses.fail(err)
 	}
-	peer, err := newServer(s.opts.Submit.Server)
+	peer, err := newServer(ses.opts.Submit.Server)
 	if err != nil {
-		return s.fail(err)
+		return ses.fail(err)
 	}
-	return each(ctx, s, tasks, func(ctx context.Context, item task) (any, error) {
-		var answer struct {
-			ID    string    `json:"id"`
-			Phase job.Phase `json:"phase"`
-		}
-		if err := peer.call(ctx, http.MethodPost, tasksPath, item, &answer); err != nil {
+	return each(ctx, ses, tasks, func(ctx context.Context, item task) (any, error) {
+		var status job.Status
+		if err := peer.call(ctx, http.MethodPost, tasksPath, item, &status); err != nil {
 			return failed(outcome{Caller: item.Caller, Key: item.Key}, err), err
 		}
-		return outcome{ID: answer.ID, Caller: item.Caller, Key: item.Key, Phase: answer.Phase}, nil
+		return status, nil
 	})
 }
 
-func (s *session) tasks() ([]task, error) {
-	opts := s.opts.Submit
+func (ses *session) tasks() ([]task, error) {
+	opts := ses.opts.Submit
 	if opts.File != "" {
-		return s.tasksOf(opts.File)
+		return ses.tasksOf(opts.File)
 	}
 	item := task{
 		Caller: opts.Caller, Key: opts.Key, Route: opts.Route, Kind: opts.Kind, Payload: opts.Payload, RunMS: opts.RunMS,
@@ -87,12 +84,12 @@
 	if item.Key == "" {
 		item.Key = ulid.Make().String()
 		// Printed before the call: whoever stops waiting needs it to ask again.
-		s.complainf("key %s", item.Key)
+		ses.complainf("key %s", item.Key)
 	}
 	return []task{item}, nil
 }
 
-func (s *session) tasksOf(name string) ([]task, error) {
+func (ses *session) tasksOf(name string) ([]task, error) {
 	data, err := os.ReadFile(name)
 	if err != nil {
 		return nil, errors.Wrap(err, "read tasks")
@@ -115,7 +112,7 @@
 		seen[pair] = true
 	}
 	for _, finding := range findings {
-		s.complainf("%s", finding)
+		ses.complainf("%s", finding)
 	}
 	if len(findings) > 0 {
 		return nil, errors.New("nothing was submitted")
@@ -124,16 +121,16 @@
 }
 
 // Prints tasks by id, or lists them.
-func (s *session) status(ctx context.Context) int {
-	opts := s.opts.Status
+func (ses *session) status(ctx context.Context) int {
+	opts := ses.opts.Status
 	peer, err := newServer(opts.Server)
 	if err != nil {
-		return s.fail(err)
+		return ses.fail(err)
 	}
 	if len(opts.Args.IDs) == 0 {
-		return s.list(ctx, peer, opts)
+		return ses.list(ctx, peer, opts)
 	}
-	return each(ctx, s, opts.Args.IDs, func(ctx context.Context, id string) (any, error) {
+	return each(ctx, ses, opts.Args.IDs, func(ctx context.Context, id string) (any, error) {
 		var status job.Status
 		if err := peer.call(ctx, http.MethodGet, taskPath(id), nil, &status); err != nil {
 			return failed(outcome{ID: id}, err), err
@@ -142,53 +139,39 @@
 	})
 }
 
-func (s *session) list(ctx context.Context, peer *server, opts option.Status) int {
-	query := url.Values{}
+func (ses *session) list(ctx context.Context, peer *server, opts option.Status) int {
+	query := url.Values{"limit": {strconv.Itoa(opts.Limit)}}
 	if opts.Caller != "" {
 		query.Set("caller", opts.Caller)
 	}
 	if opts.Phase != "" {
 		query.Set("phase", opts.Phase)
 	}
-	var raw json.RawMessage
-	if err := peer.call(ctx, http.MethodGet, tasksPath+"?"+query.Encode(), nil, &raw); err != nil {
-		return s.fail(err)
+	var answer struct {
+		Tasks []job.Status `json:"tasks"`
 	}
-	rows, err := listed(raw)
-	if err != nil {
-		return s.fail(err)
+	if err := peer.call(ctx, http.MethodGet, tasksPath+"?"+query.Encode(), nil, &answer); err != nil {
+		return ses.fail(err)
 	}
-	for _, row := range rows {
-		s.line(row)
+	for _, row := range answer.Tasks {
+		ses.line(row)
 	}
 	return option.ExitDone
 }
 
-// The list is an array, or an object with the member "tasks".
-func listed(raw json.RawMessage) ([]job.Status, error) {
-	var rows []job.Status
-	if err := json.Unmarshal(raw, &rows); err == nil {
-		return rows, nil
-	}
-	var wrapped struct {
-		Tasks []job.Status `json:"tasks"`
-	}
-	err := json.Unmarshal(raw, &wrapped)
-	return wrapped.Tasks, errors.Wrap(err, "decode list of tasks")
-}
-
 // Cancels tasks.
-func (s *session) cancel(ctx context.Context) int {
-	opts := s.opts.Cancel
+func (ses *session) cancel(ctx context.Context) int {
+	opts := ses.opts.Cancel
 	peer, err := newServer(opts.Server)
 	if err != nil {
-		return s.fail(err)
+		return ses.fail(err)
 	}
-	return each(ctx, s, opts.Args.IDs, func(ctx context.Context, id string) (any, error) {
-		if err := peer.call(ctx, http.MethodDelete, taskPath(id), nil, nil); err != nil {
+	return each(ctx, ses, opts.Args.IDs, func(ctx context.Context, id string) (any, error) {
+		var status job.Status
+		if err := peer.call(ctx, http.MethodDelete, taskPath(id), nil, &status); err != nil {
 			return failed(outcome{ID: id}, err), err
 		}
-		return outcome{ID: id, Detail: "cancellation accepted"}, nil
+		return status, nil
 	})
 }
 
@@ -228,18 +211,21 @@
 	for _, line := range lines {
 		ses.line(line)
 	}
-	if bad := len(lo.Compact(faults)); bad > 0 {
+	bad := len(lo.Compact(faults))
+	if bad == 0 {
+		return option.ExitDone
+	}
+	if len(items) > 1 {
 		ses.complainf("%d of %d calls failed", bad, len(items))
-		return option.ExitFailed
 	}
-	return option.ExitDone
+	return option.ExitFailed
 }
 
-func (s *session) line(value any) {
+func (ses *session) line(value any) {
 	data, err := json.Marshal(value)
 	if err != nil {
-		s.complainf("print: %s", err)
+		ses.complainf("print: %s", err)
 		return
 	}
-	s.sayf("%s", data)
+	ses.sayf("%s", data)
 }
--- a/internal/platform/remote/list.go
+++ b/internal/platform/remote/list.go
@@ -4,43 +4,46 @@
 	"context"
 	"net/http"
 	"net/url"
-	"slices"
 	"strings"
 	"sync"
 
-	"github.com/pkg/errors"
-
 	"github.com/oriolepier/oriolepier/internal/platform/inventory"
 	"github.com/oriolepier/oriolepier/internal/platform/worker"
 )
 
-// listing is the list as it was last fetched. The list is long and changes
-// seldom, so that most fetches need only hear that it is still the same.
-type listing struct {
-	mu  sync.Mutex
-	tag string // entity tag; empty when the platform gives none
-	vms []inventory.VM
+// NewList returns a client of the VM list at a base URL. It asks with the
+// entity tag of its last answer, so that a list at rest costs a few bytes.
+func NewList(baseURL string, client *http.Client) inventory.List {
+	list := &list{caller: newCaller(client), address: strings.TrimSuffix(baseURL, "/") + "/vms"}
+	return inventory.List{Fetch: list.fetch}
 }
 
-// NewList returns a client of the VM list at a base URL.
-func NewList(baseURL string, client *http.Client) inventory.List {
-	caller := newCaller(client)
-	address := strings.TrimSuffix(baseURL, "/") + "/vms"
-	last := &listing{}
-	return inventory.List{Fetch: func(ctx context.Context) ([]inventory.VM, error) {
-		last.mu.Lock()
-		defer last.mu.Unlock()
-		var vms []inventory.VM
-		tag, err := caller.do(ctx, call{step: "list VMs", method: http.MethodGet, url: address, answer: &vms, known: last.tag})
-		if errors.Is(err, errNotModified) {
-			return slices.Clone(last.vms), nil
-		}
-		if err != nil {
-			return nil, err
-		}
-		last.tag, last.vms = tag, vms
-		return slices.Clone(vms), nil
-	}}
+type list struct {
+	caller  caller
+	address string
+
+	mu   sync.Mutex
+	url  string // of the last answer
+	etag string // of the last answer
+}
+
+func (list *list) fetch(ctx context.Context, domains ...string) ([]inventory.VM, error) {
+	list.mu.Lock()
+	defer list.mu.Unlock()
+	address := list.address
+	if len(domains) > 0 {
+		address += "?" + url.Values{"failure_domain": domains}.Encode()
+	}
+	var vms []inventory.VM
+	ask := call{step: "list VMs", method: http.MethodGet, url: address, answer: &vms, etag: new(string)}
+	if address == list.url {
+		*ask.etag = list.etag
+	}
+	if err := list.caller.do(ctx, ask); err != nil {
+		return nil, err
+	}
+	list.url, list.etag = address, *ask.etag
+	return vms, nil
 }
 
 // NewUsages returns a client of the usage reports at a base URL.
--- a/internal/platform/remote/remote.go
+++ b/internal/platform/remote/remote.go
@@ -30,10 +30,9 @@
 	"sync/atomic"
 	"time"
 
-	"github.com/pkg/errors"
-
 	"github.com/oriolepier/oriolepier/internal/base/fault"
 	"github.com/oriolepier/oriolepier/internal/platform/backend"
+	"github.com/oriolepier/oriolepier/internal/platform/inventory"
 )
 
 const (
@@ -81,35 +80,32 @@
 	body   []byte // nil for none
 	media  string // type of the body
 	answer any    // JSON target; nil to drop the answer
-	known  string // entity tag of the answer had before; empty for none
-}
 
-// errNotModified says that the answer had before still holds.
-var errNotModified = errors.New("not modified")
+	// etag, when not nil, holds the entity tag to compare with and takes that of
+	// the answer; an answer that has not changed is inventory.ErrUnchanged.
+	etag *string
+}
 
-// do sends one request and decodes its answer, whose entity tag it returns.
-func (caller caller) do(ctx context.Context, call call) (tag string, err error) {
+// do sends one request and decodes its answer.
+func (caller caller) do(ctx context.Context, call call) error {
 	var connected atomic.Bool
 	trace := &httptrace.ClientTrace{GotConn: func(httptrace.GotConnInfo) { connected.Store(true) }}
 	request, err := http.NewRequestWithContext(httptrace.WithClientTrace(ctx, trace), call.method, call.url, body(call.body))
 	if err != nil {
-		return "", fault.New(fault.NotSent, call.step, call.peer, err)
+		return fault.New(fault.NotSent, call.step, call.peer, err)
 	}
 	if call.media != "" {
 		request.Header.Set("Content-Type", call.media)
 	}
-	if call.known != "" {
-		request.Header.Set("If-None-Match", call.known)
+	if call.etag != nil && *call.etag != "" {
+		request.Header.Set("If-None-Match", *call.etag)
 	}
 	answer, err := caller.client.Do(request)
 	if err != nil {
-		return "", fault.New(outcome(connected.Load()), call.step, call.peer, err)
+		return fault.New(outcome(connected.Load()), call.step, call.peer, err)
 	}
 	defer func() { _ = answer.Body.Close() }()
-	if call.known != "" && answer.StatusCode == http.StatusNotModified {
-		return call.known, errNotModified
-	}
-	return answer.Header.Get("ETag"), read(call, answer)
+	return read(call, answer)
 }
 
 func body(data []byte) io.Reader {
@@ -127,6 +123,9 @@
 }
 
 func read(call call, answer *http.Response) error {
+	if call.etag != nil && answer.StatusCode == http.StatusNotModified {
+		return inventory.ErrUnchanged
+	}
 	if answer.StatusCode != http.StatusOK {
 		return refusal(call, answer)
 	}
@@ -143,6 +142,9 @@
 	if err := json.Unmarshal(data, call.answer); err != nil {
 		return fault.New(fault.Unknown, call.step, call.peer, err)
 	}
+	if call.etag != nil {
+		*call.etag = answer.Header.Get("Etag")
+	}
 	return nil
 }
 
@@ -163,14 +165,12 @@
 	if err != nil {
 		return fault.New(fault.NotSent, step, peer, err)
 	}
-	_, err = caller.do(ctx, call{
+	return caller.do(ctx, call{
 		step: step, peer: peer, method: http.MethodPost, url: url,
 		body: data, media: "application/json", answer: target,
 	})
-	return err
 }
 
 func (caller caller) get(ctx context.Context, step, peer, url string, target any) error {
-	_, err := caller.do(ctx, call{step: step, peer: peer, method: http.MethodGet, url: url, answer: target})
-	return err
+	return caller.do(ctx, call{step: step, peer: peer, method: http.MethodGet, url: url, answer: target})
 }
--- a/internal/standin/wire/wire.go
+++ b/internal/standin/wire/wire.go
@@ -9,12 +9,10 @@
 package wire
 
 import (
-	"compress/gzip"
 	"encoding/json"
+	"fmt"
 	"io"
 	"net/http"
-	"strconv"
-	"strings"
 
 	"github.com/cespare/xxhash/v2"
 
@@ -25,9 +23,6 @@
 // Bounds the body of a JSON request.
 const maxBodyBytes = 8 << 20
 
-// Smaller answers gain nothing by being packed.
-const packFromBytes = 2 << 10
-
 // Decode reads a JSON body into target; false means that it has answered.
 func Decode(w http.ResponseWriter, r *http.Request, target any) bool {
 	data, err := io.ReadAll(http.MaxBytesReader(w, r.Body, maxBodyBytes))
@@ -55,35 +50,28 @@
 	Abort()
 }
 
-// Send answers 200 with a JSON value.
-func Send(w http.ResponseWriter, value any) {
-	w.Header().Set("Content-Type", "application/json")
-	_ = json.NewEncoder(w).Encode(value) // the client may be gone
-}
-
-// SendLarge answers like Send, packed if the client takes that, or with 304 if
-// the client has this very value already.
-func SendLarge(w http.ResponseWriter, r *http.Request, value any) {
-	data, err := json.Marshal(value)
-	if err != nil {
-		Abort()
+// AnswerTagged is Answer with an entity tag: a client that names the tag of the
+// present value gets 304 and no body.
+func AnswerTagged(w http.ResponseWriter, r *http.Request, value any, err error) {
+	data, encodeErr := json.Marshal(value)
+	if err != nil || encodeErr != nil {
+		Answer(w, value, err)
+		return
 	}
-	tag := `"` + strconv.FormatUint(xxhash.Sum64(data), 16) + `"`
-	header := w.Header()
-	header.Set("ETag", tag)
+	tag := fmt.Sprintf(`"%016x"`, xxhash.Sum64(data))
+	w.Header().Set("Etag", tag)
 	if r.Header.Get("If-None-Match") == tag {
 		w.WriteHeader(http.StatusNotModified)
 		return
 	}
-	header.Set("Content-Type", "application/json")
-	if len(data) < packFromBytes || !strings.Contains(r.Header.Get("Accept-Encoding"), "gzip") {
-		_, _ = w.Write(data) // the client may be gone
-		return
-	}
-	header.Set("Content-Encoding", "gzip")
-	packer := gzip.NewWriter(w)
-	_, _ = packer.Write(data) // the client may be gone
-	_ = packer.Close()
+	w.Header().Set("Content-Type", "application/json")
+	_, _ = w.Write(data) // the client may be gone
+}
+
+// Send answers 200 with a JSON value.
+func Send(w http.ResponseWriter, value any) {
+	w.Header().Set("Content-Type", "application/json")
+	_ = json.NewEncoder(w).Encode(value) // the client may be gone
 }
 
 // Refuse answers that the work did not run and will not.
