Hold a request's slot until it is answered, and count connections over the limit

A server that hangs kept its slots free, which no real one does. The demo and the separate-process tests now also fail on a connection over a worker's limit.

--- a/internal/operator/demo/report.go
+++ b/internal/operator/demo/report.go
@@ -26,7 +26,8 @@
 	RequestsAfterOut      int     `json:"requests_after_out"`
 	OvercommittedVMs      int     `json:"overcommitted_vms"`
 	CheckpointsMisused    int     `json:"checkpoints_misused"` // resumed twice or passed over
-	EntriesLost           int     `json:"entries_lost"`        // on purpose
+	ConnectionsOverLimit  int64   `json:"connections_over_limit"`
+	EntriesLost           int     `json:"entries_lost"` // on purpose
 	AppendsPerSecondMost  int     `json:"log_appends_per_second_most"`
 	ConfigVersion         int64   `json:"config_version"` // seen at all entries that are left
 
@@ -44,6 +45,7 @@
 		TasksResubmitted:     stage.figures.resubmitted,
 		TasksNotAccepted:     stage.figures.unaccepted,
 		TasksDoubled:         stage.figures.otherID,
+		ConnectionsOverLimit: stage.connectionsOverLimit(),
 		EntriesLost:          stage.lost,
 		AppendsPerSecondMost: stage.site.Log.Stats().MostAppendsInSec,
 		ConfigVersion:        stage.lowestVersion(),
@@ -77,6 +79,13 @@
 	return verdict.TasksDoubled + verdict.TasksOverlapping + verdict.AttemptsStartedTwice
 }
 
+func (stage *stage) connectionsOverLimit() (count int64) {
+	for _, worker := range stage.workers() {
+		count += worker.Stats().ConnectionsRefused
+	}
+	return count
+}
+
 // lowestVersion is the oldest configuration that an entry reported last.
 func (stage *stage) lowestVersion() int64 {
 	stage.mu.Lock()
@@ -90,6 +99,6 @@
 
 // kept reports whether all that must hold did, and work was done at all.
 func (report Report) kept() bool {
-	return !report.broken && report.TasksLost == 0 && report.TasksDoubled == 0 &&
+	return !report.broken && report.TasksLost == 0 && report.TasksDoubled == 0 && report.ConnectionsOverLimit == 0 &&
 		report.RequestsAnswered > 0 && report.TasksFinished > 0
 }
--- a/internal/operator/demo/report_test.go
+++ b/internal/operator/demo/report_test.go
@@ -38,6 +38,7 @@
 	open.TasksOpen = 1
 	for name, bad := range map[string]Report{
 		"lost task": newReport(open, Report{}), "no work": newReport(idle, Report{}), "second id": newReport(good, Report{TasksDoubled: 1}),
+		"too many connections": newReport(good, Report{ConnectionsOverLimit: 1}),
 	} {
 		if bad.kept() {
 			t.Errorf("%s does not fail the demo", name)
--- a/internal/platform/remote/remote_test.go
+++ b/internal/platform/remote/remote_test.go
@@ -12,6 +12,7 @@
 	"testing"
 
 	"github.com/google/go-cmp/cmp"
+	"github.com/pkg/errors"
 	"golang.org/x/sync/errgroup"
 
 	"github.com/oriolepier/oriolepier/internal/base/amount"
@@ -90,6 +91,37 @@
 	wantSame(t, []worker.Usage{usage}, usages)
 }
 
+// A list that has not changed is not sent again; one that has changed is, and
+// so is the list of other failure domains.
+func TestUnchangedListIsNotSentAgain(t *testing.T) {
+	list := fleet.New(fleet.Options{Clock: clock.NewFake(clock.Hour).Clock()})
+	one, other := inventory.VM{Name: "a1", FailureDomain: "a", State: inventory.Live}, inventory.VM{Name: "b1", FailureDomain: "b", State: inventory.Live}
+	list.Put(one)
+	list.Put(other)
+	client := remote.NewList(server(t, list.Handler()).URL, nil)
+	fetch := func(domain string, want ...inventory.VM) {
+		t.Helper()
+		vms, err := client.Fetch(t.Context(), domain)
+		if len(want) == 0 {
+			wantSame(t, true, errors.Is(err, inventory.ErrUnchanged))
+			return
+		}
+		check(t, err)
+		wantSame(t, want, vms)
+	}
+	fetch("a", one)
+	fetch("a")
+	list.SetState("b1", inventory.Leaving)
+	other.State = inventory.Leaving
+	fetch("a")
+	fetch("b", other)
+	fetch("a", one)
+	list.SetState("a1", inventory.Leaving)
+	one.State = inventory.Leaving
+	fetch("a", one)
+	fetch("a")
+}
+
 func TestAgentOverHTTP(t *testing.T) {
 	vm := machine.New(machine.Options{VM: inventory.VM{Name: "a1"}, Clock: clock.NewFake(clock.Hour).Clock()})
 	address := strings.TrimPrefix(server(t, vm.AgentHandler()).URL, "http://")
--- a/internal/standin/machine/machine.go
+++ b/internal/standin/machine/machine.go
@@ -74,7 +74,7 @@
 // Percent of them, all when it is 0.
 type Faults struct {
 	Percent      int          `json:"percent"`
-	Hang         bool         `json:"hang"`          // taken, run, never answered
+	Hang         bool         `json:"hang"`          // taken, run, never answered; holds its slot
 	DropTaken    bool         `json:"drop_taken"`    // taken, run, connection closed
 	DropUnrun    bool         `json:"drop_unrun"`    // taken, not run, connection closed
 	ResetMid     bool         `json:"reset_mid"`     // connection closed half way through the answer
--- a/internal/standin/machine/request.go
+++ b/internal/standin/machine/request.go
@@ -44,6 +44,7 @@
 		machine.refuse(w, r)
 		return
 	}
+	defer machine.leave()
 	machine.run(r, id, life)
 	machine.answer(w, r, id, life, faults)
 }
@@ -89,16 +90,20 @@
 
 // run carries the request out. It goes on when the caller has gone.
 func (machine *Machine) run(r *http.Request, id string, life context.Context) {
-	defer func() { <-machine.slots }()
 	machine.noteRun(id)
 	service := serviceOf(r.URL.Path)
 	took, factor := machine.serviceTime(service, clock.Millis(number(r, WorkMS)))
 	if machine.options.Clock.Sleep(life, took) == nil {
 		machine.noteLatency(service, took, factor)
 	}
+}
+
+// leave gives the slot back, which a request holds until it is answered.
+func (machine *Machine) leave() {
+	<-machine.slots
 	machine.mu.Lock()
+	defer machine.mu.Unlock()
 	machine.stats.Running--
-	machine.mu.Unlock()
 }
 
 func (machine *Machine) noteRun(id string) {
--- a/internal/standin/machine/request_test.go
+++ b/internal/standin/machine/request_test.go
@@ -6,9 +6,11 @@
 	"io"
 	"net"
 	"net/http"
+	"runtime"
 	"testing"
 
 	"github.com/google/go-cmp/cmp"
+	"github.com/pkg/errors"
 	"golang.org/x/sync/errgroup"
 
 	"github.com/oriolepier/oriolepier/internal/base/clock"
@@ -136,6 +138,39 @@
 	}
 }
 
+// A request that is never answered holds its slot until its caller gives up.
+func TestHang(t *testing.T) {
+	bench := newBench(t, Options{Slots: 1, GuardOn: true})
+	url := bench.serve()
+	bench.vm.SetFaults(Faults{Hang: true})
+	client := &http.Client{Transport: &http.Transport{}}
+	defer client.CloseIdleConnections()
+	ctx, giveUp := context.WithCancel(t.Context())
+	request, err := http.NewRequestWithContext(ctx, http.MethodGet, url, http.NoBody)
+	if err != nil {
+		t.Fatal(err)
+	}
+	var group errgroup.Group
+	group.Go(func() error {
+		_, err := client.Do(request)
+		return err
+	})
+	for bench.vm.Stats().Running == 0 {
+		runtime.Gosched()
+	}
+	bench.vm.SetFaults(Faults{})
+	if second := ask(client, url, "second"); !second.Refused {
+		t.Errorf("second request: %+v", second)
+	}
+	giveUp()
+	if err := group.Wait(); !errors.Is(err, context.Canceled) {
+		t.Errorf("hung request: %v", err)
+	}
+	for !ask(client, url, "third").Whole { // the server notices soon
+		runtime.Gosched()
+	}
+}
+
 // A connection beyond the limit gets a refusal; one that closes makes room.
 func TestConnectionLimit(t *testing.T) {
 	bench := newBench(t, Options{Slots: 8, Connections: 1, GuardOn: true})
--- a/internal/standin/process/endtoend_test.go
+++ b/internal/standin/process/endtoend_test.go
@@ -249,4 +249,10 @@
 		site.Errorf("verdict %+v", got)
 	}
 	site.Logf("%+v", got)
+	for _, vm := range site.workers {
+		var stats machine.Stats
+		if !site.get("http://"+vm.Agent+"/standin/stats", &stats) || stats.ConnectionsRefused > 0 {
+			site.Errorf("%s: more than 64 connections: %+v", vm.Name, stats)
+		}
+	}
 }
