--- a/internal/batch/owner/claim.go
+++ b/internal/batch/owner/claim.go
@@ -13,11 +13,14 @@
 	// heartbeats.
 	claimAfter clock.Millis = 3 * clock.Second
 	// claimSpread is the range of the random delay that keeps claims apart.
-	claimSpread clock.Millis = 700
+	claimSpread clock.Millis = 250
+	// claimRank is the delay for each live entry that comes before in the order
+	// of a cell, which spreads the cells over the entries; at most maxClaimRank.
+	claimRank clock.Millis = 350
+	// maxClaimRank bounds the sum of those delays.
+	maxClaimRank int = 3
 	// foreignDelay lets the entries of the cell's own failure domain go first.
 	foreignDelay clock.Millis = 2 * clock.Second
-	// vacantSpread is the random delay after a handover that named nobody.
-	vacantSpread clock.Millis = 300
 	// handBackAfter is how long an entry of another failure domain owns a cell
 	// before it may hand it back.
 	handBackAfter clock.Millis = 5 * clock.Second
@@ -57,7 +60,7 @@
 	if owner.view.broken || now-owner.view.atEnd > viewGap {
 		return false
 	}
-	delay := owner.claims.delay
+	delay := owner.claims.delay + clock.Millis(owner.rank())*claimRank
 	if owner.options.Domain != owner.domain {
 		delay += foreignDelay
 	}
@@ -67,13 +70,26 @@
 	if owner.state.Heir() == owner.options.Entry {
 		return true
 	}
-	delay = delay * vacantSpread / claimSpread
-	if owner.options.Domain != owner.domain {
-		delay += foreignDelay
-	}
 	return owner.view.atEnd-max(owner.claims.vacant, owner.view.since) >= delay
 }
 
+// rank returns how many live entries of the cell's failure domain, the silent
+// owner left out, come before this one in the order of the cell.
+func (owner *Owner) rank() int {
+	name, _ := owner.state.Owner()
+	own := seedOf(owner.options.Entry + owner.options.Cell)
+	before := 0
+	for _, peer := range owner.world.Entries {
+		if !peer.Live || peer.Domain != owner.domain || peer.Name == name || peer.Name == owner.options.Entry {
+			continue
+		}
+		if seedOf(peer.Name+owner.options.Cell) < own {
+			before++
+		}
+	}
+	return min(before, maxClaimRank)
+}
+
 // claimed follows a claim that was read.
 func (owner *Owner) claimed(event cell.Event, now clock.Millis) {
 	if owner.mine(event) {
--- a/internal/batch/owner/evict.go
+++ b/internal/batch/owner/evict.go
@@ -77,6 +77,7 @@
 		}
 	}
 	sched.estimator.Observe(now, known)
+	sched.informed = sched.informed || len(known) > 0
 }
 
 // charge commits the larger of declared and observed use, as far as the worker
@@ -97,6 +98,10 @@
 
 // relieve acts on breaches of services' targets by the tasks beside them.
 func (sched *scheduler) relieve(now clock.Millis) {
+	if !sched.informed {
+		return
+	}
+	sched.informed = false
 	for _, name := range sched.owner.plant.names {
 		vm := sched.owner.plant.machines[name]
 		kept := sched.owner.state.VM(name)
@@ -104,13 +109,13 @@
 			continue
 		}
 		permits := colocation.Permits{Throttle: vm.pool.AllowThrottle, Evict: vm.pool.AllowEvict}
-		for _, action := range sched.estimator.Decide(now, name, permits, sched.neighbours(kept)) {
+		for _, action := range sched.estimator.Decide(now, name, permits, sched.neighbours(kept, now)) {
 			sched.act(action)
 		}
 	}
 }
 
-func (sched *scheduler) neighbours(vm *cell.VM) []colocation.Task {
+func (sched *scheduler) neighbours(vm *cell.VM, now clock.Millis) []colocation.Task {
 	var tasks []colocation.Task
 	for _, id := range sortedKeys(vm.Jobs) {
 		entry, _ := sched.owner.state.Job(id)
@@ -120,6 +125,7 @@
 		tasks = append(tasks, colocation.Task{
 			Job: id, Attempt: entry.Attempt, Kind: entry.Spec.Kind,
 			Urgent: entry.Spec.Class == route.Urgent, Throttled: sched.throttle[id],
+			Since: sched.tasks[id].since, Lost: now - sched.tasks[id].since,
 		})
 	}
 	return tasks
--- a/internal/batch/owner/order.go
+++ b/internal/batch/owner/order.go
@@ -31,6 +31,7 @@
 	abandoned bool // no start order was sent, and none will be
 	tries     int  // stop orders
 	reason    string
+	since     clock.Millis // when the attempt was first seen here
 }
 
 // track keeps the orders of a job's active attempt going.
@@ -42,7 +43,7 @@
 	}
 	at := sched.tasks[entry.ID]
 	if at == nil || at.attempt != entry.Attempt {
-		at = &task{attempt: entry.Attempt}
+		at = &task{attempt: entry.Attempt, since: now}
 		sched.tasks[entry.ID] = at
 	}
 	if !at.waiting && (entry.Phase == job.Evicting || !at.confirmed) {
--- a/internal/batch/owner/scheduler.go
+++ b/internal/batch/owner/scheduler.go
@@ -51,6 +51,7 @@
 	suspects map[string]clock.Millis // workers reported out of reach, and since when
 	trials   map[string]*trial       // workers that fail what they start
 	throttle map[string]bool         // throttled jobs
+	informed bool                    // usage was reported since relief was last decided
 	copying  copying
 	serial   int64 // of the newest plan
 }
@@ -210,7 +211,7 @@
 		}
 	}
 	if event.Kind == cell.KindStart && event.Valid && sched.owner.mine(event) {
-		sched.tasks[event.ID] = &task{attempt: event.Job.Attempt, own: true}
+		sched.tasks[event.ID] = &task{attempt: event.Job.Attempt, own: true, since: now}
 	}
 }
 
