--- a/internal/batch/placement/place_test.go
+++ b/internal/batch/placement/place_test.go
@@ -4,9 +4,11 @@
 	"fmt"
 	"maps"
 	"slices"
+	"strings"
 	"testing"
 
 	"github.com/google/go-cmp/cmp"
+	"github.com/sebdah/goldie/v2"
 	"pgregory.net/rapid"
 
 	"github.com/oriolepier/oriolepier/internal/base/amount"
@@ -126,7 +128,7 @@
 					Size:  drawAmount(t, "need", 8, 8, 1),
 					Pools: rapid.SliceOfNDistinct(pool, 1, 2, rapid.ID).Draw(t, "pools"),
 					Class: rapid.SampledFrom([]route.Class{route.Urgent, route.Batch}).Draw(t, "class"),
-					Avoid: rapid.SliceOfN(vm, 0, 4).Draw(t, "avoid"),
+					Avoid: rapid.SliceOfN(vm, 0, 8).Draw(t, "avoid"),
 				}
 				if rapid.Bool().Draw(t, "spread") {
 					need.Spread = "group"
@@ -178,3 +180,48 @@
 		twin.members[vm]++
 	}
 }
+
+// TestOneWelcomeWorker looks for the one worker among many that is neither
+// avoided nor on a used rack.
+func TestOneWelcomeWorker(t *testing.T) {
+	const count, welcome = 400, "vm-317"
+	index := placement.New(1)
+	need := placement.Need{Size: amount.Amount{MilliCores: 1}, Pools: []string{"p"}, Class: route.Batch}
+	apart := need
+	apart.Spread = "group"
+	for i := range count {
+		name := fmt.Sprint("vm-", i)
+		index.Put(placement.Worker{Name: name, Rack: name, Pool: "p", Size: amount.Amount{MilliCores: 10}})
+		if name != welcome {
+			need.Avoid = append(need.Avoid, name)
+			index.Join(apart.Spread, name)
+		}
+	}
+	for _, need := range []placement.Need{need, apart} {
+		if vm, refusal := index.Place(need); vm != welcome {
+			t.Errorf("placed on %q (%+v), want %s", vm, refusal, welcome)
+		}
+	}
+}
+
+// TestRefusals pins the reasons that operators and callers read.
+func TestRefusals(t *testing.T) {
+	index := placement.New(1)
+	index.Put(placement.Worker{
+		Name: "a", Pool: "batch", Size: amount.Amount{MilliCores: 64_000, MemoryMB: 250_000, Accelerators: 2},
+		Reserve: amount.Amount{MilliCores: 6400}, Committed: amount.Amount{MilliCores: 32_000},
+	})
+	var text strings.Builder
+	for _, need := range []placement.Need{
+		{Size: amount.Amount{MilliCores: 30_000}, Pools: []string{"batch"}, Class: route.Batch},
+		{Size: amount.Amount{MilliCores: 30_000}, Pools: []string{"batch"}, Class: route.Urgent},
+		{Size: amount.Amount{MilliCores: 60_500, MemoryMB: 512}, Pools: []string{"batch", "spare"}, Class: route.Batch},
+		{Size: amount.Amount{Accelerators: 3}, Pools: []string{"batch"}, Class: route.Urgent},
+		{Size: amount.Amount{MilliCores: 1}, Pools: []string{"spare"}, Class: route.Batch},
+		{Size: amount.Amount{MilliCores: -1}, Pools: []string{"batch"}, Class: route.Batch},
+	} {
+		vm, refusal := index.Place(need)
+		fmt.Fprintf(&text, "%s %v on %q: %s %s\n", need.Class, need.Size, vm, refusal.Kind, refusal.Reason)
+	}
+	goldie.New(t).Assert(t, "refusals", []byte(text.String()))
+}
