Bound what a slow caller and many bodies can hold

A caller that stops reading a long answer kept its place for ever; now until the deadline. Bodies count with the most that may come while they are read, so that many at once can't pass the bound. Both have a test that failed before (the first by its wait, the second with 200 for 503).

--- a/internal/traffic/gate/accept.go
+++ b/internal/traffic/gate/accept.go
@@ -197,8 +197,14 @@
 }
 
 // readBounded reads a body and counts its bytes as buffered, unless it fails.
-func (gate *Gate) readBounded(r *http.Request, limit int64) ([]byte, error) {
-	if gate.buffered.Load() > maxBufferedBytes {
+// While it reads, the most that may come counts.
+func (gate *Gate) readBounded(r *http.Request, limit int64) (body []byte, err error) {
+	reserved := limit
+	if r.ContentLength > 0 {
+		reserved = r.ContentLength
+	}
+	defer func() { gate.buffered.Add(int64(len(body)) - reserved) }()
+	if gate.buffered.Add(reserved) > maxBufferedBytes {
 		return nil, errNoMemory
 	}
 	var buffer bytes.Buffer
@@ -212,6 +218,5 @@
 	if count > limit {
 		return nil, errTooLarge
 	}
-	gate.buffered.Add(count)
 	return buffer.Bytes(), nil
 }
--- a/internal/traffic/gate/gate.go
+++ b/internal/traffic/gate/gate.go
@@ -54,8 +54,7 @@
 	fewestMillisToSend  = clock.Millis(1) // nobody answers in less
 	minHedgeDelay       = clock.Millis(2)
 	idleTimeout         = 4 * clock.Second // below the shortest keep-alive timeout in wide use, 5 s
-	followEvery         = clock.Millis(10)
-	serveEvery          = clock.Millis(10) // waiting requests are looked at so often when nothing else moves them
+	followEvery         = clock.Millis(10) // snapshots, and queues that nothing else moves
 	upkeepEvery         = clock.Millis(250)
 	probeTimeout        = clock.Millis(500)
 	maxProbes           = 8 // at once
--- a/internal/traffic/gate/matrix_test.go
+++ b/internal/traffic/gate/matrix_test.go
@@ -227,6 +227,42 @@
 	}
 }
 
+// TestCallerThatStopsReading leaves a long answer unread: the place must come
+// free by the deadline.
+func TestCallerThatStopsReading(t *testing.T) {
+	length := 15 << 20 // above what the sockets hold
+	worker := startWorker(t, answers(true, true, fmt.Sprintf("HTTP/1.1 200 OK\n%%s\nContent-Length: %d\n\n%s", length, strings.Repeat("x", length))))
+	under := start(t, snapshot(quick(), worker.address), nil)
+	front := httptest.NewServer(under)
+	defer front.Close()
+	conn, err := net.Dial("tcp", front.Listener.Addr().String())
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer func() { _ = conn.Close() }()
+	_, _ = io.WriteString(conn, "GET /ration HTTP/1.1\r\nHost: h\r\n\r\n")
+	<-worker.taken
+	until(t, under, func(dump gate.Dump) bool { return dump.InFlight == 0 && dump.Pools[0].Servers[0].InFlight == 0 })
+	if cut := under.Vars().Get("cut").String(); cut != "1" {
+		t.Errorf("%s answers were cut", cut)
+	}
+}
+
+// TestBodiesFillTheMemory has chunked bodies of unknown length reserve their
+// limit.
+func TestBodiesFillTheMemory(t *testing.T) {
+	worker := startWorker(t, sound)
+	route := table()
+	route.MaxRequestBytes = 1 << 40
+	under := start(t, snapshot(route, worker.address), nil)
+	if got := call(t, under, body(io.MultiReader(strings.NewReader("dogs")))).String(); got != "503 not_run at accept, ran 0" {
+		t.Errorf("got %q", got)
+	}
+	if got := call(t, under, nil).String(); got != "200, ran 0" || under.Dump().Buffered != 0 {
+		t.Errorf("got %q with %d bytes buffered", got, under.Dump().Buffered)
+	}
+}
+
 // TestHedgeWins has a repeatable request hang at one server.
 func TestHedgeWins(t *testing.T) {
 	slow, quick := startWorker(t, hangs), startWorker(t, sound)
--- a/internal/traffic/gate/reply.go
+++ b/internal/traffic/gate/reply.go
@@ -4,7 +4,9 @@
 	"io"
 	"net/http"
 	"strconv"
+	"time"
 
+	"github.com/oriolepier/oriolepier/internal/base/clock"
 	"github.com/oriolepier/oriolepier/internal/base/problem"
 	"github.com/oriolepier/oriolepier/internal/platform/backend"
 	"github.com/oriolepier/oriolepier/internal/traffic/dispatch"
@@ -39,7 +41,7 @@
 		header["Content-Length"] = []string{strconv.FormatInt(got.Length, 10)}
 	}
 	w.WriteHeader(got.Status)
-	if !gate.copyBody(w, got) {
+	if !gate.copyBody(w, got, req.deadline-gate.options.Clock.Now()) {
 		gate.counts.cut.Add(1)
 		panic(http.ErrAbortHandler)
 	}
@@ -52,7 +54,7 @@
 }
 
 // copyBody reports whether the whole body was read and taken.
-func (gate *Gate) copyBody(w http.ResponseWriter, got *delivery) bool {
+func (gate *Gate) copyBody(w http.ResponseWriter, got *delivery, left clock.Millis) bool {
 	if _, err := w.Write(got.Body); err != nil && len(got.Body) > 0 {
 		got.release(dispatch.Abandoned)
 		return false
@@ -60,10 +62,14 @@
 	if got.Rest == nil {
 		return true
 	}
+	// A caller that stops reading must not hold the place for ever.
+	control := http.NewResponseController(w)
+	_ = control.SetWriteDeadline(time.Now().Add(left.Duration())) // not every writer has one
 	if _, err := io.Copy(w, got.Rest); err != nil {
 		got.release(dispatch.Abandoned)
 		return false
 	}
+	_ = control.SetWriteDeadline(time.Time{})
 	got.release(dispatch.Answered)
 	return true
 }
--- a/internal/traffic/gate/run.go
+++ b/internal/traffic/gate/run.go
@@ -17,7 +17,6 @@
 	defer gate.running.Store(false)
 	group, ctx := errgroup.WithContext(ctx)
 	group.Go(func() error { return gate.every(ctx, followEvery, gate.follow) })
-	group.Go(func() error { return gate.every(ctx, serveEvery, gate.serveQueues) })
 	group.Go(func() error { return gate.every(ctx, upkeepEvery, gate.upkeep) })
 	group.Go(func() error { return gate.every(ctx, upkeepEvery, gate.probe) })
 	return group.Wait()
@@ -32,9 +31,12 @@
 	}
 }
 
-// serveQueues grants places that came free by time alone, as a pause after a
-// refusal does, and drops requests that are too late.
-func (gate *Gate) serveQueues(context.Context) {
+// follow brings in a new snapshot, grants places that came free by time alone,
+// as a pause after a refusal does, and drops requests that are too late.
+func (gate *Gate) follow(context.Context) {
+	if gate.options.Box.Load() != gate.plan.Load().snap {
+		gate.refresh()
+	}
 	now := gate.options.Clock.Now()
 	for _, pool := range gate.plan.Load().pools {
 		pool.mu.Lock()
@@ -45,12 +47,6 @@
 	}
 }
 
-func (gate *Gate) follow(context.Context) {
-	if gate.options.Box.Load() != gate.plan.Load().snap {
-		gate.refresh()
-	}
-}
-
 // upkeep lets the connection budget follow time, and closes idle connections.
 func (gate *Gate) upkeep(context.Context) {
 	plan := gate.refresh()
