Throttle again in a later breach; bound what the estimator remembers

Cause, found by review: the count of throttles of a VM stayed up when the throttled tasks ended, so that later breaches went straight to eviction; starts that no report shows piled up while reports are away, until every VM looked full; kinds, which callers name, were kept without bound.

Change: out of a breach the count falls to the tasks that are throttled; starts older than 3 lags are dropped; at most 1,000 kinds are learnt and unused ones are dropped.

--- a/internal/batch/colocation/decide.go
+++ b/internal/batch/colocation/decide.go
@@ -3,6 +3,8 @@
 import (
 	"slices"
 
+	"github.com/samber/lo"
+
 	"github.com/oriolepier/oriolepier/internal/base/amount"
 	"github.com/oriolepier/oriolepier/internal/base/clock"
 )
@@ -77,12 +79,18 @@
 	if state.breaches > 0 || now-state.acted < state.patience {
 		return Action{}, false
 	}
+	state.throttles = min(state.throttles, throttled(tasks))
 	if action, found := e.loosen(now, state, tasks); found {
 		return action, true
 	}
 	return e.relocate(now, state, permits, tasks)
 }
 
+// throttled counts the tasks that are.
+func throttled(tasks []Task) int {
+	return lo.CountBy(tasks, func(task Task) bool { return task.Throttled })
+}
+
 // relocate evicts a task that stays throttled here while it would slow nobody
 // past the target elsewhere, at a moment when little work is lost.
 func (e *Estimator) relocate(now clock.Millis, state *machine, permits Permits, tasks []Task) (Action, bool) {
--- a/internal/batch/colocation/estimator.go
+++ b/internal/batch/colocation/estimator.go
@@ -70,6 +70,7 @@
 	counted  clock.Millis // when freshVMs was counted
 	freshVMs int
 	turn     int
+	swept    clock.Millis   // when unused kinds were last dropped
 	norm     float64        // usual sum of squared processors by kind of a VM
 	evicted  []clock.Millis // recent evictions for relief, oldest first
 	roomMade []clock.Millis // recent evictions for room, oldest first
@@ -85,7 +86,7 @@
 
 	acted     clock.Millis      // time of the last action
 	breaches  int               // reports in a row that show a breach
-	throttles int               // since a task was last let run freely
+	throttles int               // orders in this breach, and what is left of earlier ones
 	slowed    map[string]slowed // throttled tasks, by job
 	loosened  clock.Millis      // time of the last Unthrottle
 	patience  clock.Millis      // wait between an action and an Unthrottle
@@ -125,6 +126,7 @@
 	return &Estimator{
 		options: options.withDefaults(),
 		counted: never,
+		swept:   never,
 		weights: map[pair]float64{},
 		cores:   map[string]float64{},
 		vms:     map[string]*machine{},
@@ -152,6 +154,8 @@
 // placed on one VM between two reports.
 func (e *Estimator) Started(now clock.Millis, vm, kind string, size amount.Amount) {
 	state := e.machine(vm)
+	// Without reports nothing else would drop them.
+	state.pending = slices.DeleteFunc(state.pending, func(s start) bool { return now-s.at > staleLags*e.options.Lag })
 	state.pending = append(state.pending, start{now, kind, e.expected(kind, size)})
 }
 
--- a/internal/batch/colocation/observe.go
+++ b/internal/batch/colocation/observe.go
@@ -40,14 +40,36 @@
 		if _, slowed := state.slowed[task.Job]; slowed {
 			continue // says nothing of the kind's usual use
 		}
-		usual, known := e.cores[task.Kind]
-		if !known {
-			usual = cores
+		if usual, known := e.cores[task.Kind]; known {
+			e.cores[task.Kind] = usual + useRate*(cores-usual)
+		} else if e.admit(state.measured) {
+			e.cores[task.Kind] = cores
 		}
-		e.cores[task.Kind] = usual + useRate*(cores-usual)
 	}
 }
 
+// admit reports whether one more kind may be learnt, and drops unused ones when
+// there are too many.
+func (e *Estimator) admit(now clock.Millis) bool {
+	if len(e.cores) >= maxKinds && now-e.swept >= sweepEvery {
+		e.swept = now
+		e.sweep()
+	}
+	return len(e.cores) < maxKinds
+}
+
+// sweep drops the kinds that no VM runs by its newest report.
+func (e *Estimator) sweep() {
+	used := map[string]bool{}
+	for _, state := range e.vms {
+		for _, use := range state.use {
+			used[use.kind] = true
+		}
+	}
+	maps.DeleteFunc(e.cores, func(kind string, _ float64) bool { return !used[kind] })
+	maps.DeleteFunc(e.weights, func(pair pair, _ float64) bool { return !used[pair.kind] })
+}
+
 // add counts processors of a kind; the order of kinds stays fixed, so that sums
 // are the same on every run.
 func (m *machine) add(kind string, cores float64) {
@@ -92,6 +114,9 @@
 	miss := service.extra - explained - service.rest
 	service.rest += restRate * miss
 	for _, use := range state.use {
+		if _, learnt := e.cores[use.kind]; !learnt {
+			continue
+		}
 		weight := e.weight(service.name, use.kind) + learnRate*miss*use.cores/(norm+e.norm)
 		e.weights[pair{service.name, use.kind}] = max(weight, 0)
 	}
--- a/internal/batch/colocation/options.go
+++ b/internal/batch/colocation/options.go
@@ -12,12 +12,12 @@
 	// Reports in a row that must show a breach, so that one outlier does nothing.
 	confirmReports = 2
 	// Tasks of a VM that are throttled in one breach before one is evicted.
-	maxThrottles = 2
+	maxThrottles = 1
 	// A throttled task may run freely if its VM is then expected to stay below
 	// this part of the allowed slowdown; the gap to a breach is the hysteresis.
 	loosenPart = 0.85
 	// Lags between an action on a VM and the first Unthrottle.
-	loosenLags = 2
+	loosenLags = 1
 	// Lags within which a breach after an Unthrottle doubles the wait for the next.
 	relapseLags = 6
 	// Bound of that wait, in lags.
@@ -41,6 +41,11 @@
 	evictPart = 0.05
 	// Part of a cell's VMs whose reports must be fresh before anything is evicted.
 	freshPart = 0.5
+	// Kinds of tasks that are learnt; callers name them, so that there may be
+	// any number. Others are taken to be like a kind never seen.
+	maxKinds = 1000
+	// Pause between searches for kinds that no task has any more.
+	sweepEvery clock.Millis = clock.Minute
 	// Pause between counts of fresh reports, which look at every VM.
 	countEvery clock.Millis = clock.Second
 )
