--- a/internal/standin/process/endtoend_test.go
+++ b/internal/standin/process/endtoend_test.go
@@ -44,6 +44,7 @@
 // killed and another one is paused until its cell has another owner. The
 // witness in the platform process is the only judge.
 func TestSeparateProcesses(t *testing.T) {
+	t.Parallel()
 	site := newSite(t)
 	site.publish()
 	caller := load.New(load.Options{
@@ -248,4 +249,10 @@
 		site.Errorf("verdict %+v", got)
 	}
 	site.Logf("%+v", got)
+	for _, vm := range site.workers {
+		var stats machine.Stats
+		if !site.get("http://"+vm.Agent+"/standin/stats", &stats) || stats.ConnectionsRefused > 0 {
+			site.Errorf("%s: more than 64 connections: %+v", vm.Name, stats)
+		}
+	}
 }
