--- a/internal/entry/control/deployment_test.go
+++ b/internal/entry/control/deployment_test.go
@@ -299,7 +299,8 @@
 	}
 }
 
-// append publishes a change from outside all failure domains.
+// append publishes a change from outside all failure domains, whatever the log
+// does to entries.
 func (d *deployment) append(base int64, edits ...ledger.Edit) int64 {
 	d.t.Helper()
 	d.writes++
@@ -307,7 +308,10 @@
 	if err != nil {
 		d.t.Fatal(err)
 	}
+	faults := d.log.Faults()
+	d.log.SetFaults(journal.Faults{})
 	offset, err := d.log.Append(d.t.Context(), ConfigStream, data)
+	d.log.SetFaults(faults)
 	if err != nil {
 		d.t.Fatal(err)
 	}
--- a/internal/standin/witness/witness.go
+++ b/internal/standin/witness/witness.go
@@ -24,6 +24,8 @@
 const (
 	// "A few seconds" of the promise that nothing starts in a domain taken out.
 	defaultOutGrace = 5 * clock.Second
+	// Phase of a run that ended because its VM did.
+	lostWithVM = "lost"
 	// Reads as "still running".
 	never clock.Millis = 1 << 62
 )
@@ -149,7 +151,7 @@
 			continue
 		}
 		witness.runs[index].end = event.At
-		witness.runs[index].phase = "lost"
+		witness.runs[index].phase = lostWithVM
 		delete(witness.open, key)
 	}
 }
