Run the policy tests side by side; say the budget's rule plainly

Cause: the policy tests ran one after another, 21 to 28 s with -race on a busy machine. Reading worker names without Sscan made no difference worth naming. Verdicts do not depend on it: each run has its own world and seed.

--- a/internal/traffic/dispatch/dispatch_test.go
+++ b/internal/traffic/dispatch/dispatch_test.go
@@ -50,6 +50,7 @@
 }
 
 func TestTailUnderNoise(t *testing.T) {
+	t.Parallel()
 	each(t, func(t *testing.T, s setup) {
 		for _, load := range []float64{0.5, 0.85} {
 			s.noisy, s.load = true, steady(load)
@@ -69,6 +70,7 @@
 }
 
 func TestGoodputUnderOverload(t *testing.T) {
+	t.Parallel()
 	each(t, func(t *testing.T, s setup) {
 		for _, s.noisy = range []bool{false, true} {
 			s.load = steady(2)
@@ -86,6 +88,7 @@
 
 // TestTenfoldStep goes from a tenth of the load to all of it, and beyond.
 func TestTenfoldStep(t *testing.T) {
+	t.Parallel()
 	each(t, func(t *testing.T, s setup) {
 		s.noisy, s.load = true, func(second float64) float64 {
 			if second < 0.5 {
@@ -102,6 +105,7 @@
 }
 
 func TestThirdOfWorkersFails(t *testing.T) {
+	t.Parallel()
 	for _, kind := range []string{"refuse", "reset", "hang", "gone"} {
 		each(t, func(t *testing.T, s setup) {
 			s.load = steady(0.5)
@@ -128,6 +132,7 @@
 }
 
 func TestDomainLost(t *testing.T) {
+	t.Parallel()
 	each(t, func(t *testing.T, s setup) {
 		s.load = steady(0.5)
 		s.entryGone = func(domain int, at float64) bool { return domain == 2 && at >= 500 }
@@ -150,6 +155,7 @@
 // TestDomainOutAndBack marks a failure domain out and back in: nothing is
 // refused, and the return slows nobody down.
 func TestDomainOutAndBack(t *testing.T) {
+	t.Parallel()
 	each(t, func(t *testing.T, s setup) {
 		s.load, s.seconds = steady(0.5), 1.5
 		s.marks = func(at float64) (out bool, since float64) { return at >= 500 && at < 1000, 1000 }
--- a/internal/traffic/dispatch/policy_test.go
+++ b/internal/traffic/dispatch/policy_test.go
@@ -3,6 +3,7 @@
 import (
 	"fmt"
 	"math/rand/v2"
+	"strconv"
 
 	"github.com/oriolepier/oriolepier/internal/base/clock"
 	"github.com/oriolepier/oriolepier/internal/base/fault"
@@ -88,8 +89,7 @@
 }
 
 func (w *world) box(name string) *box {
-	var id int
-	_, _ = fmt.Sscan(name, &id)
+	id, _ := strconv.Atoi(name)
 	return w.workers[id]
 }
 
--- a/internal/traffic/limit/budget.go
+++ b/internal/traffic/limit/budget.go
@@ -45,20 +45,15 @@
 	}
 	b.seen = max(entries, (b.seeds+1)/2, 1)
 	b.peak = max(b.peak, b.seen)
-	if b.seen >= b.held || now-b.heldAt >= growHold {
-		b.held = max(b.seen, b.peak*lower(b.seen < b.held))
-		b.heldAt, b.peak = now, b.seen
+	switch {
+	case b.seen >= b.held:
+		b.held, b.heldAt, b.peak = b.seen, now, b.seen
+	case now-b.heldAt >= growHold:
+		b.held, b.heldAt, b.peak = b.peak, now, b.seen
 	}
 	return b
 }
 
-func lower(yes bool) int {
-	if yes {
-		return 1
-	}
-	return 0
-}
-
 // Local returns the connections to a backend server of the own failure domain,
 // at least 1.
 func (b Budget) Local(connections int) int { return b.share(connections, b.held) }
