Say when it is harm, not room, that a batch task waits for

Cause: with MaxHarm a refused batch task was said to find no room although there was some.

Change: its own reason, pinned in the golden file with an overdue task that is placed all the same.

--- a/internal/batch/placement/place.go
+++ b/internal/batch/placement/place.go
@@ -212,6 +212,9 @@
 		}
 		empty := &pool.forests[emptyView(need.Class)]
 		seen = seen || pool.workers > 0 || len(pool.gone) > 0
+		if pool.forests[freeView(need.Class)].fits(need.Size) {
+			return Refusal{NoRoom, fmt.Sprintf("the workers of %s that have room run services that it would slow too much", names)}
+		}
 		if empty.fits(need.Size) || pool.fitted(need) {
 			return Refusal{NoRoom, fmt.Sprintf("no worker of %s has %s free%s", names, text(need.Size), beside(need.Class))}
 		}
--- a/internal/batch/placement/place_test.go
+++ b/internal/batch/placement/place_test.go
@@ -223,5 +223,11 @@
 		vm, refusal := index.Place(need)
 		fmt.Fprintf(&text, "%s %v on %q: %s %s\n", need.Class, need.Size, vm, refusal.Kind, refusal.Reason)
 	}
+	index.MaxHarm = 1
+	index.Put(placement.Worker{Name: "a", Pool: "batch", Size: amount.Amount{MilliCores: 1000}, Harm: 2})
+	for _, overdue := range []bool{false, true} {
+		vm, refusal := index.Place(placement.Need{Size: amount.Amount{MilliCores: 1}, Pools: []string{"batch"}, Class: route.Batch, Overdue: overdue})
+		fmt.Fprintf(&text, "overdue %v on %q: %s %s\n", overdue, vm, refusal.Kind, refusal.Reason)
+	}
 	goldie.New(t).Assert(t, "refusals", []byte(text.String()))
 }
