--- a/internal/batch/colocation/decide_test.go
+++ b/internal/batch/colocation/decide_test.go
@@ -155,6 +155,24 @@
 	}
 }
 
+// TestOldReportsAreIgnored shows that reports which come out of order, or
+// twice, change nothing.
+func TestOldReportsAreIgnored(t *testing.T) {
+	estimator := colocation.New(colocation.Options{})
+	estimator.Observe(clock.Hour, []worker.Usage{usage("vm/", 0, 100)})
+	before := estimator.Harm("vm/", "loud", amount.Amount{MilliCores: 1000})
+	for range 5 {
+		estimator.Observe(clock.Hour, []worker.Usage{usage("vm/", clock.Second, 400), usage("vm/", 0, 400)})
+	}
+	if diff := cmp.Diff(before, estimator.Harm("vm/", "loud", amount.Amount{MilliCores: 1000})); diff != "" {
+		t.Errorf("harm differs (-before +after):\n%s", diff)
+	}
+	tasks := []colocation.Task{{Job: "vm/loud", Kind: "loud"}}
+	if got := estimator.Decide(clock.Hour, "vm/", colocation.Permits{Throttle: true, Evict: true}, tasks); got != nil {
+		t.Errorf("old reports led to %+v", got)
+	}
+}
+
 // TestMakeRoom shows the choice of tasks that make way.
 func TestMakeRoom(t *testing.T) {
 	cores := func(c int64) amount.Amount { return amount.Amount{MilliCores: 1000 * c} }
