--- a/internal/batch/owner/scheduler.go
+++ b/internal/batch/owner/scheduler.go
@@ -117,10 +117,10 @@
 		}
 	}
 	for _, name := range site.names {
-		sched.put(name)
 		if !sched.owner.readings[name].Known() {
 			sched.owner.look(name)
 		}
+		sched.put(name)
 	}
 	sched.surveyed = 0
 	sched.waiting.Freed()
