--- a/internal/standin/process/endtoend_test.go
+++ b/internal/standin/process/endtoend_test.go
@@ -44,6 +44,7 @@
 // killed and another one is paused until its cell has another owner. The
 // witness in the platform process is the only judge.
 func TestSeparateProcesses(t *testing.T) {
+	t.Parallel()
 	site := newSite(t)
 	site.publish()
 	caller := load.New(load.Options{
@@ -91,11 +92,13 @@
 	for _, entry := range site.entries {
 		site.until(fmt.Sprintf("version %d in force at %s", version, entry.settings.Name), func() bool {
 			var state struct {
-				Ready         bool  `json:"ready"`
-				ConfigVersion int64 `json:"config_version"`
+				Ready         bool   `json:"ready"`
+				Reason        string `json:"reason"`
+				ConfigVersion int64  `json:"config_version"`
 			}
-			address := "http://" + entry.settings.Listen.Operators + "/v1/ready"
-			return !entry.offered.Load() || site.get(address, &state) && state.Ready && state.ConfigVersion == version
+			answered := site.get("http://"+entry.settings.Listen.Operators+"/v1/ready", &state)
+			entry.said = fmt.Sprintf("answered %v: %+v", answered, state)
+			return !entry.offered.Load() || answered && state.Ready && state.ConfigVersion == version
 		})
 	}
 }
@@ -220,8 +223,12 @@
 	site.inForce(3)
 }
 
-// owner returns the running entry that says that it owns a cell.
+// owner returns the offered entry that says that it owns a cell.
 func (site *site) owner(cell string) string {
+	return site.ownerAmong(cell, func(entry *entry) bool { return entry.offered.Load() })
+}
+
+func (site *site) ownerAmong(cell string, asked func(*entry) bool) string {
 	for _, entry := range site.entries {
 		var dump struct {
 			Control struct {
@@ -230,7 +237,7 @@
 				} `json:"cells"`
 			} `json:"control"`
 		}
-		if entry.offered.Load() && site.get("http://"+entry.settings.Listen.Operators+"/v1/dump", &dump) && dump.Control.Cells[cell].Owns {
+		if asked(entry) && site.get("http://"+entry.settings.Listen.Operators+"/v1/dump", &dump) && dump.Control.Cells[cell].Owns {
 			return entry.settings.Name
 		}
 	}
@@ -248,4 +255,10 @@
 		site.Errorf("verdict %+v", got)
 	}
 	site.Logf("%+v", got)
+	for _, vm := range site.workers {
+		var stats machine.Stats
+		if !site.get("http://"+vm.Agent+"/standin/stats", &stats) || stats.ConnectionsRefused > 0 {
+			site.Errorf("%s: more than 64 connections: %+v", vm.Name, stats)
+		}
+	}
 }
--- a/internal/standin/process/site_test.go
+++ b/internal/standin/process/site_test.go
@@ -19,6 +19,7 @@
 	"testing"
 	"time"
 
+	"github.com/pkg/errors"
 	"golang.org/x/sync/errgroup"
 
 	"github.com/oriolepier/oriolepier/internal/base/clock"
@@ -59,6 +60,7 @@
 	settings setting.Entry
 	process  *child
 	offered  atomic.Bool // the balancer offers it
+	said     string      // when it was last asked whether it is ready
 }
 
 // child is a process that this test started.
@@ -84,7 +86,9 @@
 		cancel()
 		site.endAll()
 	})
-	site.build()
+	binary, err := build()
+	site.check(err)
+	site.binary = binary
 	site.startPlatform()
 	for index := range 6 {
 		site.startWorker(domains[index%3], index/3+1)
@@ -98,13 +102,26 @@
 	return site
 }
 
-func (site *site) build() {
-	site.Helper()
-	site.binary = filepath.Join(site.dir, "oriolepier")
-	build := exec.CommandContext(site.ctx, "go", "build", "-o", site.binary, "github.com/oriolepier/oriolepier")
-	if out, err := build.CombinedOutput(); err != nil {
-		site.Fatalf("build: %v\n%s", err, out)
+// build builds the binary once for all runs of this test process.
+var build = sync.OnceValues(func() (string, error) {
+	dir, err := os.MkdirTemp("", "oriolepier")
+	if err != nil {
+		return "", err
+	}
+	buildDir = dir
+	binary := filepath.Join(dir, "oriolepier")
+	out, err := exec.Command("go", "build", "-o", binary, "github.com/oriolepier/oriolepier").CombinedOutput()
+	return binary, errors.Wrapf(err, "build: %s", out)
+})
+
+var buildDir string // empty until something was built
+
+func TestMain(m *testing.M) {
+	code := m.Run()
+	if buildDir != "" {
+		_ = os.RemoveAll(buildDir)
 	}
+	os.Exit(code)
 }
 
 // start starts the binary; its standard output can be read by line.
@@ -146,6 +163,9 @@
 	if !site.Failed() {
 		return
 	}
+	for _, entry := range site.entries {
+		site.Logf("%s: %s", entry.settings.Name, entry.said)
+	}
 	for _, process := range site.processes {
 		if text, err := os.ReadFile(process.stderr); err == nil && len(text) > 0 {
 			site.Logf("%s:\n%s", process.name, text[max(0, len(text)-4000):])
--- a/internal/traffic/gate/accept.go
+++ b/internal/traffic/gate/accept.go
@@ -64,7 +64,7 @@
 		Method:         r.Method,
 		Host:           r.Host,
 		URL:            *r.URL,
-		Header:         forward(r.Header, req.id),
+		Header:         r.Header,
 		Body:           req.body,
 		MaxAnswerBytes: positive(req.route.MaxAnswerBytes, defaultAnswerBytes),
 	}
@@ -90,6 +90,7 @@
 		return nil
 	}
 	if len(ids) > 1 || !validID(ids[0]) {
+		req.id = ulid.Make().String()
 		return bad(stepAccept, http.StatusBadRequest, "request id must be one value of 1 to 128 visible ASCII characters")
 	}
 	req.id = ids[0]
--- a/internal/traffic/gate/gate.go
+++ b/internal/traffic/gate/gate.go
@@ -49,10 +49,12 @@
 	maxBufferedBytes    = 256 << 20 // bodies of all requests held at once in this entry
 	defaultRequestBytes = 1 << 20
 	defaultAnswerBytes  = 16 << 20
-	maxAttempts         = 8
+	maxAttempts         = 8               // of one request, guards' refusals included
+	maxFailures         = 3               // of one request; more point to the request itself
 	fewestMillisToSend  = clock.Millis(1) // nobody answers in less
 	minHedgeDelay       = clock.Millis(2)
 	idleTimeout         = 4 * clock.Second // below the shortest keep-alive timeout in wide use, 5 s
+	followEvery         = clock.Millis(10)
 	serveEvery          = clock.Millis(10) // waiting requests are looked at so often when nothing else moves them
 	upkeepEvery         = clock.Millis(250)
 	probeTimeout        = clock.Millis(500)
@@ -77,6 +79,7 @@
 	vars     *expvar.Map
 	counts   counts
 	draining atomic.Bool
+	running  atomic.Bool // Run follows snapshots, so that no request has to
 	flying   atomic.Int64
 	buffered atomic.Int64
 	plan     atomic.Pointer[plan]
