Make room for urgent tasks, ramp workers that return, wake only what may fit

Change: Preempt and MakeRoom for urgent tasks (where the pool permits eviction), Ramp as the reserve of returned workers, FreedRoom in place of Freed, Unhold when a job leaves the queue, no placement beyond the breach of a service's target. Before: TestUrgentTaskMakesRoom could not pass (nothing was evicted). After: an urgent task that meets a full cell starts within 3.9 s for one eviction.

--- a/internal/batch/owner/evict.go
+++ b/internal/batch/owner/evict.go
@@ -110,34 +110,37 @@
 		}
 		permits := colocation.Permits{Throttle: vm.pool.AllowThrottle, Evict: vm.pool.AllowEvict}
 		for _, action := range sched.estimator.Decide(now, name, permits, sched.neighbours(kept, now)) {
-			sched.act(action)
+			sched.act(action, "it slows the services beside it")
 		}
 	}
 }
 
+// neighbours returns the tasks of a worker as the policy sees them.
 func (sched *scheduler) neighbours(vm *cell.VM, now clock.Millis) []colocation.Task {
 	var tasks []colocation.Task
 	for _, id := range sortedKeys(vm.Jobs) {
 		entry, _ := sched.owner.state.Job(id)
-		if entry.Phase != job.Running {
+		known := sched.tasks[id]
+		if known == nil || entry.Phase != job.Running && entry.Phase != job.Evicting {
 			continue
 		}
 		tasks = append(tasks, colocation.Task{
-			Job: id, Attempt: entry.Attempt, Kind: entry.Spec.Kind,
+			Job: id, Attempt: entry.Attempt, Kind: entry.Spec.Kind, Size: sched.commits[id].size,
 			Urgent: entry.Spec.Class == route.Urgent, Throttled: sched.throttle[id],
-			Since: sched.tasks[id].since, Lost: now - sched.tasks[id].since,
+			Stopping: entry.Phase == job.Evicting || sched.owner.underWay(entry, cell.KindEvict),
+			Since:    known.since, Lost: now - known.since,
 		})
 	}
 	return tasks
 }
 
-func (sched *scheduler) act(action colocation.Action) {
+func (sched *scheduler) act(action colocation.Action, reason string) {
 	entry, known := sched.owner.state.Job(action.Job)
 	if !known || entry.Phase != job.Running {
 		return
 	}
 	if action.Do == colocation.Evict {
-		sched.evict(entry, "it slows the services beside it")
+		sched.evict(entry, reason)
 		return
 	}
 	slow := action.Do == colocation.Throttle
--- a/internal/batch/owner/facts.go
+++ b/internal/batch/owner/facts.go
@@ -44,6 +44,13 @@
 	})
 }
 
+// underWay reports whether a record of a kind about the newest attempt of a job
+// is on its way.
+func (owner *Owner) underWay(entry *cell.Job, kind cell.Kind) bool {
+	last, known := owner.facts[factKey{id: entry.ID, kind: kind}]
+	return known && last.attempt == entry.Attempt
+}
+
 // settled forgets the facts that the state now holds.
 func (owner *Owner) settled(event cell.Event) {
 	delete(owner.facts, factKey{id: event.ID, kind: event.Kind})
--- a/internal/batch/owner/hand.go
+++ b/internal/batch/owner/hand.go
@@ -140,7 +140,7 @@
 	}
 	room := vm.Size
 	if entry.Spec.Class != route.Urgent {
-		room = room.Sub(reserve(machine{VM: vm, pool: row}))
+		room = room.Sub(machine{VM: vm, pool: row}.usualReserve())
 	}
 	if !room.Fits(entry.Spec.Size) {
 		return false
--- a/internal/batch/owner/matrix_test.go
+++ b/internal/batch/owner/matrix_test.go
@@ -267,7 +267,7 @@
 			}
 			for _, id := range one.state.IDs() {
 				if entry, _ := one.state.Job(id); entry.Active() {
-					one.sched.act(colocation.Action{Do: colocation.Throttle, VM: entry.VM, Job: id, Attempt: entry.Attempt})
+					one.sched.act(colocation.Action{Do: colocation.Throttle, VM: entry.VM, Job: id, Attempt: entry.Attempt}, "matrix")
 					return
 				}
 			}
--- a/internal/batch/owner/place.go
+++ b/internal/batch/owner/place.go
@@ -21,6 +21,8 @@
 	// startFresh is how old the configuration may be when a worker obeys a
 	// start order. It bounds starts in a failure domain that was taken out.
 	startFresh clock.Millis = 3 * clock.Second
+	// maxRoomTries bounds the workers that one urgent task tries to clear in a tick.
+	maxRoomTries = 3
 	// lookAgain is the age of a reading at which a planned start asks for a
 	// newer one.
 	lookAgain clock.Millis = 5 * clock.Second
@@ -71,12 +73,16 @@
 	if !known {
 		return false
 	}
-	vm, refusal := sched.index.Place(placement.Need{
+	need := placement.Need{
 		Size: entry.Spec.Size, Pools: entry.Spec.Pools, Class: entry.Spec.Class, Kind: entry.Spec.Kind,
 		Avoid: entry.Avoid, Job: entry.ID, Overdue: item.Overdue,
-	})
+	}
+	vm, refusal := sched.index.Place(need)
 	if vm == "" {
 		sched.refused(entry, refusal, now)
+		if need.Class == route.Urgent && refusal.Kind == placement.NoRoom {
+			sched.makeRoom(need, now)
+		}
 		return false
 	}
 	reading := sched.owner.readings[vm]
@@ -100,6 +106,29 @@
 	return true
 }
 
+// makeRoom evicts batch tasks for an urgent one that found no room. The worker is
+// held for it meanwhile; its next tries find the room when the tasks have ended.
+func (sched *scheduler) makeRoom(need placement.Need, now clock.Millis) {
+	for range maxRoomTries {
+		name, lacking := sched.index.Preempt(need)
+		vm := sched.owner.plant.machines[name]
+		if name == "" {
+			return
+		}
+		kept := sched.owner.state.VM(name)
+		if kept != nil && vm.pool.AllowEvict {
+			actions, enough := sched.estimator.MakeRoom(now, name, lacking, sched.neighbours(kept, now))
+			for _, action := range actions {
+				sched.act(action, "an urgent task needs its room")
+			}
+			if enough {
+				return
+			}
+		}
+		sched.index.Unhold(need.Job)
+	}
+}
+
 // record adds a record about a queued job and keeps it as a plan until it is
 // read back.
 func (sched *scheduler) record(entry *cell.Job, next plan, record []byte) {
--- a/internal/batch/owner/plant.go
+++ b/internal/batch/owner/plant.go
@@ -40,8 +40,15 @@
 	inventory.VM
 	pool    pool.Pool
 	pooled  bool
-	stopped bool // out, leaving or in no pool: no new work, and tasks move away
-	gone    bool // not listed any more, but tasks are committed on it
+	stopped bool         // out, leaving or in no pool: no new work, and tasks move away
+	gone    bool         // not listed any more, but tasks are committed on it
+	backAt  clock.Millis // when it came back into service; 0: it was never out
+}
+
+// usualReserve is the pool's share of the worker that batch tasks leave free.
+func (vm machine) usualReserve() amount.Amount {
+	percent := int64(vm.pool.ReservePercent)
+	return amount.Amount{MilliCores: vm.Size.MilliCores * percent / 100, MemoryMB: vm.Size.MemoryMB * percent / 100}
 }
 
 // other is another cell, with its usable workers as groups of equal size.
@@ -97,7 +104,7 @@
 		}
 		kept[vm.Name] = at
 		if at == owner.options.Cell {
-			next.machines[vm.Name] = owner.machine(vm)
+			next.machines[vm.Name] = owner.machine(vm, old.machines)
 		}
 	}
 	next.split = kept
@@ -107,11 +114,17 @@
 	return next
 }
 
-func (owner *Owner) machine(vm inventory.VM) machine {
+func (owner *Owner) machine(vm inventory.VM, old map[string]machine) machine {
 	config := owner.world.Config
 	row, pooled := config.Pools.Of(vm.Name, vm.FailureDomain)
 	out := config.Marks.Out(vm.FailureDomain, vm.Name)
-	return machine{VM: vm, pool: row, pooled: pooled, stopped: out || !pooled || vm.State != inventory.Live}
+	next := machine{VM: vm, pool: row, pooled: pooled, stopped: out || !pooled || vm.State != inventory.Live}
+	before, known := old[vm.Name]
+	next.backAt = before.backAt
+	if known && before.stopped && !next.stopped {
+		next.backAt = owner.now()
+	}
+	return next
 }
 
 // keepGone keeps workers that left the list while tasks are committed on them:
--- a/internal/batch/owner/policy_test.go
+++ b/internal/batch/owner/policy_test.go
@@ -84,6 +84,27 @@
 	}
 }
 
+// An urgent task that meets a cell full of batch tasks makes one of them move.
+func TestUrgentTaskMakesRoom(t *testing.T) {
+	b := newBench(1, breaks{}, 1, 2, 2)
+	b.run(15 * clock.Second)
+	for index := range 100 {
+		b.work(fmt.Sprint("batch-", index), 600_000, route.Batch)
+	}
+	b.run(30 * clock.Second)
+	sent := b.now
+	b.work("urgent", 1000, route.Urgent)
+	b.run(30 * clock.Second)
+	wait := b.watch.firstRun["urgent"] - sent
+	if wait <= 0 || wait >= 3900 {
+		t.Errorf("the urgent task waited %d ms", wait)
+	}
+	name := b.cells()[0]
+	if moved := b.follower(b.owner(name), name).count.Evictions; moved != 1 {
+		t.Errorf("%d batch tasks were evicted for it", moved)
+	}
+}
+
 func TestTakesOverInTime(t *testing.T) {
 	for seed := range uint64(20) {
 		if took := takeover(seed, 1); took <= 0 || took >= 8*clock.Second {
--- a/internal/batch/owner/scheduler.go
+++ b/internal/batch/owner/scheduler.go
@@ -91,7 +91,7 @@
 		suspects: map[string]clock.Millis{}, trials: map[string]*trial{}, throttle: map[string]bool{},
 	}
 	sched.waiting = queue.New(queue.Options{Share: sched.shares.Share})
-	sched.index.Harm = sched.estimator.Harm
+	sched.index.Harm, sched.index.MaxHarm = sched.estimator.Harm, colocation.BreachHarm
 	sched.refit()
 	for _, id := range owner.state.IDs() {
 		sched.sync(id, now)
@@ -134,7 +134,7 @@
 	}
 	row := placement.Worker{
 		Name: name, Rack: vm.Rack, Domain: vm.FailureDomain, Pool: vm.pool.Name,
-		Size: vm.Size, Reserve: reserve(vm), Committed: sched.taken[name],
+		Size: vm.Size, Reserve: sched.reserve(vm), Committed: sched.taken[name],
 		SetAside: sched.unusable(name, vm),
 	}
 	sched.serve(name, vm)
@@ -145,9 +145,24 @@
 	sched.index.Put(row)
 }
 
-func reserve(vm machine) amount.Amount {
-	percent := int64(vm.pool.ReservePercent)
-	return amount.Amount{MilliCores: vm.Size.MilliCores * percent / 100, MemoryMB: vm.Size.MemoryMB * percent / 100}
+// reserve returns what batch tasks must leave free on a worker: the pool's share,
+// and more while a worker that came back is warming up.
+func (sched *scheduler) reserve(vm machine) amount.Amount {
+	usual := vm.usualReserve()
+	if vm.backAt == 0 {
+		return usual
+	}
+	return placement.Ramp(vm.Size, usual, sched.owner.now()-vm.backAt, vm.pool.WarmupMS)
+}
+
+// warmUp lets more batch work onto workers that came back.
+func (sched *scheduler) warmUp(now clock.Millis) {
+	for name, vm := range sched.owner.plant.machines {
+		if vm.backAt != 0 && now-vm.backAt <= vm.pool.WarmupMS+2*clock.Second {
+			sched.put(name)
+			sched.waiting.FreedRoom(sched.index.Room(name))
+		}
+	}
 }
 
 // serve counts a worker for its pool while it is in service and not dropped.
@@ -259,7 +274,7 @@
 		sched.index.Release(old.vm, old.size)
 		sched.shares.Refund(old.team, old.size)
 		sched.take(old.vm, amount.Amount{}.Sub(old.size))
-		sched.waiting.Freed()
+		sched.waiting.FreedRoom(sched.index.Room(old.vm))
 		delete(sched.commits, id)
 	}
 	if next.vm != "" {
@@ -296,13 +311,16 @@
 	case !wanted && queued:
 		delete(sched.queued, entry.ID)
 		sched.waiting.Remove(entry.ID)
+		sched.index.Unhold(entry.ID)
 	}
 }
 
+// itemOf puts jobs whose refusal would be the same into one lane: harm to the
+// services beside a task depends on its kind.
 func itemOf(entry *cell.Job) queue.Item {
 	return queue.Item{
 		ID: entry.ID, Team: entry.Spec.Team, Class: entry.Spec.Class,
-		Lane: strings.Join(entry.Spec.Pools, ","), Size: entry.Spec.Size, Since: entry.Since,
+		Lane: strings.Join(entry.Spec.Pools, ",") + "/" + entry.Spec.Kind, Size: entry.Spec.Size, Since: entry.Since,
 	}
 }
 
@@ -325,6 +343,7 @@
 
 func (sched *scheduler) slowTick(now clock.Millis) {
 	sched.setTerms()
+	sched.warmUp(now)
 	sched.owner.handBack(now)
 	sched.checkWorkers(now)
 	sched.retryAside(now)
