--- a/internal/entry/node/wire.go
+++ b/internal/entry/node/wire.go
@@ -55,7 +55,6 @@
 		MaxIdleConnsPerHost: platformIdlePerHost,
 		MaxConnsPerHost:     platformConnsPerHost,
 		IdleConnTimeout:     platformIdleTimeout.Duration(),
-		DisableCompression:  true,
 	}}, nil
 }
 
