--- a/internal/entry/api/api.go
+++ b/internal/entry/api/api.go
@@ -63,7 +63,7 @@
 
 type listInput struct {
 	Caller string    `query:"caller" maxLength:"200"`
-	Phase  job.Phase `query:"phase" enum:"queued,running,evicting,handed,finished,cancelled,parked"`
+	Phase  job.Phase `query:"phase" enum:"queued,running,evicting,handed,returned,finished,cancelled,parked"`
 	Limit  int       `query:"limit" minimum:"1" maximum:"1000" default:"100"`
 }
 
