--- a/internal/entry/node/listen.go
+++ b/internal/entry/node/listen.go
@@ -3,6 +3,8 @@
 import (
 	"context"
 	"crypto/tls"
+	"io"
+	"log"
 	"net"
 	"net/http"
 	"sync"
@@ -106,6 +108,7 @@
 		ReadTimeout:       requestTimeout.Duration(),
 		IdleTimeout:       idleTimeout.Duration(),
 		MaxHeaderBytes:    maxHeaderBytes,
+		ErrorLog:          log.New(io.Discard, "", 0), // broken handshakes are no changes of state
 	}
 	return l.server, opened, nil
 }
--- a/internal/entry/peer/client.go
+++ b/internal/entry/peer/client.go
@@ -85,7 +85,7 @@
 		conn = tls.Client(conn, named(c.options.TLS, address))
 	}
 	// The connection outlives this call, so it must not end with its context.
-	rpc := jsonrpc2.NewConn(context.WithoutCancel(ctx), jsonrpc2.NewBufferedStream(conn, boundedCodec{}), deaf{})
+	rpc := jsonrpc2.NewConn(context.WithoutCancel(ctx), jsonrpc2.NewBufferedStream(conn, boundedCodec{}), deaf{}, quiet)
 	var answer Credentials
 	err = rpc.Call(ctx, hello, Credentials{Token: c.options.Token, Name: c.options.Name}, &answer)
 	if err != nil {
--- a/internal/entry/peer/peer.go
+++ b/internal/entry/peer/peer.go
@@ -21,6 +21,10 @@
 	"context"
 	"crypto/tls"
 	"encoding/json"
+	"io"
+	"log"
+
+	"github.com/sourcegraph/jsonrpc2"
 
 	"github.com/oriolepier/oriolepier/internal/base/clock"
 	"github.com/oriolepier/oriolepier/internal/batch/job"
@@ -102,6 +106,10 @@
 	Handlers Handlers    // server only
 }
 
+// quiet keeps the library's lines about broken connections off stderr; callers
+// get them as errors.
+var quiet = jsonrpc2.SetLogger(log.New(io.Discard, "", 0))
+
 func decode[T any](params *json.RawMessage) (T, error) {
 	var value T
 	if params == nil {
--- a/internal/entry/peer/server.go
+++ b/internal/entry/peer/server.go
@@ -60,7 +60,7 @@
 
 func (s *Server) handle(ctx context.Context, conn net.Conn) {
 	ses := &session{options: s.options, admitted: make(chan struct{})}
-	rpc := jsonrpc2.NewConn(ctx, jsonrpc2.NewBufferedStream(conn, boundedCodec{}), ses)
+	rpc := jsonrpc2.NewConn(ctx, jsonrpc2.NewBufferedStream(conn, boundedCodec{}), ses, quiet)
 	defer func() { _ = rpc.Close() }()
 
 	timeout, cancel := context.WithTimeout(ctx, helloTimeout.Duration())
