Pause on a timer in place of a context's deadline

Cause: each pause of a reader made a context with a deadline that always expired, which starts a goroutine from a timer. Change: clock.Pause waits on a timer, the context or a wake-up.

--- a/internal/base/clock/clock.go
+++ b/internal/base/clock/clock.go
@@ -45,6 +45,8 @@
 	Now func() Millis
 	// Sleep waits for d or until the context ends, whose error it returns.
 	Sleep func(ctx context.Context, d Millis) error
+	// Pause is Sleep that a value on wake ends early.
+	Pause func(ctx context.Context, d Millis, wake <-chan struct{}) error
 }
 
 // New returns the clock of this process.
@@ -54,15 +56,20 @@
 		// One hour of head start keeps "now minus a timeout" positive.
 		Now:   func() Millis { return Hour + Of(time.Since(origin)) },
 		Sleep: sleep,
+		Pause: pause,
 	}
 }
 
-func sleep(ctx context.Context, d Millis) error {
+func sleep(ctx context.Context, d Millis) error { return pause(ctx, d, nil) }
+
+func pause(ctx context.Context, d Millis, wake <-chan struct{}) error {
 	timer := time.NewTimer(d.Duration())
 	defer timer.Stop()
 	select {
 	case <-ctx.Done():
 		return ctx.Err()
+	case <-wake:
+		return nil
 	case <-timer.C:
 		return nil
 	}
@@ -91,13 +98,16 @@
 	f.now += d
 }
 
-// Clock returns a Clock that reads this source; its Sleep advances it.
+// Clock returns a Clock that reads this source; its Sleep and Pause advance it.
 func (f *Fake) Clock() Clock {
 	return Clock{
-		Now: f.Now,
-		Sleep: func(ctx context.Context, d Millis) error {
-			f.Advance(d)
-			return ctx.Err()
-		},
+		Now:   f.Now,
+		Sleep: f.sleep,
+		Pause: func(ctx context.Context, d Millis, _ <-chan struct{}) error { return f.sleep(ctx, d) },
 	}
 }
+
+func (f *Fake) sleep(ctx context.Context, d Millis) error {
+	f.Advance(d)
+	return ctx.Err()
+}
--- a/internal/entry/feed/feed.go
+++ b/internal/entry/feed/feed.go
@@ -69,8 +69,12 @@
 			return err
 		}
 		from = on.From
-		if atEnd {
-			s.pause(ctx, on.Pause)
+		if !atEnd {
+			continue
+		}
+		// Ends early when somebody knows of news.
+		if err := s.options.Clock.Pause(ctx, on.Pause, s.options.Poke); err != nil {
+			return err
 		}
 	}
 	return ctx.Err()
@@ -93,16 +97,6 @@
 	return s.options.Clock.Sleep(ctx, failurePause)
 }
 
-// pause waits until the next read is due or somebody knows of news.
-func (s *Stream) pause(ctx context.Context, span clock.Millis) {
-	limited, cancel := context.WithTimeout(ctx, span.Duration())
-	defer cancel()
-	select {
-	case <-s.options.Poke:
-	case <-limited.Done():
-	}
-}
-
 // VMs reads the VM list of the failure domains that matter to this entry.
 type VMs struct {
 	List    inventory.List
--- a/internal/standin/witness/clock.go
+++ b/internal/standin/witness/clock.go
@@ -12,7 +12,9 @@
 // SharedClock returns a clock that reads the same in all processes of one
 // machine, so that observers in several processes can be compared.
 func SharedClock() clock.Clock {
-	return clock.Clock{Now: sinceStart, Sleep: clock.New().Sleep}
+	shared := clock.New()
+	shared.Now = sinceStart
+	return shared
 }
 
 func sinceStart() clock.Millis {
