--- a/internal/batch/owner/copy.go
+++ b/internal/batch/owner/copy.go
@@ -7,9 +7,11 @@
 )
 
 const (
-	// snapshotEvery is the time between snapshots. The log keeps records for
-	// half an hour at least (docs/PLATFORM.md), so that one may fail.
+	// snapshotEvery is the longest time between snapshots.
 	snapshotEvery clock.Millis = 10 * clock.Minute
+	// snapshotsKept is how many snapshots the log holds at any time, so that some
+	// may fail.
+	snapshotsKept = 4
 	// snapshotRecords asks for a snapshot sooner in a busy cell, to bound replay.
 	snapshotRecords stream.Offset = 50_000
 	// firstSnapshotAfter is when a new owner writes one, since it does not know
@@ -43,11 +45,20 @@
 		return
 	}
 	at.at = state.Applied()
-	at.next = now + snapshotEvery
+	at.next = now + sched.within(snapshotEvery)
 	at.chunks = cell.Chunks(at.at, state.Snapshot())
 	sched.owner.count.Snapshots++
 }
 
+// within shortens a time so that the log keeps several snapshots.
+func (sched *scheduler) within(span clock.Millis) clock.Millis {
+	retention := sched.owner.options.LogRetention
+	if retention == 0 {
+		return span
+	}
+	return min(span, retention/snapshotsKept)
+}
+
 func (sched *scheduler) writeChunk(at *copying) {
 	at.waiting = true
 	chunk := at.chunks[0]
@@ -59,7 +70,7 @@
 		at.waiting = false
 		if err != nil {
 			at.chunks = nil
-			at.next = owner.now() + snapshotAgain
+			at.next = owner.now() + sched.within(snapshotAgain)
 			return
 		}
 		at.chunks = at.chunks[1:]
--- a/internal/batch/owner/owner.go
+++ b/internal/batch/owner/owner.go
@@ -62,6 +62,8 @@
 	Journal *journal.Journal
 	Agent   Agent
 	Log     zerolog.Logger
+	// LogRetention is how long the log keeps a record; 0: for half an hour or more.
+	LogRetention clock.Millis
 }
 
 // Peer is an entry, as membership sees it.
--- a/internal/batch/owner/scheduler.go
+++ b/internal/batch/owner/scheduler.go
@@ -96,7 +96,7 @@
 	for _, id := range owner.state.IDs() {
 		sched.sync(id, now)
 	}
-	sched.copying.next = now + firstSnapshotAfter
+	sched.copying.next = now + sched.within(firstSnapshotAfter)
 	return sched
 }
 
--- a/internal/entry/control/cells.go
+++ b/internal/entry/control/cells.go
@@ -66,6 +66,8 @@
 		Journal: c.journal,
 		Agent:   c.agent(),
 		Log:     c.options.Log,
+
+		LogRetention: c.options.LogRetention,
 	})
 	own.SetWorld(c.world())
 	c.cells[name] = own
--- a/internal/entry/control/deployment_test.go
+++ b/internal/entry/control/deployment_test.go
@@ -89,6 +89,9 @@
 	pokes  sync.Map                      // channels of stream readers, by stream
 }
 
+// testRetention is the shortest that settings allow.
+const testRetention = clock.Minute
+
 var testDomains = []string{"a", "b", "c"}
 
 func newDeployment(t *testing.T, workersPerDomain int) *deployment {
@@ -96,7 +99,7 @@
 	d := &deployment{
 		t:       t,
 		clk:     clk,
-		log:     journal.New(journal.Options{Clock: clk, RetentionMS: clock.Hour}),
+		log:     journal.New(journal.Options{Clock: clk, RetentionMS: testRetention}),
 		list:    vmlist.New(vmlist.Options{Clock: clk, LagMS: 1000}),
 		witness: witness.New(witness.Options{}),
 		running: map[string]*running{},
@@ -148,7 +151,7 @@
 	run.ctl = New(Options{
 		Name: name, Domain: domain, Boot: fmt.Sprint("life-", d.lives), Seeds: d.seeds, Seed: uint64(d.lives),
 		Clock: d.clk, Log: zerolog.Nop(), Inbox: run.inbox, Effects: effects, Box: view.NewBox(),
-		Stream: log, Agent: d.agentFrom(domain), Call: d.callFrom(domain), Vars: new(expvar.Map).Init(),
+		Stream: log, LogRetention: testRetention, Agent: d.agentFrom(domain), Call: d.callFrom(domain), Vars: new(expvar.Map).Init(),
 		InFlight: func() int { return 0 },
 		Follow:   func(streamName string, first stream.Offset) { run.follow(d.clk, log, streamName, first) },
 		Unfollow: func(streamName string) { run.ends[streamName]() },
--- a/internal/entry/control/tasks_test.go
+++ b/internal/entry/control/tasks_test.go
@@ -8,6 +8,7 @@
 	"github.com/google/go-cmp/cmp"
 
 	"github.com/oriolepier/oriolepier/internal/base/clock"
+	"github.com/oriolepier/oriolepier/internal/batch/job"
 	"github.com/oriolepier/oriolepier/internal/entry/event"
 	"github.com/oriolepier/oriolepier/internal/standin/journal"
 	"github.com/oriolepier/oriolepier/internal/standin/witness"
@@ -137,6 +138,30 @@
 	})
 }
 
+// Jobs and configuration outlive the records that made them, also when no entry
+// of before is left.
+func TestStateOutlivesTheLogsRetention(t *testing.T) {
+	inForce(t, 2, func(t *testing.T, d *deployment, base int64) {
+		id, err := d.submit("a-e-0", "watch", 20*clock.Minute)
+		if err != nil {
+			t.Fatal(err)
+		}
+		for range 5 {
+			d.wait(2 * testRetention)
+			d.stopAll()
+			d.startAll()
+			d.until("the tables again", everywhereWithin, d.allAt(base))
+		}
+		status, known, err := d.entry("b-e-0").ctl.Status(t.Context(), id)
+		if err != nil || !known {
+			t.Fatalf("known: %v, error: %v", known, err)
+		}
+		if diff := cmp.Diff([]any{job.Running, 1}, []any{status.Phase, status.Attempt}); diff != "" {
+			t.Errorf("phase and attempt (-want +got):\n%s", diff)
+		}
+	})
+}
+
 func judge(t *testing.T, d *deployment, tasks int) {
 	t.Helper()
 	verdict := d.witness.Verdict()
