Follow cells anew when entries come and go; test many cells

Cause: who stands by for a cell of another failure domain was worked out only when the configuration changed, so that replaced standbys had no successors. Change: it is worked out at each change of membership; an owned cell is kept. Rows with six cells a failure domain, and every entry asked for every job. After: the rows and TestEveryEntryTellsOfEveryJob pass.

--- a/internal/entry/control/cells.go
+++ b/internal/entry/control/cells.go
@@ -23,9 +23,14 @@
 // domainOf returns the failure domain of a cell.
 func domainOf(cell string) string { return cell[:strings.LastIndexByte(cell, '.')] }
 
-// followCells starts and ends owners so that they match the configuration.
+// followCells starts and ends owners so that they match the configuration and
+// the entries there are. A cell that this entry owns is kept until another has
+// claimed it.
 func (c *Control) followCells() {
-	wanted := lo.Filter(c.names, func(name string, _ int) bool { return c.follows(name) })
+	wanted := lo.Filter(c.names, func(name string, _ int) bool {
+		own := c.cells[name]
+		return c.follows(name) || own != nil && own.Owns()
+	})
 	for _, name := range wanted {
 		if c.cells[name] == nil {
 			c.follow(name)
--- a/internal/entry/control/deployment_test.go
+++ b/internal/entry/control/deployment_test.go
@@ -46,6 +46,7 @@
 	agent   worker.Agent
 	domains map[string]string // of agents, by address
 	hold    clock.Millis      // in place of that of testTables, unless 0
+	cells   int               // of each failure domain, unless 0
 
 	machines []*machine.Machine
 	witness  *witness.Witness
@@ -327,6 +328,9 @@
 	if d.hold > 0 {
 		tables.Pools.Pools[0].HoldMS = d.hold
 	}
+	for index := range tables.Pools.Domains {
+		tables.Pools.Domains[index].Cells = max(d.cells, 1)
+	}
 	if findings := table.Check(tables.Routes, tables.Pools); len(findings) > 0 {
 		d.t.Fatal(findings)
 	}
--- a/internal/entry/control/members.go
+++ b/internal/entry/control/members.go
@@ -118,6 +118,7 @@
 		c.askForFleet(now)
 	}
 	if changed {
+		c.followCells()
 		c.dirty = true
 		c.shareWorld()
 	}
--- a/internal/entry/control/tasks_test.go
+++ b/internal/entry/control/tasks_test.go
@@ -20,6 +20,9 @@
 	name string
 	do   func(d *deployment, base int64)
 	hold clock.Millis // 0: that of testTables
+	// cells of each failure domain; 0: one. With more than four, entries follow
+	// those of other failure domains only as standbys.
+	cells int
 }
 
 var taskFaults = []taskFault{
@@ -75,6 +78,15 @@
 			}
 		}
 	}},
+	{name: "many cells, a domain's entries killed", cells: 6, do: func(d *deployment, _ int64) {
+		d.kill("a-e-0")
+		d.kill("a-e-1")
+	}},
+	{name: "many cells, domain out and back", cells: 6, do: func(d *deployment, base int64) {
+		out := d.mark(base, "b", true)
+		d.wait(10 * clock.Second)
+		d.mark(out, "b", false)
+	}},
 	{name: "owner drained", do: func(d *deployment, _ int64) {
 		done := make(chan struct{})
 		_ = d.entry("a-e-0").inbox.Post(d.t.Context(), event.Drain{Done: done})
@@ -93,7 +105,7 @@
 				d := newDeployment(t, 3)
 				d.startAll()
 				defer d.stopAll()
-				d.hold = fault.hold
+				d.hold, d.cells = fault.hold, fault.cells
 				base := d.publishTables()
 				d.until("tables", everywhereWithin, d.allAt(base))
 				d.wait(3 * clock.Second)
@@ -113,6 +125,42 @@
 	}
 }
 
+// Every entry tells of every job, by asking its peers where it does not follow
+// the job's cell.
+func TestEveryEntryTellsOfEveryJob(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		d := newDeployment(t, 2)
+		d.cells = 6
+		d.startAll()
+		defer d.stopAll()
+		d.until("tables", everywhereWithin, d.allAt(d.publishTables()))
+		d.wait(3 * clock.Second)
+		asked := 0
+		for index := range 12 {
+			id, err := d.submit("a-e-0", fmt.Sprint("key-", index), clock.Second)
+			if err != nil {
+				t.Fatal(err)
+			}
+			d.wait(clock.Second)
+			for _, seed := range d.seeds {
+				ctl := d.entry(seed.Name).ctl
+				status, known, err := ctl.Status(t.Context(), id)
+				if err != nil || !known || status.ID != id {
+					t.Errorf("%s: %+v, known %v, %v", seed.Name, status, known, err)
+				}
+				_ = ctl.inspect(t.Context(), func() {
+					if home, _ := job.CellOf(id); ctl.cells[home] == nil {
+						asked++
+					}
+				})
+			}
+		}
+		if asked == 0 {
+			t.Error("every entry follows every cell: nothing was asked of peers")
+		}
+	})
+}
+
 // A submission that is repeated through another entry, after its answer was
 // lost, is one job.
 func TestRepeatedSubmissionIsOneJob(t *testing.T) {
