Give dead and absent standbys successors

Cause: entries that settings name but that are gone kept their places as standbys for ever, so that cells had fewer than two followers outside their domain. TestCellsKeepTheirStandbys failed first (cells with no or one follower).

--- a/internal/entry/control/cells.go
+++ b/internal/entry/control/cells.go
@@ -54,11 +54,24 @@
 	}
 	own := standbyWeight(name, c.options.Name)
 	ahead := lo.CountBy(c.members.Rows(), func(row member.Member) bool {
-		return row.FailureDomain != domain && standbyWeight(name, row.Name) > own
+		return row.FailureDomain != domain && c.mayStandBy(row.Name) && standbyWeight(name, row.Name) > own
 	})
 	return ahead < standbys
 }
 
+// mayStandBy reports whether an entry is there to follow cells; one that was
+// never heard of gets some time to come.
+func (c *Control) mayStandBy(entry string) bool {
+	now := c.options.Clock.Now()
+	switch c.members.State(entry, now) {
+	case member.Live, member.Suspect:
+		return true
+	case member.Unheard:
+		return c.fresh(now)
+	}
+	return false
+}
+
 func standbyWeight(cell, entry string) uint64 { return xxhash.Sum64String(cell + "\x00" + entry) }
 
 func (c *Control) follow(name string) {
--- a/internal/entry/control/control.go
+++ b/internal/entry/control/control.go
@@ -114,6 +114,7 @@
 	members member.Table
 	asked   map[string]clock.Millis // heartbeats sent, by member
 	seen    map[string]member.State // opinions last logged
+	settled bool                    // cells were shared out without entries never heard of
 
 	journal *journal.Journal
 	cells   map[string]*owner.Owner
--- a/internal/entry/control/members.go
+++ b/internal/entry/control/members.go
@@ -114,10 +114,15 @@
 		c.seen[row.Name] = state
 		changed = true
 	}
+	if len(c.seen) > len(c.members.Rows()) {
+		c.seen = lo.PickBy(c.seen, func(name string, _ member.State) bool { return c.members.Knows(name) })
+		changed = true
+	}
 	if c.fleet.readAt == 0 {
 		c.askForFleet(now)
 	}
-	if changed {
+	if changed || !c.settled && !c.fresh(now) {
+		c.settled = !c.fresh(now)
 		c.followCells()
 		c.dirty = true
 		c.shareWorld()
--- a/internal/entry/control/tasks_test.go
+++ b/internal/entry/control/tasks_test.go
@@ -161,6 +161,40 @@
 	})
 }
 
+// Each cell keeps two standbys outside its failure domain while entries go.
+func TestCellsKeepTheirStandbys(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		d := newDeployment(t, 1)
+		d.cells = 6
+		d.startAll()
+		defer d.stopAll()
+		d.until("tables", everywhereWithin, d.allAt(d.publishTables()))
+		d.kill("b-e-1") // never comes back
+		d.kill("c-e-0")
+		d.wait(clock.Minute)
+		followers := map[string]int{}
+		for name := range d.versions() {
+			ctl := d.entry(name).ctl
+			_ = ctl.inspect(t.Context(), func() {
+				for cell := range ctl.cells {
+					if domainOf(cell) != ctl.options.Domain {
+						followers[cell]++
+					}
+				}
+			})
+		}
+		want := map[string]int{}
+		for _, domain := range testDomains {
+			for index := range d.cells {
+				want[job.CellName(domain, index)] = standbys
+			}
+		}
+		if diff := cmp.Diff(want, followers); diff != "" {
+			t.Errorf("followers from outside (-want +got):\n%s", diff)
+		}
+	})
+}
+
 // A submission that is repeated through another entry, after its answer was
 // lost, is one job.
 func TestRepeatedSubmissionIsOneJob(t *testing.T) {
--- a/internal/entry/member/member.go
+++ b/internal/entry/member/member.go
@@ -134,6 +134,12 @@
 	return t
 }
 
+// Knows reports whether an entry is a member, in whatever state.
+func (t Table) Knows(name string) bool {
+	_, ok := t.rows[name]
+	return ok
+}
+
 // Interval is the time between two heartbeats to an entry.
 func (t Table) Interval(name string) clock.Millis {
 	if t.rows[name].FailureDomain == t.domain {
