--- a/internal/entry/api/api.go
+++ b/internal/entry/api/api.go
@@ -15,6 +15,7 @@
 import (
 	"context"
 	"net/http"
+	"sync"
 
 	"github.com/danielgtaylor/huma/v2"
 	"github.com/danielgtaylor/huma/v2/adapters/humago"
@@ -75,9 +76,13 @@
 	}
 }
 
+// installProblems replaces the API library's errors, which are global to the
+// process, once for all entries in it.
+var installProblems = sync.OnceFunc(func() { huma.NewError = newProblem })
+
 // Register adds the interface to a mux.
 func Register(mux *http.ServeMux, backing Backing) {
-	huma.NewError = newProblem
+	installProblems()
 	config := huma.DefaultConfig("oriolepier tasks", "1.0.0")
 	config.Info.Description = "Submit tasks and follow them. Requests under routes go to any other path."
 	config.CreateHooks = nil // no $schema links in answers
