Read cells of other failure domains once a second

Cause: with nine entries and three cells, each entry polled cells that it only stands by for as often as its own. Change: 1 s for those, 400 ms for cells of the own failure domain or owned. Before: 10.6 KB/s at rest (9 entries, 66 workers, 20 s); after: 9.7 KB/s. Processor time was 1.94 % of a core before and 2.46 % after, on a machine whose load changed between the runs; not decided.

--- a/internal/entry/control/control.go
+++ b/internal/entry/control/control.go
@@ -21,6 +21,7 @@
 import (
 	"context"
 	"expvar"
+	"strings"
 	"sync/atomic"
 	"time"
 
@@ -28,6 +29,7 @@
 	"github.com/samber/lo"
 
 	"github.com/oriolepier/oriolepier/internal/base/clock"
+	"github.com/oriolepier/oriolepier/internal/batch/job"
 	"github.com/oriolepier/oriolepier/internal/batch/journal"
 	"github.com/oriolepier/oriolepier/internal/batch/owner"
 	"github.com/oriolepier/oriolepier/internal/config/ledger"
@@ -48,6 +50,7 @@
 	tickInterval    clock.Millis = 10
 	configPause     clock.Millis = 1000 // between reads of the config stream; peers' heartbeats tell of news sooner
 	cellPause       clock.Millis = 400  // between reads of a cell that stands still
+	standbyPause    clock.Millis = 1000 // the same for a cell of another failure domain
 	cellBusyPause   clock.Millis = 100  // while records of this entry wait to be read back
 	ownerInterval   clock.Millis = 50
 	viewInterval    clock.Millis = 100  // least time between two snapshots for traffic
@@ -236,11 +239,18 @@
 	if ev.Stream == ConfigStream {
 		return event.ReadOn{From: c.configRead(ev), Pause: configPause}
 	}
-	on := event.ReadOn{From: c.cellRead(ev), Pause: cellPause}
-	if c.journal.Backlog(ev.Stream) > 0 {
-		on.Pause = cellBusyPause
+	return event.ReadOn{From: c.cellRead(ev), Pause: c.pauseOf(ev.Stream)}
+}
+
+func (c *Control) pauseOf(streamName string) clock.Millis {
+	own, ok := c.cellOfStream(streamName)
+	switch {
+	case c.journal.Backlog(streamName) > 0:
+		return cellBusyPause
+	case !ok || own.Owns() || domainOf(strings.TrimPrefix(streamName, job.StreamName(""))) == c.options.Domain:
+		return cellPause
 	}
-	return on
+	return standbyPause
 }
 
 func (c *Control) streamFailed(ev event.StreamFailed) {
