--- a/internal/entry/control/config.go
+++ b/internal/entry/control/config.go
@@ -92,16 +92,16 @@
 		if err != nil || len(answer.Records) == 0 {
 			return nil
 		}
-		return func() { c.configOffered(event.ConfigOffered{Peer: from.Name, Records: answer.Records}) }
+		return func() { c.configOffered(from.Name, answer.Records) }
 	})
 }
 
 // configOffered takes a peer's configuration if that moves this entry forward.
 // It does not count as having read the log: no task starts on its strength.
-func (c *Control) configOffered(ev event.ConfigOffered) {
-	state, err := ledger.Import(ev.Records)
+func (c *Control) configOffered(from string, records [][]byte) {
+	state, err := ledger.Import(records)
 	if err != nil {
-		c.options.Log.Warn().Err(err).Str("peer", ev.Peer).Msg("configuration of a peer refused")
+		c.options.Log.Warn().Err(err).Str("peer", from).Msg("configuration of a peer refused")
 		return
 	}
 	if state.Version() <= c.config.Version || state.Next() < c.ledger.Next() {
--- a/internal/entry/control/config_test.go
+++ b/internal/entry/control/config_test.go
@@ -10,7 +10,6 @@
 	"github.com/oriolepier/oriolepier/internal/base/clock"
 	"github.com/oriolepier/oriolepier/internal/config/ledger"
 	"github.com/oriolepier/oriolepier/internal/config/route"
-	"github.com/oriolepier/oriolepier/internal/entry/event"
 	"github.com/oriolepier/oriolepier/internal/entry/peer"
 	vmlist "github.com/oriolepier/oriolepier/internal/standin/fleet"
 	"github.com/oriolepier/oriolepier/internal/standin/journal"
@@ -114,7 +113,7 @@
 		out := d.mark(base, "b", true)
 		d.until("mark", everywhereWithin, d.allAt(out))
 		target := d.entry("a-e-0").ctl
-		err = target.inspect(t.Context(), func() { target.configOffered(event.ConfigOffered{Records: old.Records}) })
+		err = target.inspect(t.Context(), func() { target.configOffered("c-e-0", old.Records) })
 		if err != nil {
 			t.Fatal(err)
 		}
--- a/internal/entry/control/control.go
+++ b/internal/entry/control/control.go
@@ -193,8 +193,6 @@
 		c.usageRead(ev)
 	case event.PeerHeard:
 		c.members = c.members.WithHeard(ev.Beat, ev.At)
-	case event.ConfigOffered:
-		c.configOffered(ev)
 	case event.Done:
 		ev.Run()
 	case event.Submit:
--- a/internal/entry/event/event.go
+++ b/internal/entry/event/event.go
@@ -67,12 +67,6 @@
 	At   clock.Millis
 }
 
-// ConfigOffered is a configuration snapshot that a peer gave.
-type ConfigOffered struct {
-	Peer    string
-	Records [][]byte
-}
-
 // Done carries the rest of an asynchronous call back to the control thread.
 type Done struct{ Run func() }
 
