Name a cell's failure domain in one place; count far entries once a change

Change: job.DomainOf, a count kept with the table, a plain branch, withRow. Behaviour as it was; tests unchanged but for the moved name.

--- a/internal/batch/job/job.go
+++ b/internal/batch/job/job.go
@@ -97,5 +97,14 @@
 // CellName names a cell of a failure domain; index starts at 0.
 func CellName(domain string, index int) string { return fmt.Sprintf("%s.%d", domain, index) }
 
+// DomainOf returns the failure domain in a cell's name.
+func DomainOf(cell string) string {
+	at := strings.LastIndexByte(cell, '.')
+	if at < 0 {
+		return cell
+	}
+	return cell[:at]
+}
+
 // StreamName names the log stream of a cell.
 func StreamName(cell string) string { return "cell." + cell }
--- a/internal/batch/owner/owner.go
+++ b/internal/batch/owner/owner.go
@@ -24,8 +24,6 @@
 package owner
 
 import (
-	"strings"
-
 	"github.com/rs/zerolog"
 
 	"github.com/oriolepier/oriolepier/internal/base/clock"
@@ -147,7 +145,7 @@
 func newWith(options Options, broken breaks) *Owner {
 	owner := &Owner{
 		options:  options,
-		domain:   domainOf(options.Cell),
+		domain:   job.DomainOf(options.Cell),
 		stream:   job.StreamName(options.Cell),
 		broken:   broken,
 		readings: map[string]lease.Reading{},
@@ -162,15 +160,6 @@
 	return owner
 }
 
-// domainOf returns the failure domain in a cell's name.
-func domainOf(name string) string {
-	at := strings.LastIndexByte(name, '.')
-	if at < 0 {
-		return name
-	}
-	return name[:at]
-}
-
 // Tick does what is due. Call it about every 50 ms.
 func (owner *Owner) Tick() {
 	now := owner.now()
--- a/internal/config/table/index.go
+++ b/internal/config/table/index.go
@@ -152,14 +152,19 @@
 // the last.
 func (index Index) WithPool(pl pool.Pool) (Index, []Finding) {
 	table := index.pools
-	table.Pools = slices.Clone(table.Pools)
-	at := slices.IndexFunc(table.Pools, func(other pool.Pool) bool { return other.Name == pl.Name })
+	table.Pools = withRow(table.Pools, pl, func(other pool.Pool) bool { return other.Name == pl.Name })
+	return index.WithPools(table)
+}
+
+// withRow returns the rows with one changed in its place, or added as the last.
+func withRow[Row any](rows []Row, row Row, same func(Row) bool) []Row {
+	next := slices.Clone(rows)
+	at := slices.IndexFunc(next, same)
 	if at < 0 {
-		table.Pools = append(table.Pools, pl)
-	} else {
-		table.Pools[at] = pl
+		return append(next, row)
 	}
-	return index.WithPools(table)
+	next[at] = row
+	return next
 }
 
 // WithoutPool returns the index less a pool that no route names.
@@ -175,13 +180,7 @@
 // WithDomain returns the index with a new or changed failure domain.
 func (index Index) WithDomain(domain pool.Domain) (Index, []Finding) {
 	table := index.pools
-	table.Domains = slices.Clone(table.Domains)
-	at := slices.IndexFunc(table.Domains, func(other pool.Domain) bool { return other.Name == domain.Name })
-	if at < 0 {
-		table.Domains = append(table.Domains, domain)
-	} else {
-		table.Domains[at] = domain
-	}
+	table.Domains = withRow(table.Domains, domain, func(other pool.Domain) bool { return other.Name == domain.Name })
 	return index.WithPools(table)
 }
 
--- a/internal/entry/control/cells.go
+++ b/internal/entry/control/cells.go
@@ -20,9 +20,6 @@
 	return lo.Times(domain.Cells, func(index int) string { return job.CellName(domain.Name, index) })
 }
 
-// domainOf returns the failure domain of a cell.
-func domainOf(cell string) string { return cell[:strings.LastIndexByte(cell, '.')] }
-
 // followCells starts and ends owners so that they match the configuration and
 // the entries there are. A cell that this entry owns is kept until another has
 // claimed it.
@@ -48,7 +45,7 @@
 // follows reports whether this entry reads a cell: those of its own failure
 // domain, and of others those that it stands by for.
 func (c *Control) follows(name string) bool {
-	domain := domainOf(name)
+	domain := job.DomainOf(name)
 	if len(c.names) <= followAll || domain == c.options.Domain {
 		return true
 	}
--- a/internal/entry/control/control.go
+++ b/internal/entry/control/control.go
@@ -245,7 +245,7 @@
 	switch {
 	case c.journal.Backlog(streamName) > 0:
 		return cellBusyPause
-	case !ok || own.Owns() || domainOf(strings.TrimPrefix(streamName, job.StreamName(""))) == c.options.Domain:
+	case !ok || own.Owns() || job.DomainOf(strings.TrimPrefix(streamName, job.StreamName(""))) == c.options.Domain:
 		return cellPause
 	}
 	return standbyPause
--- a/internal/entry/control/fleet.go
+++ b/internal/entry/control/fleet.go
@@ -8,6 +8,7 @@
 	"github.com/samber/lo"
 
 	"github.com/oriolepier/oriolepier/internal/base/clock"
+	"github.com/oriolepier/oriolepier/internal/batch/job"
 	"github.com/oriolepier/oriolepier/internal/config/ledger"
 	"github.com/oriolepier/oriolepier/internal/entry/member"
 	"github.com/oriolepier/oriolepier/internal/platform/inventory"
@@ -148,7 +149,7 @@
 		}
 	}
 	for _, cell := range cells {
-		wanted = append(wanted, domainOf(cell))
+		wanted = append(wanted, job.DomainOf(cell))
 	}
 	slices.Sort(wanted)
 	return slices.Compact(wanted)
--- a/internal/entry/control/members.go
+++ b/internal/entry/control/members.go
@@ -21,14 +21,14 @@
 	if ev.FromPeer && c.fleet.readAt > 0 {
 		return
 	}
-	next := c.fleet.withList
 	if ev.Unchanged {
-		next = func([]inventory.VM, clock.Millis) fleet { return c.fleet.withSeen(ev.At) }
-	}
-	had := len(c.fleet.rows)
-	c.fleet = next(ev.VMs, ev.At)
-	if ev.Unchanged && len(c.fleet.rows) == had {
-		return
+		had := len(c.fleet.rows)
+		c.fleet = c.fleet.withSeen(ev.At)
+		if len(c.fleet.rows) == had {
+			return
+		}
+	} else {
+		c.fleet = c.fleet.withList(ev.VMs, ev.At)
 	}
 	c.fleet = c.fleet.withService(c.config, c.fresh(ev.At), ev.At)
 	c.members = c.members.WithSeeds(c.fleet.entries())
--- a/internal/entry/control/tasks.go
+++ b/internal/entry/control/tasks.go
@@ -241,7 +241,7 @@
 	var addresses []string
 	err := c.inspect(ctx, func() {
 		live := c.members.Live(c.options.Clock.Now())
-		near, far := lo.FilterReject(live, func(row member.Member, _ int) bool { return row.FailureDomain == domainOf(home) })
+		near, far := lo.FilterReject(live, func(row member.Member, _ int) bool { return row.FailureDomain == job.DomainOf(home) })
 		live = append(near, far...)
 		addresses = lo.Map(live, func(row member.Member, _ int) string { return row.Address })
 	})
--- a/internal/entry/control/tasks_test.go
+++ b/internal/entry/control/tasks_test.go
@@ -177,7 +177,7 @@
 			ctl := d.entry(name).ctl
 			_ = ctl.inspect(t.Context(), func() {
 				for cell := range ctl.cells {
-					if domainOf(cell) != ctl.options.Domain {
+					if job.DomainOf(cell) != ctl.options.Domain {
 						followers[cell]++
 					}
 				}
--- a/internal/entry/member/member.go
+++ b/internal/entry/member/member.go
@@ -78,6 +78,7 @@
 	self   string
 	domain string
 	rows   map[string]Member
+	far    int // rows of other failure domains
 }
 
 // New returns the table of the entry of a name in a failure domain.
@@ -97,7 +98,7 @@
 		row.Seed = seed
 		next.rows[seed.Name] = row
 	}
-	return next
+	return next.counted()
 }
 
 // WithHeard returns the table after a heartbeat or an answer to one.
@@ -112,7 +113,7 @@
 	row.Last = beat
 	row.Heard = now
 	next.rows[beat.Name] = row
-	return next
+	return next.counted()
 }
 
 // WithForgotten returns the table without entries that are no longer named
@@ -123,7 +124,18 @@
 	maps.DeleteFunc(next.rows, func(name string, row Member) bool {
 		return !keep[name] && now-row.Heard > forgetSilence
 	})
-	return next
+	return next.counted()
+}
+
+// counted returns the table with its far entries counted anew.
+func (t Table) counted() Table {
+	t.far = 0
+	for _, row := range t.rows {
+		if row.FailureDomain != t.domain {
+			t.far++
+		}
+	}
+	return t
 }
 
 func (t Table) clone() Table {
@@ -145,8 +157,7 @@
 	if t.rows[name].FailureDomain == t.domain {
 		return nearInterval
 	}
-	far := lo.CountBy(lo.Values(t.rows), func(row Member) bool { return row.FailureDomain != t.domain })
-	return farInterval + farPerEntry*clock.Millis(far)
+	return farInterval + farPerEntry*clock.Millis(t.far)
 }
 
 // State returns the opinion of one entry.
