--- a/internal/operator/command/command.go
+++ b/internal/operator/command/command.go
@@ -31,6 +31,7 @@
 // reported as missing from this binary.
 type Runners struct {
 	Entry   func(ctx context.Context, opts option.Options) int
+	Serve   func(ctx context.Context, opts option.Options) int
 	Demo    func(ctx context.Context, opts option.Options) int
 	Standin func(ctx context.Context, opts option.Options) int
 	// Log makes a client of the platform's log; nil for the one over HTTP.
@@ -67,6 +68,8 @@
 	switch ses.opts.Command {
 	case "entry":
 		return ses.foreign(ctx, ses.runners.Entry)
+	case "serve":
+		return ses.foreign(ctx, ses.runners.Serve)
 	case "demo":
 		return ses.foreign(ctx, ses.runners.Demo)
 	case "standin platform", "standin worker":
--- a/internal/operator/option/option.go
+++ b/internal/operator/option/option.go
@@ -36,6 +36,7 @@
 	Command string `no-flag:"true"` // such as "publish" or "standin worker"
 
 	Entry   Entry                `command:"entry" description:"Run an entry" long-description:"Runs an entry on this VM until it is told to stop by SIGTERM or SIGINT, upon which it leaves gracefully."`
+	Serve   Serve                `command:"serve" description:"Run an entry on the users' platform" long-description:"Runs an entry by the settings file that the platform names, until it is told to stop by SIGTERM or SIGINT, upon which it leaves gracefully. SIGHUP makes it read the settings again."`
 	Check   Check                `command:"check" description:"Check tables and settings" long-description:"Reads files and prints each fault with file, line, column and field. Tables in the same directory are checked together."`
 	Publish Publish              `command:"publish" description:"Publish tables" long-description:"Puts tables into force. Only rows that differ from the version in force are published. Says accepted with the version, rejected and why, or unknown and how to find out."`
 	Show    Show                 `command:"show" description:"Print the configuration in force" long-description:"Reads the config stream and prints the tables and marks in force as JSON."`
@@ -55,6 +56,9 @@
 	Settings string `long:"settings" value-name:"FILE" required:"true" description:"Settings file of the entry"`
 }
 
+// Serve runs an entry on the users' platform.
+type Serve struct{}
+
 // Check checks files.
 type Check struct {
 	Args struct {
--- /dev/null
+++ b/internal/schedule/job/job.go
@@ -0,0 +1,149 @@
+// Package job holds what callers submit and what the scheduler remembers of
+// it: specifications, tasks and their phases. Everything here is data; the
+// transitions are in package owner.
+//
+// A job has steps, a step has tasks. A step waits for the steps that it names
+// in After. Each start of a task is a run with a number that only rises, so a
+// worker and a later owner can tell an old run from the current one.
+//
+// # Usage
+//
+//	spec := job.Spec{ID: "5c0e7a21d94b36f8", Queue: "rations", Steps: steps}
+//	if err := spec.Check(); err != nil {
+//		// the caller's mistake, with a reason of one line
+//	}
+//	record, err := job.EncodeSpec(spec)
+package job
+
+import (
+	"github.com/pkg/errors"
+	"github.com/samber/lo"
+)
+
+// ID names a job: 16 hexadecimal digits, chosen by the caller.
+type ID string
+
+// Limits of a submission.
+const (
+	idDigits     = 16
+	MaxTextBytes = 4000 // of the opaque specification
+	MaxSteps     = 64   // steps of one job
+	MaxTasks     = 4096 // tasks of one step
+)
+
+// Spec is a submission as accepted. It never changes.
+type Spec struct {
+	ID          ID     `cbor:"1,keyasint"`
+	Queue       string `cbor:"2,keyasint"`           // name of the route that took it
+	Text        string `cbor:"3,keyasint,omitempty"` // opaque, handed to workers
+	Steps       []Step `cbor:"4,keyasint"`
+	AcceptedMS  int64  `cbor:"5,keyasint"`           // Unix time; orders the queue and nothing else
+	Repetitions int    `cbor:"6,keyasint,omitempty"` // occurrences; 0: runs once, at once
+	FirstMS     int64  `cbor:"7,keyasint,omitempty"` // Unix time at which occurrence 0 is due
+	IntervalMS  int64  `cbor:"8,keyasint,omitempty"` // between occurrences
+}
+
+// Step is a group of equal tasks.
+type Step struct {
+	Count         int    `cbor:"1,keyasint"`
+	MilliCPU      int64  `cbor:"2,keyasint,omitempty"`
+	MemoryMB      int64  `cbor:"3,keyasint,omitempty"`
+	GPUs          int64  `cbor:"4,keyasint,omitempty"`
+	EstimateMS    int64  `cbor:"5,keyasint,omitempty"` // the caller's guess of a task's length
+	After         []int  `cbor:"6,keyasint,omitempty"` // earlier steps that must be done
+	Checkpointing bool   `cbor:"7,keyasint,omitempty"`
+	Gang          bool   `cbor:"8,keyasint,omitempty"`  // all tasks run together or none
+	SameRack      bool   `cbor:"9,keyasint,omitempty"`  // slow when spread over racks
+	Label         string `cbor:"10,keyasint,omitempty"` // that a worker must have
+	Rack          string `cbor:"11,keyasint,omitempty"` // rack of the data; slow elsewhere
+	PerWorker     int    `cbor:"12,keyasint,omitempty"` // most tasks of the step on a worker; 0: no limit
+	Speculative   bool   `cbor:"13,keyasint,omitempty"` // copies may run side by side
+	Lasting       bool   `cbor:"14,keyasint,omitempty"` // runs until cancelled, restarted however it ends
+	Image         string `cbor:"15,keyasint,omitempty"` // tasks of an image behave alike
+	TargetMS      int64  `cbor:"16,keyasint,omitempty"` // tail latency that a lasting task must keep
+	Fills         bool   `cbor:"17,keyasint,omitempty"` // takes the processors that others leave idle
+	MayMiss       int    `cbor:"18,keyasint,omitempty"` // tasks that may be away by the scheduler's doing
+}
+
+// Task names a task of a job.
+type Task struct {
+	Job        ID
+	Occurrence int
+	Step       int
+	Index      int
+}
+
+// State is what callers see of a job.
+type State uint8
+
+// The states of a job.
+const (
+	Queued State = iota
+	Running
+	Completed
+	Failed
+	Cancelled
+)
+
+// String names the state for logs.
+func (s State) String() string {
+	return [...]string{"queued", "running", "completed", "failed", "cancelled"}[s]
+}
+
+// Final reports whether a job in this state starts nothing any more.
+func (s State) Final() bool { return s >= Completed }
+
+// ErrUnsupported marks a submission that is well formed but needs a kind of
+// work that this version does not run.
+var ErrUnsupported = errors.New("not supported by this version")
+
+// CheckID reports whether an id has the form of a job's id.
+func CheckID(id ID) error {
+	if len(id) != idDigits || !lo.EveryBy([]byte(id), isHex) {
+		return errors.Errorf("job id %q is not %d hexadecimal digits", id, idDigits)
+	}
+	return nil
+}
+
+func isHex(c byte) bool { return c >= '0' && c <= '9' || c >= 'a' && c <= 'f' || c >= 'A' && c <= 'F' }
+
+// Check returns the first fault of a submission, in words for its caller. The
+// error is [ErrUnsupported] for what is valid but cannot be run.
+func (s Spec) Check() error {
+	if err := CheckID(s.ID); err != nil {
+		return err
+	}
+	if len(s.Text) > MaxTextBytes {
+		return errors.Errorf("specification has %d bytes, the limit is %d", len(s.Text), MaxTextBytes)
+	}
+	if len(s.Steps) == 0 || len(s.Steps) > MaxSteps {
+		return errors.Errorf("job has %d steps, 1 to %d are allowed", len(s.Steps), MaxSteps)
+	}
+	for i, step := range s.Steps {
+		if err := step.check(i); err != nil {
+			return errors.WithMessagef(err, "step %d", i)
+		}
+	}
+	if s.Repetitions > 0 {
+		return errors.WithMessage(ErrUnsupported, "repeated jobs")
+	}
+	return nil
+}
+
+func (s Step) check(number int) error {
+	if s.Count < 1 || s.Count > MaxTasks {
+		return errors.Errorf("count is %d, 1 to %d are allowed", s.Count, MaxTasks)
+	}
+	if s.MilliCPU < 0 || s.MemoryMB < 0 || s.GPUs < 0 || s.EstimateMS < 0 || s.PerWorker < 0 {
+		return errors.New("an amount is negative")
+	}
+	for _, before := range s.After {
+		if before < 0 || before >= number {
+			return errors.Errorf("after names step %d, which is not an earlier one", before)
+		}
+	}
+	if s.Gang {
+		return errors.WithMessage(ErrUnsupported, "gangs")
+	}
+	return nil
+}
--- /dev/null
+++ b/internal/schedule/owner/book.go
@@ -0,0 +1,189 @@
+package owner
+
+import (
+	"slices"
+
+	"github.com/oriolepier/oriolepier/internal/base/clock"
+	"github.com/oriolepier/oriolepier/internal/schedule/fleet"
+	"github.com/oriolepier/oriolepier/internal/schedule/job"
+)
+
+// jobState is a job in memory.
+type jobState struct {
+	spec     job.Spec
+	state    job.State
+	shown    job.State // as last recorded
+	durable  bool      // its specification is recorded
+	cancel   bool      // the caller cancelled it
+	began    bool      // a run of it was ordered
+	endedMS  int64     // Unix time of its final state
+	steps    []stepState
+	runs     int // runs that may be at work
+	left     int // steps that are not done
+	dirty    bool
+	newSpec  bool // its specification is yet to be recorded
+	objects  objective
+	waiters  []func(Verdict)
+	takenAt  clock.Millis
+	specGone bool // its specification's record was removed
+}
+
+// stepState is a step in memory.
+type stepState struct {
+	spec    *job.Step
+	tasks   []taskState
+	open    bool           // all steps before it are done
+	left    int            // tasks that are not done
+	waiting int            // tasks that could start
+	onHost  map[string]int // runs by worker id; only kept where the step limits them
+}
+
+// taskState is a task in memory.
+type taskState struct {
+	job        *jobState
+	step       int
+	index      int
+	phase      job.Phase
+	number     int // of the newest run
+	failures   int
+	checkpoint string
+	run        *run         // while assigned
+	notBefore  clock.Millis // earliest next start
+	avoid      string       // worker of the last run, when that run went wrong
+}
+
+// stage of a run, as far as the owner knows.
+type stage uint8
+
+const (
+	stageRecording stage = iota // its record is not acknowledged; nothing was sent
+	stageOrdered                // the order was sent
+	stageConfirmed              // the worker has it, or has had it
+	stageInherited              // recorded by a former owner, not heard of yet
+	stageStopping               // a stop was sent
+	stageStopped                // a stop was confirmed; its end is to be listed
+)
+
+// run is one run of a task that may be at work.
+type run struct {
+	task        *taskState
+	number      int
+	worker      *worker
+	born        int64 // incarnation of the worker
+	stage       stage
+	unanswered  bool // an order of it got no answer, so it may begin late
+	tries       int
+	confirmedAt clock.Millis // when the start, or in stageStopped the stop, was confirmed
+	startedAt   clock.Millis
+	percent     int
+	usage       int64 // as last reported: tail latency in ms, or milli-CPU
+	usageAt     clock.Millis
+	pace        int // percent; 100: unhindered
+	slowSince   clock.Millis
+	why         string // reason for a stop
+}
+
+// name returns the task's name.
+func (t *taskState) name() job.Task {
+	return job.Task{Job: t.job.spec.ID, Step: t.step, Index: t.index}
+}
+
+func (t *taskState) spec() *job.Step { return &t.job.spec.Steps[t.step] }
+
+// newJob builds the state of a job of which nothing has run.
+func newJob(spec job.Spec) *jobState {
+	j := &jobState{spec: spec, left: len(spec.Steps)}
+	j.steps = make([]stepState, len(spec.Steps))
+	for i := range j.steps {
+		step := &j.steps[i]
+		step.spec = &j.spec.Steps[i]
+		step.left = step.spec.Count
+		step.waiting = step.spec.Count
+		step.tasks = make([]taskState, step.spec.Count)
+		if step.spec.PerWorker > 0 {
+			step.onHost = map[string]int{}
+		}
+		for k := range step.tasks {
+			step.tasks[k] = taskState{job: j, step: i, index: k}
+		}
+	}
+	j.openSteps()
+	return j
+}
+
+// openSteps opens each step whose earlier steps are done.
+func (j *jobState) openSteps() {
+	for i := range j.steps {
+		step := &j.steps[i]
+		step.open = step.open || !slices.ContainsFunc(step.spec.After, func(before int) bool {
+			return j.steps[before].left > 0
+		})
+	}
+}
+
+// startable reports whether a task of the job could start now.
+func (j *jobState) startable() bool {
+	if j.state.Final() {
+		return false
+	}
+	return slices.ContainsFunc(j.steps, func(step stepState) bool { return step.open && step.waiting > 0 })
+}
+
+// lasting reports whether the job runs until it is cancelled.
+func (j *jobState) lasting() bool {
+	return slices.ContainsFunc(j.spec.Steps, func(step job.Step) bool { return step.Lasting })
+}
+
+// progress returns the durable form of what changes.
+func (j *jobState) progress() job.Progress {
+	progress := job.Progress{State: j.state, EndedMS: j.endedMS, Canceled: j.cancel}
+	if j.state.Final() && j.runs == 0 {
+		return progress
+	}
+	for i := range j.steps {
+		for k := range j.steps[i].tasks {
+			progress.Tasks = append(progress.Tasks, j.steps[i].tasks[k].progress())
+		}
+	}
+	return progress
+}
+
+func (t *taskState) progress() job.TaskProgress {
+	kept := job.TaskProgress{Phase: t.phase, Run: t.number, Failures: t.failures}
+	if t.phase != job.Done {
+		kept.Checkpoint = t.checkpoint
+	}
+	if t.run != nil {
+		kept.Worker = t.run.worker.id
+		kept.Born = t.run.born
+	}
+	return kept
+}
+
+// task finds a task by its name.
+func (o *Owner) task(name job.Task) *taskState {
+	j := o.jobs[name.Job]
+	if j == nil || name.Occurrence != 0 || name.Step >= len(j.steps) || name.Index >= len(j.steps[name.Step].tasks) {
+		return nil
+	}
+	return &j.steps[name.Step].tasks[name.Index]
+}
+
+// runOf finds the current run of a task, if it has this number.
+func (o *Owner) runOf(name job.Task, number int) *run {
+	task := o.task(name)
+	if task == nil || task.run == nil || task.run.number != number {
+		return nil
+	}
+	return task.run
+}
+
+// need returns what a task takes of a worker's room. Tasks that fill take
+// processors only as others leave them.
+func need(step *job.Step) fleet.Room {
+	room := fleet.Room{MilliCPU: step.MilliCPU, MemoryMB: step.MemoryMB, GPUs: step.GPUs}
+	if step.Fills {
+		room.MilliCPU = 0
+	}
+	return room
+}
--- /dev/null
+++ b/internal/schedule/owner/lease.go
@@ -0,0 +1,84 @@
+package owner
+
+import (
+	"github.com/oriolepier/oriolepier/internal/base/clock"
+	"github.com/oriolepier/oriolepier/internal/schedule/fleet"
+)
+
+// Holds that find a worker silent.
+const (
+	silentHoldPeriod clock.Millis = 300 // between holds of a worker that does not answer
+	missesToDoubt                 = 2   // unanswered holds after which leases are no longer renewed
+	idleWait         clock.Millis = 1500
+)
+
+// checkLeases sends the holds that are due and counts runs as over whose
+// leases have certainly run out.
+func (o *Owner) checkLeases() {
+	for _, w := range o.ordered {
+		if !w.holding && o.now >= w.nextHold && w.entry.Address != "" {
+			o.hold(w)
+		}
+		if len(w.runs) > 0 && !w.lapsed && o.leaseOver(w) {
+			o.lapse(w)
+		}
+	}
+}
+
+// hold asks a worker for its report and, while the ownership is confirmed and
+// the worker answers, renews its lease.
+func (o *Owner) hold(w *worker) {
+	order := fleet.Hold{To: w.address(), Acked: w.acked, Token: o.options.Epoch}
+	if w.contactAt != 0 && w.misses == 0 {
+		order.WaitMS = int64(o.options.Times.Wait)
+		if len(w.runs) == 0 {
+			order.WaitMS = int64(idleWait)
+		}
+	}
+	if w.hurry {
+		order.WaitMS = 0
+		w.hurry = false
+	}
+	if w.clockAt != 0 && w.misses < missesToDoubt && o.mayRenew() {
+		order.UntilMS = o.lease(w)
+	}
+	w.holding = true
+	w.holdSent = o.now
+	o.options.Effects.Hold(order)
+}
+
+// lease returns the end of a lease granted now, on the worker's clock, and
+// remembers it.
+func (o *Owner) lease(w *worker) int64 {
+	until := w.clockNow(o.now) + int64(o.options.Times.Lease)
+	w.untilMS = max(w.untilMS, until)
+	return until
+}
+
+// mayRenew reports whether the store confirmed the ownership recently enough to
+// grant leases. A later owner waits for longer than that before it counts the
+// runs of a worker that it cannot reach as over.
+func (o *Owner) mayRenew() bool { return o.now-o.ackedAt < o.options.Times.HoldTime }
+
+// leaseOver reports whether nothing can run on a worker under any lease that
+// was granted.
+func (o *Owner) leaseOver(w *worker) bool {
+	if w.contactAt != 0 {
+		return w.clockNow(o.now) > w.untilMS+int64(o.options.Times.Slack)
+	}
+	t := o.options.Times
+	longest := t.HoldTime + t.LongestLease
+	return o.now > w.quietFrom+longest+longest*driftPercent/100+t.Slack
+}
+
+// lapse counts all runs of a worker as over.
+func (o *Owner) lapse(w *worker) {
+	w.lapsed = true
+	o.options.Counts.Lapses.Inc()
+	o.options.Log.Warn().Str("event", "lease_lapsed").Str("worker", w.id).Int("runs", len(w.runs)).
+		Int64("contact_age_ms", int64(o.now-w.contactAt)).Int64("until_ms", w.untilMS).
+		Int64("clock_ms", w.clockNow(o.now)).Int("misses", w.misses).Send()
+	for _, r := range w.sorted() {
+		o.over(r, endLapsed, "")
+	}
+}
--- /dev/null
+++ b/internal/schedule/owner/place.go
@@ -0,0 +1,215 @@
+package owner
+
+import (
+	"cmp"
+	"slices"
+
+	"github.com/oriolepier/oriolepier/internal/base/clock"
+	"github.com/oriolepier/oriolepier/internal/schedule/fleet"
+	"github.com/oriolepier/oriolepier/internal/schedule/job"
+)
+
+// staleContact: a worker that has not answered for so long gets no new runs.
+const staleContact clock.Millis = 2500
+
+// maxTriesPerPass bounds the tasks for which no worker is found in one pass.
+const maxTriesPerPass = 200
+
+// place finds workers for the tasks that could start, most urgent first.
+func (o *Owner) place() {
+	usable := o.usable()
+	if len(usable) == 0 {
+		return
+	}
+	blocked := 0
+	for _, j := range o.queue() {
+		queue, known := o.tables.Queue(j.spec.Queue)
+		if !known {
+			continue
+		}
+		for i := range j.steps {
+			if step := &j.steps[i]; step.open && step.waiting > 0 {
+				blocked += o.placeStep(j, step, usable[queue.Pool])
+			}
+		}
+		if blocked > maxTriesPerPass {
+			return
+		}
+	}
+}
+
+// placeStep places the waiting tasks of a step until one fits nowhere; it
+// returns 1 then.
+func (o *Owner) placeStep(j *jobState, step *stepState, workers []*worker) int {
+	for k := range step.tasks {
+		task := &step.tasks[k]
+		if task.phase != job.Waiting {
+			continue
+		}
+		if task.notBefore > o.now {
+			o.timers.add(task.notBefore, func() { o.placeDue = true })
+			continue
+		}
+		w := o.choose(task, step, workers)
+		if w == nil {
+			return 1
+		}
+		o.assign(task, w)
+	}
+	return 0
+}
+
+// queue lists the jobs that have startable tasks, most urgent first.
+func (o *Owner) queue() []*jobState {
+	var jobs []*jobState
+	for _, j := range o.jobs {
+		if j.startable() {
+			jobs = append(jobs, j)
+		}
+	}
+	slices.SortFunc(jobs, o.compare)
+	return jobs
+}
+
+// compare orders jobs: lasting ones first, then those that are still of use,
+// by priority and by the end of their objective.
+func (o *Owner) compare(a, b *jobState) int {
+	return cmp.Or(
+		-compareBool(a.lasting(), b.lasting()),
+		compareBool(o.now > a.objects.late, o.now > b.objects.late),
+		cmp.Compare(o.priority(a), o.priority(b)),
+		cmp.Compare(a.objects.onTime, b.objects.onTime),
+		cmp.Compare(a.spec.ID, b.spec.ID),
+	)
+}
+
+func compareBool(a, b bool) int {
+	switch {
+	case a == b:
+		return 0
+	case a:
+		return 1
+	}
+	return -1
+}
+
+func (o *Owner) priority(j *jobState) int {
+	queue, _ := o.tables.Queue(j.spec.Queue)
+	return queue.Priority
+}
+
+// usable lists the workers that may get new runs, by pool.
+func (o *Owner) usable() map[string][]*worker {
+	pools := map[string][]*worker{}
+	for _, w := range o.ordered {
+		if o.mayUse(w) {
+			pools[w.entry.Service] = append(pools[w.entry.Service], w)
+		}
+	}
+	return pools
+}
+
+func (o *Owner) mayUse(w *worker) bool {
+	return w.listed && !w.entry.Draining && !o.out[w.entry.Domain] &&
+		w.clockAt != 0 && w.misses == 0 && !w.lapsed && o.now-w.contactAt < staleContact && o.now >= w.restUntil
+}
+
+// choose returns the best worker for a task, or nil.
+func (o *Owner) choose(task *taskState, step *stepState, workers []*worker) *worker {
+	amount := need(step.spec)
+	var best *worker
+	bestScore := 0.0
+	for _, w := range workers {
+		if !within(amount, w.free()) || !o.allowed(task, step, w) {
+			continue
+		}
+		score, ok := o.score(task, step, w)
+		if ok && (best == nil || score > bestScore) {
+			best, bestScore = w, score
+		}
+	}
+	return best
+}
+
+// allowed reports whether a step's own terms let a task run on a worker.
+func (o *Owner) allowed(task *taskState, step *stepState, w *worker) bool {
+	if step.spec.Label != "" && !slices.Contains(w.entry.Labels, step.spec.Label) {
+		return false
+	}
+	if step.spec.PerWorker > 0 && step.onHost[w.id] >= step.spec.PerWorker {
+		return false
+	}
+	return true
+}
+
+// Weights of the terms of a score, in units of one whole worker.
+const (
+	weightRack     = 4.0 // data is on the worker's rack
+	weightAvoid    = 3.0 // the task's last run went wrong there
+	weightFaults   = 0.5 // for each of the last runs in a row that went wrong there
+	weightTight    = 1.0 // prefer the fuller worker, which keeps room for large tasks
+	weightSameWork = 2.0 // lasting tasks of an image are kept together
+)
+
+// score rates a worker that has room for a task; higher is better. It is not
+// ok where the task would do harm.
+func (o *Owner) score(task *taskState, step *stepState, w *worker) (score float64, ok bool) {
+	if task.avoid == w.id {
+		score -= weightAvoid
+	}
+	if step.spec.Rack != "" && slices.Contains(w.entry.Labels, step.spec.Rack) {
+		score += weightRack
+	}
+	score -= weightFaults * float64(w.faults)
+	switch {
+	case step.spec.Fills:
+		gain, harmless := o.scoreFill(step, w)
+		return score + gain, harmless
+	case step.spec.TargetMS > 0:
+		return score + weightTight*used(w) + weightSameWork*o.sameWork(step, w), true
+	}
+	return score + weightTight*used(w), true
+}
+
+// used is the share of a worker's processors that is committed.
+func used(w *worker) float64 { return share(w.used.MilliCPU, w) }
+
+func share(milliCPU int64, w *worker) float64 {
+	return float64(milliCPU) / float64(max(w.entry.Room.MilliCPU, 1))
+}
+
+// sameWork rates how well a lasting task fits those that a worker has: 1 with
+// its own image only, 0 for an empty worker, less among others.
+func (o *Owner) sameWork(step *stepState, w *worker) float64 {
+	same, other := 0, 0
+	for r := range w.runs {
+		spec := r.task.spec()
+		switch {
+		case spec.TargetMS == 0:
+		case spec.Image == step.spec.Image:
+			same++
+		default:
+			other++
+		}
+	}
+	if same+other == 0 {
+		return 0
+	}
+	return float64(same-other) / float64(same+other)
+}
+
+// learnEnd keeps count of the runs that went wrong on a worker.
+func (o *Owner) learnEnd(r *run, how ending) {
+	w := r.worker
+	switch how {
+	case endDone:
+		w.faults = 0
+	case endFailed:
+		w.faults++
+		r.task.avoid = w.id
+	case endLapsed, endGone, endStopped, endNotStarted:
+		r.task.avoid = w.id
+	}
+}
+
+var _ = fleet.Room{}
--- /dev/null
+++ b/internal/schedule/owner/workers.go
@@ -0,0 +1,195 @@
+package owner
+
+import (
+	"cmp"
+	"slices"
+
+	"github.com/oriolepier/oriolepier/internal/base/clock"
+	"github.com/oriolepier/oriolepier/internal/schedule/fleet"
+)
+
+// worker is one incarnation of a worker in memory.
+type worker struct {
+	id     string
+	born   int64 // 0: not known yet
+	entry  fleet.Entry
+	listed bool // it stands in the list of workers
+	runs   map[*run]struct{}
+	used   fleet.Room
+
+	clockMS   int64        // its clock ...
+	clockAt   clock.Millis // ... as read at this time; 0: never
+	untilMS   int64        // no lease of its runs lasts longer, on its clock
+	contactAt clock.Millis // of its last answer; 0: none to this owner
+	quietFrom clock.Millis // without an answer to this owner, since when it is waited for
+	lapsed    bool         // its leases have run out since its last answer
+	misses    int          // holds unanswered in a row
+	holding   bool         // a hold is under way
+	holdSent  clock.Millis
+	nextHold  clock.Millis
+	hurry     bool         // the next hold does not wait for an end
+	noted     int64        // ends up to this number are taken into account
+	acked     int64        // ends up to this number are recorded
+	restUntil clock.Millis // no new runs before
+	faults    int          // runs that went wrong in a row
+	harmed    clock.Millis // since when a lasting task is over its target; 0: not
+}
+
+// within reports whether a room holds an amount.
+func within(amount, room fleet.Room) bool {
+	return amount.MilliCPU <= room.MilliCPU && amount.MemoryMB <= room.MemoryMB && amount.GPUs <= room.GPUs
+}
+
+// free is the room that is committed to no run.
+func (w *worker) free() fleet.Room {
+	return fleet.Room{
+		MilliCPU: w.entry.Room.MilliCPU - w.used.MilliCPU,
+		MemoryMB: w.entry.Room.MemoryMB - w.used.MemoryMB,
+		GPUs:     w.entry.Room.GPUs - w.used.GPUs,
+	}
+}
+
+func (w *worker) address() fleet.Address { return fleet.Address{ID: w.id, Host: w.entry.Address} }
+
+// clockNow is a lower bound of the worker's clock.
+func (w *worker) clockNow(now clock.Millis) int64 {
+	passed := int64(now - w.clockAt)
+	return w.clockMS + passed - passed*driftPercent/100
+}
+
+// SetWorkers replaces the list of workers.
+func (o *Owner) SetWorkers(entries []fleet.Entry) {
+	if !o.enter() {
+		return
+	}
+	for _, w := range o.workers {
+		w.listed = false
+	}
+	for _, entry := range entries {
+		o.setWorker(entry)
+	}
+	for id, w := range o.workers {
+		if !w.listed && len(w.runs) == 0 && !w.holding {
+			o.options.Log.Info().Str("event", "worker_gone").Str("worker", id).Send()
+			delete(o.workers, id)
+		}
+	}
+	o.reorder()
+	o.placeDue = true
+}
+
+func (o *Owner) setWorker(entry fleet.Entry) {
+	w := o.workers[entry.ID]
+	if w == nil {
+		w = o.newWorker(entry.ID)
+	}
+	if !w.listed && w.entry.ID == "" || w.entry.Draining != entry.Draining {
+		o.options.Log.Info().Str("event", "worker_listed").Str("worker", entry.ID).Str("pool", entry.Service).
+			Str("failure_domain", entry.Domain).Bool("draining", entry.Draining).Int64("born", entry.Born).Send()
+	}
+	if entry.Born > w.born {
+		o.reborn(w, entry.Born)
+	}
+	w.listed = true
+	w.entry = entry
+}
+
+func (o *Owner) newWorker(id string) *worker {
+	w := &worker{id: id, runs: map[*run]struct{}{}, quietFrom: o.claimed}
+	o.workers[id] = w
+	return w
+}
+
+// inherit returns the worker of a recorded run. Its entry may be missing.
+func (o *Owner) inherit(id string, born int64) *worker {
+	w := o.workers[id]
+	if w == nil {
+		w = o.newWorker(id)
+		o.reorder()
+	}
+	w.born = max(w.born, born)
+	return w
+}
+
+func (o *Owner) reorder() {
+	o.ordered = o.ordered[:0]
+	for _, w := range o.workers {
+		o.ordered = append(o.ordered, w)
+	}
+	slices.SortFunc(o.ordered, func(a, b *worker) int { return cmp.Compare(a.id, b.id) })
+}
+
+// reborn notes that a worker has started anew.
+func (o *Owner) reborn(w *worker, born int64) {
+	if w.born != 0 {
+		o.options.Log.Warn().Str("event", "worker_restarted").Str("worker", w.id).
+			Int64("born", born).Int64("before", w.born).Int("runs", len(w.runs)).Send()
+		w.noted, w.acked = 0, 0
+		w.clockAt, w.clockMS, w.untilMS = 0, 0, 0
+		w.contactAt = 0
+		w.quietFrom = o.now
+		w.lapsed = false
+	}
+	w.born = born
+	o.settleFormer(w)
+}
+
+// settleFormer ends the runs of a worker's former incarnations: what ran there
+// is over, and what was ordered without an answer must not begin now.
+func (o *Owner) settleFormer(w *worker) {
+	for _, r := range w.sorted() {
+		switch {
+		case r.born >= w.born:
+		case r.unanswered:
+			o.stop(r, "worker restarted")
+		default:
+			o.over(r, endGone, "")
+		}
+	}
+}
+
+// sorted lists the runs of a worker in an order that repeats.
+func (w *worker) sorted() []*run {
+	runs := make([]*run, 0, len(w.runs))
+	for r := range w.runs {
+		runs = append(runs, r)
+	}
+	slices.SortFunc(runs, func(a, b *run) int {
+		return cmp.Or(
+			cmp.Compare(a.task.job.spec.ID, b.task.job.spec.ID),
+			cmp.Compare(a.task.step, b.task.step),
+			cmp.Compare(a.task.index, b.task.index),
+		)
+	})
+	return runs
+}
+
+// attach commits a worker's room to a run.
+func (o *Owner) attach(r *run, w *worker) {
+	r.worker = w
+	r.task.run = r
+	r.task.job.runs++
+	w.runs[r] = struct{}{}
+	amount := need(r.task.spec())
+	w.used.MilliCPU += amount.MilliCPU
+	w.used.MemoryMB += amount.MemoryMB
+	w.used.GPUs += amount.GPUs
+	if hosts := r.task.job.steps[r.task.step].onHost; hosts != nil {
+		hosts[w.id]++
+	}
+}
+
+// detach frees the room of a run that is over.
+func (o *Owner) detach(r *run) {
+	w := r.worker
+	delete(w.runs, r)
+	r.task.run = nil
+	r.task.job.runs--
+	amount := need(r.task.spec())
+	w.used.MilliCPU -= amount.MilliCPU
+	w.used.MemoryMB -= amount.MemoryMB
+	w.used.GPUs -= amount.GPUs
+	if hosts := r.task.job.steps[r.task.step].onHost; hosts != nil {
+		hosts[w.id]--
+	}
+}
--- /dev/null
+++ b/internal/site/daemon/daemon.go
@@ -0,0 +1,206 @@
+// Package daemon is one entry on the users' platform: it wires the parts of
+// the other packages together and runs them under a supervisor.
+//
+//	consumers ──> front ──> relay ──┬── owner here (runtime) ──> store, workers
+//	                                └── peer client ──> owner's entry
+//	platform  ──> readiness
+//	entries   ──> peer server ──> runtime, ownership
+//	store     ──> tables, ownership; roster while the owner is here
+//
+// # Usage
+//
+//	err := daemon.Run(ctx, daemon.Options{Out: os.Stdout, Reload: hangups})
+package daemon
+
+import (
+	"context"
+	"io"
+	"os"
+	"runtime/debug"
+	"sync/atomic"
+	"time"
+
+	"github.com/VictoriaMetrics/metrics"
+	"github.com/oklog/ulid/v2"
+	"github.com/pkg/errors"
+	"github.com/rs/zerolog"
+	"github.com/samber/do/v2"
+	"golang.org/x/sync/errgroup"
+
+	"github.com/oriolepier/oriolepier/internal/base/clock"
+	"github.com/oriolepier/oriolepier/internal/base/logline"
+	"github.com/oriolepier/oriolepier/internal/schedule/owner"
+	"github.com/oriolepier/oriolepier/internal/site/ownership"
+	"github.com/oriolepier/oriolepier/internal/site/peer"
+	"github.com/oriolepier/oriolepier/internal/site/relay"
+	"github.com/oriolepier/oriolepier/internal/site/roster"
+	"github.com/oriolepier/oriolepier/internal/site/runtime"
+	"github.com/oriolepier/oriolepier/internal/site/tables"
+	"github.com/oriolepier/oriolepier/platform"
+)
+
+// Names of what is kept in the platform's store.
+const (
+	ownersTopic = "owners"
+	cellTopic   = "cell-0"
+	cellName    = "0"
+)
+
+// Limits of the process.
+const (
+	memoryShare   = 0.6 // of the process's memory limit, from which the collector works harder
+	collectorGoal = 60  // percent of the live heap; memory is paid for at its peak
+	bytesPerMB    = 1 << 20
+)
+
+// Options of a daemon.
+type Options struct {
+	Out    io.Writer        // for log lines
+	Reload <-chan os.Signal // each asks for the settings to be read again
+}
+
+// Daemon is one entry.
+type Daemon struct {
+	settings platform.Settings
+	clock    clock.Clock
+	logger   zerolog.Logger
+	sink     *logline.Sink
+	metrics  *metrics.Set
+	counts   *owner.Counts
+	store    platform.Store
+	workers  platform.Workers
+	tables   *tables.Follower
+	elector  *ownership.Elector
+	peers    *peer.Client
+	local    atomic.Pointer[runtime.Runtime]
+	seen     callers
+	leaving  atomic.Bool
+}
+
+// Run serves until the context ends, and then leaves gracefully.
+func Run(ctx context.Context, options Options) error {
+	settings, err := platform.LoadSettings()
+	if err != nil {
+		return err
+	}
+	debug.SetGCPercent(collectorGoal)
+	if settings.Limits.MemoryMB > 0 {
+		debug.SetMemoryLimit(int64(memoryShare * float64(settings.Limits.MemoryMB) * bytesPerMB))
+	}
+	injector := wire(settings, options.Out)
+	daemon, err := do.Invoke[*Daemon](injector)
+	if err != nil {
+		return errors.Wrap(err, "wire the entry")
+	}
+	return daemon.serve(ctx, options.Reload)
+}
+
+// serve runs the parts until the context ends.
+func (d *Daemon) serve(ctx context.Context, reload <-chan os.Signal) error {
+	started := d.clock.Now()
+	d.logger.Info().Str("event", "entry_started").Str("failure_domain", d.settings.Domain).
+		Str("consumers", d.settings.Consumer).Str("peers", d.peerAddress()).Str("store", d.settings.Store.Address).
+		Int("memory_mb", d.settings.Limits.MemoryMB).Float64("cores", d.settings.Limits.Cores).Send()
+	running, stop := context.WithCancel(context.WithoutCancel(ctx))
+	defer stop()
+	group := new(errgroup.Group)
+	group.Go(func() error { return d.sink.Serve(running) })
+	group.Go(func() error { return d.supervise(running) })
+	group.Go(func() error { return d.awaitReload(running, reload) })
+	<-ctx.Done()
+	d.leave()
+	stop()
+	err := group.Wait()
+	d.logger.Info().Str("event", "entry_stopped").Int64("ran_ms", int64(d.clock.Now()-started)).AnErr("cause", err).Send()
+	d.sink.Flush()
+	if errors.Is(err, context.Canceled) {
+		return nil
+	}
+	return err
+}
+
+// Times of leaving. Together they stay below the platform's grace.
+const (
+	leaveNotice  = 2300 * time.Millisecond // until the platform has seen twice that this entry is not ready
+	leaveServing = 2200 * time.Millisecond // for requests that are being served
+)
+
+// leave hands an ownership over and lets the platform take this entry out of
+// rotation while it goes on serving.
+func (d *Daemon) leave() {
+	d.logger.Info().Str("event", "entry_leaving").Bool("owner", d.elector.Owning()).Send()
+	d.leaving.Store(true)
+	d.elector.Retire()
+	time.Sleep(leaveNotice)
+}
+
+// awaitReload reads the settings again when it is asked to.
+func (d *Daemon) awaitReload(ctx context.Context, reload <-chan os.Signal) error {
+	for {
+		select {
+		case <-ctx.Done():
+			return nil
+		case <-reload:
+		}
+		settings, err := platform.LoadSettings()
+		d.logger.Info().Str("event", "settings_reloaded").AnErr("fault", err).
+			Bool("store_moved", err == nil && settings.Store.Address != d.settings.Store.Address).Send()
+	}
+}
+
+// own runs an ownership.
+func (d *Daemon) own(ctx context.Context, epoch int64) error {
+	follower := roster.New(roster.Options{
+		Topic: platform.TopicWorkers, Clock: d.clock, Log: d.store.Log(), Logger: d.logger,
+		Decode: platform.DecodeWorker,
+	})
+	run := runtime.New(runtime.Options{
+		Epoch: epoch, Topic: platform.Topic(cellTopic), Clock: d.clock, Log: d.store.Log(),
+		Orders: runtime.Orders{
+			Start: d.workers.Start, Stop: d.workers.Stop, Pace: d.workers.Pace, Hold: d.workers.Hold,
+		},
+		Times:  owner.DefaultTimes(d.settings.Bounds.MaxLease, d.settings.Bounds.StatusKept),
+		Logger: d.logger, Counts: d.counts, Tables: d.tables.Since, Workers: follower.Since,
+	})
+	d.local.Store(run)
+	defer d.local.Store(nil)
+	ctx, cancel := context.WithCancel(ctx)
+	defer cancel()
+	group := new(errgroup.Group)
+	group.Go(func() error { return follower.Serve(ctx) })
+	err := run.Serve(ctx)
+	cancel()
+	_ = group.Wait() // the follower ends with its context and has no other error
+	return err
+}
+
+// ready reports whether this entry wants callers' requests.
+func (d *Daemon) ready() bool {
+	if d.leaving.Load() || d.tables.Current().Manifest.Version == 0 {
+		return false
+	}
+	if run := d.local.Load(); run != nil {
+		age, loaded := run.StoreAge()
+		return loaded && age < readyStoreAge
+	}
+	age := d.elector.HeardAge(d.elector.Current().Epoch)
+	return age >= 0 && age < readyOwnerAge
+}
+
+// Ages up to which an entry counts as able to serve.
+const (
+	readyStoreAge clock.Millis = 4000
+	readyOwnerAge clock.Millis = 2000
+)
+
+// owner returns the owner in this process for the relay, or nil.
+func (d *Daemon) owner() *relay.Local {
+	run := d.local.Load()
+	if run == nil {
+		return nil
+	}
+	return &relay.Local{Submit: run.Submit, Cancel: run.Cancel, Lookup: run.Lookup, Waiting: run.Waiting}
+}
+
+// life returns a name for this process that no other one has.
+func life() string { return ulid.Make().String() }
--- /dev/null
+++ b/internal/site/daemon/serve.go
@@ -0,0 +1,198 @@
+package daemon
+
+import (
+	"context"
+	"net"
+	"net/http"
+	"sync"
+	"time"
+
+	"github.com/pkg/errors"
+	"github.com/samber/lo"
+	"github.com/thejerf/suture/v4"
+	"golang.org/x/sync/errgroup"
+
+	"github.com/oriolepier/oriolepier/internal/base/clock"
+	"github.com/oriolepier/oriolepier/internal/base/fault"
+	"github.com/oriolepier/oriolepier/internal/schedule/job"
+	"github.com/oriolepier/oriolepier/internal/schedule/manifest"
+	"github.com/oriolepier/oriolepier/internal/schedule/owner"
+	"github.com/oriolepier/oriolepier/internal/site/front"
+	"github.com/oriolepier/oriolepier/internal/site/peer"
+	"github.com/oriolepier/oriolepier/internal/site/relay"
+	"github.com/oriolepier/oriolepier/platform"
+)
+
+// Limits of the listeners.
+const (
+	headerTimeout  = 3 * time.Second
+	idleTimeout    = 60 * time.Second
+	maxHeaderBytes = 64 << 10
+)
+
+// service is a part under the supervisor.
+type service struct {
+	name string
+	run  func(ctx context.Context) error
+}
+
+// Serve implements suture.Service.
+func (s service) Serve(ctx context.Context) error { return s.run(ctx) }
+
+// String names the service in the supervisor's events.
+func (s service) String() string { return s.name }
+
+// supervise runs the parts, restarting those that fail.
+func (d *Daemon) supervise(ctx context.Context) error {
+	supervisor := suture.New("entry", suture.Spec{
+		EventHook: func(event suture.Event) {
+			d.logger.Error().Str("event", "part_failed").Str("what", event.String()).Send()
+		},
+		Timeout: leaveServing + time.Second,
+	})
+	parts := []service{
+		{name: "tables", run: d.tables.Serve},
+		{name: "ownership", run: d.elector.Serve},
+		{name: "peers", run: d.servePeers},
+		{name: "consumers", run: d.serveConsumers},
+		{name: "readiness", run: d.serveReadiness},
+		{name: "metrics", run: d.serveMetrics},
+	}
+	for _, part := range parts {
+		supervisor.Add(part)
+	}
+	return supervisor.Serve(ctx)
+}
+
+func (d *Daemon) serveConsumers(ctx context.Context) error {
+	desk := relay.New(relay.Options{Clock: d.clock, Current: d.elector.Current, Local: d.owner, Peers: d.peers})
+	return d.serveHTTP(ctx, d.settings.Consumer, front.New(front.Options{
+		Clock: d.clock, Logger: d.logger, Metrics: d.metrics,
+		Manifest: func() manifest.Manifest { return d.tables.Current().Manifest },
+		Desk:     desk,
+		Patience: platform.Patience,
+		Decode:   platform.DecodeSubmission,
+		State:    func(state job.State) any { return platform.EncodeState(state) },
+		Count:    func(waiting int) any { return platform.CountBody{Waiting: waiting} },
+	}))
+}
+
+func (d *Daemon) serveReadiness(ctx context.Context) error {
+	mux := http.NewServeMux()
+	mux.HandleFunc("GET "+platform.PathReady, func(writer http.ResponseWriter, _ *http.Request) {
+		if !d.ready() {
+			writer.WriteHeader(http.StatusServiceUnavailable)
+		}
+	})
+	return d.serveHTTP(ctx, d.settings.Ready, mux)
+}
+
+func (d *Daemon) serveMetrics(ctx context.Context) error {
+	mux := http.NewServeMux()
+	mux.HandleFunc("GET /metrics", func(writer http.ResponseWriter, _ *http.Request) {
+		d.metrics.WritePrometheus(writer)
+	})
+	return d.serveHTTP(ctx, d.metricsAddress(), mux)
+}
+
+// serveHTTP serves until the context ends, and then lets requests in flight end.
+func (d *Daemon) serveHTTP(ctx context.Context, address string, handler http.Handler) error {
+	listener, err := new(net.ListenConfig).Listen(ctx, "tcp", address)
+	if err != nil {
+		return fault.New(fault.NotRun, "listen", address, err)
+	}
+	server := &http.Server{
+		Handler: handler, ReadHeaderTimeout: headerTimeout, IdleTimeout: idleTimeout, MaxHeaderBytes: maxHeaderBytes,
+	}
+	group, ended := errgroup.WithContext(context.WithoutCancel(ctx))
+	group.Go(func() error { return server.Serve(listener) })
+	select {
+	case <-ended.Done():
+		return fault.New(fault.Unknown, "serve", address, group.Wait())
+	case <-ctx.Done():
+	}
+	leaving, cancel := context.WithTimeout(context.WithoutCancel(ctx), leaveServing)
+	defer cancel()
+	if err := server.Shutdown(leaving); err != nil && !errors.Is(err, context.DeadlineExceeded) {
+		return fault.New(fault.Unknown, "shut down", address, err)
+	}
+	_ = group.Wait() // it ends with http.ErrServerClosed
+	return ctx.Err()
+}
+
+func (d *Daemon) servePeers(ctx context.Context) error {
+	listener, err := new(net.ListenConfig).Listen(ctx, "tcp", d.peerAddress())
+	if err != nil {
+		return fault.New(fault.NotRun, "listen", d.peerAddress(), err)
+	}
+	server := peer.NewServer(peer.Handlers{
+		Ping: d.answerPing,
+		Heard: func(_ context.Context, query peer.HeardQuery) peer.HeardAnswer {
+			return peer.HeardAnswer{Age: d.elector.HeardAge(query.Epoch)}
+		},
+		Submit: func(ctx context.Context, query peer.SubmitQuery) owner.Verdict {
+			if own := d.owner(); own != nil {
+				return own.Submit(ctx, query.Spec)
+			}
+			return notOwner
+		},
+		Cancel: func(ctx context.Context, query peer.JobQuery) owner.Verdict {
+			if own := d.owner(); own != nil {
+				return own.Cancel(ctx, query.ID)
+			}
+			return notOwner
+		},
+		Lookup: func(ctx context.Context, query peer.JobQuery) owner.Finding {
+			if own := d.owner(); own != nil {
+				return own.Lookup(ctx, query.ID)
+			}
+			return owner.Finding{Verdict: notOwner}
+		},
+		Waiting: func(ctx context.Context, query peer.QueueQuery) peer.WaitingAnswer {
+			if own := d.owner(); own != nil {
+				if count, ok := own.Waiting(ctx, query.Queue); ok {
+					return peer.WaitingAnswer{Count: count}
+				}
+			}
+			return peer.WaitingAnswer{Ruling: owner.Elsewhere}
+		},
+	})
+	return server.Serve(ctx, listener)
+}
+
+// notOwner is the answer of an entry that does not own the cell.
+var notOwner = owner.Verdict{Ruling: owner.Elsewhere, Reason: "this entry is not the owner"}
+
+func (d *Daemon) answerPing(_ context.Context, query peer.PingQuery) peer.PingAnswer {
+	now := d.clock.Now()
+	answer := peer.PingAnswer{Owner: d.elector.Owning(), Epoch: d.elector.Current().Epoch, Peers: d.seen.note(query.Address, now)}
+	if run := d.local.Load(); run != nil {
+		answer.StoreAge, answer.ReadyToAct = run.StoreAge()
+	}
+	return answer
+}
+
+// callerKept is how long an entry that asked is counted among the others.
+const callerKept clock.Millis = 3 * clock.Second
+
+// callers are the entries that asked recently.
+type callers struct {
+	mu   sync.Mutex
+	last map[string]clock.Millis // by address
+}
+
+// note adds an entry and returns the addresses of all.
+func (c *callers) note(address string, now clock.Millis) []string {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if c.last == nil {
+		c.last = map[string]clock.Millis{}
+	}
+	c.last[address] = now
+	for known, at := range c.last {
+		if now-at > callerKept {
+			delete(c.last, known)
+		}
+	}
+	return lo.Keys(c.last)
+}
--- /dev/null
+++ b/internal/site/ownership/watch.go
@@ -0,0 +1,206 @@
+package ownership
+
+import (
+	"context"
+	"time"
+
+	"golang.org/x/sync/errgroup"
+
+	"github.com/oriolepier/oriolepier/internal/base/clock"
+	"github.com/oriolepier/oriolepier/internal/base/fault"
+	"github.com/oriolepier/oriolepier/internal/schedule/journal"
+	"github.com/oriolepier/oriolepier/internal/site/peer"
+)
+
+// Times of watching an owner.
+const (
+	pingPeriod     clock.Millis = 250
+	pingTimeout    clock.Millis = 400
+	silenceLimit   clock.Millis = 900  // an owner that nobody hears for so long is replaced
+	storeAgeLimit  clock.Millis = 1600 // an owner that the store confirms nothing to for so long, likewise
+	rankSpread     clock.Millis = 150  // claims of several entries are spread over this time
+	loadLimit      clock.Millis = 3000 // an owner that has not loaded its state after so long is replaced
+	storeRetry     clock.Millis = 150
+	claimTimeout   clock.Millis = 1500
+	releaseTimeout clock.Millis = 800
+	tailWait       clock.Millis = 15 * clock.Second // of one long poll for a newer owner
+	askTimeout     clock.Millis = 250               // for other entries' word on the owner
+)
+
+// watch follows one owner until a newer record exists, and then returns "", or
+// until there is a reason to claim the cell, which it returns.
+func (e *Elector) watch(ctx context.Context, record Record) string {
+	if record.Epoch == 0 {
+		return e.spread(ctx, "no owner yet")
+	}
+	if record.Released {
+		return e.spread(ctx, "released")
+	}
+	if record.Name == e.options.Name && record.Life != e.options.Life {
+		return "owned by a former process of this entry"
+	}
+	return e.follow(ctx, record)
+}
+
+// follow pings an owner, and polls for a newer record beside it.
+func (e *Elector) follow(ctx context.Context, record Record) string {
+	ctx, cancel := context.WithCancel(ctx)
+	defer cancel()
+	newer := make(chan struct{})
+	group, inner := errgroup.WithContext(ctx)
+	group.Go(func() error {
+		e.awaitNewer(inner, record)
+		close(newer)
+		return nil
+	})
+	reason := e.pingUntil(inner, record, newer)
+	cancel()
+	_ = group.Wait() // its one goroutine returns no error
+	if reason == "" {
+		return ""
+	}
+	return e.spread(ctx, reason)
+}
+
+// awaitNewer returns when the owners' topic may have a newer record.
+func (e *Elector) awaitNewer(ctx context.Context, record Record) {
+	from := int64(-1)
+	for ctx.Err() == nil {
+		page := e.poll(ctx, from)
+		switch {
+		case page.Outcome != journal.Done:
+			if e.options.Clock.Sleep(ctx, storeRetry) != nil {
+				return
+			}
+			from = -1
+		case e.newerIn(page, record):
+			return
+		default:
+			from = page.End
+		}
+	}
+}
+
+// poll reads the topic from an offset on, waiting for a record; a negative
+// offset reads the newest records at once.
+func (e *Elector) poll(ctx context.Context, from int64) journal.Page {
+	if from < 0 {
+		page := e.options.Log.Newest(ctx, e.options.Topic)
+		if page.Outcome == journal.Done {
+			e.noteStore()
+		}
+		return page
+	}
+	ctx, cancel := context.WithTimeout(ctx, (tailWait + clock.Second).Duration())
+	defer cancel()
+	page := e.options.Log.Read(ctx, journal.Read{Topic: e.options.Topic, From: from, WaitMS: int64(tailWait)})
+	if page.Outcome == journal.Done {
+		e.noteStore()
+	}
+	return page
+}
+
+func (e *Elector) newerIn(page journal.Page, record Record) bool {
+	found, err := e.find(page)
+	return err == nil && (found.Epoch > record.Epoch || found.Released && found.Epoch == record.Epoch)
+}
+
+// pingUntil pings an owner until a newer one is known or there is a reason to
+// replace it.
+func (e *Elector) pingUntil(ctx context.Context, record Record, newer <-chan struct{}) string {
+	started := e.options.Clock.Now()
+	heard := started
+	ticker := time.NewTicker(pingPeriod.Duration())
+	defer ticker.Stop()
+	for {
+		answer, err := e.ping(ctx, record)
+		now := e.options.Clock.Now()
+		switch {
+		case ctx.Err() != nil:
+			return ""
+		case err != nil && fault.OutcomeOf(err) == fault.NotSent && e.refusedTwice(now):
+			return "the owner's process is gone"
+		case err == nil && (!answer.Owner || answer.Epoch != record.Epoch):
+			return "the owner has restarted"
+		case err == nil:
+			heard = now
+			e.heardAt.Store(int64(now))
+			e.peers.Store(&answer.Peers)
+			if reason := e.unfit(answer, now-started); reason != "" {
+				return reason
+			}
+		case now-heard > silenceLimit && !e.othersHear(ctx, record):
+			return "nobody hears the owner"
+		}
+		select {
+		case <-newer:
+			return ""
+		case <-ctx.Done():
+			return ""
+		case <-ticker.C:
+		}
+	}
+}
+
+func (e *Elector) ping(ctx context.Context, record Record) (peer.PingAnswer, error) {
+	ctx, cancel := context.WithTimeout(ctx, pingTimeout.Duration())
+	defer cancel()
+	return e.options.Ping(ctx, record.Address, peer.PingQuery{Name: e.options.Name, Address: e.options.Address})
+}
+
+// refusedTwice reports whether the owner's address could not be reached twice
+// within a short time; a process that just restarts listens again soon.
+func (e *Elector) refusedTwice(now clock.Millis) bool {
+	again := now-e.refused < 2*pingPeriod+pingTimeout
+	e.refused = now
+	return again
+}
+
+// unfit returns why an owner that answers should be replaced, or "".
+func (e *Elector) unfit(answer peer.PingAnswer, watched clock.Millis) string {
+	switch {
+	case !answer.ReadyToAct && watched > loadLimit:
+		return "the owner has not loaded its state"
+	case answer.ReadyToAct && answer.StoreAge > storeAgeLimit && e.storeAnswers():
+		return "the store does not confirm the owner"
+	}
+	return ""
+}
+
+// storeAnswers asks the store whether this entry reaches it.
+func (e *Elector) storeAnswers() bool {
+	ctx, cancel := context.WithTimeout(context.Background(), pingTimeout.Duration())
+	defer cancel()
+	return e.poll(ctx, -1).Outcome == journal.Done
+}
+
+// othersHear asks other entries whether one of them hears the owner.
+func (e *Elector) othersHear(ctx context.Context, record Record) bool {
+	ctx, cancel := context.WithTimeout(ctx, askTimeout.Duration())
+	defer cancel()
+	group, ctx := errgroup.WithContext(ctx)
+	heard := make(chan struct{}, len(*e.peers.Load()))
+	for _, address := range *e.peers.Load() {
+		if address == e.options.Address {
+			continue
+		}
+		group.Go(func() error {
+			answer, err := e.options.Heard(ctx, address, peer.HeardQuery{Epoch: record.Epoch})
+			if err == nil && answer.Age >= 0 && answer.Age < silenceLimit/2 {
+				heard <- struct{}{}
+			}
+			return nil // an entry that does not answer knows nothing
+		})
+	}
+	_ = group.Wait()
+	return len(heard) > 0
+}
+
+// spread waits for this entry's turn among those that may claim.
+func (e *Elector) spread(ctx context.Context, reason string) string {
+	wait := clock.Millis(e.options.Rank * float64(rankSpread))
+	if e.options.Clock.Sleep(ctx, wait) != nil {
+		return ""
+	}
+	return reason
+}
--- /dev/null
+++ b/internal/site/peer/peer.go
@@ -0,0 +1,102 @@
+// Package peer carries messages between entries: JSON-RPC 2.0 over TCP.
+//
+// An entry forwards what callers ask to the owner, and asks the owner for signs
+// of life. Connections are kept; one that fails a call is thrown away.
+//
+// # Usage
+//
+//	server := peer.NewServer(peer.Handlers{Ping: answerPing, Submit: submit})
+//	err := server.Serve(ctx, listener)
+//
+//	client := peer.NewClient()
+//	pong, err := client.Ping(ctx, "10.1.0.13:7720", peer.PingQuery{Name: name})
+package peer
+
+import (
+	"encoding/json"
+	"io"
+	"log"
+
+	"github.com/sourcegraph/jsonrpc2"
+
+	"github.com/oriolepier/oriolepier/internal/base/clock"
+	"github.com/oriolepier/oriolepier/internal/schedule/job"
+	"github.com/oriolepier/oriolepier/internal/schedule/owner"
+)
+
+// Methods of the protocol.
+const (
+	methodPing    = "ping"
+	methodHeard   = "heard"
+	methodSubmit  = "submit"
+	methodCancel  = "cancel"
+	methodLookup  = "lookup"
+	methodWaiting = "waiting"
+)
+
+// Limits of connections.
+const (
+	dialTimeout   clock.Millis = 500
+	maxConnections             = 512
+	maxFrameBytes              = 2 << 20 // a submission of the largest size fits
+)
+
+// PingQuery asks an entry whether it owns the cell.
+type PingQuery struct {
+	Name    string `json:"name"`    // of the asking entry
+	Address string `json:"address"` // at which it answers peers
+}
+
+// PingAnswer is a sign of life.
+type PingAnswer struct {
+	Owner      bool         `json:"owner"`
+	Epoch      int64        `json:"epoch"`
+	StoreAge   clock.Millis `json:"store_age_ms"` // since the store last confirmed something to the owner
+	Peers      []string     `json:"peers"`        // addresses of entries that asked recently
+	ReadyToAct bool         `json:"ready"`        // its state is loaded
+}
+
+// HeardQuery asks an entry when it last heard the owner.
+type HeardQuery struct {
+	Epoch int64 `json:"epoch"`
+}
+
+// HeardAnswer tells how old the last sign of life of that owner is. It is
+// negative when there was none.
+type HeardAnswer struct {
+	Age clock.Millis `json:"age_ms"`
+}
+
+// SubmitQuery hands a job in.
+type SubmitQuery struct {
+	Spec job.Spec `json:"spec"`
+}
+
+// JobQuery names a job.
+type JobQuery struct {
+	ID job.ID `json:"id"`
+}
+
+// QueueQuery names a queue.
+type QueueQuery struct {
+	Queue string `json:"queue"`
+}
+
+// WaitingAnswer counts the jobs of a queue that have not begun.
+type WaitingAnswer struct {
+	Ruling owner.Ruling `json:"ruling"`
+	Count  int          `json:"count"`
+}
+
+// quiet keeps the library's lines about broken connections off stderr; callers
+// get them as errors.
+var quiet = jsonrpc2.SetLogger(log.New(io.Discard, "", 0))
+
+func decode[T any](params *json.RawMessage) (T, error) {
+	var value T
+	if params == nil {
+		return value, nil
+	}
+	err := json.Unmarshal(*params, &value)
+	return value, err
+}
--- /dev/null
+++ b/internal/site/peer/server.go
@@ -0,0 +1,117 @@
+package peer
+
+import (
+	"context"
+	"net"
+	"sync/atomic"
+
+	"github.com/pkg/errors"
+	"github.com/sourcegraph/jsonrpc2"
+	"golang.org/x/sync/errgroup"
+
+	"github.com/oriolepier/oriolepier/internal/base/fault"
+	"github.com/oriolepier/oriolepier/internal/schedule/owner"
+)
+
+// Handlers answer the methods. Each is called on a goroutine of its own.
+type Handlers struct {
+	Ping    func(ctx context.Context, query PingQuery) PingAnswer
+	Heard   func(ctx context.Context, query HeardQuery) HeardAnswer
+	Submit  func(ctx context.Context, query SubmitQuery) owner.Verdict
+	Cancel  func(ctx context.Context, query JobQuery) owner.Verdict
+	Lookup  func(ctx context.Context, query JobQuery) owner.Finding
+	Waiting func(ctx context.Context, query QueueQuery) WaitingAnswer
+}
+
+// Server answers other entries.
+type Server struct {
+	handlers Handlers
+	open     atomic.Int64
+}
+
+// NewServer returns a server; it takes connections when Serve is called.
+func NewServer(handlers Handlers) *Server { return &Server{handlers: handlers} }
+
+// Serve accepts connections until the context ends; it closes the listener.
+func (s *Server) Serve(ctx context.Context, listener net.Listener) error {
+	group, ctx := errgroup.WithContext(ctx)
+	group.Go(func() error {
+		<-ctx.Done()
+		return listener.Close()
+	})
+	group.Go(func() error {
+		for {
+			conn, err := listener.Accept()
+			if ctx.Err() != nil {
+				return ctx.Err()
+			}
+			if err != nil {
+				return fault.New(fault.NotRun, "accept peer", listener.Addr().String(), err)
+			}
+			if s.open.Load() >= maxConnections {
+				_ = conn.Close()
+				continue
+			}
+			s.open.Add(1)
+			group.Go(func() error {
+				defer s.open.Add(-1)
+				s.handle(ctx, conn)
+				return nil
+			})
+		}
+	})
+	return group.Wait()
+}
+
+func (s *Server) handle(ctx context.Context, conn net.Conn) {
+	handler := jsonrpc2.AsyncHandler(session{handlers: s.handlers})
+	rpc := jsonrpc2.NewConn(ctx, jsonrpc2.NewBufferedStream(conn, boundedCodec{}), handler, quiet)
+	defer func() { _ = rpc.Close() }()
+	select {
+	case <-rpc.DisconnectNotify():
+	case <-ctx.Done():
+	}
+}
+
+// session answers the calls of one connection.
+type session struct{ handlers Handlers }
+
+// Handle implements jsonrpc2.Handler.
+func (s session) Handle(ctx context.Context, rpc *jsonrpc2.Conn, request *jsonrpc2.Request) {
+	answer, err := s.answer(ctx, request)
+	if request.Notif {
+		return
+	}
+	if err != nil {
+		// The connection may be gone, and then the caller knows.
+		_ = rpc.ReplyWithError(ctx, request.ID, &jsonrpc2.Error{Code: jsonrpc2.CodeInvalidRequest, Message: err.Error()})
+		return
+	}
+	_ = rpc.Reply(ctx, request.ID, answer)
+}
+
+func (s session) answer(ctx context.Context, request *jsonrpc2.Request) (any, error) {
+	switch request.Method {
+	case methodPing:
+		return serve(ctx, request, s.handlers.Ping)
+	case methodHeard:
+		return serve(ctx, request, s.handlers.Heard)
+	case methodSubmit:
+		return serve(ctx, request, s.handlers.Submit)
+	case methodCancel:
+		return serve(ctx, request, s.handlers.Cancel)
+	case methodLookup:
+		return serve(ctx, request, s.handlers.Lookup)
+	case methodWaiting:
+		return serve(ctx, request, s.handlers.Waiting)
+	}
+	return nil, errors.Errorf("unknown method %q", request.Method)
+}
+
+func serve[Query, Answer any](ctx context.Context, request *jsonrpc2.Request, handler func(context.Context, Query) Answer) (any, error) {
+	query, err := decode[Query](request.Params)
+	if err != nil {
+		return nil, err
+	}
+	return handler(ctx, query), nil
+}
--- a/main.go
+++ b/main.go
@@ -19,6 +19,7 @@
 	"github.com/oriolepier/oriolepier/internal/operator/demo"
 	"github.com/oriolepier/oriolepier/internal/operator/option"
 	"github.com/oriolepier/oriolepier/internal/platform/remote"
+	"github.com/oriolepier/oriolepier/internal/site/daemon"
 	"github.com/oriolepier/oriolepier/internal/standin/process"
 )
 
@@ -29,6 +30,7 @@
 	defer stop()
 	return command.Run(ctx, os.Args[1:], os.Stdout, os.Stderr, command.Runners{
 		Entry:   runEntry,
+		Serve:   runServe,
 		Demo:    runDemo,
 		Standin: runStandin,
 		Log:     remote.NewLog,
@@ -43,6 +45,16 @@
 	return option.ExitDone
 }
 
+func runServe(ctx context.Context, _ option.Options) int {
+	hangups := make(chan os.Signal, 1)
+	signal.Notify(hangups, syscall.SIGHUP)
+	if err := daemon.Run(ctx, daemon.Options{Out: os.Stdout, Reload: hangups}); err != nil {
+		fmt.Fprintln(os.Stderr, "oriolepier serve:", err)
+		return option.ExitFailed
+	}
+	return option.ExitDone
+}
+
 func runDemo(ctx context.Context, opts option.Options) int {
 	return demo.Run(ctx, demo.Options{Out: os.Stdout, Progress: os.Stderr, Seed: opts.Demo.Seed, Start: startNode})
 }
