--- a/internal/site/ownership/watch.go
+++ b/internal/site/ownership/watch.go
@@ -44,10 +44,10 @@
 
 // follow pings an owner, and polls for a newer record beside it.
 func (e *Elector) follow(ctx context.Context, record Record) string {
-	ctx, cancel := context.WithCancel(ctx)
+	following, cancel := context.WithCancel(ctx)
 	defer cancel()
 	newer := make(chan struct{})
-	group, inner := errgroup.WithContext(ctx)
+	group, inner := errgroup.WithContext(following)
 	group.Go(func() error {
 		e.awaitNewer(inner, record)
 		close(newer)
--- a/internal/site/peer/client.go
+++ b/internal/site/peer/client.go
@@ -9,17 +9,32 @@
 	"github.com/sourcegraph/jsonrpc2"
 
 	"github.com/oriolepier/oriolepier/internal/base/fault"
+	"github.com/oriolepier/oriolepier/internal/base/socket"
 	"github.com/oriolepier/oriolepier/internal/schedule/owner"
 )
 
 // Client calls other entries over connections that it keeps.
 type Client struct {
 	mu    sync.Mutex
-	conns map[string]*jsonrpc2.Conn // by address
+	conns map[string]*connection // by address
+}
+
+// connection is an open connection to another entry.
+type connection struct {
+	rpc *jsonrpc2.Conn
+	tcp net.Conn
+}
+
+// close ends a connection. The library's own way waits for a send that is
+// under way, which may be stuck for as long as the other side is silent; so
+// the socket is closed first.
+func (c *connection) close() {
+	_ = c.tcp.Close()
+	_ = c.rpc.Close()
 }
 
 // NewClient returns a client without connections.
-func NewClient() *Client { return &Client{conns: map[string]*jsonrpc2.Conn{}} }
+func NewClient() *Client { return &Client{conns: map[string]*connection{}} }
 
 // Ping asks an entry for a sign of life.
 func (c *Client) Ping(ctx context.Context, address string, query PingQuery) (PingAnswer, error) {
@@ -55,8 +70,8 @@
 func (c *Client) Close() {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	for _, rpc := range c.conns {
-		_ = rpc.Close()
+	for _, open := range c.conns {
+		open.close()
 	}
 	clear(c.conns)
 }
@@ -65,11 +80,15 @@
 // any error but an answered one the connection is dropped.
 func call[Answer any](ctx context.Context, c *Client, address, method string, query any) (Answer, error) {
 	var answer Answer
-	rpc, err := c.conn(ctx, address)
+	open, err := c.conn(ctx, address)
 	if err != nil {
 		return answer, err
 	}
-	err = rpc.Call(ctx, method, query, &answer)
+	// A call can be stuck in sending, where the library does not heed the
+	// context; closing the connection ends that.
+	stop := context.AfterFunc(ctx, func() { c.drop(address, open) })
+	err = open.rpc.Call(ctx, method, query, &answer)
+	stop()
 	if err == nil {
 		return answer, nil
 	}
@@ -77,41 +96,41 @@
 	if errors.As(err, &refusal) {
 		return answer, fault.New(fault.NotRun, method, address, err)
 	}
-	c.drop(address, rpc)
+	c.drop(address, open)
 	return answer, fault.New(fault.Unknown, method, address, err)
 }
 
-func (c *Client) conn(ctx context.Context, address string) (*jsonrpc2.Conn, error) {
+func (c *Client) conn(ctx context.Context, address string) (*connection, error) {
 	c.mu.Lock()
-	rpc, ok := c.conns[address]
+	open, ok := c.conns[address]
 	c.mu.Unlock()
 	if ok {
-		return rpc, nil
+		return open, nil
 	}
-	dialer := net.Dialer{Timeout: dialTimeout.Duration()}
-	conn, err := dialer.DialContext(ctx, "tcp", address)
+	tcp, err := socket.Dial(ctx, address, dialTimeout)
 	if err != nil {
 		return nil, fault.New(fault.NotSent, "dial peer", address, err)
 	}
 	// The connection outlives this call, so it must not end with its context.
-	rpc = jsonrpc2.NewConn(context.WithoutCancel(ctx), jsonrpc2.NewBufferedStream(conn, boundedCodec{}), deaf{}, quiet)
+	stream := jsonrpc2.NewBufferedStream(tcp, boundedCodec{})
+	open = &connection{tcp: tcp, rpc: jsonrpc2.NewConn(context.WithoutCancel(ctx), stream, deaf{}, quiet)}
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	if other, taken := c.conns[address]; taken {
-		_ = rpc.Close()
+		open.close()
 		return other, nil
 	}
-	c.conns[address] = rpc
-	return rpc, nil
+	c.conns[address] = open
+	return open, nil
 }
 
-func (c *Client) drop(address string, rpc *jsonrpc2.Conn) {
+func (c *Client) drop(address string, open *connection) {
 	c.mu.Lock()
-	defer c.mu.Unlock()
-	if c.conns[address] == rpc {
+	if c.conns[address] == open {
 		delete(c.conns, address)
 	}
-	_ = rpc.Close()
+	c.mu.Unlock()
+	open.close()
 }
 
 // deaf ignores what a server would call on a client.
