Learn harm between images together, and move what harms

Rows of reports show that pairs of images are either harmless or ruinous, about a dozen of 45; pair by pair learning blames the harmless ones beside a ruinous one.

--- a/internal/base/logline/logline.go
+++ b/internal/base/logline/logline.go
@@ -13,6 +13,7 @@
 package logline
 
 import (
+	"bytes"
 	"context"
 	"fmt"
 	"io"
@@ -24,6 +25,7 @@
 // Limits of a sink.
 const (
 	maxBufferBytes = 512 << 10
+	maxWriteBytes  = 8000 // of one write; collectors of logs take so much at once
 	flushPeriod    = 100 * time.Millisecond
 )
 
@@ -87,8 +89,10 @@
 	lines, missed := s.buffer, s.missed
 	s.buffer, s.missed = s.spare[:0], 0
 	s.mu.Unlock()
-	if len(lines) > 0 {
-		_, _ = s.out.Write(lines) // there is nowhere to report a failed log
+	for rest := lines; len(rest) > 0; {
+		size := wholeLines(rest)
+		_, _ = s.out.Write(rest[:size]) // there is nowhere to report a failed log
+		rest = rest[size:]
 	}
 	if missed > 0 {
 		_, _ = fmt.Fprintf(s.out, `{"level":"warn","event":"log_lines_dropped","count":%d}`+"\n", missed)
@@ -97,3 +101,18 @@
 	s.spare = lines[:0]
 	s.mu.Unlock()
 }
+
+// wholeLines returns how many of the first bytes to write at once: as many
+// whole lines as fit a write, but one at least.
+func wholeLines(lines []byte) int {
+	if len(lines) <= maxWriteBytes {
+		return len(lines)
+	}
+	if last := bytes.LastIndexByte(lines[:maxWriteBytes], '\n'); last >= 0 {
+		return last + 1
+	}
+	if first := bytes.IndexByte(lines, '\n'); first >= 0 {
+		return first + 1
+	}
+	return len(lines)
+}
--- a/internal/schedule/harm/harm.go
+++ b/internal/schedule/harm/harm.go
@@ -1,112 +1,200 @@
 // Package harm estimates by how much tasks that fill a worker raise the tail
 // latency of lasting tasks beside them.
 //
-// The tail over its target of a lasting task is taken as a quiet part, kept for
-// each image of lasting tasks, plus for each task that fills its share of the
-// worker's processors times a slope. There is one slope for each pair of
-// images, learned from workers' reports by normalised least mean squares.
+// Harm is a matter of the pair of images: most tasks that fill do nothing to
+// most lasting tasks, and some ruin some. The tail over its target of a lasting
+// task is taken as a quiet part plus, for each image that fills, the share of
+// the worker's processors that it uses times a slope. For each image of lasting
+// tasks the slopes are learned together, by recursive least squares, so that
+// an image is not blamed for what another one beside it does.
 //
 // # Usage
 //
 //	estimator := harm.New()
 //	estimator.Observe("serving-image", 0.9, []harm.Load{{Image: "fill-image", Share: 0.1}})
-//	rise := estimator.Slope("serving-image", "fill-image") * 0.2
+//	estimate := estimator.Pair("serving-image", "fill-image")
+//	rise := estimate.Slope * 0.2
 package harm
 
 import (
 	"cmp"
+	"math"
 	"slices"
 
 	"github.com/oriolepier/oriolepier/internal/base/clock"
 	"github.com/oriolepier/oriolepier/internal/base/codec"
 )
 
-// Terms of the estimate.
+// Terms of the estimate. Tails are over their targets, shares of a whole
+// worker.
 const (
-	QuietTail  = 0.25                  // tail over target of a lasting task alone, before anything is known
-	Negligible = 0.5                   // slopes below it are no reason to slow a task
-	Window     = 500 * clock.Millis(1) // a reported tail covers this time before the report
-	priorSlope = 2.5                   // of a pair that was never seen
-	maxSlope   = 40                    // no estimate goes beyond it
-	slopeRate  = 0.5                   // share of an error that slopes take at once
-	quietRate  = 0.05                  // share of an error that the quiet part takes at once
-	tinyShare  = 0.01                  // loads below it teach nothing
+	QuietTail   = 0.45              // of a lasting task alone, before anything is known
+	Window      = clock.Millis(500) // a reported tail covers this time before the report
+	priorSlope  = 0.5               // of a pair that was never seen
+	priorSpread = 6.0               // standard deviation of that
+	noise       = 0.2               // standard deviation of a tail that loads do not explain
+	memory      = 0.999             // weight of the past against a new report
+	maxTail     = 3.0               // beyond it a tail tells no more, since it does not rise in proportion
+	maxSlope    = 40.0              // no estimate goes beyond it
+	surely      = 1.5               // standard deviation below which a pair counts as known
+	quietRate   = 0.05              // share of an error that the quiet part takes at once
+	tinyShare   = 0.005             // loads below it teach nothing
+	initial     = priorSpread * priorSpread / (noise * noise)
 )
 
-// Load is what a task that fills uses of a worker's processors, 0 to 1.
+// Load is what tasks of an image that fills use of a worker's processors.
 type Load struct {
 	Image string
-	Share float64
+	Share float64 // 0 to 1
 }
 
-// pair names an image of lasting tasks and one of tasks that fill.
-type pair struct{ serving, fill string }
+// Estimate is what is known of a pair of images.
+type Estimate struct {
+	Slope  float64 // rise of the tail over its target by a whole worker's processors
+	Spread float64 // standard deviation of the slope
+}
+
+// Known reports whether a pair was seen well enough to rely on its slope.
+func (e Estimate) Known() bool { return e.Spread < surely }
 
-// Estimator holds the slopes. It is not safe for concurrent use.
+// Estimator holds the estimates of all pairs. It is not safe for concurrent use.
 type Estimator struct {
-	slopes map[pair]float64
-	quiet  map[string]float64
+	models  map[string]*model
+	changed bool
 }
 
 // New returns an estimator that knows nothing.
-func New() *Estimator {
-	return &Estimator{slopes: map[pair]float64{}, quiet: map[string]float64{}}
-}
+func New() *Estimator { return &Estimator{models: map[string]*model{}} }
 
-// Slope returns the rise of tail over target that a whole worker's processors
-// of the fill image would cause.
-func (e *Estimator) Slope(serving, fill string) float64 {
-	if slope, known := e.slopes[pair{serving, fill}]; known {
-		return slope
+// Pair returns the estimate for a pair.
+func (e *Estimator) Pair(serving, fill string) Estimate {
+	if m := e.models[serving]; m != nil {
+		return m.estimate(fill)
 	}
-	return priorSlope
+	return Estimate{Slope: priorSlope, Spread: priorSpread}
 }
 
-// Known reports whether a pair was seen together.
-func (e *Estimator) Known(serving, fill string) bool {
-	_, known := e.slopes[pair{serving, fill}]
-	return known
+// Quiet returns the usual tail over target of a lasting task alone.
+func (e *Estimator) Quiet(serving string) float64 {
+	if m := e.models[serving]; m != nil {
+		return m.quiet
+	}
+	return QuietTail
 }
 
-// Observe learns from one report of a lasting task.
+// Observe learns from a report: the mean tail over target of a worker's lasting
+// tasks of one image, and what fills the worker beside them.
 func (e *Estimator) Observe(serving string, tail float64, loads []Load) {
-	quiet, known := e.quiet[serving]
-	if !known {
-		quiet = QuietTail
+	m := e.models[serving]
+	if m == nil {
+		m = newModel()
+		e.models[serving] = m
 	}
-	byImage := map[string]float64{}
+	m.observe(min(tail, maxTail), loads)
+	e.changed = true
+}
+
+// model holds the slopes of one image of lasting tasks: the weights of a
+// linear regression and the matrix of recursive least squares.
+type model struct {
+	quiet  float64
+	index  map[string]int // of the images that fill
+	slopes []float64
+	spread [][]float64 // covariance of the slopes, in units of the noise's variance
+}
+
+func newModel() *model { return &model{quiet: QuietTail, index: map[string]int{}} }
+
+func (m *model) estimate(fill string) Estimate {
+	i, seen := m.index[fill]
+	if !seen {
+		return Estimate{Slope: priorSlope, Spread: priorSpread}
+	}
+	return Estimate{
+		Slope:  min(max(m.slopes[i], 0), maxSlope),
+		Spread: noise * math.Sqrt(max(m.spread[i][i], 0)),
+	}
+}
+
+// place returns the index of an image that fills, adding it if it is new.
+func (m *model) place(fill string) int {
+	if i, seen := m.index[fill]; seen {
+		return i
+	}
+	i := len(m.slopes)
+	m.index[fill] = i
+	m.slopes = append(m.slopes, priorSlope)
+	for k := range m.spread {
+		m.spread[k] = append(m.spread[k], 0)
+	}
+	m.spread = append(m.spread, make([]float64, i+1))
+	m.spread[i][i] = initial
+	return i
+}
+
+func (m *model) observe(tail float64, loads []Load) {
+	for _, load := range loads {
+		m.place(load.Image)
+	}
+	shares := make([]float64, len(m.slopes))
+	total := 0.0
 	for _, load := range loads {
-		byImage[load.Image] += load.Share
+		shares[m.index[load.Image]] += load.Share
+		total += load.Share
 	}
-	predicted, norm := quiet, 0.0
-	for image, share := range byImage {
-		predicted += e.Slope(serving, image) * share
-		norm += share * share
+	miss := tail - m.quiet
+	for i, share := range shares {
+		miss -= m.slopes[i] * share
 	}
-	miss := tail - predicted
-	if norm < tinyShare*tinyShare {
-		e.quiet[serving] = quiet + quietRate*miss
+	if total < tinyShare {
+		m.quiet += quietRate * miss
 		return
 	}
-	for image, share := range byImage {
-		slope := e.Slope(serving, image) + slopeRate*miss*share/norm
-		e.slopes[pair{serving, image}] = min(max(slope, 0), maxSlope)
+	m.update(shares, miss)
+}
+
+// update is one step of recursive least squares.
+func (m *model) update(shares []float64, miss float64) {
+	size := len(shares)
+	gain := make([]float64, size)
+	scale := memory
+	for i := range gain {
+		for k, share := range shares {
+			gain[i] += m.spread[i][k] * share
+		}
+		scale += gain[i] * shares[i]
+	}
+	for i := range gain {
+		m.slopes[i] += gain[i] / scale * miss
+	}
+	for i := range m.spread {
+		for k := range m.spread[i] {
+			m.spread[i][k] = min((m.spread[i][k]-gain[i]*gain[k]/scale)/memory, initial)
+		}
 	}
 }
 
-// row is the durable form of a slope.
+// row is the durable form of an estimate.
 type row struct {
 	_       struct{} `cbor:",toarray"`
 	Serving string
 	Fill    string
 	Slope   float64
+	Spread  float64
 }
 
+// Changed reports whether something was learned since the last Encode.
+func (e *Estimator) Changed() bool { return e.changed }
+
 // Encode returns the estimates as a record.
 func (e *Estimator) Encode() ([]byte, error) {
-	rows := make([]row, 0, len(e.slopes))
-	for key, slope := range e.slopes {
-		rows = append(rows, row{Serving: key.serving, Fill: key.fill, Slope: slope})
+	e.changed = false
+	var rows []row
+	for serving, m := range e.models {
+		for fill := range m.index {
+			estimate := m.estimate(fill)
+			rows = append(rows, row{Serving: serving, Fill: fill, Slope: estimate.Slope, Spread: estimate.Spread})
+		}
 	}
 	slices.SortFunc(rows, func(a, b row) int {
 		return cmp.Or(cmp.Compare(a.Serving, b.Serving), cmp.Compare(a.Fill, b.Fill))
@@ -121,7 +209,14 @@
 		return err
 	}
 	for _, kept := range rows {
-		e.slopes[pair{kept.Serving, kept.Fill}] = kept.Slope
+		m := e.models[kept.Serving]
+		if m == nil {
+			m = newModel()
+			e.models[kept.Serving] = m
+		}
+		i := m.place(kept.Fill)
+		m.slopes[i] = kept.Slope
+		m.spread[i][i] = min(kept.Spread*kept.Spread/(noise*noise), initial)
 	}
 	return nil
 }
--- a/internal/schedule/owner/book.go
+++ b/internal/schedule/owner/book.go
@@ -25,7 +25,8 @@
 	objects  objective
 	waiters  []func(Verdict)
 	takenAt  clock.Millis
-	specGone bool // its specification's record was removed
+	movedAt  clock.Millis // when a task of it was last placed or ended
+	specGone bool         // its specification's record was removed
 }
 
 // stepState is a step in memory.
--- a/internal/schedule/owner/commit.go
+++ b/internal/schedule/owner/commit.go
@@ -62,6 +62,24 @@
 	}
 }
 
+// harmPeriod is the time between records of the estimates of harm, which save
+// the next owner from learning them anew.
+const harmPeriod clock.Millis = 4 * clock.Second
+
+// keepHarm records the estimates of harm now and then.
+func (o *Owner) keepHarm() {
+	if o.now < o.harmAt || !o.harm.Changed() {
+		return
+	}
+	o.harmAt = o.now + harmPeriod
+	data, err := o.harm.Encode()
+	if err != nil {
+		o.options.Log.Error().Err(err).Msg("estimates of harm cannot be encoded")
+		return
+	}
+	o.batch.extra = append(o.batch.extra, journal.Record{Key: keyHarm, Value: data})
+}
+
 // flush places tasks and starts an append, unless one is under way.
 func (o *Owner) flush() {
 	if o.gone || o.inFlight != nil || o.now < o.nextAt {
--- a/internal/schedule/owner/load.go
+++ b/internal/schedule/owner/load.go
@@ -30,6 +30,7 @@
 	for _, j := range o.jobs {
 		j.durable = true
 		j.takenAt = o.now - o.age(j)
+		j.movedAt = o.now
 		j.objects = o.objective(j)
 		j.shown = j.state
 		runs += j.runs
--- a/internal/schedule/owner/order.go
+++ b/internal/schedule/owner/order.go
@@ -202,6 +202,7 @@
 	task.phase = job.Assigned
 	task.number++
 	step.waiting--
+	j.movedAt = o.now
 	r := &run{task: task, number: task.number, born: w.born, pace: fullPace}
 	o.attach(r, w)
 	if j.state == job.Queued {
--- a/internal/schedule/owner/owner.go
+++ b/internal/schedule/owner/owner.go
@@ -87,8 +87,10 @@
 
 	timers   timers
 	harm     *harm.Estimator
-	gone     bool // resigned
-	placeDue bool // something changed that may let a task start
+	trials   map[trial]int // pairs of images that are being tried
+	harmAt   clock.Millis  // of the next record of the estimates
+	gone     bool          // resigned
+	placeDue bool          // something changed that may let a task start
 	sweepAt  clock.Millis
 }
 
@@ -105,6 +107,7 @@
 		workers: map[string]*worker{},
 		cancels: map[int]func(Verdict){},
 		harm:    harm.New(),
+		trials:  map[trial]int{},
 	}
 }
 
@@ -119,6 +122,7 @@
 		o.refuseUnsent()
 	}
 	o.keepAlive()
+	o.keepHarm()
 	o.sweep()
 	o.flush()
 }
--- a/internal/schedule/owner/place.go
+++ b/internal/schedule/owner/place.go
@@ -5,7 +5,6 @@
 	"slices"
 
 	"github.com/oriolepier/oriolepier/internal/base/clock"
-	"github.com/oriolepier/oriolepier/internal/schedule/fleet"
 	"github.com/oriolepier/oriolepier/internal/schedule/job"
 )
 
@@ -21,6 +20,7 @@
 	if len(usable) == 0 {
 		return
 	}
+	o.countTrials()
 	blocked := 0
 	for _, j := range o.queue() {
 		queue, known := o.tables.Queue(j.spec.Queue)
@@ -55,6 +55,7 @@
 			return 1
 		}
 		o.assign(task, w)
+		o.noteTrial(step, w)
 	}
 	return 0
 }
@@ -163,7 +164,7 @@
 	score -= weightFaults * float64(w.faults)
 	switch {
 	case step.spec.Fills:
-		gain, harmless := o.scoreFill(step, w)
+		gain, harmless := o.scoreFill(task, step, w)
 		return score + gain, harmless
 	case step.spec.TargetMS > 0:
 		return score + weightTight*used(w) + weightSameWork*o.sameWork(step, w), true
@@ -211,5 +212,3 @@
 		r.task.avoid = w.id
 	}
 }
-
-var _ = fleet.Room{}
--- a/internal/schedule/owner/report.go
+++ b/internal/schedule/owner/report.go
@@ -205,6 +205,7 @@
 	o.detach(r)
 	o.touch(j)
 	o.placeDue = true
+	j.movedAt = o.now
 	if how == endDone && !step.spec.Lasting {
 		o.taskDone(task, step)
 		return
--- a/internal/schedule/owner/workers.go
+++ b/internal/schedule/owner/workers.go
@@ -33,6 +33,8 @@
 	restUntil clock.Millis // no new runs before
 	faults    int          // runs that went wrong in a row
 	harmed    clock.Millis // since when a lasting task is over its target; 0: not
+	plan      fillPlan     // for tasks that fill, if planned
+	planned   bool
 }
 
 // within reports whether a room holds an amount.
@@ -170,6 +172,7 @@
 	r.task.run = r
 	r.task.job.runs++
 	w.runs[r] = struct{}{}
+	w.planned = false
 	amount := need(r.task.spec())
 	w.used.MilliCPU += amount.MilliCPU
 	w.used.MemoryMB += amount.MemoryMB
@@ -183,6 +186,7 @@
 func (o *Owner) detach(r *run) {
 	w := r.worker
 	delete(w.runs, r)
+	w.planned = false
 	r.task.run = nil
 	r.task.job.runs--
 	amount := need(r.task.spec())
--- a/internal/site/peer/peer.go
+++ b/internal/site/peer/peer.go
@@ -36,9 +36,9 @@
 
 // Limits of connections.
 const (
-	dialTimeout   clock.Millis = 500
-	maxConnections             = 512
-	maxFrameBytes              = 2 << 20 // a submission of the largest size fits
+	dialTimeout    clock.Millis = 500
+	maxConnections              = 512
+	maxFrameBytes               = 2 << 20 // a submission of the largest size fits
 )
 
 // PingQuery asks an entry whether it owns the cell.
