--- a/internal/schedule/harm/harm.go
+++ b/internal/schedule/harm/harm.go
@@ -2,18 +2,20 @@
 // latency of lasting tasks beside them.
 //
 // Harm is a matter of the pair of images: most tasks that fill do nothing to
-// most lasting tasks, and some ruin some. The tail over its target of a lasting
-// task is taken as a quiet part plus, for each image that fills, the share of
-// the worker's processors that it uses times a slope. For each image of lasting
-// tasks the slopes are learned together, by recursive least squares, so that
-// an image is not blamed for what another one beside it does.
+// most lasting tasks, and some ruin some. A tail grows like that of a queue,
+// without bound as the load nears what can be served, so it is not the tail but
+// its inverse that falls in proportion to what is added: the headroom, target
+// over tail. Headroom is taken as a level, which follows the load of the lasting
+// task's own users, less for each image that fills its share of the worker's
+// processors times a weight. The weights for an image of lasting tasks are
+// learned together, by recursive least squares, so that an image is not blamed
+// for what another one beside it does.
 //
 // # Usage
 //
 //	estimator := harm.New()
-//	estimator.Observe("serving-image", 0.9, []harm.Load{{Image: "fill-image", Share: 0.1}})
-//	estimate := estimator.Pair("serving-image", "fill-image")
-//	rise := estimate.Slope * 0.2
+//	estimator.Observe(harm.Sample{Serving: "a", Group: "job-1", Headroom: 1.8, Loads: loads})
+//	loss := estimator.Pair("a", "b").Weight * 0.2
 package harm
 
 import (
@@ -25,21 +27,23 @@
 	"github.com/oriolepier/oriolepier/internal/base/codec"
 )
 
-// Terms of the estimate. Tails are over their targets, shares of a whole
+// Terms of the estimate. Headrooms are targets over tails, shares of a whole
 // worker.
 const (
-	QuietTail   = 0.45              // of a lasting task alone, before anything is known
-	Window      = clock.Millis(500) // a reported tail covers this time before the report
-	priorSlope  = 0.5               // of a pair that was never seen
-	priorSpread = 6.0               // standard deviation of that
-	noise       = 0.2               // standard deviation of a tail that loads do not explain
-	memory      = 0.999             // weight of the past against a new report
-	maxTail     = 3.0               // beyond it a tail tells no more, since it does not rise in proportion
-	maxSlope    = 40.0              // no estimate goes beyond it
-	surely      = 1.5               // standard deviation below which a pair counts as known
-	quietRate   = 0.05              // share of an error that the quiet part takes at once
-	tinyShare   = 0.005             // loads below it teach nothing
-	initial     = priorSpread * priorSpread / (noise * noise)
+	QuietHeadroom = 2.2               // of a lasting task alone, before anything is known
+	MaxHeadroom   = 4.0               // more says nothing of use
+	Window        = clock.Millis(500) // a reported tail covers this time before the report
+	priorWeight   = 1.0               // of a pair that was never seen
+	priorSpread   = 6.0               // standard deviation of that
+	noise         = 0.4               // standard deviation of a headroom that level and loads do not explain
+	memory        = 0.9995            // weight of the past against a new report
+	maxWeight     = 40.0              // no estimate goes beyond it
+	surely        = 2.0               // standard deviation below which a pair counts as known
+	quietRate     = 0.3               // share of an error that a level takes from a task alone
+	loadedRate    = 0.1               // ... and from one beside pairs that are known to be harmless
+	harmless      = 2.0               // weights below it are no reason to keep images apart
+	tinyShare     = 0.005             // loads below it teach nothing
+	initial       = priorSpread * priorSpread / (noise * noise)
 )
 
 // Load is what tasks of an image that fills use of a worker's processors.
@@ -48,70 +52,94 @@
 	Share float64 // 0 to 1
 }
 
+// Sample is what a report says of a worker's lasting tasks of one group.
+type Sample struct {
+	Serving  string  // image of the lasting tasks
+	Group    string  // tasks that have the same users, and so the same load
+	Headroom float64 // target over tail
+	Loads    []Load  // of what fills the worker beside them
+}
+
 // Estimate is what is known of a pair of images.
 type Estimate struct {
-	Slope  float64 // rise of the tail over its target by a whole worker's processors
-	Spread float64 // standard deviation of the slope
+	Weight float64 // headroom lost by a whole worker's processors
+	Spread float64 // standard deviation of the weight
 }
 
-// Known reports whether a pair was seen well enough to rely on its slope.
+// Known reports whether a pair was seen well enough to rely on its weight.
 func (e Estimate) Known() bool { return e.Spread < surely }
 
 // Estimator holds the estimates of all pairs. It is not safe for concurrent use.
 type Estimator struct {
-	models  map[string]*model
+	models  map[string]*model  // by image of lasting tasks
+	levels  map[string]float64 // by group
 	changed bool
 }
 
 // New returns an estimator that knows nothing.
-func New() *Estimator { return &Estimator{models: map[string]*model{}} }
+func New() *Estimator {
+	return &Estimator{models: map[string]*model{}, levels: map[string]float64{}}
+}
 
 // Pair returns the estimate for a pair.
 func (e *Estimator) Pair(serving, fill string) Estimate {
 	if m := e.models[serving]; m != nil {
 		return m.estimate(fill)
 	}
-	return Estimate{Slope: priorSlope, Spread: priorSpread}
+	return Estimate{Weight: priorWeight, Spread: priorSpread}
 }
 
-// Quiet returns the usual tail over target of a lasting task alone.
-func (e *Estimator) Quiet(serving string) float64 {
-	if m := e.models[serving]; m != nil {
-		return m.quiet
+// Level returns the headroom that tasks of a group have alone.
+func (e *Estimator) Level(group string) float64 {
+	if level, known := e.levels[group]; known {
+		return level
 	}
-	return QuietTail
+	return QuietHeadroom
 }
 
-// Observe learns from a report: the mean tail over target of a worker's lasting
-// tasks of one image, and what fills the worker beside them.
-func (e *Estimator) Observe(serving string, tail float64, loads []Load) {
-	m := e.models[serving]
+// Forget drops what is known of a group.
+func (e *Estimator) Forget(group string) { delete(e.levels, group) }
+
+// Observe learns from a report.
+func (e *Estimator) Observe(sample Sample) {
+	m := e.models[sample.Serving]
 	if m == nil {
 		m = newModel()
-		e.models[serving] = m
+		e.models[sample.Serving] = m
+	}
+	shares, total := m.shares(sample.Loads)
+	lost, trusted := m.lost(shares)
+	level := e.Level(sample.Group)
+	miss := min(sample.Headroom, MaxHeadroom) - (level - lost)
+	if total >= tinyShare {
+		m.update(shares, -miss)
+		e.changed = true
+	}
+	switch {
+	case total < tinyShare:
+		e.levels[sample.Group] = level + quietRate*miss
+	case trusted:
+		e.levels[sample.Group] = level + loadedRate*miss
 	}
-	m.observe(min(tail, maxTail), loads)
-	e.changed = true
 }
 
-// model holds the slopes of one image of lasting tasks: the weights of a
-// linear regression and the matrix of recursive least squares.
+// model holds the weights for one image of lasting tasks, and the matrix of
+// recursive least squares.
 type model struct {
-	quiet  float64
-	index  map[string]int // of the images that fill
-	slopes []float64
-	spread [][]float64 // covariance of the slopes, in units of the noise's variance
+	index   map[string]int // of the images that fill
+	weights []float64
+	spread  [][]float64 // covariance of the weights, in units of the noise's variance
 }
 
-func newModel() *model { return &model{quiet: QuietTail, index: map[string]int{}} }
+func newModel() *model { return &model{index: map[string]int{}} }
 
 func (m *model) estimate(fill string) Estimate {
 	i, seen := m.index[fill]
 	if !seen {
-		return Estimate{Slope: priorSlope, Spread: priorSpread}
+		return Estimate{Weight: priorWeight, Spread: priorSpread}
 	}
 	return Estimate{
-		Slope:  min(max(m.slopes[i], 0), maxSlope),
+		Weight: min(max(m.weights[i], 0), maxWeight),
 		Spread: noise * math.Sqrt(max(m.spread[i][i], 0)),
 	}
 }
@@ -121,9 +149,9 @@
 	if i, seen := m.index[fill]; seen {
 		return i
 	}
-	i := len(m.slopes)
+	i := len(m.weights)
 	m.index[fill] = i
-	m.slopes = append(m.slopes, priorSlope)
+	m.weights = append(m.weights, priorWeight)
 	for k := range m.spread {
 		m.spread[k] = append(m.spread[k], 0)
 	}
@@ -132,25 +160,31 @@
 	return i
 }
 
-func (m *model) observe(tail float64, loads []Load) {
+// shares sums loads up by image.
+func (m *model) shares(loads []Load) (shares []float64, total float64) {
 	for _, load := range loads {
 		m.place(load.Image)
 	}
-	shares := make([]float64, len(m.slopes))
-	total := 0.0
+	shares = make([]float64, len(m.weights))
 	for _, load := range loads {
 		shares[m.index[load.Image]] += load.Share
 		total += load.Share
 	}
-	miss := tail - m.quiet
+	return shares, total
+}
+
+// lost is the headroom that loads are thought to cost; it is trusted where all
+// of them are known to be harmless.
+func (m *model) lost(shares []float64) (lost float64, trusted bool) {
+	trusted = true
 	for i, share := range shares {
-		miss -= m.slopes[i] * share
-	}
-	if total < tinyShare {
-		m.quiet += quietRate * miss
-		return
+		if share < tinyShare {
+			continue
+		}
+		lost += m.weights[i] * share
+		trusted = trusted && noise*math.Sqrt(m.spread[i][i]) < surely && m.weights[i] < harmless
 	}
-	m.update(shares, miss)
+	return lost, trusted
 }
 
 // update is one step of recursive least squares.
@@ -165,7 +199,7 @@
 		scale += gain[i] * shares[i]
 	}
 	for i := range gain {
-		m.slopes[i] += gain[i] / scale * miss
+		m.weights[i] += gain[i] / scale * miss
 	}
 	for i := range m.spread {
 		for k := range m.spread[i] {
@@ -179,7 +213,7 @@
 	_       struct{} `cbor:",toarray"`
 	Serving string
 	Fill    string
-	Slope   float64
+	Weight  float64
 	Spread  float64
 }
 
@@ -193,7 +227,7 @@
 	for serving, m := range e.models {
 		for fill := range m.index {
 			estimate := m.estimate(fill)
-			rows = append(rows, row{Serving: serving, Fill: fill, Slope: estimate.Slope, Spread: estimate.Spread})
+			rows = append(rows, row{Serving: serving, Fill: fill, Weight: estimate.Weight, Spread: estimate.Spread})
 		}
 	}
 	slices.SortFunc(rows, func(a, b row) int {
@@ -215,7 +249,7 @@
 			e.models[kept.Serving] = m
 		}
 		i := m.place(kept.Fill)
-		m.slopes[i] = kept.Slope
+		m.weights[i] = kept.Weight
 		m.spread[i][i] = min(kept.Spread*kept.Spread/(noise*noise), initial)
 	}
 	return nil
--- a/internal/schedule/owner/book.go
+++ b/internal/schedule/owner/book.go
@@ -79,8 +79,7 @@
 	percent     int
 	usage       int64 // as last reported: tail latency in ms, or milli-CPU
 	usageAt     clock.Millis
-	pace        int // percent; 100: unhindered
-	slowSince   clock.Millis
+	pace        int    // percent; 100: unhindered
 	why         string // reason for a stop
 }
 
--- a/internal/schedule/owner/colocate.go
+++ b/internal/schedule/owner/colocate.go
@@ -9,20 +9,22 @@
 	"github.com/oriolepier/oriolepier/internal/schedule/harm"
 )
 
-// Terms of placing tasks that fill beside lasting ones. Tails are over their
-// targets, shares of a whole worker.
+// Terms of placing tasks that fill beside lasting ones. Headrooms are targets
+// over tails, shares of a whole worker.
 const (
-	servingUse = 0.5  // share of its processors that a lasting task uses
-	safeTail   = 0.8  // predicted tail up to which a task may be added
-	safeRise   = 0.12 // rise of a tail by all that fills that is no reason to refuse or move
-	badTail    = 0.95 // measured tail from which what raises it is moved away
-	minSpeed   = 0.4  // least share of its speed at which a task that fills is begun
+	servingUse   = 0.5 // share of its processors that a lasting task uses
+	safeHeadroom = 1.6 // predicted headroom down to which a task that costs some may be added
+	harmlessLoss = 0.2 // headroom that all that fills a worker may cost whatever the load
+	lowHeadroom  = 1.2 // measured headroom from which what costs most is moved away
+	soonHeadroom = 1.5 // measured headroom from which reports are wanted soon
+	moveLoss     = 0.3 // headroom that a task costs where it is worth moving away
+	minSpeed     = 0.4 // least share of its speed at which a task that fills is begun
 )
 
 // Weights of the terms of a worker's score for a task that fills.
 const (
 	weightSpeed = 3.0 // of the speed that the task would have
-	weightRise  = 4.0 // of the rise that it would cause
+	weightLoss  = 2.0 // of the headroom that it would cost
 	weightAlone = 0.2 // for a worker without lasting tasks
 )
 
@@ -30,7 +32,9 @@
 const (
 	desperateWait clock.Millis = 1800 // a task without a harmless worker for so long takes the least harmed one
 	standStill    clock.Millis = 1500 // a tail over its target for so long makes all that fills stand still
-	easePeriod    clock.Millis = 1500 // least time that a task stands still
+	easePeriod    clock.Millis = 1500 // least time that it stands still
+	settleTime    clock.Millis = 1200 // until the tail of a new lasting task says something
+	quickWait     clock.Millis = 300  // that a worker may wait with its report while a headroom is low
 )
 
 // fillPlan is what a worker has to offer to tasks that fill, computed once for
@@ -40,24 +44,28 @@
 	serving []servingPart
 }
 
-// servingPart sums up a worker's lasting tasks of one image.
+// servingPart sums up a worker's lasting tasks of one group, which have the
+// same users.
 type servingPart struct {
-	image string
-	tail  float64 // the highest, as reported
-	rise  float64 // by what fills there, as estimated
-	fresh float64 // the part of it that the report cannot show yet
+	image    string
+	group    string
+	headroom float64 // as reported
+	lost     float64 // to all that fills the worker
+	fresh    float64 // the part of that which the report does not show yet
+	count    int
+	settled  bool // its tasks have run long enough to learn from
 }
 
 // planFill sums a worker up for tasks that fill.
 func (o *Owner) planFill(w *worker) fillPlan {
 	plan := fillPlan{left: 1}
-	for r := range w.runs {
+	for _, r := range w.sorted() {
 		spec := r.task.spec()
 		asked := share(spec.MilliCPU, w)
 		switch {
 		case spec.TargetMS > 0:
 			plan.left -= asked * servingUse
-			plan.addServing(spec.Image, o.tail(r))
+			plan.addServing(r, o.tail(r), o.now)
 		case spec.Fills:
 			plan.left -= asked * float64(r.pace) / fullPace
 		default:
@@ -65,59 +73,75 @@
 		}
 	}
 	for i := range plan.serving {
-		o.addRises(&plan.serving[i], w)
+		o.sumUp(&plan.serving[i], w)
 	}
 	return plan
 }
 
-func (p *fillPlan) addServing(image string, tail float64) {
-	for i := range p.serving {
-		if p.serving[i].image == image {
-			p.serving[i].tail = max(p.serving[i].tail, tail)
-			return
-		}
+// addServing counts a lasting task; headroom holds the sum of tails until the
+// part is summed up.
+func (p *fillPlan) addServing(r *run, tail float64, now clock.Millis) {
+	group := groupOf(r)
+	i := slices.IndexFunc(p.serving, func(part servingPart) bool { return part.group == group })
+	if i < 0 {
+		p.serving = append(p.serving, servingPart{image: r.task.spec().Image, group: group, settled: true})
+		i = len(p.serving) - 1
 	}
-	p.serving = append(p.serving, servingPart{image: image, tail: tail})
+	part := &p.serving[i]
+	part.headroom += tail
+	part.count++
+	part.settled = part.settled && r.stage == stageConfirmed && now-r.startedAt > settleTime
 }
 
-// addRises adds what a worker's tasks that fill do to one image there.
-func (o *Owner) addRises(part *servingPart, w *worker) {
+// groupOf names the lasting tasks that share a run's users.
+func groupOf(r *run) string { return string(r.task.job.spec.ID) }
+
+// sumUp turns a part's tails into a headroom, and adds what fills the worker.
+func (o *Owner) sumUp(part *servingPart, w *worker) {
+	tail := part.headroom / float64(part.count)
+	part.headroom = min(1/max(tail, 1/harm.MaxHeadroom), harm.MaxHeadroom)
 	for r := range w.runs {
 		spec := r.task.spec()
 		if !spec.Fills || r.stage == stageStopping || r.stage == stageStopped {
 			continue
 		}
-		rise := o.harm.Pair(part.image, spec.Image).Slope * share(spec.MilliCPU, w) * float64(r.pace) / fullPace
-		part.rise += rise
+		lost := o.loss(part.image, r) * float64(r.pace) / fullPace
+		part.lost += lost
 		if r.usageAt == 0 || r.usageAt-r.startedAt < harm.Window {
-			part.fresh += rise
+			part.fresh += lost
 		}
 	}
 }
 
+// loss is the headroom that a run costs lasting tasks of an image at full pace.
+func (o *Owner) loss(serving string, r *run) float64 {
+	return o.harm.Pair(serving, r.task.spec().Image).Weight * share(r.task.spec().MilliCPU, r.worker)
+}
+
 // scoreFill rates a worker for a task that fills. It is not ok where the task
 // would do harm, or would hardly get on.
 func (o *Owner) scoreFill(task *taskState, step *stepState, w *worker) (score float64, ok bool) {
 	plan := o.plan(w)
 	ask := share(step.spec.MilliCPU, w)
 	desperate := o.now-task.job.movedAt > desperateWait
-	worst := 0.0
+	most := 0.0
 	for _, part := range plan.serving {
 		pair := o.harm.Pair(part.image, step.spec.Image)
-		rise := pair.Slope * ask
 		if !pair.Known() && !desperate && o.exploring(part.image, step.spec.Image, w) {
 			return 0, false
 		}
-		worst = max(worst, part.rise+rise)
-		if part.rise+rise > safeRise && part.tail+part.fresh+rise > safeTail && !desperate {
+		loss := pair.Weight * ask
+		costly := part.lost+loss > harmlessLoss
+		if costly && part.headroom-part.fresh-loss < safeHeadroom && !desperate {
 			return 0, false
 		}
+		most = max(most, loss)
 	}
 	speed := min(max(plan.left, 0)/max(ask, tinyAsk), 1)
-	if speed < minSpeed && !desperate {
+	if w.harmed != 0 || speed < minSpeed && !desperate {
 		return 0, false
 	}
-	score = weightSpeed*speed - weightRise*worst
+	score = weightSpeed*speed - weightLoss*most
 	if len(plan.serving) == 0 {
 		score += weightAlone
 	}
@@ -181,46 +205,29 @@
 // tail is the last reported tail of a lasting task over its target.
 func (o *Owner) tail(r *run) float64 {
 	if r.usageAt == 0 {
-		return o.harm.Quiet(r.task.spec().Image)
+		return 1 / harm.QuietHeadroom
 	}
 	return float64(r.usage) / float64(max(r.task.spec().TargetMS, 1))
 }
 
-// watchHarm learns from a worker's report, and moves away what raises the tail
-// of a lasting task over its target.
+// watchHarm learns from a worker's report, and moves away what ruins the tail
+// of a lasting task.
 func (o *Owner) watchHarm(w *worker) {
 	w.planned = false
 	loads := o.loads(w)
-	tails := map[string][]float64{}
-	worst := 0.0
-	for _, r := range w.sorted() {
-		spec := r.task.spec()
-		if spec.TargetMS == 0 || r.usageAt != o.now || r.stage != stageConfirmed {
-			continue
-		}
-		worst = max(worst, o.tail(r))
-		if o.now-r.startedAt > settleTime {
-			tails[spec.Image] = append(tails[spec.Image], o.tail(r))
+	lowest := harm.MaxHeadroom
+	for _, part := range o.plan(w).serving {
+		lowest = min(lowest, part.headroom)
+		if part.settled {
+			o.harm.Observe(harm.Sample{Serving: part.image, Group: part.group, Headroom: part.headroom, Loads: loads})
 		}
 	}
-	for image, values := range tails {
-		o.harm.Observe(image, mean(values), loads)
-	}
-	if worst >= badTail {
+	w.planned = false
+	w.watched = lowest < soonHeadroom
+	if lowest < lowHeadroom {
 		o.moveHarmful(w)
 	}
-	o.standStill(w, worst)
-}
-
-// settleTime is how long a lasting task takes until its tail says something.
-const settleTime clock.Millis = 1200
-
-func mean(values []float64) float64 {
-	sum := 0.0
-	for _, value := range values {
-		sum += value
-	}
-	return sum / float64(len(values))
+	o.standStill(w, lowest)
 }
 
 // loads lists what tasks that fill use of a worker, as just reported.
@@ -234,76 +241,78 @@
 	return loads
 }
 
-// moveHarmful stops the tasks that fill a worker and are known to raise the
-// tail of a lasting task there, the worst first, until the rest is harmless.
-// They start again elsewhere, from their checkpoints.
+// moveHarmful stops the tasks that fill a worker and cost a lasting task there
+// too much, the worst first. They start again elsewhere, from their checkpoints.
 func (o *Owner) moveHarmful(w *worker) {
 	for _, part := range o.plan(w).serving {
-		if part.tail < badTail {
+		short := safeHeadroom - part.headroom
+		if part.headroom >= lowHeadroom {
 			continue
 		}
-		over := part.tail - safeTail
-		for _, r := range o.culprits(w, part.image) {
-			rise := o.harm.Pair(part.image, r.task.spec().Image).Slope * share(r.task.spec().MilliCPU, w)
-			if over <= 0 || rise < safeRise/2 {
+		for _, r := range o.costliest(w, part.image) {
+			loss := o.loss(part.image, r)
+			if short <= 0 || loss < moveLoss {
 				break
 			}
-			over -= rise
+			short -= loss
 			r.task.avoid = w.id
 			o.options.Counts.Moves.Inc()
-			o.stop(r, "raises the tail of image "+part.image)
+			o.logMove(r, part, loss)
+			o.stop(r, "raises a tail")
 		}
 	}
+	w.planned = false
 }
 
-// culprits lists the tasks that fill a worker, most harmful to an image first.
-func (o *Owner) culprits(w *worker, serving string) []*run {
+// costliest lists the tasks that fill a worker, worst first.
+func (o *Owner) costliest(w *worker, serving string) []*run {
 	var runs []*run
 	for _, r := range w.sorted() {
 		if r.task.spec().Fills && r.stage == stageConfirmed {
 			runs = append(runs, r)
 		}
 	}
-	rise := func(r *run) float64 {
-		return o.harm.Pair(serving, r.task.spec().Image).Slope * float64(r.task.spec().MilliCPU)
-	}
-	slices.SortStableFunc(runs, func(a, b *run) int { return cmp.Compare(rise(b), rise(a)) })
+	slices.SortStableFunc(runs, func(a, b *run) int { return cmp.Compare(o.loss(serving, b), o.loss(serving, a)) })
 	return runs
 }
 
 // standStill is the last resort: while a tail stays over its target, all that
 // fills the worker stands still.
-func (o *Owner) standStill(w *worker, worst float64) {
+func (o *Owner) standStill(w *worker, lowest float64) {
 	switch {
-	case worst < badTail:
+	case lowest >= 1:
 		w.harmed = 0
 	case w.harmed == 0:
 		w.harmed = o.now
 	}
-	pace := fullPace
-	if w.harmed != 0 {
-		if o.now-w.harmed < standStill {
-			return
-		}
-		pace = 0
+	if w.harmed != 0 && o.now-w.harmed >= standStill && w.pace != 0 {
+		w.pace, w.pacedAt = 0, o.now
+	}
+	if w.harmed == 0 && w.pace == 0 && o.now-w.pacedAt > easePeriod {
+		w.pace, w.pacedAt = fullPace, o.now
 	}
 	for _, r := range w.sorted() {
-		if !r.task.spec().Fills || r.stage != stageConfirmed || r.pace == pace {
-			continue
-		}
-		if pace == 0 || o.now-r.slowSince > easePeriod {
-			o.pace(r, pace, worst)
+		if r.task.spec().Fills && r.stage == stageConfirmed && r.pace != w.pace {
+			o.pace(r, w.pace, lowest)
 		}
 	}
 }
 
-func (o *Owner) pace(r *run, percent int, worst float64) {
+func (o *Owner) logMove(r *run, part servingPart, loss float64) {
+	pair := o.harm.Pair(part.image, r.task.spec().Image)
+	o.options.Log.Info().Str("event", "run_moved").Str("job", string(r.task.job.spec.ID)).Int("step", r.task.step).
+		Int("index", r.task.index).Int("run", r.number).Str("worker", r.worker.id).
+		Str("image", r.task.spec().Image).Str("serving_image", part.image).Float64("weight", pair.Weight).
+		Float64("weight_spread", pair.Spread).Float64("loss", loss).Float64("headroom", part.headroom).
+		Int64("ran_ms", int64(o.now-r.startedAt)).Int64("report_age_ms", int64(o.now-r.usageAt)).Send()
+}
+
+func (o *Owner) pace(r *run, percent int, headroom float64) {
 	o.options.Counts.Paces.Inc()
 	o.options.Log.Info().Str("event", "run_paced").Str("job", string(r.task.job.spec.ID)).Int("step", r.task.step).
 		Int("index", r.task.index).Int("run", r.number).Str("worker", r.worker.id).Int("percent", percent).
-		Int("before", r.pace).Float64("tail_over_target", worst).Int64("report_age_ms", int64(o.now-r.usageAt)).Send()
+		Int("before", r.pace).Float64("headroom", headroom).Int64("report_age_ms", int64(o.now-r.usageAt)).Send()
 	r.pace = percent
-	r.slowSince = o.now
 	o.options.Effects.Pace(fleet.Pace{
 		To: r.worker.address(), Task: r.task.name(), Run: r.number, Percent: percent, Token: o.options.Epoch,
 	})
--- a/internal/schedule/owner/lease.go
+++ b/internal/schedule/owner/lease.go
@@ -31,8 +31,11 @@
 	order := fleet.Hold{To: w.address(), Acked: w.acked, Token: o.options.Epoch}
 	if w.contactAt != 0 && w.misses == 0 {
 		order.WaitMS = int64(o.options.Times.Wait)
-		if len(w.runs) == 0 {
+		switch {
+		case len(w.runs) == 0:
 			order.WaitMS = int64(idleWait)
+		case w.watched:
+			order.WaitMS = int64(quickWait)
 		}
 	}
 	if w.hurry {
--- a/internal/schedule/owner/submit.go
+++ b/internal/schedule/owner/submit.go
@@ -205,6 +205,7 @@
 func (o *Owner) finish(j *jobState, state job.State, reason string) {
 	j.state = state
 	j.endedMS = o.options.Wall()
+	o.harm.Forget(string(j.spec.ID))
 	o.options.Log.Info().Str("event", "job_ended").Str("job", string(j.spec.ID)).Str("queue", j.spec.Queue).
 		Str("state", state.String()).Str("reason", reason).Int64("age_ms", int64(o.now-j.takenAt)).
 		Int("runs_left", j.runs).Send()
--- a/internal/schedule/owner/workers.go
+++ b/internal/schedule/owner/workers.go
@@ -35,7 +35,10 @@
 	faults    int          // runs that went wrong in a row
 	doubts    []doubt      // starts without an answer that may still be carried out
 	harmed    clock.Millis // since when a lasting task is over its target; 0: not
-	plan      fillPlan     // for tasks that fill, if planned
+	pace      int          // of all that fills it, in percent
+	pacedAt   clock.Millis
+	watched   bool     // a headroom is low, so reports are wanted soon
+	plan      fillPlan // for tasks that fill, if planned
 	planned   bool
 }
 
@@ -111,7 +114,7 @@
 }
 
 func (o *Owner) newWorker(id string) *worker {
-	w := &worker{id: id, runs: map[*run]struct{}{}, quietFrom: o.claimed}
+	w := &worker{id: id, runs: map[*run]struct{}{}, quietFrom: o.claimed, pace: fullPace}
 	o.workers[id] = w
 	return w
 }
