Leave lasting tasks the processors that their load needs

Cause: where what fills a worker uses up all that lasting tasks leave, their tails rise even beside harmless images (headroom 2.5 -> 0.6 at 0.38 of a worker filled). The load follows from the headroom, so the room left is known. Tasks that have waited take crowded workers.

--- a/internal/schedule/owner/colocate.go
+++ b/internal/schedule/owner/colocate.go
@@ -12,13 +12,18 @@
 // Terms of placing tasks that fill beside lasting ones. Headrooms are targets
 // over tails, shares of a whole worker.
 const (
-	servingUse   = 0.5 // share of its processors that a lasting task uses
-	safeHeadroom = 1.6 // predicted headroom down to which a task that costs some may be added
-	harmlessLoss = 0.2 // headroom that all that fills a worker may cost whatever the load
-	lowHeadroom  = 1.2 // measured headroom from which what costs most is moved away
-	soonHeadroom = 1.5 // measured headroom from which reports are wanted soon
-	moveLoss     = 0.3 // headroom that a task costs where it is worth moving away
-	minSpeed     = 0.4 // least share of its speed at which a task that fills is begun
+	idleHeadroom = 5.0   // of a lasting task without users
+	leastUse     = 0.2   // least share of its processors that a lasting task is thought to use
+	mostUse      = 0.8   // ... and the most
+	useMargin    = 0.02  // added to it, as its load may rise while a task runs beside it
+	spareShare   = 0.08  // share of a worker with lasting tasks that is left unused, at first
+	crowdedShare = -0.15 // ... and for a task that has waited for crowdedWait
+	safeHeadroom = 1.6   // predicted headroom down to which a task that costs some may be added
+	harmlessLoss = 0.2   // headroom that all that fills a worker may cost whatever the load
+	lowHeadroom  = 1.2   // measured headroom from which what costs most is moved away
+	soonHeadroom = 1.5   // measured headroom from which reports are wanted soon
+	moveLoss     = 0.3   // headroom that a task costs where it is worth moving away
+	minSpeed     = 0.4   // least share of its speed at which a task that fills is begun
 )
 
 // Weights of the terms of a worker's score for a task that fills.
@@ -31,6 +36,7 @@
 // Times of moving and slowing tasks that fill.
 const (
 	desperateWait clock.Millis = 1800 // a task without a harmless worker for so long takes the least harmed one
+	crowdedWait   clock.Millis = 400  // a job that has waited so long for a place takes a crowded worker
 	standStill    clock.Millis = 1500 // a tail over its target for so long makes all that fills stand still
 	easePeriod    clock.Millis = 1500 // least time that it stands still
 	settleTime    clock.Millis = 1200 // until the tail of a new lasting task says something
@@ -64,7 +70,7 @@
 		asked := share(spec.MilliCPU, w)
 		switch {
 		case spec.TargetMS > 0:
-			plan.left -= asked * servingUse
+			plan.left -= asked * o.servingUse(r)
 			plan.addServing(r, o.tail(r), o.now)
 		case spec.Fills:
 			plan.left -= asked * float64(r.pace) / fullPace
@@ -118,6 +124,20 @@
 	return o.harm.Pair(serving, r.task.spec().Image).Weight * share(r.task.spec().MilliCPU, r.worker)
 }
 
+// servingUse is the share of its processors that a lasting task uses, which its
+// headroom alone tells.
+func (o *Owner) servingUse(r *run) float64 {
+	load := 1 - o.harm.Level(groupOf(r))/idleHeadroom
+	return min(max(load, leastUse), mostUse) + useMargin
+}
+
+// spare is the share of a worker with lasting tasks that a job's tasks leave
+// unused: the less, the longer the job has waited.
+func (o *Owner) spare(j *jobState) float64 {
+	waited := min(float64(o.now-j.movedAt)/float64(crowdedWait), 1)
+	return spareShare + waited*(crowdedShare-spareShare)
+}
+
 // scoreFill rates a worker for a task that fills. It is not ok where the task
 // would do harm, or would hardly get on.
 func (o *Owner) scoreFill(task *taskState, step *stepState, w *worker) (score float64, ok bool) {
@@ -137,6 +157,9 @@
 		}
 		most = max(most, loss)
 	}
+	if len(plan.serving) > 0 && plan.left-ask < o.spare(task.job) && !desperate {
+		return 0, false
+	}
 	speed := min(max(plan.left, 0)/max(ask, tinyAsk), 1)
 	if w.harmed != 0 || speed < minSpeed && !desperate {
 		return 0, false
