--- a/internal/config/setting/parse.go
+++ b/internal/config/setting/parse.go
@@ -3,7 +3,6 @@
 import (
 	"fmt"
 	"net/netip"
-	"net/url"
 	"os"
 	"path/filepath"
 	"slices"
@@ -25,15 +24,11 @@
 	minTokenBytes              = 16 // shorter ones can be guessed
 	maxTokenBytes              = 512
 	maxNotice     clock.Millis = 10 * clock.Minute
-	minRetention  clock.Millis = clock.Minute // snapshots are written several times in it
-	maxRetention  clock.Millis = 366 * 24 * clock.Hour
 )
 
-// What stands where the file says nothing.
-const (
-	defaultNotice    = 5 * clock.Second  // balancers probe every second or two and want several failures in a row
-	defaultRetention = 30 * clock.Minute // less than any log in use keeps; a longer time makes fewer snapshots
-)
+// defaultNotice stands where the file says nothing: balancers probe every second
+// or two and want several failures in a row.
+const defaultNotice = 5 * clock.Second
 
 var shapes = []document.Shape{
 	{
@@ -41,7 +36,7 @@
 		Required:  []string{"name", "failure_domain", "listen", "platform"},
 	},
 	{Prototype: Listen{}, Required: []string{"callers", "operators", "peers"}},
-	{Prototype: Platform{LogRetentionMS: defaultRetention}, Required: []string{"log", "inventory", "usage"}},
+	{Prototype: Platform{}, Required: []string{"store"}},
 	{Prototype: Peer{}, Required: []string{"name", "failure_domain", "address"}},
 	{Prototype: TLS{}, Required: []string{"cert", "key", "ca"}},
 }
@@ -132,10 +127,7 @@
 	list.name("failure_domain", entry.FailureDomain)
 	list.listen(entry.Listen)
 	list.peers(entry)
-	list.base("platform.log", entry.Platform.Log)
-	list.base("platform.inventory", entry.Platform.Inventory)
-	list.base("platform.usage", entry.Platform.Usage)
-	list.within("platform.log_retention_ms", entry.Platform.LogRetentionMS, minRetention, maxRetention)
+	list.address("platform.store", entry.Platform.Store, false)
 	list.level(entry.LogLevel)
 	list.within("notice_ms", entry.NoticeMS, 1, maxNotice)
 	list.token(entry)
@@ -213,24 +205,6 @@
 	}
 }
 
-func (list *report) base(field, text string) {
-	if text == "" {
-		list.addf(field, "is missing")
-		return
-	}
-	link, err := url.Parse(text)
-	if err != nil || (link.Scheme != "http" && link.Scheme != "https") || link.Host == "" {
-		list.addf(field, "%q is not a base URL such as http://10.0.0.1:7000", text)
-		return
-	}
-	if _, err := netip.ParseAddr(link.Hostname()); err != nil {
-		list.addf(field, "the host of %q is not an IP address", text)
-	}
-	if link.User != nil || link.RawQuery != "" || link.Fragment != "" {
-		list.addf(field, "%q has more than scheme, address and path", text)
-	}
-}
-
 func (list *report) level(level string) {
 	levels := []string{"trace", "debug", "info", "warn", "error"}
 	if !slices.Contains(levels, level) {
--- a/internal/config/setting/setting.go
+++ b/internal/config/setting/setting.go
@@ -43,13 +43,9 @@
 	Address       string `json:"address"` // ip:port of its peer listener
 }
 
-// Platform is the base URLs of the platform's services, with IP addresses, and
-// how long the log keeps a record.
+// Platform is where the platform's services answer.
 type Platform struct {
-	Log            string       `json:"log"`
-	Inventory      string       `json:"inventory"`
-	Usage          string       `json:"usage"`
-	LogRetentionMS clock.Millis `json:"log_retention_ms"`
+	Store string `json:"store"` // ip:port of the log store
 }
 
 // TLS is files in PEM, relative to the settings file. CA is whom to trust when
--- a/internal/operator/demo/demo.go
+++ b/internal/operator/demo/demo.go
@@ -1,17 +1,16 @@
-// Package demo shows the whole system in one process: stand-ins of the
-// platform, nine workers and six entries in three failure domains, which talk
-// over loopback TCP. Work is sent while a failure domain is taken out and put
-// back, the platform's log is away, one entry is lost and another is stopped.
+// Package demo shows the whole system in one process: entries in three failure
+// domains, with stand-ins for the platform's store and workers, under a few
+// faults, and what callers and workers saw.
 //
-//	start ─> publish ─> steady ─> domain out ─> back ─> log away ─> entry lost ─> entry stopped ─> finish ─> verdict
-//	           └──────────────── requests and tasks all the while ────────────────────────┘
-//
-// The figures on the last line come from what callers and workers saw, never
-// from the system's own counters.
+//	stand-in store <── entries ──> stand-in workers
+//	                      ^
+//	callers: jobs, ───────┘
 //
 // # Usage
 //
-//	code := demo.Run(ctx, demo.Options{Out: os.Stdout, Progress: os.Stderr, Start: startEntry})
+//	err := demo.Run(ctx, demo.Options{Out: os.Stdout, Progress: os.Stderr, Seed: 1})
+//
+// The last line of Out is one JSON object; the error tells of a broken promise.
 package demo
 
 import (
@@ -19,199 +18,242 @@
 	"encoding/json"
 	"fmt"
 	"io"
+	"math/rand/v2"
+	"net"
+	"net/http"
+	"strconv"
+	"time"
 
 	"github.com/pkg/errors"
 	"golang.org/x/sync/errgroup"
 
 	"github.com/oriolepier/oriolepier/internal/base/clock"
-	"github.com/oriolepier/oriolepier/internal/config/ledger"
+	"github.com/oriolepier/oriolepier/internal/config/pool"
+	"github.com/oriolepier/oriolepier/internal/config/release"
+	"github.com/oriolepier/oriolepier/internal/config/route"
 	"github.com/oriolepier/oriolepier/internal/config/setting"
-	"github.com/oriolepier/oriolepier/internal/standin/journal"
-	"github.com/oriolepier/oriolepier/internal/standin/witness"
+	"github.com/oriolepier/oriolepier/internal/operator/entry"
+	"github.com/oriolepier/oriolepier/internal/schedule/fleet"
+	"github.com/oriolepier/oriolepier/internal/schedule/job"
+	"github.com/oriolepier/oriolepier/internal/schedule/journal"
+	"github.com/oriolepier/oriolepier/internal/standin/store"
+	"github.com/oriolepier/oriolepier/internal/standin/worker"
+	"github.com/oriolepier/oriolepier/platform"
 )
 
-// Exit codes.
+// Size and course of the demo.
 const (
-	exitDone   = 0
-	exitFailed = 1
+	entries       = 6
+	workers       = 9
+	jobs          = 40
+	jobTasks      = 4
+	jobPeriod     = 200 * time.Millisecond
+	readyLimit    = 10 * time.Second
+	finishLimit   = 25 * time.Second
+	storeDown     = 2 * time.Second
+	callTimeout   = 3 * time.Second
+	notice        = 300 // ms
+	loopback      = "127.0.0.1"
+	poolName      = "demo"
+	queuePrefix   = "/demo/"
+	workerCPU     = 8000
+	workerMB      = 16000
+	longestTaskMS = 1200
 )
 
-// How long each act takes. The domain is out for longer than the grace of the
-// witness, so that a start in it would be seen.
-const (
-	steadyTime    = 4 * clock.Second
-	outGrace      = 4 * clock.Second
-	outTime       = 6 * clock.Second
-	backTime      = 3 * clock.Second
-	outageTime    = 4 * clock.Second
-	lostTime      = 4 * clock.Second
-	startLimit    = 15 * clock.Second // until all entries serve the first tables
-	versionLimit  = 8 * clock.Second  // until a configuration is in force everywhere
-	finishLimit   = 20 * clock.Second // until all accepted tasks have ended
-	stopLimit     = 10 * clock.Second // of the graceful stops at the end
-	pollEvery     = 100               // ms, between looks at what is waited for
-	domainOut     = "c"
-	entryKilled   = "b-entry-2"
-	entryStopped  = "a-entry-2"
-	operatorsName = "demo-operator"
-)
+var domains = []string{"a", "b", "c"}
 
-// Entry is a running entry.
-type Entry struct {
-	Callers   string                          // ip:port for requests and tasks
-	Operators string                          // ip:port for dump and readiness
-	Stop      func(ctx context.Context) error // graceful, returns when it has ended
-	Kill      func()                          // as the loss of its VM
-}
-
-// Options are what the demo is run with.
+// Options of the demo.
 type Options struct {
-	Out      io.Writer // gets the verdict
-	Progress io.Writer // gets a line for each act
-	Seed     uint64    // of the work that is sent
-	Start    func(ctx context.Context, settings setting.Entry) (Entry, error)
+	Out      io.Writer
+	Progress io.Writer
+	Logs     io.Writer // of the entries; nil: nowhere
+	Seed     uint64
 }
 
-// Run runs the demo and returns the exit code: 1 when something that must
-// always hold did not, or the demo could not be run.
-func Run(ctx context.Context, options Options) int {
-	stage, err := newStage(ctx, options)
-	if err != nil {
-		_, _ = fmt.Fprintln(options.Progress, "demo:", err)
-		return exitFailed
-	}
-	report, err := stage.run(ctx)
-	if err != nil {
-		stage.sayf("stopped early: %v", err)
-	}
-	for _, violation := range stage.site.Record.Verdict().Violations {
-		stage.sayf("VIOLATION: %s", violation)
-	}
-	if encodeErr := json.NewEncoder(options.Out).Encode(report); err != nil || encodeErr != nil || !report.kept() {
-		return exitFailed
-	}
-	return exitDone
+// Result is what callers and workers saw.
+type Result struct {
+	Accepted  int      `json:"jobs_accepted"`
+	Refused   int      `json:"jobs_refused"`
+	Completed int      `json:"jobs_completed"`
+	DoneRuns  int      `json:"task_runs_done"`
+	Broken    []string `json:"broken"`
 }
 
-// run plays the acts while work is sent, and judges.
-func (stage *stage) run(ctx context.Context) (Report, error) {
-	ctx, cancel := context.WithCancel(ctx)
-	background, inner := errgroup.WithContext(ctx)
-	stage.serve(inner, background)
-	err := stage.play(inner)
-	stage.stopAll(context.WithoutCancel(ctx))
-	cancel()
-	if ended := background.Wait(); err == nil {
-		err = ended
-	}
-	return stage.report(), err
+// stage is a running demo.
+type stage struct {
+	options Options
+	rng     *rand.Rand
+	store   *store.Store
+	address string // of the store
+	callers []string
+	stops   []context.CancelFunc // of the entries
+	hosts   []*worker.Host
+	witness *witness
 }
 
-func (stage *stage) play(ctx context.Context) error {
-	if err := stage.open(ctx); err != nil {
+// Run runs the demo to its end.
+func Run(ctx context.Context, options Options) error {
+	if options.Logs == nil {
+		options.Logs = io.Discard
+	}
+	ctx, cancel := context.WithCancel(ctx)
+	defer cancel()
+	group, ctx := errgroup.WithContext(ctx)
+	st := &stage{options: options, rng: rand.New(rand.NewPCG(options.Seed, 1)), store: store.New(), witness: newWitness()}
+	if err := st.begin(ctx, group); err != nil {
 		return err
 	}
-	work, inner := errgroup.WithContext(ctx)
-	sending, stop := context.WithCancel(inner)
-	stage.send(sending, inner, work)
-	err := stage.acts(inner)
-	stop()
-	if ended := work.Wait(); err == nil {
-		err = ended
+	result, err := st.play(ctx)
+	cancel()
+	if wait := group.Wait(); err == nil && wait != nil && !errors.Is(wait, context.Canceled) {
+		err = wait
 	}
 	if err != nil {
 		return err
 	}
-	return stage.finish(ctx)
-}
-
-// open starts all entries and publishes the tables.
-func (stage *stage) open(ctx context.Context) error {
-	stage.sayf("starting %d entries in %d failure domains, %d workers", len(stage.entries), len(domains), len(domains)*workersPerDomain)
-	if err := stage.startEntries(ctx); err != nil {
-		return err
+	data, err := json.Marshal(result)
+	if err != nil {
+		return errors.Wrap(err, "encode result")
 	}
-	tables := demoTables()
-	if err := stage.publish(ctx, ledger.Edit{Replace: &tables}); err != nil {
-		return errors.Wrap(err, "publish tables")
+	if _, err := fmt.Fprintf(options.Out, "%s\n", data); err != nil {
+		return errors.Wrap(err, "print result")
 	}
-	if err := stage.inForce(ctx, startLimit); err != nil {
-		return err
+	if len(result.Broken) > 0 {
+		return errors.Errorf("%d promises broken", len(result.Broken))
 	}
-	stage.sayf("tables in force everywhere: version %d", stage.version)
 	return nil
 }
 
-func (stage *stage) acts(ctx context.Context) error {
-	stage.sayf("steady load")
-	for _, act := range []func(ctx context.Context) error{
-		stage.pause(steadyTime),
-		stage.takeOut, stage.pause(outTime),
-		stage.putBack, stage.pause(backTime),
-		stage.logAway, stage.pause(outageTime),
-		stage.logBack, stage.loseEntry, stage.pause(lostTime),
-		stage.stopEntry,
-	} {
-		if err := act(ctx); err != nil {
+// begin starts the stand-ins and the entries, and publishes the tables.
+func (st *stage) begin(ctx context.Context, group *errgroup.Group) error {
+	listener, err := new(net.ListenConfig).Listen(ctx, "tcp", loopback+":0")
+	if err != nil {
+		return errors.Wrap(err, "listen")
+	}
+	st.address = listener.Addr().String()
+	server := &http.Server{Handler: platform.ServeStore(st.store.Log()), ReadHeaderTimeout: time.Second}
+	group.Go(func() error { return ignoreClosed(server.Serve(listener)) })
+	group.Go(func() error {
+		<-ctx.Done()
+		return server.Close()
+	})
+	if err := st.publish(ctx); err != nil {
+		return err
+	}
+	for i := range workers {
+		if err := st.startWorker(ctx, group, i); err != nil {
 			return err
 		}
 	}
-	return nil
+	for i := range entries {
+		if err := st.startEntry(ctx, group, i); err != nil {
+			return err
+		}
+	}
+	return st.awaitReady(ctx)
 }
 
-func (stage *stage) pause(span clock.Millis) func(context.Context) error {
-	return func(ctx context.Context) error { return stage.site.Clock.Sleep(ctx, span) }
+func ignoreClosed(err error) error {
+	if errors.Is(err, http.ErrServerClosed) {
+		return nil
+	}
+	return err
 }
 
-func (stage *stage) takeOut(ctx context.Context) error {
-	stage.sayf("taking failure domain %s out", domainOut)
-	return stage.mark(ctx, domainOut, true)
+func (st *stage) publish(ctx context.Context) error {
+	published := release.Release{
+		Version: 1,
+		Routes: route.Table{Routes: []route.Route{{
+			Name: "demo", Match: route.Match{PathPrefix: queuePrefix}, Class: route.Batch, Pools: []string{poolName}, DeadlineMS: 1000,
+		}}},
+		Pools: pool.Table{Pools: []pool.Pool{{Name: poolName, FailureDomains: domains, Slots: 4, Connections: 64}}},
+	}
+	record, err := published.Record()
+	if err != nil {
+		return err
+	}
+	return st.write(ctx, record)
 }
 
-func (stage *stage) putBack(ctx context.Context) error {
-	stage.sayf("putting failure domain %s back", domainOut)
-	return stage.mark(ctx, domainOut, false)
+func (st *stage) write(ctx context.Context, record journal.Record) error {
+	answer := st.store.Log().Append(ctx, journal.Append{Topic: platform.Topic(release.Topic), At: -1, Records: []journal.Record{record}})
+	if answer.Outcome != journal.Done {
+		return errors.Errorf("write %s: %s", record.Key, answer.Outcome)
+	}
+	return nil
 }
 
-func (stage *stage) logAway(context.Context) error {
-	stage.sayf("platform log away for %d ms", outageTime)
-	stage.site.Log.SetFaults(journal.Faults{Down: true})
+func (st *stage) startWorker(ctx context.Context, group *errgroup.Group, number int) error {
+	listener, err := new(net.ListenConfig).Listen(ctx, "tcp", loopback+":0")
+	if err != nil {
+		return errors.Wrap(err, "listen")
+	}
+	clk := clock.New()
+	rng := rand.New(rand.NewPCG(st.options.Seed, uint64(number)))
+	standin := worker.New(fleet.Entry{
+		ID: fmt.Sprintf("worker-%d", number), Service: poolName, Domain: domains[number%len(domains)],
+		Room: fleet.Room{MilliCPU: workerCPU, MemoryMB: workerMB},
+	}, clk.Now())
+	standin.Draw = func(task job.Task) worker.Work {
+		st.witness.began(task, standin.Entry.ID)
+		return worker.Work{
+			Length: clock.Millis(200 + rng.IntN(longestTaskMS)), Room: fleet.Room{MilliCPU: 1000, MemoryMB: 500},
+		}
+	}
+	standin.OnEnd = func(task job.Task, cause fleet.EndCause) { st.witness.ended(task, cause) }
+	host := worker.NewHost(standin, clk, st.store.Log())
+	st.hosts = append(st.hosts, host)
+	group.Go(func() error { return host.Serve(ctx, listener) })
 	return nil
 }
 
-func (stage *stage) logBack(context.Context) error {
-	stage.sayf("platform log is there again")
-	stage.site.Log.SetFaults(journal.Faults{})
+func (st *stage) startEntry(ctx context.Context, group *errgroup.Group, number int) error {
+	ports, err := freePorts(ctx)
+	if err != nil {
+		return err
+	}
+	settings := setting.Entry{
+		Name: fmt.Sprintf("entry-%d", number), FailureDomain: domains[number%len(domains)],
+		Listen:   setting.Listen{Callers: ports[0], Operators: ports[1], Peers: ports[2]},
+		Platform: setting.Platform{Store: st.address},
+		NoticeMS: notice,
+	}
+	inner, stop := context.WithCancel(ctx)
+	st.callers = append(st.callers, ports[0])
+	st.stops = append(st.stops, stop)
+	group.Go(func() error { return entry.RunWith(inner, settings, st.options.Logs) })
 	return nil
 }
 
-func (stage *stage) loseEntry(context.Context) error {
-	stage.sayf("entry %s is lost", entryKilled)
-	stage.entry(entryKilled).Kill()
-	stage.lost++
-	return nil
+// freePorts returns three addresses that nothing listens at.
+func freePorts(ctx context.Context) ([3]string, error) {
+	var addresses [3]string
+	for i := range addresses {
+		listener, err := new(net.ListenConfig).Listen(ctx, "tcp", loopback+":0")
+		if err != nil {
+			return addresses, errors.Wrap(err, "find a port")
+		}
+		addresses[i] = listener.Addr().String()
+		defer func() { _ = listener.Close() }()
+	}
+	return addresses, nil
 }
 
-func (stage *stage) stopEntry(ctx context.Context) error {
-	stage.sayf("entry %s is stopped gracefully", entryStopped)
-	limited, cancel := context.WithTimeout(ctx, stopLimit.Duration())
-	defer cancel()
-	return errors.Wrap(stage.entry(entryStopped).Stop(limited), "stop "+entryStopped)
+func (st *stage) progressf(format string, values ...any) {
+	_, _ = fmt.Fprintf(st.options.Progress, "demo: "+format+"\n", values...) // nobody to tell
 }
 
-// finish waits until every accepted task has ended.
-func (stage *stage) finish(ctx context.Context) error {
-	verdict := stage.site.Record.Verdict()
-	stage.sayf("no more work is sent; %d of %d accepted tasks have finished", verdict.TasksFinished, verdict.TasksAccepted)
-	return stage.until(ctx, finishLimit, "all accepted tasks finish", func() bool {
-		return stage.settled().TasksOpen == 0
-	})
+// jobID names the demo's jobs.
+func jobID(number int) job.ID { return job.ID(fmt.Sprintf("%016x", number)) }
+
+func jobURL(address string, id job.ID) string {
+	return "http://" + address + queuePrefix + string(id)
 }
 
-// settled returns a verdict after all workers have looked at their clocks.
-func (stage *stage) settled() witness.Verdict {
-	for _, worker := range stage.workers() {
-		worker.Settle()
-	}
-	return stage.site.Record.Verdict()
+func tasksOf(number int) job.Spec {
+	return job.Spec{Text: "demo " + strconv.Itoa(number), Steps: []job.Step{
+		{Count: jobTasks, MilliCPU: 1000, MemoryMB: 500, EstimateMS: 700},
+		{Count: 1, MilliCPU: 1000, MemoryMB: 500, EstimateMS: 700, After: []int{0}},
+	}}
 }
--- a/internal/operator/option/option.go
+++ b/internal/operator/option/option.go
@@ -1,6 +1,5 @@
 // Package option is the command line: every command and flag with its default,
-// its check and its help text. The flags of the stand-ins stand beside their
-// code, in package process.
+// its check and its help text.
 //
 // # Usage
 //
@@ -14,14 +13,12 @@
 import (
 	"net/netip"
 	"net/url"
-	"strconv"
 	"strings"
 
 	"github.com/jessevdk/go-flags"
 	"github.com/pkg/errors"
 
 	"github.com/oriolepier/oriolepier/internal/base/clock"
-	"github.com/oriolepier/oriolepier/internal/standin/process"
 )
 
 // Exit codes of every command.
@@ -35,30 +32,31 @@
 type Options struct {
 	Command string `no-flag:"true"` // such as "publish" or "standin worker"
 
-	Entry   Entry                `command:"entry" description:"Run an entry" long-description:"Runs an entry on this VM until it is told to stop by SIGTERM or SIGINT, upon which it leaves gracefully."`
-	Serve   Serve                `command:"serve" description:"Run an entry on the users' platform" long-description:"Runs an entry by the settings file that the platform names, until it is told to stop by SIGTERM or SIGINT, upon which it leaves gracefully. SIGHUP makes it read the settings again."`
-	Check   Check                `command:"check" description:"Check tables and settings" long-description:"Reads files and prints each fault with file, line, column and field. Tables in the same directory are checked together."`
-	Publish Publish              `command:"publish" description:"Publish tables" long-description:"Puts tables into force. Only rows that differ from the version in force are published. Says accepted with the version, rejected and why, or unknown and how to find out."`
-	Show    Show                 `command:"show" description:"Print the configuration in force" long-description:"Reads the config stream and prints the tables and marks in force as JSON."`
-	Out     Mark                 `command:"out" description:"Take a failure domain or VM out of service"`
-	Back    Mark                 `command:"back" description:"Put a failure domain or VM back into service"`
-	Submit  Submit               `command:"submit" description:"Submit tasks" long-description:"Submits one task by flags or many from a file. Submitting again with the same caller and key never makes a second task."`
-	Status  Status               `command:"status" description:"Print the state of tasks" long-description:"Prints the tasks of the given ids, or lists tasks, one JSON object a line."`
-	Cancel  Cancel               `command:"cancel" description:"Cancel tasks"`
-	Dump    Dump                 `command:"dump" description:"Print the state of an entry as JSON"`
-	Demo    Demo                 `command:"demo" description:"Show the whole system in one process" long-description:"Runs six entries in three failure domains with stand-ins for the platform, sends work, takes a failure domain out and back, and prints what callers and workers saw as one JSON object on the last line."`
-	Standin process.StandinFlags `command:"standin" description:"Run a stand-in of the platform, to try things out"`
-	Version Version              `command:"version" description:"Print the version"`
+	Serve   Serve   `command:"serve" description:"Run an entry on the users' platform" long-description:"Runs an entry by the settings file that the platform names, until it is told to stop by SIGTERM or SIGINT, upon which it leaves gracefully. SIGHUP makes it read the settings again."`
+	Entry   Entry   `command:"entry" description:"Run an entry by its own settings" long-description:"Runs an entry of a deployment that has tables of its own, until it is told to stop by SIGTERM or SIGINT, upon which it leaves gracefully."`
+	Check   Check   `command:"check" description:"Check tables and settings" long-description:"Reads files and prints each fault with file, line, column and field. Tables in the same directory are checked together. A file that ends in .yaml is checked as settings of the platform."`
+	Publish Publish `command:"publish" description:"Publish tables" long-description:"Puts both tables into force and prints the version. Fails without a change when another operator was faster."`
+	Show    Show    `command:"show" description:"Print the tables and marks in force"`
+	Out     Mark    `command:"out" description:"Take a failure domain out of service"`
+	Back    Mark    `command:"back" description:"Put a failure domain back into service"`
+	Submit  Submit  `command:"submit" description:"Submit a job" long-description:"Submits a job of equal tasks. Submitting again with the same id never makes a second job."`
+	Status  Job     `command:"status" description:"Print the state of a job"`
+	Cancel  Job     `command:"cancel" description:"Cancel a job"`
+	Dump    Dump    `command:"dump" description:"Print the state of an entry as JSON"`
+	Explain Explain `command:"explain" description:"Print a job's life from log lines" long-description:"Reads log lines of all entries, from files or standard input, and prints in order what was decided about one job, by whom, and on what."`
+	Demo    Demo    `command:"demo" description:"Show the whole system in one process" long-description:"Runs entries in three failure domains with stand-ins for the platform, sends jobs and requests, takes a failure domain out and back, stops an entry, and prints what callers and workers saw as one JSON object on the last line."`
+	Standin Standin `command:"standin" description:"Run a stand-in of the platform, to try things out"`
+	Version Version `command:"version" description:"Print the version"`
 }
 
+// Serve runs an entry on the users' platform.
+type Serve struct{}
+
 // Entry runs an entry.
 type Entry struct {
 	Settings string `long:"settings" value-name:"FILE" required:"true" description:"Settings file of the entry"`
 }
 
-// Serve runs an entry on the users' platform.
-type Serve struct{}
-
 // Check checks files.
 type Check struct {
 	Args struct {
@@ -66,86 +64,65 @@
 	} `positional-args:"true"`
 }
 
-// Source is where the config stream is.
-type Source struct {
-	Log       string       `long:"log" value-name:"URL" env:"ORIOLEPIER_LOG" description:"Base URL of the platform's log, with an IP address"`
-	Settings  string       `long:"settings" value-name:"FILE" description:"Settings file of an entry to take the URL of the log from; goes before --log"`
-	TimeoutMS clock.Millis `long:"timeout-ms" value-name:"MS" default:"15000" description:"How long to try before the outcome is called unknown"`
+// Store is where the platform's store answers.
+type Store struct {
+	Address   string       `long:"store" value-name:"IP:PORT" env:"ORIOLEPIER_STORE" required:"true" description:"Address of the platform's store"`
+	TimeoutMS clock.Millis `long:"timeout-ms" value-name:"MS" default:"5000" description:"How long to try before the outcome is called unknown"`
 }
 
 // Publish publishes tables.
 type Publish struct {
-	Source
-	Base    int64  `long:"base" value-name:"VERSION" default:"-1" default-mask:"the version in force" description:"Version that the edited tables come from"`
-	Replace bool   `long:"replace" description:"Replace both tables whole; loses to any other change since the base"`
-	Reset   bool   `long:"reset" description:"Start anew when the log has lost everything; all failure domains are out of service afterwards"`
-	DryRun  bool   `long:"dry-run" description:"Say what would be published, and append nothing"`
-	Find    string `long:"find" value-name:"WRITER/SEQUENCE" description:"Publish nothing; find out what became of an earlier change"`
-	Args    struct {
-		Files []string `positional-arg-name:"FILE"`
+	Store
+	Args struct {
+		Files []string `positional-arg-name:"FILE" required:"1"`
 	} `positional-args:"true"`
 }
 
-// Show prints the configuration in force.
-type Show struct {
-	Source
-	Only string `long:"only" choice:"routes" choice:"pools" choice:"marks" description:"Print one part"`
-}
+// Show prints the tables in force.
+type Show struct{ Store }
 
 // Mark takes something out or back.
 type Mark struct {
-	Source
-	FailureDomain string `long:"failure-domain" value-name:"NAME" description:"Failure domain to mark"`
-	VM            string `long:"vm" value-name:"NAME" description:"VM to mark"`
-	Base          int64  `long:"base" value-name:"VERSION" default:"-1" default-mask:"the version in force" description:"Version that the operator looked at"`
+	Store
+	FailureDomain string `long:"failure-domain" value-name:"NAME" required:"true" description:"Failure domain to mark"`
 }
 
 // Server is the entry to talk to.
 type Server struct {
 	Entry     string       `long:"entry" value-name:"URL" env:"ORIOLEPIER_ENTRY" required:"true" description:"Base URL of an entry or of the balancer, with an IP address"`
-	CA        string       `long:"ca" value-name:"FILE" description:"Certificates to trust for an https URL, in PEM"`
-	TimeoutMS clock.Millis `long:"timeout-ms" value-name:"MS" default:"15000" description:"How long to wait for each answer"`
+	TimeoutMS clock.Millis `long:"timeout-ms" value-name:"MS" default:"5000" description:"How long to wait for the answer"`
 }
 
-// Submit submits tasks.
+// Submit submits a job.
 type Submit struct {
 	Server
-	File         string       `long:"file" value-name:"FILE" description:"File with many tasks: JSON with comments, an object with the member tasks"`
-	Caller       string       `long:"caller" value-name:"NAME" description:"Who asks"`
-	Key          string       `long:"key" value-name:"KEY" description:"Name of the task among the caller's; made up and printed if not given"`
-	Route        string       `long:"route" value-name:"NAME" description:"Route in the table; its class says whether the task is urgent"`
-	Kind         string       `long:"kind" value-name:"NAME" description:"What the task runs"`
-	Payload      string       `long:"payload" value-name:"TEXT" description:"Input of the task"`
-	MilliCores   int64        `long:"milli-cores" value-name:"N" default:"1000" description:"Thousandths of a core that it needs"`
-	MemoryMB     int64        `long:"memory-mb" value-name:"MB" default:"512" description:"Memory that it needs"`
-	Accelerators int64        `long:"accelerators" value-name:"N" default:"0" description:"Accelerators that it needs"`
-	RunMS        clock.Millis `long:"run-ms" value-name:"MS" default:"0" default-mask:"not known" description:"Expected run time"`
+	Prefix     string       `long:"prefix" value-name:"PATH" required:"true" description:"Path prefix of the route, such as /formulations"`
+	ID         string       `long:"id" value-name:"HEX" description:"Id of the job, 16 hexadecimal digits; made up and printed if not given"`
+	Tasks      int          `long:"tasks" value-name:"N" default:"1" description:"Tasks of the job"`
+	Text       string       `long:"text" value-name:"TEXT" description:"What the tasks are told"`
+	MilliCores int64        `long:"milli-cores" value-name:"N" default:"1000" description:"Thousandths of a core that a task needs"`
+	MemoryMB   int64        `long:"memory-mb" value-name:"MB" default:"512" description:"Memory that a task needs"`
+	RunMS      clock.Millis `long:"run-ms" value-name:"MS" default:"1000" description:"Expected run time of a task"`
 }
 
-// Status prints tasks.
-type Status struct {
+// Job names a job.
+type Job struct {
 	Server
-	Caller string `long:"caller" value-name:"NAME" description:"List the tasks of a caller"`
-	Phase  string `long:"phase" choice:"queued" choice:"running" choice:"evicting" choice:"handed" choice:"finished" choice:"cancelled" choice:"parked" description:"List the tasks in a phase"`
-	Limit  int    `long:"limit" value-name:"N" default:"100" description:"List at most so many, up to 1000"`
+	Prefix string `long:"prefix" value-name:"PATH" required:"true" description:"Path prefix of the route"`
 	Args   struct {
-		IDs []string `positional-arg-name:"ID"`
-	} `positional-args:"true"`
-}
-
-// Cancel cancels tasks.
-type Cancel struct {
-	Server
-	Args struct {
-		IDs []string `positional-arg-name:"ID" required:"1"`
-	} `positional-args:"true"`
+		ID string `positional-arg-name:"ID" required:"1"`
+	} `positional-args:"true" required:"true"`
 }
 
 // Dump prints the state of an entry.
-type Dump struct {
-	Server
-	Token     string `long:"token" value-name:"TOKEN" env:"ORIOLEPIER_TOKEN" description:"Shared token of the operator listener"`
-	TokenFile string `long:"token-file" value-name:"FILE" description:"File with the token"`
+type Dump struct{ Server }
+
+// Explain prints a job's life.
+type Explain struct {
+	Args struct {
+		ID    string   `positional-arg-name:"ID" required:"1"`
+		Files []string `positional-arg-name:"FILE"`
+	} `positional-args:"true" required:"true"`
 }
 
 // Demo runs the whole system in one process.
@@ -153,6 +130,28 @@
 	Seed uint64 `long:"seed" value-name:"N" default:"1" description:"Seed of the work that is sent"`
 }
 
+// Standin runs a stand-in of the platform.
+type Standin struct {
+	Store  StandinStore  `command:"store" description:"Run the stand-in of the platform's store"`
+	Worker StandinWorker `command:"worker" description:"Run the stand-in of a worker"`
+}
+
+// StandinStore runs the store.
+type StandinStore struct {
+	Listen string `long:"listen" value-name:"IP:PORT" default:"127.0.0.1:0" description:"Where to answer"`
+}
+
+// StandinWorker runs a worker.
+type StandinWorker struct {
+	Store         string `long:"store" value-name:"IP:PORT" required:"true" description:"Address of the store"`
+	Listen        string `long:"listen" value-name:"IP:PORT" default:"127.0.0.1:0" description:"Where to answer"`
+	Name          string `long:"name" value-name:"NAME" required:"true" description:"Name of the worker"`
+	Pool          string `long:"pool" value-name:"NAME" required:"true" description:"Pool that it belongs to"`
+	FailureDomain string `long:"failure-domain" value-name:"NAME" required:"true" description:"Failure domain that it is in"`
+	MilliCores    int64  `long:"milli-cores" value-name:"N" default:"8000" description:"Its processors"`
+	MemoryMB      int64  `long:"memory-mb" value-name:"MB" default:"16000" description:"Its memory"`
+}
+
 // Version prints the version.
 type Version struct{}
 
@@ -194,118 +193,56 @@
 	return strings.Join(words, " ")
 }
 
-// Checks what the declarations above can't express.
+// validate checks what the declarations above can't express.
 func (opts Options) validate() error {
 	switch opts.Command {
 	case "publish":
-		return opts.Publish.validate()
+		return opts.Publish.Store.validate()
 	case "show":
-		return opts.Show.validate()
+		return opts.Show.Store.validate()
 	case "out":
-		return opts.Out.validate()
+		return opts.Out.Store.validate()
 	case "back":
-		return opts.Back.validate()
+		return opts.Back.Store.validate()
 	case "submit":
 		return opts.Submit.validate()
 	case "status":
-		return opts.Status.validate()
+		return opts.Status.Server.validate()
 	case "cancel":
-		return opts.Cancel.validate()
+		return opts.Cancel.Server.validate()
 	case "dump":
-		return opts.Dump.validate()
+		return opts.Dump.Server.validate()
 	}
 	return nil
 }
 
-func (source Source) validate() error {
-	if source.Log == "" && source.Settings == "" {
-		return errors.New("give --log or --settings")
-	}
-	if source.TimeoutMS < 1 {
+func (store Store) validate() error {
+	if store.TimeoutMS < 1 {
 		return errors.New("--timeout-ms must be at least 1")
 	}
-	if source.Log == "" {
-		return nil
-	}
-	return validURL("--log", source.Log)
-}
-
-func (opts Publish) validate() error {
-	if (len(opts.Args.Files) == 0) == (opts.Find == "") {
-		return errors.New("give either files to publish or --find")
-	}
-	if opts.Reset && (opts.DryRun || opts.Replace || opts.Base >= 0) {
-		return errors.New("--reset goes without --base, --replace and --dry-run")
-	}
-	if opts.Find != "" {
-		if _, _, err := opts.FindName(); err != nil {
-			return err
-		}
-	}
-	return opts.Source.validate()
-}
-
-// FindName returns the writer and sequence given by --find.
-func (opts Publish) FindName() (string, uint64, error) {
-	writer, text, _ := strings.Cut(opts.Find, "/")
-	sequence, err := strconv.ParseUint(text, 10, 64)
-	if err != nil || writer == "" {
-		return "", 0, errors.Errorf("--find %q is not WRITER/SEQUENCE", opts.Find)
-	}
-	return writer, sequence, nil
-}
-
-func (opts Mark) validate() error {
-	if (opts.FailureDomain == "") == (opts.VM == "") {
-		return errors.New("give one of --failure-domain and --vm")
+	if _, err := netip.ParseAddrPort(store.Address); err != nil {
+		return errors.Errorf("--store %q is not an address such as 10.0.0.1:7000", store.Address)
 	}
-	return opts.Source.validate()
+	return nil
 }
 
 func (server Server) validate() error {
 	if server.TimeoutMS < 1 {
 		return errors.New("--timeout-ms must be at least 1")
 	}
-	return validURL("--entry", server.Entry)
-}
-
-func (opts Submit) validate() error {
-	if opts.File != "" && (opts.Caller != "" || opts.Key != "" || opts.Route != "") {
-		return errors.New("--file goes without --caller, --key and --route")
-	}
-	if opts.File == "" && (opts.Caller == "" || opts.Route == "") {
-		return errors.New("give --caller and --route, or --file")
-	}
-	if opts.MilliCores < 0 || opts.MemoryMB < 0 || opts.Accelerators < 0 || opts.RunMS < 0 {
-		return errors.New("sizes and --run-ms can't be negative")
-	}
-	return opts.Server.validate()
-}
-
-func (opts Status) validate() error {
-	if len(opts.Args.IDs) > 0 && (opts.Caller != "" || opts.Phase != "") {
-		return errors.New("give ids, or --caller and --phase")
+	link, err := url.Parse(server.Entry)
+	if err != nil || (link.Scheme != "http" && link.Scheme != "https") {
+		return errors.Errorf("--entry %q is not a URL such as http://10.0.0.1:7000", server.Entry)
 	}
-	if opts.Limit < 1 || opts.Limit > 1000 {
-		return errors.New("--limit must be between 1 and 1000")
+	if _, err := netip.ParseAddr(link.Hostname()); err != nil {
+		return errors.Errorf("--entry %q: the host is not an IP address", server.Entry)
 	}
-	return opts.Server.validate()
+	return nil
 }
 
-func (opts Dump) validate() error {
-	if opts.TokenFile != "" && opts.Token != "" {
-		return errors.New("give one of --token and --token-file")
+func (opts Submit) validate() error {
+	if opts.Tasks < 1 || opts.MilliCores < 0 || opts.MemoryMB < 0 || opts.RunMS < 0 {
+		return errors.New("--tasks must be at least 1, and sizes and --run-ms can't be negative")
 	}
 	return opts.Server.validate()
 }
-
-func validURL(flag, text string) error {
-	link, err := url.Parse(text)
-	if err != nil || (link.Scheme != "http" && link.Scheme != "https") {
-		return errors.Errorf("%s %q is not a URL such as http://10.0.0.1:7000", flag, text)
-	}
-	if _, err := netip.ParseAddr(link.Hostname()); err != nil {
-		return errors.Errorf("%s %q: the host is not an IP address", flag, text)
-	}
-	return nil
-}
--- a/internal/schedule/manifest/manifest.go
+++ b/internal/schedule/manifest/manifest.go
@@ -72,13 +72,19 @@
 	}
 }
 
+// anyHost is the host of queues that take requests for every host.
+const anyHost = ""
+
 // Match returns the queue of a request, and what follows its prefix in the
-// path. The port of a host does not count.
+// path. The port of a host does not count. A queue that names the host goes
+// before one that does not.
 func (m Manifest) Match(host, path string) (queue Queue, rest string, ok bool) {
 	name, _, _ := strings.Cut(host, ":")
-	for _, row := range m.byHost[strings.ToLower(name)] {
-		if after, found := strings.CutPrefix(path, row.PathPrefix); found {
-			return row, after, true
+	for _, rows := range [][]Queue{m.byHost[strings.ToLower(name)], m.byHost[anyHost]} {
+		for _, row := range rows {
+			if after, found := strings.CutPrefix(path, row.PathPrefix); found {
+				return row, after, true
+			}
 		}
 	}
 	return Queue{}, "", false
--- /dev/null
+++ b/internal/schedule/owner/dump.go
@@ -0,0 +1,75 @@
+package owner
+
+import (
+	"github.com/oriolepier/oriolepier/internal/base/clock"
+)
+
+// Dump is an owner's state and beliefs, for operators.
+type Dump struct {
+	Epoch       int64          `json:"epoch"`
+	OwnedFor    clock.Millis   `json:"owned_for_ms"`
+	StoreAge    clock.Millis   `json:"store_age_ms"` // since the store confirmed an append
+	Manifest    int64          `json:"manifest"`
+	DomainsOut  []string       `json:"failure_domains_out"`
+	Jobs        map[string]int `json:"jobs"` // by state
+	Waiting     int            `json:"tasks_waiting"`
+	Workers     []WorkerDump   `json:"workers"`
+	FormerKnown bool           `json:"former_owner_known"`
+}
+
+// WorkerDump is what an owner believes of a worker.
+type WorkerDump struct {
+	ID         string       `json:"id"`
+	Domain     string       `json:"failure_domain"`
+	Listed     bool         `json:"listed"`
+	Draining   bool         `json:"draining"`
+	Usable     bool         `json:"usable"`
+	ContactAge clock.Millis `json:"contact_age_ms"` // negative: never heard
+	LeaseLeft  int64        `json:"lease_left_ms"`
+	Misses     int          `json:"misses"`
+	Runs       int          `json:"runs"`
+	FreeCPU    int64        `json:"free_milli_cpu"`
+	FreeMB     int64        `json:"free_memory_mb"`
+	Pace       int          `json:"pace_percent"`
+	Faults     int          `json:"faults"`
+}
+
+// Dump returns the owner's state.
+func (o *Owner) Dump() Dump {
+	o.now = o.options.Now()
+	dump := Dump{
+		Epoch: o.options.Epoch, OwnedFor: o.now - o.claimed, StoreAge: o.now - o.ackedAt,
+		Manifest: o.tables.Version, Jobs: map[string]int{}, FormerKnown: o.formerKnown,
+	}
+	for domain := range o.out {
+		dump.DomainsOut = append(dump.DomainsOut, domain)
+	}
+	for _, j := range o.jobs {
+		dump.Jobs[j.state.String()]++
+		if j.state.Final() {
+			continue
+		}
+		for i := range j.steps {
+			if j.steps[i].open {
+				dump.Waiting += j.steps[i].waiting
+			}
+		}
+	}
+	for _, w := range o.ordered {
+		dump.Workers = append(dump.Workers, o.dumpWorker(w))
+	}
+	return dump
+}
+
+func (o *Owner) dumpWorker(w *worker) WorkerDump {
+	dump := WorkerDump{
+		ID: w.id, Domain: w.entry.Domain, Listed: w.listed, Draining: w.entry.Draining, Usable: o.mayUse(w),
+		ContactAge: -1, Misses: w.misses, Runs: len(w.runs), FreeCPU: w.free().MilliCPU, FreeMB: w.free().MemoryMB,
+		Pace: w.pace, Faults: w.faults,
+	}
+	if w.contactAt != 0 {
+		dump.ContactAge = o.now - w.contactAt
+		dump.LeaseLeft = w.untilMS - w.clockNow(o.now)
+	}
+	return dump
+}
--- a/internal/site/daemon/daemon.go
+++ b/internal/site/daemon/daemon.go
@@ -35,7 +35,10 @@
 	"github.com/oriolepier/oriolepier/internal/site/relay"
 	"github.com/oriolepier/oriolepier/internal/site/roster"
 	"github.com/oriolepier/oriolepier/internal/site/runtime"
+	"github.com/oriolepier/oriolepier/internal/site/secret"
 	"github.com/oriolepier/oriolepier/internal/site/tables"
+	"github.com/oriolepier/oriolepier/internal/traffic/gate"
+	"github.com/oriolepier/oriolepier/internal/traffic/view"
 	"github.com/oriolepier/oriolepier/platform"
 )
 
@@ -55,12 +58,29 @@
 
 // Options of a daemon.
 type Options struct {
+	// Load reads the settings; it is called at the start and for each Reload.
+	Load   func() (platform.Settings, error)
 	Out    io.Writer        // for log lines
 	Reload <-chan os.Signal // each asks for the settings to be read again
+	// Product is set where operators publish the product's own tables, not the
+	// platform's manifest.
+	Product *Product
+	// Notice is how long the balancer needs to see that an entry leaves; 0: as
+	// the platform's does.
+	Notice time.Duration
+}
+
+// Product is what a deployment with tables of its own needs besides.
+type Product struct {
+	Entries int          // of the deployment
+	Peers   string       // address to answer other entries at
+	Token   string       // that operators and other entries must show; empty: none
+	Keys    *secret.Keys // nil: plain TCP
 }
 
 // Daemon is one entry.
 type Daemon struct {
+	options  Options
 	settings platform.Settings
 	clock    clock.Clock
 	logger   zerolog.Logger
@@ -70,8 +90,11 @@
 	store    platform.Store
 	workers  platform.Workers
 	tables   *tables.Follower
+	roster   *roster.Follower
 	elector  *ownership.Elector
 	peers    *peer.Client
+	box      *view.Box  // what requests are routed by; of deployments with tables of their own
+	gate     *gate.Gate // the request side
 	local    atomic.Pointer[runtime.Runtime]
 	former   atomic.Pointer[string] // name of the entry that owned before this one
 	seen     callers
@@ -80,24 +103,23 @@
 
 // Run serves until the context ends, and then leaves gracefully.
 func Run(ctx context.Context, options Options) error {
-	settings, err := platform.LoadSettings()
+	settings, err := options.Load()
 	if err != nil {
 		return err
 	}
-	debug.SetGCPercent(collectorGoal)
 	if settings.Limits.MemoryMB > 0 {
+		debug.SetGCPercent(collectorGoal)
 		debug.SetMemoryLimit(int64(memoryShare * float64(settings.Limits.MemoryMB) * bytesPerMB))
 	}
-	injector := wire(settings, options.Out)
-	daemon, err := do.Invoke[*Daemon](injector)
+	daemon, err := do.Invoke[*Daemon](wire(settings, options))
 	if err != nil {
 		return errors.Wrap(err, "wire the entry")
 	}
-	return daemon.serve(ctx, options.Reload)
+	return daemon.serve(ctx)
 }
 
 // serve runs the parts until the context ends.
-func (d *Daemon) serve(ctx context.Context, reload <-chan os.Signal) error {
+func (d *Daemon) serve(ctx context.Context) error {
 	started := d.clock.Now()
 	d.logger.Info().Str("event", "entry_started").Str("failure_domain", d.settings.Domain).
 		Str("consumers", d.settings.Consumer).Str("peers", d.peerAddress()).Str("store", d.settings.Store.Address).
@@ -107,7 +129,7 @@
 	group := new(errgroup.Group)
 	group.Go(func() error { return d.sink.Serve(running) })
 	group.Go(func() error { return d.supervise(running) })
-	group.Go(func() error { return d.awaitReload(running, reload) })
+	group.Go(func() error { return d.awaitReload(running) })
 	<-ctx.Done()
 	d.leave()
 	stop()
@@ -132,18 +154,22 @@
 	d.logger.Info().Str("event", "entry_leaving").Bool("owner", d.elector.Owning()).Send()
 	d.leaving.Store(true)
 	d.elector.Retire()
-	time.Sleep(leaveNotice)
+	notice := d.options.Notice
+	if notice == 0 {
+		notice = leaveNotice
+	}
+	time.Sleep(notice)
 }
 
 // awaitReload reads the settings again when it is asked to.
-func (d *Daemon) awaitReload(ctx context.Context, reload <-chan os.Signal) error {
+func (d *Daemon) awaitReload(ctx context.Context) error {
 	for {
 		select {
 		case <-ctx.Done():
 			return nil
-		case <-reload:
+		case <-d.options.Reload:
 		}
-		settings, err := platform.LoadSettings()
+		settings, err := d.options.Load()
 		d.logger.Info().Str("event", "settings_reloaded").AnErr("fault", err).
 			Bool("store_moved", err == nil && settings.Store.Address != d.settings.Store.Address).Send()
 	}
@@ -151,26 +177,25 @@
 
 // own runs an ownership.
 func (d *Daemon) own(ctx context.Context, epoch int64, former ownership.Former) error {
-	follower := roster.New(roster.Options{
-		Topic: platform.TopicWorkers, Clock: d.clock, Log: d.store.Log(), Logger: d.logger,
-		Decode: platform.DecodeWorker,
-	})
 	run := runtime.New(runtime.Options{
 		Epoch: epoch, Topic: platform.Topic(cellTopic), Clock: d.clock, Log: d.store.Log(),
 		Orders: runtime.Orders{
 			Start: d.workers.Start, Stop: d.workers.Stop, Pace: d.workers.Pace, Hold: d.workers.Hold,
 		},
 		Times:  owner.DefaultTimes(d.settings.Bounds.MaxLease, d.settings.Bounds.StatusKept),
-		Logger: d.logger, Counts: d.counts, Tables: d.tables.Since, Workers: follower.Since,
+		Logger: d.logger, Counts: d.counts, Tables: d.tables.Since, Workers: d.roster.Since,
 		FormerGone: former.Gone,
 	})
 	d.former.Store(&former.Name)
 	d.local.Store(run)
 	defer d.local.Store(nil)
+	if d.options.Product != nil {
+		return run.Serve(ctx) // the list of workers is followed all the time
+	}
 	ctx, cancel := context.WithCancel(ctx)
 	defer cancel()
 	group := new(errgroup.Group)
-	group.Go(func() error { return follower.Serve(ctx) })
+	group.Go(func() error { return d.roster.Serve(ctx) })
 	err := run.Serve(ctx)
 	cancel()
 	_ = group.Wait() // the follower ends with its context and has no other error
--- /dev/null
+++ b/internal/site/daemon/dump.go
@@ -0,0 +1,45 @@
+package daemon
+
+import (
+	"context"
+
+	"github.com/oriolepier/oriolepier/internal/base/clock"
+	"github.com/oriolepier/oriolepier/internal/schedule/owner"
+)
+
+// dumpTimeout bounds the wait for the owner's part of a dump.
+const dumpTimeout clock.Millis = 2 * clock.Second
+
+// state is what an entry knows and believes, for operators.
+type state struct {
+	Entry      string       `json:"entry"`
+	Domain     string       `json:"failure_domain"`
+	Ready      bool         `json:"ready"`
+	Leaving    bool         `json:"leaving"`
+	Manifest   int64        `json:"manifest"`
+	TablesAge  clock.Millis `json:"tables_age_ms"`
+	Owner      string       `json:"owner"`
+	OwnerEpoch int64        `json:"owner_epoch"`
+	OwnerAge   clock.Millis `json:"owner_heard_ms"` // negative: not heard
+	StoreAge   clock.Millis `json:"store_age_ms"`
+	LinesLost  int64        `json:"log_lines_dropped"`
+	Cell       *owner.Dump  `json:"cell,omitempty"` // of the owner alone
+}
+
+func (d *Daemon) dump(ctx context.Context) state {
+	ctx, cancel := context.WithTimeout(ctx, dumpTimeout.Duration())
+	defer cancel()
+	record := d.elector.Current()
+	dump := state{
+		Entry: d.settings.Name, Domain: d.settings.Domain, Ready: d.ready(), Leaving: d.leaving.Load(),
+		Manifest: d.tables.Current().Manifest.Version, TablesAge: d.tables.ContactAge(),
+		Owner: record.Name, OwnerEpoch: record.Epoch, OwnerAge: d.elector.HeardAge(record.Epoch),
+		StoreAge: d.elector.StoreAge(), LinesLost: d.sink.Dropped.Load(),
+	}
+	if run := d.local.Load(); run != nil {
+		if cell, ok := run.Dump(ctx); ok {
+			dump.Cell = &cell
+		}
+	}
+	return dump
+}
--- a/internal/site/daemon/serve.go
+++ b/internal/site/daemon/serve.go
@@ -2,6 +2,9 @@
 
 import (
 	"context"
+	"crypto/subtle"
+	"crypto/tls"
+	"encoding/json"
 	"net"
 	"net/http"
 	"sync"
@@ -18,6 +21,7 @@
 	"github.com/oriolepier/oriolepier/internal/schedule/manifest"
 	"github.com/oriolepier/oriolepier/internal/schedule/owner"
 	"github.com/oriolepier/oriolepier/internal/site/front"
+	"github.com/oriolepier/oriolepier/internal/site/gateway"
 	"github.com/oriolepier/oriolepier/internal/site/peer"
 	"github.com/oriolepier/oriolepier/internal/site/relay"
 	"github.com/oriolepier/oriolepier/platform"
@@ -55,9 +59,19 @@
 		{name: "ownership", run: d.elector.Serve},
 		{name: "peers", run: d.servePeers},
 		{name: "consumers", run: d.serveConsumers},
-		{name: "readiness", run: d.serveReadiness},
 		{name: "metrics", run: d.serveMetrics},
 	}
+	if d.settings.Ready != "" {
+		parts = append(parts, service{name: "readiness", run: d.serveReadiness})
+	}
+	if d.options.Product != nil {
+		keeper := gateway.New(gateway.Options{
+			Box: d.box, Clock: d.clock, Domain: d.settings.Domain, Entries: d.options.Product.Entries,
+			Tables: d.tables.Since, Workers: d.roster.Since,
+		})
+		parts = append(parts, service{name: "workers", run: d.roster.Serve}, service{name: "requests", run: keeper.Serve},
+			service{name: "gate", run: d.gate.Run})
+	}
 	for _, part := range parts {
 		supervisor.Add(part)
 	}
@@ -74,17 +88,46 @@
 		Decode:   platform.DecodeSubmission,
 		State:    func(state job.State) any { return platform.EncodeState(state) },
 		Count:    func(waiting int) any { return platform.CountBody{Waiting: waiting} },
+		Requests: d.requests(),
 	}))
 }
 
+// requests returns the request side of an entry with tables of its own.
+func (d *Daemon) requests() http.Handler {
+	if d.options.Product == nil {
+		return nil
+	}
+	return d.gate
+}
+
 func (d *Daemon) serveReadiness(ctx context.Context) error {
 	mux := http.NewServeMux()
-	mux.HandleFunc("GET "+platform.PathReady, func(writer http.ResponseWriter, _ *http.Request) {
-		if !d.ready() {
-			writer.WriteHeader(http.StatusServiceUnavailable)
+	mux.HandleFunc("GET "+platform.PathReady, d.answerReady)
+	return d.serveHTTP(ctx, d.settings.Ready, mux)
+}
+
+// guarded lets in only who shows the operators' token, where there is one. The
+// readiness check needs none.
+func (d *Daemon) guarded(inner http.Handler) http.Handler {
+	if d.options.Product == nil || d.options.Product.Token == "" {
+		return inner
+	}
+	want := []byte("Bearer " + d.options.Product.Token)
+	return http.HandlerFunc(func(writer http.ResponseWriter, request *http.Request) {
+		given := []byte(request.Header.Get("Authorization"))
+		if request.URL.Path != "/ready" && subtle.ConstantTimeCompare(given, want) != 1 {
+			writer.WriteHeader(http.StatusUnauthorized)
+			return
 		}
+		inner.ServeHTTP(writer, request)
 	})
-	return d.serveHTTP(ctx, d.settings.Ready, mux)
+}
+
+// answerReady tells the balancer whether this entry wants requests.
+func (d *Daemon) answerReady(writer http.ResponseWriter, _ *http.Request) {
+	if !d.ready() {
+		writer.WriteHeader(http.StatusServiceUnavailable)
+	}
 }
 
 func (d *Daemon) serveMetrics(ctx context.Context) error {
@@ -92,7 +135,18 @@
 	mux.HandleFunc("GET /metrics", func(writer http.ResponseWriter, _ *http.Request) {
 		d.metrics.WritePrometheus(writer)
 	})
-	return d.serveHTTP(ctx, d.metricsAddress(), mux)
+	mux.HandleFunc("GET /state", func(writer http.ResponseWriter, request *http.Request) {
+		data, err := json.Marshal(d.dump(request.Context()))
+		if err != nil {
+			d.logger.Error().Err(err).Msg("the state cannot be encoded")
+			writer.WriteHeader(http.StatusInternalServerError)
+			return
+		}
+		writer.Header().Set("Content-Type", "application/json")
+		_, _ = writer.Write(data) // a reader that left needs none
+	})
+	mux.HandleFunc("GET /ready", d.answerReady)
+	return d.serveHTTP(ctx, d.metricsAddress(), d.guarded(mux))
 }
 
 // serveHTTP serves until the context ends, and then lets requests in flight end.
@@ -101,6 +155,9 @@
 	if err != nil {
 		return fault.New(fault.NotRun, "listen", address, err)
 	}
+	if d.options.Product != nil && d.options.Product.Keys != nil {
+		listener = tls.NewListener(listener, d.options.Product.Keys.Server())
+	}
 	server := &http.Server{
 		Handler: handler, ReadHeaderTimeout: headerTimeout, IdleTimeout: idleTimeout, MaxHeaderBytes: maxHeaderBytes,
 	}
@@ -125,7 +182,7 @@
 	if err != nil {
 		return fault.New(fault.NotRun, "listen", d.peerAddress(), err)
 	}
-	server := peer.NewServer(peer.Handlers{
+	server := peer.NewServer(d.options.security(), peer.Handlers{
 		Ping: d.answerPing,
 		Heard: func(_ context.Context, query peer.HeardQuery) peer.HeardAnswer {
 			return peer.HeardAnswer{Age: d.elector.HeardAge(query.Epoch)}
--- a/internal/site/daemon/wire.go
+++ b/internal/site/daemon/wire.go
@@ -2,36 +2,42 @@
 
 import (
 	"hash/fnv"
-	"io"
 	"net"
 	"strconv"
 
 	"github.com/VictoriaMetrics/metrics"
+	"github.com/cespare/xxhash/v2"
 	"github.com/rs/zerolog"
 	"github.com/samber/do/v2"
 
 	"github.com/oriolepier/oriolepier/internal/base/clock"
 	"github.com/oriolepier/oriolepier/internal/base/logline"
+	"github.com/oriolepier/oriolepier/internal/config/release"
 	"github.com/oriolepier/oriolepier/internal/schedule/journal"
 	"github.com/oriolepier/oriolepier/internal/schedule/owner"
 	"github.com/oriolepier/oriolepier/internal/site/ownership"
 	"github.com/oriolepier/oriolepier/internal/site/peer"
+	"github.com/oriolepier/oriolepier/internal/site/roster"
 	"github.com/oriolepier/oriolepier/internal/site/tables"
+	"github.com/oriolepier/oriolepier/internal/traffic/gate"
+	"github.com/oriolepier/oriolepier/internal/traffic/view"
 	"github.com/oriolepier/oriolepier/platform"
 )
 
 // wire tells the injector how each part is made.
-func wire(settings platform.Settings, out io.Writer) do.Injector {
+func wire(settings platform.Settings, options Options) do.Injector {
 	injector := do.New()
 	do.ProvideValue(injector, settings)
+	do.ProvideValue(injector, options)
 	do.ProvideValue(injector, clock.NewBoot())
-	do.ProvideValue(injector, logline.New(out))
+	do.ProvideValue(injector, logline.New(options.Out))
 	do.ProvideValue(injector, metrics.NewSet())
 	do.ProvideValue(injector, platform.NewStore(settings.Store.Address))
 	do.ProvideValue(injector, platform.NewWorkers())
-	do.ProvideValue(injector, peer.NewClient())
+	do.ProvideValue(injector, peer.NewClient(options.security()))
 	do.Provide(injector, newLogger)
 	do.Provide(injector, newTables)
+	do.Provide(injector, newRoster)
 	do.Provide(injector, newDaemon)
 	return injector
 }
@@ -44,12 +50,16 @@
 }
 
 func newTables(injector do.Injector) (*tables.Follower, error) {
+	topic, decode := platform.TopicOperator, decodeChange
+	if do.MustInvoke[Options](injector).Product != nil {
+		topic, decode = platform.Topic(release.Topic), decodeRelease
+	}
 	return tables.New(tables.Options{
-		Topic:  platform.TopicOperator,
+		Topic:  topic,
 		Clock:  do.MustInvoke[clock.Clock](injector),
 		Log:    do.MustInvoke[platform.Store](injector).Log(),
 		Logger: do.MustInvoke[zerolog.Logger](injector),
-		Decode: decodeChange,
+		Decode: decode,
 	}), nil
 }
 
@@ -66,9 +76,30 @@
 	return tables.Change{}, nil
 }
 
+// decodeRelease reads a record of a deployment's own tables.
+func decodeRelease(record journal.Record) (tables.Change, error) {
+	change, err := release.Decode(record)
+	if err != nil || change.Release == nil {
+		return tables.Change{Domain: change.Domain, Out: change.Out}, err
+	}
+	next := change.Release.Manifest()
+	return tables.Change{Manifest: &next, Release: change.Release}, nil
+}
+
+func newRoster(injector do.Injector) (*roster.Follower, error) {
+	return roster.New(roster.Options{
+		Topic:  platform.TopicWorkers,
+		Clock:  do.MustInvoke[clock.Clock](injector),
+		Log:    do.MustInvoke[platform.Store](injector).Log(),
+		Logger: do.MustInvoke[zerolog.Logger](injector),
+		Decode: platform.DecodeWorker,
+	}), nil
+}
+
 func newDaemon(injector do.Injector) (*Daemon, error) {
 	set := do.MustInvoke[*metrics.Set](injector)
 	d := &Daemon{
+		options:  do.MustInvoke[Options](injector),
 		settings: do.MustInvoke[platform.Settings](injector),
 		clock:    do.MustInvoke[clock.Clock](injector),
 		logger:   do.MustInvoke[zerolog.Logger](injector),
@@ -78,6 +109,7 @@
 		store:    do.MustInvoke[platform.Store](injector),
 		workers:  do.MustInvoke[platform.Workers](injector),
 		tables:   do.MustInvoke[*tables.Follower](injector),
+		roster:   do.MustInvoke[*roster.Follower](injector),
 		peers:    do.MustInvoke[*peer.Client](injector),
 	}
 	d.elector = ownership.New(ownership.Options{
@@ -85,9 +117,23 @@
 		Topic: platform.Topic(ownersTopic), Clock: d.clock, Log: d.store.Log(), Logger: d.logger,
 		Ping: d.peers.Ping, Heard: d.peers.Heard, Rank: rank(d.settings.Name), Own: d.own,
 	})
+	if d.options.Product != nil {
+		d.box = view.NewBox()
+		d.gate = gate.New(gate.Options{
+			Box: d.box, Clock: d.clock, Log: d.logger, Entry: d.settings.Name, Seed: xxhash.Sum64String(d.settings.Name),
+		})
+	}
 	return d, nil
 }
 
+// security is how entries protect their connections.
+func (o Options) security() peer.Security {
+	if o.Product == nil {
+		return peer.Security{}
+	}
+	return peer.Security{Token: o.Product.Token, Server: o.Product.Keys.Mutual(), Client: o.Product.Keys.Client()}
+}
+
 // rank spreads entries evenly over 0 to 1 by their names.
 func rank(name string) float64 {
 	hash := fnv.New32a()
@@ -98,10 +144,16 @@
 
 // peerAddress is where this entry answers other entries.
 func (d *Daemon) peerAddress() string {
+	if d.options.Product != nil {
+		return d.options.Product.Peers
+	}
 	return net.JoinHostPort(d.settings.IP, strconv.Itoa(d.settings.Ports.First))
 }
 
 // metricsAddress is where this entry shows its counters.
 func (d *Daemon) metricsAddress() string {
+	if d.settings.Control != "" {
+		return d.settings.Control
+	}
 	return net.JoinHostPort(d.settings.IP, strconv.Itoa(d.settings.Ports.First+1))
 }
--- a/internal/site/front/front.go
+++ b/internal/site/front/front.go
@@ -57,6 +57,9 @@
 	// State and Count give the bodies of answers.
 	State func(state job.State) any
 	Count func(waiting int) any
+	// Requests serves what no queue takes: requests that get their answer from
+	// a backend server. Without it, there is no such route.
+	Requests http.Handler
 }
 
 // Front answers consumers.
@@ -92,6 +95,9 @@
 
 // ServeHTTP implements http.Handler.
 func (f *Front) ServeHTTP(writer http.ResponseWriter, request *http.Request) {
+	if f.passOn(writer, request) {
+		return
+	}
 	x := &exchange{request: request, started: f.options.Clock.Now(), tables: f.options.Manifest()}
 	patience := max(f.options.Patience(request, defaultPatience)-answerMargin, leastPatience)
 	ctx, cancel := context.WithTimeout(request.Context(), patience.Duration())
@@ -101,6 +107,19 @@
 	f.log(x, result)
 }
 
+// passOn gives a request that no queue takes to the request side, if there is
+// one.
+func (f *Front) passOn(writer http.ResponseWriter, request *http.Request) bool {
+	if f.options.Requests == nil {
+		return false
+	}
+	if _, _, queued := f.options.Manifest().Match(request.Host, request.URL.Path); queued {
+		return false
+	}
+	f.options.Requests.ServeHTTP(writer, request)
+	return true
+}
+
 func (f *Front) answer(ctx context.Context, x *exchange) answer {
 	if x.tables.Version == 0 {
 		return answer{status: http.StatusServiceUnavailable, reason: "no manifest is known yet", retryAfter: retrySoon}
--- a/internal/site/peer/client.go
+++ b/internal/site/peer/client.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"crypto/tls"
 	"net"
 	"sync"
 
@@ -15,6 +16,8 @@
 
 // Client calls other entries over connections that it keeps.
 type Client struct {
+	security Security
+
 	mu    sync.Mutex
 	conns map[string]*connection // by address
 }
@@ -34,7 +37,9 @@
 }
 
 // NewClient returns a client without connections.
-func NewClient() *Client { return &Client{conns: map[string]*connection{}} }
+func NewClient(security Security) *Client {
+	return &Client{security: security, conns: map[string]*connection{}}
+}
 
 // Ping asks an entry for a sign of life.
 func (c *Client) Ping(ctx context.Context, address string, query PingQuery) (PingAnswer, error) {
@@ -111,9 +116,15 @@
 	if err != nil {
 		return nil, fault.New(fault.NotSent, "dial peer", address, err)
 	}
+	if c.security.Client != nil {
+		tcp = tls.Client(tcp, named(c.security.Client, address))
+	}
 	// The connection outlives this call, so it must not end with its context.
 	stream := jsonrpc2.NewBufferedStream(tcp, boundedCodec{})
 	open = &connection{tcp: tcp, rpc: jsonrpc2.NewConn(context.WithoutCancel(ctx), stream, deaf{}, quiet)}
+	if err := c.greet(ctx, open, address); err != nil {
+		return nil, err
+	}
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	if other, taken := c.conns[address]; taken {
@@ -124,6 +135,30 @@
 	return open, nil
 }
 
+// greet shows the token, where there is one.
+func (c *Client) greet(ctx context.Context, open *connection, address string) error {
+	if c.security.Token == "" {
+		return nil
+	}
+	var answer credentials
+	stop := context.AfterFunc(ctx, open.close)
+	err := open.rpc.Call(ctx, methodHello, credentials{Token: c.security.Token}, &answer)
+	stop()
+	if err != nil {
+		open.close()
+		return fault.New(fault.NotRun, methodHello, address, err)
+	}
+	return nil
+}
+
+// named returns the TLS settings for one peer, whose certificate must name the
+// IP address that was dialled.
+func named(base *tls.Config, address string) *tls.Config {
+	config := base.Clone()
+	config.ServerName, _, _ = net.SplitHostPort(address) // dialled, so well formed
+	return config
+}
+
 func (c *Client) drop(address string, open *connection) {
 	c.mu.Lock()
 	if c.conns[address] == open {
--- a/internal/site/peer/peer.go
+++ b/internal/site/peer/peer.go
@@ -5,14 +5,15 @@
 //
 // # Usage
 //
-//	server := peer.NewServer(peer.Handlers{Ping: answerPing, Submit: submit})
+//	server := peer.NewServer(security, peer.Handlers{Ping: answerPing, Submit: submit})
 //	err := server.Serve(ctx, listener)
 //
-//	client := peer.NewClient()
+//	client := peer.NewClient(security)
 //	pong, err := client.Ping(ctx, "10.1.0.13:7720", peer.PingQuery{Name: name})
 package peer
 
 import (
+	"crypto/tls"
 	"encoding/json"
 	"io"
 	"log"
@@ -26,6 +27,7 @@
 
 // Methods of the protocol.
 const (
+	methodHello   = "hello"
 	methodPing    = "ping"
 	methodHeard   = "heard"
 	methodSubmit  = "submit"
@@ -41,6 +43,18 @@
 	maxFrameBytes               = 2 << 20 // a submission of the largest size fits
 )
 
+// Security protects connections between entries.
+type Security struct {
+	Token  string      // shared by all entries; empty: none is asked for
+	Server *tls.Config // nil: plain TCP
+	Client *tls.Config
+}
+
+// credentials open a connection.
+type credentials struct {
+	Token string `json:"token"`
+}
+
 // PingQuery asks an entry whether it owns the cell.
 type PingQuery struct {
 	Name    string `json:"name"`    // of the asking entry
--- a/internal/site/peer/server.go
+++ b/internal/site/peer/server.go
@@ -2,6 +2,8 @@
 
 import (
 	"context"
+	"crypto/subtle"
+	"crypto/tls"
 	"net"
 	"sync/atomic"
 
@@ -25,15 +27,21 @@
 
 // Server answers other entries.
 type Server struct {
+	security Security
 	handlers Handlers
 	open     atomic.Int64
 }
 
 // NewServer returns a server; it takes connections when Serve is called.
-func NewServer(handlers Handlers) *Server { return &Server{handlers: handlers} }
+func NewServer(security Security, handlers Handlers) *Server {
+	return &Server{security: security, handlers: handlers}
+}
 
 // Serve accepts connections until the context ends; it closes the listener.
 func (s *Server) Serve(ctx context.Context, listener net.Listener) error {
+	if s.security.Server != nil {
+		listener = tls.NewListener(listener, s.security.Server)
+	}
 	group, ctx := errgroup.WithContext(ctx)
 	group.Go(func() error {
 		<-ctx.Done()
@@ -64,7 +72,9 @@
 }
 
 func (s *Server) handle(ctx context.Context, conn net.Conn) {
-	handler := jsonrpc2.AsyncHandler(session{handlers: s.handlers})
+	ses := &session{token: s.security.Token, handlers: s.handlers}
+	ses.admitted.Store(s.security.Token == "")
+	handler := jsonrpc2.AsyncHandler(ses)
 	rpc := jsonrpc2.NewConn(ctx, jsonrpc2.NewBufferedStream(conn, boundedCodec{}), handler, quiet)
 	defer func() { _ = rpc.Close() }()
 	select {
@@ -74,10 +84,14 @@
 }
 
 // session answers the calls of one connection.
-type session struct{ handlers Handlers }
+type session struct {
+	token    string
+	handlers Handlers
+	admitted atomic.Bool // the caller has shown the token
+}
 
 // Handle implements jsonrpc2.Handler.
-func (s session) Handle(ctx context.Context, rpc *jsonrpc2.Conn, request *jsonrpc2.Request) {
+func (s *session) Handle(ctx context.Context, rpc *jsonrpc2.Conn, request *jsonrpc2.Request) {
 	answer, err := s.answer(ctx, request)
 	if request.Notif {
 		return
@@ -90,7 +104,13 @@
 	_ = rpc.Reply(ctx, request.ID, answer)
 }
 
-func (s session) answer(ctx context.Context, request *jsonrpc2.Request) (any, error) {
+func (s *session) answer(ctx context.Context, request *jsonrpc2.Request) (any, error) {
+	if request.Method == methodHello {
+		return s.admit(request)
+	}
+	if !s.admitted.Load() {
+		return nil, errors.New("not admitted")
+	}
 	switch request.Method {
 	case methodPing:
 		return serve(ctx, request, s.handlers.Ping)
@@ -108,6 +128,16 @@
 	return nil, errors.Errorf("unknown method %q", request.Method)
 }
 
+// admit checks the token that opens a connection.
+func (s *session) admit(request *jsonrpc2.Request) (any, error) {
+	shown, err := decode[credentials](request.Params)
+	if err != nil || subtle.ConstantTimeCompare([]byte(shown.Token), []byte(s.token)) != 1 {
+		return nil, errors.New("not admitted")
+	}
+	s.admitted.Store(true)
+	return credentials{}, nil
+}
+
 func serve[Query, Answer any](ctx context.Context, request *jsonrpc2.Request, handler func(context.Context, Query) Answer) (any, error) {
 	query, err := decode[Query](request.Params)
 	if err != nil {
--- a/internal/site/runtime/runtime.go
+++ b/internal/site/runtime/runtime.go
@@ -21,6 +21,7 @@
 	"golang.org/x/sync/errgroup"
 
 	"github.com/oriolepier/oriolepier/internal/base/clock"
+	"github.com/oriolepier/oriolepier/internal/config/release"
 	"github.com/oriolepier/oriolepier/internal/schedule/fleet"
 	"github.com/oriolepier/oriolepier/internal/schedule/job"
 	"github.com/oriolepier/oriolepier/internal/schedule/journal"
@@ -30,9 +31,9 @@
 
 // Limits of the loop.
 const (
-	tickPeriod clock.Millis = 25
-	inboxSize               = 4096 // inputs that wait for the loop
-	groupSize               = 64   // inputs handled before the next append is considered
+	tickPeriod = clock.Millis(25)
+	inboxSize  = 4096 // inputs that wait for the loop
+	groupSize  = 64   // inputs handled before the next append is considered
 )
 
 // ErrOwnershipLost ends Serve when another owner exists.
@@ -69,6 +70,7 @@
 type Tables struct {
 	Version  int64 // of this value; rises with each change
 	Manifest manifest.Manifest
+	Release  *release.Release // of a deployment with tables of its own; else nil
 	Out      map[string]bool
 }
 
@@ -253,6 +255,12 @@
 	return count, count >= 0
 }
 
+// Dump returns the owner's state, or false when it does not answer in time.
+func (r *Runtime) Dump(ctx context.Context) (owner.Dump, bool) {
+	dump := ask(ctx, r, owner.Dump{}, func(reply func(owner.Dump)) { reply(r.own.Dump()) })
+	return dump, dump.Epoch != 0
+}
+
 // StoreAge returns how long ago the store last confirmed something to the
 // owner, or false when the state is not loaded.
 func (r *Runtime) StoreAge() (clock.Millis, bool) {
--- a/internal/site/runtime/writer.go
+++ b/internal/site/runtime/writer.go
@@ -72,10 +72,9 @@
 			return nil
 		case records := <-w.pending:
 			outcome := w.appendAll(ctx, records)
-			if ctx.Err() != nil {
-				return nil
+			if ctx.Err() == nil {
+				w.complete(outcome)
 			}
-			w.complete(outcome)
 		}
 	}
 }
--- a/internal/entry/node/tls.go
+++ b/internal/site/secret/secret.go
@@ -1,4 +1,10 @@
-package node
+// Package secret holds an entry's certificate and whom it trusts.
+//
+// # Usage
+//
+//	keys, err := secret.Load(settings.TLS) // nil: plain TCP
+//	listener = tls.NewListener(listener, keys.Server())
+package secret
 
 import (
 	"crypto/tls"
@@ -9,13 +15,14 @@
 	"github.com/oriolepier/oriolepier/internal/config/setting"
 )
 
-// security is the entry's keys; nil means plain TCP.
-type security struct {
+// Keys are the entry's keys; nil means plain TCP.
+type Keys struct {
 	certificate tls.Certificate
 	authorities *x509.CertPool
 }
 
-func loadTLS(files *setting.TLS) (*security, error) {
+// Load reads the files; without any it returns nil, which stands for plain TCP.
+func Load(files *setting.TLS) (*Keys, error) {
 	if files == nil {
 		return nil, nil
 	}
@@ -31,11 +38,11 @@
 	if !authorities.AppendCertsFromPEM(pem) {
 		return nil, fault.Newf(fault.NotRun, "load authorities", files.CA, "holds no certificate")
 	}
-	return &security{certificate: certificate, authorities: authorities}, nil
+	return &Keys{certificate: certificate, authorities: authorities}, nil
 }
 
-// server is for callers and operators.
-func (s *security) server() *tls.Config {
+// Server is for callers and operators.
+func (s *Keys) Server() *tls.Config {
 	if s == nil {
 		return nil
 	}
@@ -46,8 +53,8 @@
 	}
 }
 
-// mutual is for peers, who must show a certificate of the same authorities.
-func (s *security) mutual() *tls.Config {
+// Mutual is for peers, who must show a certificate of the same authorities.
+func (s *Keys) Mutual() *tls.Config {
 	if s == nil {
 		return nil
 	}
@@ -59,9 +66,9 @@
 	}
 }
 
-// client is for calls to peers, which are known by address: the certificate is
+// Client is for calls to peers, which are known by address: the certificate is
 // checked against the authorities and the address.
-func (s *security) client() *tls.Config {
+func (s *Keys) Client() *tls.Config {
 	if s == nil {
 		return nil
 	}
--- a/internal/site/tables/tables.go
+++ b/internal/site/tables/tables.go
@@ -16,6 +16,7 @@
 	"github.com/rs/zerolog"
 
 	"github.com/oriolepier/oriolepier/internal/base/clock"
+	"github.com/oriolepier/oriolepier/internal/config/release"
 	"github.com/oriolepier/oriolepier/internal/schedule/journal"
 	"github.com/oriolepier/oriolepier/internal/schedule/manifest"
 	"github.com/oriolepier/oriolepier/internal/site/runtime"
@@ -32,6 +33,7 @@
 // Change is what one record of the operators' topic says.
 type Change struct {
 	Manifest *manifest.Manifest // a new version of the tables
+	Release  *release.Release   // ... as published by a deployment that has its own; may be nil
 	Domain   string             // a failure domain ...
 	Out      bool               // ... that is taken out, or back
 }
@@ -128,6 +130,7 @@
 		if change.Manifest != nil && change.Manifest.Version > next.Manifest.Version {
 			f.log(next.Manifest.Version, change.Manifest.Version, record.Offset)
 			next.Manifest = *change.Manifest
+			next.Release = change.Release
 		}
 		if change.Domain != "" {
 			f.options.Logger.Info().Str("event", "failure_domain_marked").Str("failure_domain", change.Domain).
--- /dev/null
+++ b/internal/standin/worker/serve.go
@@ -0,0 +1,117 @@
+package worker
+
+import (
+	"context"
+	"net"
+	"net/http"
+	"sync"
+	"time"
+
+	"github.com/pkg/errors"
+	"golang.org/x/sync/errgroup"
+
+	"github.com/oriolepier/oriolepier/internal/base/clock"
+	"github.com/oriolepier/oriolepier/internal/schedule/fleet"
+	"github.com/oriolepier/oriolepier/internal/schedule/journal"
+	"github.com/oriolepier/oriolepier/platform"
+)
+
+// Times of a served worker.
+const (
+	heartbeat = 500 * time.Millisecond // between entries in the list of workers
+	holdPoll  = 10 * time.Millisecond  // between looks for an end while a hold waits
+)
+
+// Host serves a worker by the real clock and keeps its entry in the list.
+type Host struct {
+	Clock  clock.Clock
+	Log    journal.Log
+	mu     sync.Mutex
+	worker *Worker
+}
+
+// NewHost returns a host of a worker.
+func NewHost(worker *Worker, clk clock.Clock, log journal.Log) *Host {
+	return &Host{Clock: clk, Log: log, worker: worker}
+}
+
+// With runs a function on the worker while nothing else uses it.
+func (h *Host) With(act func(w *Worker, now clock.Millis)) {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	act(h.worker, h.Clock.Now())
+}
+
+// Serve answers on a listener until the context ends, which is a crash: the
+// worker's entry stays until somebody removes it.
+func (h *Host) Serve(ctx context.Context, listener net.Listener) error {
+	h.With(func(w *Worker, _ clock.Millis) { w.Entry.Address = listener.Addr().String() })
+	server := &http.Server{Handler: h.handler(), ReadHeaderTimeout: time.Second}
+	group, ctx := errgroup.WithContext(ctx)
+	group.Go(func() error { return server.Serve(listener) })
+	group.Go(func() error { return h.beat(ctx) })
+	group.Go(func() error {
+		<-ctx.Done()
+		return server.Close()
+	})
+	err := group.Wait()
+	if errors.Is(err, http.ErrServerClosed) || errors.Is(err, context.Canceled) {
+		return nil
+	}
+	return err
+}
+
+// beat keeps the worker's entry fresh.
+func (h *Host) beat(ctx context.Context) error {
+	for {
+		var entry fleet.Entry
+		h.With(func(w *Worker, now clock.Millis) {
+			w.Pass(now)
+			entry = w.Entry
+			entry.ClockMS = w.Clock(now)
+		})
+		data, err := platform.EncodeWorker(entry)
+		if err != nil {
+			return errors.Wrap(err, "encode worker entry")
+		}
+		h.Log.Append(ctx, journal.Append{ // the next heartbeat makes up for a lost one
+			Topic: platform.TopicWorkers, At: -1, Records: []journal.Record{{Key: entry.ID, Value: data}},
+		})
+		if err := h.Clock.Sleep(ctx, clock.Of(heartbeat)); err != nil {
+			return err
+		}
+	}
+}
+
+func (h *Host) handler() http.Handler {
+	return platform.ServeWorker(platform.WorkerCalls{
+		Start: func(_ context.Context, order fleet.Start) (answer fleet.Answer) {
+			h.With(func(w *Worker, now clock.Millis) { answer = w.Start(order, now) })
+			return answer
+		},
+		Stop: func(_ context.Context, order fleet.Stop) (answer fleet.Answer) {
+			h.With(func(w *Worker, now clock.Millis) { answer = w.Stop(order, now) })
+			return answer
+		},
+		Pace: func(_ context.Context, order fleet.Pace) (answer fleet.Answer) {
+			h.With(func(w *Worker, now clock.Millis) { answer = w.Pace(order, now) })
+			return answer
+		},
+		Hold: h.hold,
+	})
+}
+
+// hold waits for an end as long as the order allows.
+func (h *Host) hold(ctx context.Context, order fleet.Hold) (report fleet.Report) {
+	deadline := h.Clock.Now() + clock.Millis(order.WaitMS)
+	for {
+		done := false
+		h.With(func(w *Worker, now clock.Millis) {
+			report = w.Hold(order, now)
+			done = len(report.Ended) > 0 || report.Outcome != fleet.Accepted || now >= deadline
+		})
+		if done || h.Clock.Sleep(ctx, clock.Of(holdPoll)) != nil {
+			return report
+		}
+	}
+}
--- a/internal/traffic/gate/accept.go
+++ b/internal/traffic/gate/accept.go
@@ -17,7 +17,7 @@
 	"github.com/oriolepier/oriolepier/internal/base/fault"
 	"github.com/oriolepier/oriolepier/internal/base/problem"
 	"github.com/oriolepier/oriolepier/internal/config/route"
-	"github.com/oriolepier/oriolepier/internal/platform/backend"
+	"github.com/oriolepier/oriolepier/internal/traffic/backend"
 	"github.com/oriolepier/oriolepier/internal/traffic/choice"
 	"github.com/oriolepier/oriolepier/internal/traffic/link"
 )
--- a/internal/traffic/gate/fetch.go
+++ b/internal/traffic/gate/fetch.go
@@ -10,7 +10,7 @@
 
 	"github.com/oriolepier/oriolepier/internal/base/fault"
 	"github.com/oriolepier/oriolepier/internal/base/problem"
-	"github.com/oriolepier/oriolepier/internal/platform/backend"
+	"github.com/oriolepier/oriolepier/internal/traffic/backend"
 	"github.com/oriolepier/oriolepier/internal/traffic/dispatch"
 	"github.com/oriolepier/oriolepier/internal/traffic/link"
 	"github.com/oriolepier/oriolepier/internal/traffic/retry"
--- a/internal/traffic/gate/header.go
+++ b/internal/traffic/gate/header.go
@@ -6,7 +6,7 @@
 	"strings"
 
 	"github.com/oriolepier/oriolepier/internal/base/clock"
-	"github.com/oriolepier/oriolepier/internal/platform/backend"
+	"github.com/oriolepier/oriolepier/internal/traffic/backend"
 )
 
 // hopByHop are the fields that belong to one connection (RFC 9110, 7.6.1), and
--- a/internal/traffic/gate/reply.go
+++ b/internal/traffic/gate/reply.go
@@ -8,7 +8,7 @@
 
 	"github.com/oriolepier/oriolepier/internal/base/clock"
 	"github.com/oriolepier/oriolepier/internal/base/problem"
-	"github.com/oriolepier/oriolepier/internal/platform/backend"
+	"github.com/oriolepier/oriolepier/internal/traffic/backend"
 	"github.com/oriolepier/oriolepier/internal/traffic/dispatch"
 )
 
--- a/internal/traffic/link/send.go
+++ b/internal/traffic/link/send.go
@@ -11,7 +11,7 @@
 
 	"github.com/oriolepier/oriolepier/internal/base/clock"
 	"github.com/oriolepier/oriolepier/internal/base/fault"
-	"github.com/oriolepier/oriolepier/internal/platform/backend"
+	"github.com/oriolepier/oriolepier/internal/traffic/backend"
 )
 
 // Request is one attempt's request. Its header must not be changed while the
