--- /dev/null
+++ b/internal/site/front/front_test.go
@@ -0,0 +1,113 @@
+package front
+
+import (
+	"bytes"
+	"context"
+	"fmt"
+	"net/http"
+	"net/http/httptest"
+	"strings"
+	"testing"
+
+	"github.com/VictoriaMetrics/metrics"
+	"github.com/rs/zerolog"
+	"github.com/sebdah/goldie/v2"
+
+	"github.com/oriolepier/oriolepier/internal/base/clock"
+	"github.com/oriolepier/oriolepier/internal/schedule/job"
+	"github.com/oriolepier/oriolepier/internal/schedule/manifest"
+	"github.com/oriolepier/oriolepier/internal/schedule/owner"
+	"github.com/oriolepier/oriolepier/internal/site/ownership"
+	"github.com/oriolepier/oriolepier/internal/site/relay"
+	"github.com/oriolepier/oriolepier/platform"
+)
+
+const id = "5c0e7a21d94b36f8"
+
+// newFront serves one queue by an owner in this process.
+func newFront(own *relay.Local, version int64) *Front {
+	tables := manifest.New(version, []manifest.Queue{{Name: "q", Host: "h.example", PathPrefix: "/q/"}}, nil, manifest.Limits{BodyBytes: 4096})
+	return New(Options{
+		Clock: clock.New(), Logger: zerolog.Nop(), Metrics: metrics.NewSet(),
+		Manifest: func() manifest.Manifest { return tables },
+		Desk: relay.New(relay.Options{
+			Clock: clock.New(), Current: func() ownership.Record { return ownership.Record{} },
+			Local: func() *relay.Local { return own },
+		}),
+		Patience: platform.Patience, Decode: platform.DecodeSubmission,
+		State: func(state job.State) any { return platform.EncodeState(state) },
+		Count: func(waiting int) any { return platform.CountBody{Waiting: waiting} },
+	})
+}
+
+// exchangeText is a request and its answer as text.
+func exchangeText(front *Front, method, target, body string) string {
+	request := httptest.NewRequest(method, "http://h.example"+target, strings.NewReader(body))
+	request.Header.Set("Oriolepier-Deadline-Ms", "400")
+	answer := httptest.NewRecorder()
+	front.ServeHTTP(answer, request)
+	shown := body
+	if len(shown) > 120 {
+		shown = shown[:120] + "..."
+	}
+	return fmt.Sprintf("%s %s %s\n-> %d retry-after=%q %s\n\n", method, target, shown,
+		answer.Code, answer.Header().Get("Retry-After"), answer.Body)
+}
+
+// Every kind of bad input has its own clear answer.
+func TestBadInput(t *testing.T) {
+	taken := &relay.Local{
+		Submit:  func(context.Context, job.Spec) owner.Verdict { return owner.Verdict{Ruling: owner.Taken} },
+		Cancel:  func(context.Context, job.ID) owner.Verdict { return owner.Verdict{Ruling: owner.Missing, Reason: "no such job"} },
+		Lookup:  func(context.Context, job.ID) owner.Finding { return owner.Finding{State: job.Running} },
+		Waiting: func(context.Context, string) (int, bool) { return 12, true },
+	}
+	front := newFront(taken, 7)
+	var text bytes.Buffer
+	good := `{"specification":"x","steps":[{"count":1,"cpu":100}],"unknown":true}`
+	for _, exchange := range []struct{ method, target, body string }{
+		{http.MethodPost, "/q/" + id, good},
+		{http.MethodGet, "/q/" + id, ""},
+		{http.MethodDelete, "/q/" + id, ""},
+		{http.MethodGet, "/q/", ""},
+		{http.MethodPost, "/q/", good},
+		{http.MethodPut, "/q/" + id, good},
+		{http.MethodPost, "/other/" + id, good},
+		{http.MethodPost, "/q/5c0e", good},
+		{http.MethodPost, "/q/5c0e7a21d94b36fg", good},
+		{http.MethodPost, "/q/" + id, ""},
+		{http.MethodPost, "/q/" + id, "{"},
+		{http.MethodPost, "/q/" + id, `{"steps":"x"}`},
+		{http.MethodPost, "/q/" + id, `{"steps":[]}`},
+		{http.MethodPost, "/q/" + id, `{"steps":[{"count":0}]}`},
+		{http.MethodPost, "/q/" + id, `{"steps":[{"count":1,"cpu":-1}]}`},
+		{http.MethodPost, "/q/" + id, `{"steps":[{"count":1},{"count":1,"after":[1]}]}`},
+		{http.MethodPost, "/q/" + id, `{"steps":[{"count":1,"after":[0]}]}`},
+		{http.MethodPost, "/q/" + id, `{"specification":"` + strings.Repeat("x", job.MaxTextBytes+1) + `","steps":[{"count":1}]}`},
+		{http.MethodPost, "/q/" + id, `{"specification":"` + strings.Repeat("x", 5000) + `"}`},
+	} {
+		text.WriteString(exchangeText(front, exchange.method, exchange.target, exchange.body))
+	}
+	goldie.New(t).Assert(t, "bad_input", text.Bytes())
+}
+
+// What an owner rules, and what its silence means, reach the caller truthfully.
+func TestRulings(t *testing.T) {
+	var text bytes.Buffer
+	good := `{"steps":[{"count":1,"cpu":100}]}`
+	for _, verdict := range []owner.Verdict{
+		{Ruling: owner.Taken},
+		{Ruling: owner.Refused, Reason: "the store does not answer", RetryAfter: 1500},
+		{Ruling: owner.Invalid, Reason: "a task is larger than any worker of its pool"},
+		{Ruling: owner.Unsupported, Reason: "not supported"},
+		{Ruling: owner.Elsewhere, Reason: "ownership lost"},
+	} {
+		own := &relay.Local{Submit: func(context.Context, job.Spec) owner.Verdict { return verdict }}
+		text.WriteString(verdict.Ruling.String() + ": " + exchangeText(newFront(own, 7), http.MethodPost, "/q/"+id, good))
+	}
+	text.WriteString("no owner: " + exchangeText(newFront(nil, 7), http.MethodPost, "/q/"+id, good))
+	text.WriteString("no owner: " + exchangeText(newFront(nil, 7), http.MethodGet, "/q/"+id, ""))
+	text.WriteString("no owner: " + exchangeText(newFront(nil, 7), http.MethodDelete, "/q/"+id, ""))
+	text.WriteString("no manifest: " + exchangeText(newFront(nil, 0), http.MethodPost, "/q/"+id, good))
+	goldie.New(t).Assert(t, "rulings", text.Bytes())
+}
--- /dev/null
+++ b/internal/site/ownership/ownership_test.go
@@ -0,0 +1,200 @@
+package ownership
+
+import (
+	"context"
+	"fmt"
+	"sync"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/google/go-cmp/cmp"
+	"github.com/rs/zerolog"
+	"golang.org/x/sync/errgroup"
+
+	"github.com/oriolepier/oriolepier/internal/base/clock"
+	"github.com/oriolepier/oriolepier/internal/base/fault"
+	"github.com/oriolepier/oriolepier/internal/schedule/journal"
+	"github.com/oriolepier/oriolepier/internal/site/peer"
+	"github.com/oriolepier/oriolepier/internal/standin/store"
+)
+
+// rig is a deployment of electors over one store, without a network.
+type rig struct {
+	mu       sync.Mutex
+	store    *store.Store
+	electors map[string]*Elector // by address
+	owners   []string            // who owned, in order of epoch
+	dead     map[string]bool
+	hung     map[string]bool    // answers nobody
+	cut      map[[2]string]bool // the first cannot reach the second
+	storeAge clock.Millis       // that the first entry tells when it owns
+}
+
+func newRig() *rig {
+	return &rig{
+		store: store.New(), electors: map[string]*Elector{}, dead: map[string]bool{}, hung: map[string]bool{},
+		cut: map[[2]string]bool{},
+	}
+}
+
+// add makes an elector that has not started.
+func (r *rig) add(name string, rank float64) *Elector {
+	e := New(Options{
+		Cell: "0", Name: name, Address: name, Life: name, Topic: "keyed.owners", Clock: clock.New(),
+		Log: r.store.Log(), Logger: zerolog.Nop(), Rank: rank,
+		Ping: func(ctx context.Context, address string, _ peer.PingQuery) (peer.PingAnswer, error) {
+			return r.ping(ctx, name, address)
+		},
+		Heard: func(ctx context.Context, address string, query peer.HeardQuery) (peer.HeardAnswer, error) {
+			if _, err := r.ping(ctx, name, address); err != nil {
+				return peer.HeardAnswer{}, err
+			}
+			return peer.HeardAnswer{Age: r.electors[address].HeardAge(query.Epoch)}, nil
+		},
+		Own: func(ctx context.Context, epoch int64, _ Former) error {
+			r.mu.Lock()
+			r.owners = append(r.owners, fmt.Sprintf("%d %s", epoch, name))
+			r.mu.Unlock()
+			<-ctx.Done()
+			return nil
+		},
+	})
+	r.electors[name] = e
+	return e
+}
+
+func (r *rig) ping(ctx context.Context, from, to string) (peer.PingAnswer, error) {
+	r.mu.Lock()
+	dead, silent := r.dead[to], r.hung[to] || r.cut[[2]string{from, to}]
+	r.mu.Unlock()
+	if dead {
+		return peer.PingAnswer{}, fault.New(fault.NotSent, "dial", to, nil)
+	}
+	if silent {
+		<-ctx.Done()
+		return peer.PingAnswer{}, fault.New(fault.Unknown, "ping", to, ctx.Err())
+	}
+	e := r.electors[to]
+	var names []string
+	for name := range r.electors {
+		names = append(names, name)
+	}
+	answer := peer.PingAnswer{Owner: e.Owning(), Epoch: e.Current().Epoch, ReadyToAct: true, Peers: names}
+	if to == "a" {
+		answer.StoreAge = r.storeAge
+	}
+	return answer, nil
+}
+
+func (r *rig) set(change func()) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	change()
+}
+
+// play starts electors a, b and c, in which a comes first, lets something
+// happen after three seconds, and tells who owned during the next ten.
+func play(t *testing.T, happen func(r *rig)) []string {
+	t.Helper()
+	var owners []string
+	synctest.Test(t, func(t *testing.T) {
+		r := newRig()
+		ctx, cancel := context.WithCancel(t.Context())
+		group := new(errgroup.Group)
+		for i, name := range []string{"a", "b", "c"} {
+			e := r.add(name, float64(i)/3)
+			group.Go(func() error { return e.Serve(ctx) })
+		}
+		time.Sleep(3 * time.Second)
+		happen(r)
+		time.Sleep(10 * time.Second)
+		cancel()
+		_ = group.Wait() // the contexts' own end
+		owners = r.owners
+	})
+	return owners
+}
+
+func TestOneOwnerWhileAllIsWell(t *testing.T) {
+	if diff := cmp.Diff([]string{"1 a"}, play(t, func(*rig) {})); diff != "" {
+		t.Errorf("owners (-want +got):\n%s", diff)
+	}
+}
+
+func TestOwnerThatNobodyHearsIsReplaced(t *testing.T) {
+	got := play(t, func(r *rig) { r.set(func() { r.hung["a"] = true }) })
+	if diff := cmp.Diff([]string{"1 a", "2 b"}, got); diff != "" {
+		t.Errorf("owners (-want +got):\n%s", diff)
+	}
+}
+
+func TestOwnerWhoseProcessIsGoneIsReplaced(t *testing.T) {
+	got := play(t, func(r *rig) { r.set(func() { r.dead["a"] = true }) })
+	if diff := cmp.Diff([]string{"1 a", "2 b"}, got); diff != "" {
+		t.Errorf("owners (-want +got):\n%s", diff)
+	}
+}
+
+func TestOwnerThatAnotherEntryHearsStays(t *testing.T) {
+	got := play(t, func(r *rig) { r.set(func() { r.cut[[2]string{"b", "a"}] = true }) })
+	if diff := cmp.Diff([]string{"1 a"}, got); diff != "" {
+		t.Errorf("owners (-want +got):\n%s", diff)
+	}
+}
+
+func TestOwnerThatTheStoreDoesNotConfirmIsReplaced(t *testing.T) {
+	got := play(t, func(r *rig) {
+		r.set(func() { r.storeAge = storeAgeLimit + 1 })
+		time.Sleep(time.Second)
+		r.set(func() { r.storeAge = 0 })
+	})
+	if diff := cmp.Diff([]string{"1 a", "2 b"}, got); diff != "" {
+		t.Errorf("owners (-want +got):\n%s", diff)
+	}
+}
+
+func TestOwnerIsKeptWhileTheStoreIsDown(t *testing.T) {
+	got := play(t, func(r *rig) {
+		r.store.SetDown(true)
+		r.set(func() { r.storeAge = storeAgeLimit + 1 })
+		time.Sleep(5 * time.Second)
+		r.set(func() { r.storeAge = 0 })
+		r.store.SetDown(false)
+	})
+	if diff := cmp.Diff([]string{"1 a"}, got); diff != "" {
+		t.Errorf("owners (-want +got):\n%s", diff)
+	}
+}
+
+func TestRetiredOwnerHandsOver(t *testing.T) {
+	got := play(t, func(r *rig) { r.electors["a"].Retire() })
+	if diff := cmp.Diff([]string{"1 a", "2 b"}, got); diff != "" {
+		t.Errorf("owners (-want +got):\n%s", diff)
+	}
+}
+
+// A claim whose answer is lost is settled by reading, and made once.
+func TestClaimWithoutAnAnswer(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		r := newRig()
+		e := r.add("a", 0)
+		log := r.store.Log()
+		inner := log.Append
+		lost := 0
+		e.options.Log.Append = func(ctx context.Context, call journal.Append) journal.Answer {
+			inner(ctx, call)
+			lost++
+			return journal.Answer{Outcome: journal.Unknown}
+		}
+		ctx, cancel := context.WithCancel(t.Context())
+		group := new(errgroup.Group)
+		group.Go(func() error { return e.Serve(ctx) })
+		time.Sleep(2 * time.Second)
+		if diff := cmp.Diff([]string{"1 a"}, r.owners); diff != "" || lost != 1 {
+			t.Errorf("%d appends, owners (-want +got):\n%s", lost, diff)
+		}
+		cancel()
+		_ = group.Wait() // the context's own end
+	})
+}
--- /dev/null
+++ b/internal/site/relay/relay_test.go
@@ -0,0 +1,93 @@
+package relay
+
+import (
+	"context"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/google/go-cmp/cmp"
+	"github.com/google/go-cmp/cmp/cmpopts"
+
+	"github.com/oriolepier/oriolepier/internal/base/clock"
+	"github.com/oriolepier/oriolepier/internal/base/fault"
+	"github.com/oriolepier/oriolepier/internal/schedule/job"
+	"github.com/oriolepier/oriolepier/internal/schedule/owner"
+	"github.com/oriolepier/oriolepier/internal/site/ownership"
+)
+
+// ask plays a question whose tries end as given, the last one for good, and
+// returns the reply and how long it took.
+func ask(t *testing.T, patience time.Duration, tries ...error) (Reply, time.Duration) {
+	t.Helper()
+	var reply Reply
+	var took time.Duration
+	synctest.Test(t, func(t *testing.T) {
+		ctx, cancel := context.WithTimeout(t.Context(), patience)
+		defer cancel()
+		desk := New(Options{
+			Clock:   clock.New(),
+			Current: func() ownership.Record { return ownership.Record{Epoch: 3, Address: "owner"} },
+			Local:   func() *Local { return nil },
+		})
+		count := 0
+		start := time.Now()
+		reply = desk.ask(ctx, question{remote: func(context.Context, string) (Reply, error) {
+			err := tries[min(count, len(tries)-1)]
+			count++
+			return Reply{State: job.Running}, err
+		}})
+		took = time.Since(start)
+	})
+	return reply, took
+}
+
+var (
+	notSent = fault.New(fault.NotSent, "dial", "owner", nil)
+	unknown = fault.New(fault.Unknown, "submit", "owner", nil)
+)
+
+func TestOutcomes(t *testing.T) {
+	for _, test := range []struct {
+		name  string
+		tries []error
+		want  Outcome
+	}{
+		{"answered", []error{nil}, Answered},
+		{"answered at last", []error{notSent, unknown, nil}, Answered},
+		{"never reached", []error{notSent}, NotRun},
+		{"reached once, then never", []error{unknown, notSent}, Unknown},
+	} {
+		reply, took := ask(t, 2*time.Second, test.tries...)
+		if diff := cmp.Diff(test.want, reply.Outcome); diff != "" {
+			t.Errorf("%s (-want +got):\n%s", test.name, diff)
+		}
+		if test.want == NotRun && took > time.Second {
+			t.Errorf("%s: the refusal took %s; it must come at once", test.name, took)
+		}
+	}
+}
+
+// An owner that gives up had the question, so the answer is the next owner's.
+func TestOwnerThatGivesUp(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		gone := &Local{Submit: func(context.Context, job.Spec) owner.Verdict { return owner.Verdict{Ruling: owner.Elsewhere} }}
+		next := &Local{Submit: func(context.Context, job.Spec) owner.Verdict { return owner.Verdict{Ruling: owner.Taken} }}
+		tries := 0
+		desk := New(Options{
+			Clock:   clock.New(),
+			Current: func() ownership.Record { return ownership.Record{Epoch: int64(tries)} },
+			Local: func() *Local {
+				tries++
+				if tries == 1 {
+					return gone
+				}
+				return next
+			},
+		})
+		want := Reply{Verdict: owner.Verdict{Ruling: owner.Taken}, Tries: 2}
+		if diff := cmp.Diff(want, desk.Submit(t.Context(), job.Spec{}), cmpopts.IgnoreFields(Reply{}, "Epoch")); diff != "" {
+			t.Errorf("reply (-want +got):\n%s", diff)
+		}
+	})
+}
--- /dev/null
+++ b/internal/site/tables/tables_test.go
@@ -0,0 +1,90 @@
+package tables
+
+import (
+	"context"
+	"strconv"
+	"strings"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/google/go-cmp/cmp"
+	"github.com/pkg/errors"
+	"github.com/rs/zerolog"
+	"golang.org/x/sync/errgroup"
+
+	"github.com/oriolepier/oriolepier/internal/base/clock"
+	"github.com/oriolepier/oriolepier/internal/schedule/journal"
+	"github.com/oriolepier/oriolepier/internal/schedule/manifest"
+	"github.com/oriolepier/oriolepier/internal/standin/store"
+)
+
+const topic = "keyed.op"
+
+// decode reads keys "config" with a version, and "out/" with a domain.
+func decode(record journal.Record) (Change, error) {
+	if domain, ok := strings.CutPrefix(record.Key, "out/"); ok {
+		return Change{Domain: domain, Out: len(record.Value) > 0}, nil
+	}
+	version, err := strconv.ParseInt(string(record.Value), 10, 64)
+	if err != nil {
+		return Change{}, errors.Wrap(err, "version")
+	}
+	next := manifest.New(version, nil, nil, manifest.Limits{})
+	return Change{Manifest: &next}, nil
+}
+
+func put(s *store.Store, key, value string) {
+	record := journal.Record{Key: key}
+	if value != "" {
+		record.Value = []byte(value)
+	}
+	s.Log().Append(context.Background(), journal.Append{Topic: topic, At: -1, Records: []journal.Record{record}})
+}
+
+// seen is what a follower has in force.
+type seen struct {
+	Version int64
+	Out     map[string]bool
+}
+
+func TestFollow(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		standin := store.New()
+		follower := New(Options{Topic: topic, Clock: clock.New(), Log: standin.Log(), Logger: zerolog.Nop(), Decode: decode})
+		ctx, cancel := context.WithCancel(t.Context())
+		group := new(errgroup.Group)
+		group.Go(func() error { return follower.Serve(ctx) })
+		expect := func(what string, version int64, out ...string) {
+			t.Helper()
+			time.Sleep(300 * time.Millisecond) // far below what the platform allows
+			marks := map[string]bool{}
+			for _, domain := range out {
+				marks[domain] = true
+			}
+			got := seen{Version: follower.Current().Manifest.Version, Out: follower.Current().Out}
+			if diff := cmp.Diff(seen{Version: version, Out: marks}, got); diff != "" {
+				t.Errorf("%s (-want +got):\n%s", what, diff)
+			}
+		}
+		expect("nothing is known", 0)
+		put(standin, "config", "7")
+		expect("a manifest", 7)
+		put(standin, "config", "unreadable")
+		expect("another writer's record", 7)
+		put(standin, "out/a", "{}")
+		put(standin, "config", "12")
+		expect("a mark and a newer manifest", 12, "a")
+		put(standin, "config", "11")
+		expect("an older manifest", 12, "a")
+		standin.SetDown(true)
+		time.Sleep(5 * time.Second)
+		standin.SetDown(false)
+		put(standin, "out/a", "")
+		put(standin, "out/b", "{}")
+		standin.Forget(topic)
+		expect("history dropped after an outage", 12, "b")
+		cancel()
+		_ = group.Wait() // the context's own end
+	})
+}
