--- a/internal/config/release/release.go
+++ b/internal/config/release/release.go
@@ -99,8 +99,15 @@
 
 func queueOf(row route.Route) manifest.Queue {
 	return manifest.Queue{
-		Name: row.Name, Host: row.Match.Host, PathPrefix: strings.TrimSuffix(row.Match.PathPrefix, "/") + "/",
-		Pool: row.Pools[0], Priority: batchPriority, Attempts: lo.Ternary(row.MaxAttempts > 0, row.MaxAttempts, defaultAttempts),
+		Name: row.Name, Host: row.Match.Host, PathPrefix: prefixOf(row), Pools: row.Pools, Priority: batchPriority, Attempts: lo.Ternary(row.MaxAttempts > 0, row.MaxAttempts, defaultAttempts),
 		Stretch: batchStretch, Allowance: row.DeadlineMS, Timeout: row.DeadlineMS,
 	}
 }
+
+// prefixOf is the path prefix of a batch route; one that names none has its own.
+func prefixOf(row route.Route) string {
+	if prefix := strings.TrimSuffix(row.Match.PathPrefix, "/"); prefix != "" {
+		return prefix + "/"
+	}
+	return "/jobs/" + row.Name + "/"
+}
--- a/internal/operator/command/command_test.go
+++ b/internal/operator/command/command_test.go
@@ -91,8 +91,12 @@
 
 func TestUsage(t *testing.T) {
 	for _, args := range [][]string{
-		{"nonsense"}, {"publish"}, {"show", "--store", "host:1"}, {"submit", "--entry", "http://name:1", "--prefix", "/q"},
-		{"explain"}, {"status", "--entry", "http://127.0.0.1:1", "--prefix", "/q"},
+		{"nonsense"},
+		{"publish"},
+		{"show", "--store", "host:1"},
+		{"submit", "--entry", "http://name:1", "--prefix", "/q"},
+		{"explain"},
+		{"status", "--entry", "http://127.0.0.1:1", "--prefix", "/q"},
 	} {
 		if code, printed := run(t, journal.Log{}, "", args...); code != option.ExitUsage {
 			t.Errorf("%v: exit %d, %s", args, code, printed)
--- a/internal/schedule/manifest/manifest.go
+++ b/internal/schedule/manifest/manifest.go
@@ -22,7 +22,7 @@
 	Name       string
 	Host       string
 	PathPrefix string
-	Pool       string       // whose workers run its tasks
+	Pools      []string     // whose workers run its tasks, the preferred one first
 	Priority   int          // 0 comes first
 	Attempts   int          // runs of a task that may fail before its job has failed
 	Stretch    float64      // the latency objective is this many times the work ...
--- a/internal/schedule/owner/place.go
+++ b/internal/schedule/owner/place.go
@@ -29,7 +29,7 @@
 		}
 		for i := range j.steps {
 			if step := &j.steps[i]; step.open && step.waiting > 0 {
-				blocked += o.placeStep(j, step, usable[queue.Pool])
+				blocked += o.placeStep(j, step, queue.Pools, usable)
 			}
 		}
 		if blocked > maxTriesPerPass {
@@ -40,7 +40,7 @@
 
 // placeStep places the waiting tasks of a step until one fits nowhere; it
 // returns 1 then.
-func (o *Owner) placeStep(j *jobState, step *stepState, workers []*worker) int {
+func (o *Owner) placeStep(j *jobState, step *stepState, pools []string, usable map[string][]*worker) int {
 	for k := range step.tasks {
 		task := &step.tasks[k]
 		if task.phase != job.Waiting {
@@ -50,7 +50,12 @@
 			o.timers.add(task.notBefore, func() { o.placeDue = true })
 			continue
 		}
-		w := o.choose(task, step, workers)
+		var w *worker
+		for _, pool := range pools {
+			if w = o.choose(task, step, usable[pool]); w != nil {
+				break
+			}
+		}
 		if w == nil {
 			return 1
 		}
--- a/internal/schedule/owner/submit.go
+++ b/internal/schedule/owner/submit.go
@@ -1,6 +1,8 @@
 package owner
 
 import (
+	"slices"
+
 	"github.com/oriolepier/oriolepier/internal/base/clock"
 	"github.com/oriolepier/oriolepier/internal/schedule/job"
 	"github.com/oriolepier/oriolepier/internal/schedule/journal"
@@ -107,19 +109,19 @@
 	if queue.Advised {
 		return Verdict{Ruling: Unsupported, Reason: "queues with a recommendation service are not supported"}
 	}
-	if o.tooLarge(queue.Pool, spec) {
+	if o.tooLarge(queue.Pools, spec) {
 		return Verdict{Ruling: Invalid, Reason: "a task is larger than any worker of its pool"}
 	}
 	return Verdict{Ruling: Taken}
 }
 
-// tooLarge reports whether a step's tasks fit no worker of a pool, as far as
+// tooLarge reports whether a step's tasks fit no worker of some pools, as far as
 // any is known.
-func (o *Owner) tooLarge(pool string, spec job.Spec) bool {
+func (o *Owner) tooLarge(pools []string, spec job.Spec) bool {
 	known := false
 	fits := make([]bool, len(spec.Steps))
 	for _, w := range o.ordered {
-		if w.entry.Service != pool {
+		if !slices.Contains(pools, w.entry.Service) {
 			continue
 		}
 		known = true
--- a/internal/schedule/owner/world_test.go
+++ b/internal/schedule/owner/world_test.go
@@ -74,7 +74,7 @@
 }
 
 var testQueue = manifest.Queue{
-	Name: "q", Host: "h", PathPrefix: "/q/", Pool: "pool", Priority: 0, Attempts: 4, Stretch: 2, Allowance: 500,
+	Name: "q", Host: "h", PathPrefix: "/q/", Pools: []string{"pool"}, Priority: 0, Attempts: 4, Stretch: 2, Allowance: 500,
 }
 
 func newWorld(t *testing.T, seed uint64, workers int) *world {
--- a/internal/site/front/front_test.go
+++ b/internal/site/front/front_test.go
@@ -57,8 +57,10 @@
 // Every kind of bad input has its own clear answer.
 func TestBadInput(t *testing.T) {
 	taken := &relay.Local{
-		Submit:  func(context.Context, job.Spec) owner.Verdict { return owner.Verdict{Ruling: owner.Taken} },
-		Cancel:  func(context.Context, job.ID) owner.Verdict { return owner.Verdict{Ruling: owner.Missing, Reason: "no such job"} },
+		Submit: func(context.Context, job.Spec) owner.Verdict { return owner.Verdict{Ruling: owner.Taken} },
+		Cancel: func(context.Context, job.ID) owner.Verdict {
+			return owner.Verdict{Ruling: owner.Missing, Reason: "no such job"}
+		},
 		Lookup:  func(context.Context, job.ID) owner.Finding { return owner.Finding{State: job.Running} },
 		Waiting: func(context.Context, string) (int, bool) { return 12, true },
 	}
--- a/internal/site/ownership/ownership_test.go
+++ b/internal/site/ownership/ownership_test.go
@@ -191,10 +191,12 @@
 		group := new(errgroup.Group)
 		group.Go(func() error { return e.Serve(ctx) })
 		time.Sleep(2 * time.Second)
-		if diff := cmp.Diff([]string{"1 a"}, r.owners); diff != "" || lost != 1 {
-			t.Errorf("%d appends, owners (-want +got):\n%s", lost, diff)
-		}
+		claims := make(chan int, 1)
+		r.set(func() { claims <- len(r.owners) })
 		cancel()
 		_ = group.Wait() // the context's own end
+		if diff := cmp.Diff([]string{"1 a"}, r.owners); diff != "" || <-claims != 1 || lost != 2 {
+			t.Errorf("%d appends, want a claim and its release; owners (-want +got):\n%s", lost, diff)
+		}
 	})
 }
--- a/internal/site/peer/peer_test.go
+++ b/internal/site/peer/peer_test.go
@@ -26,7 +26,9 @@
 		t.Fatal(err)
 	}
 	server := NewServer(security, Handlers{
-		Ping: func(_ context.Context, query PingQuery) PingAnswer { return PingAnswer{Epoch: 4, Peers: []string{query.Address}} },
+		Ping: func(_ context.Context, query PingQuery) PingAnswer {
+			return PingAnswer{Epoch: 4, Peers: []string{query.Address}}
+		},
 		Submit: func(_ context.Context, query SubmitQuery) owner.Verdict {
 			return owner.Verdict{Ruling: owner.Refused, Reason: string(query.Spec.ID)}
 		},
