Keep an owner through a whole outage of the store

Cause: when the store came back, entries saw it answer before the owner's next try got through (tries were up to 2.4 s apart), and replaced a sound owner. Now the store must have answered an entry for 600 ms, and tries follow at least every 500 ms. Found by the ownership tests under the race detector.

--- a/internal/site/daemon/wire.go
+++ b/internal/site/daemon/wire.go
@@ -4,6 +4,7 @@
 	"hash/fnv"
 	"net"
 	"strconv"
+	"sync"
 
 	"github.com/VictoriaMetrics/metrics"
 	"github.com/cespare/xxhash/v2"
@@ -42,8 +43,11 @@
 	return injector
 }
 
+// setTimeFormat sets what the library keeps for the whole process.
+var setTimeFormat = sync.OnceFunc(func() { zerolog.TimeFieldFormat = zerolog.TimeFormatUnixMs })
+
 func newLogger(injector do.Injector) (zerolog.Logger, error) {
-	zerolog.TimeFieldFormat = zerolog.TimeFormatUnixMs
+	setTimeFormat()
 	settings := do.MustInvoke[platform.Settings](injector)
 	sink := do.MustInvoke[*logline.Sink](injector)
 	return zerolog.New(sink).With().Timestamp().Str("entry", settings.Name).Logger(), nil
--- a/internal/site/ownership/ownership.go
+++ b/internal/site/ownership/ownership.go
@@ -68,15 +68,16 @@
 
 // Elector follows the owner of a cell, and claims the cell when it must.
 type Elector struct {
-	options Options
-	current atomic.Pointer[Record]
-	heardAt atomic.Int64 // when the current owner last gave a sign of life
-	peers   atomic.Pointer[[]string]
-	refused clock.Millis
-	storeAt atomic.Int64 // when the store last answered this entry
-	owning  atomic.Bool
-	retired chan struct{} // closed once this entry wants to own nothing
-	retire  sync.Once
+	options   Options
+	current   atomic.Pointer[Record]
+	heardAt   atomic.Int64 // when the current owner last gave a sign of life
+	peers     atomic.Pointer[[]string]
+	refused   clock.Millis // when the owner's address could last not be reached
+	answering clock.Millis // since when the store answers this entry but does not confirm the owner; 0: not so
+	storeAt   atomic.Int64 // when the store last answered this entry
+	owning    atomic.Bool
+	retired   chan struct{} // closed once this entry wants to own nothing
+	retire    sync.Once
 }
 
 // New returns an elector that knows no owner.
--- a/internal/site/ownership/watch.go
+++ b/internal/site/ownership/watch.go
@@ -19,6 +19,7 @@
 	silenceLimit   clock.Millis = 900  // an owner that nobody hears for so long is replaced
 	storeAgeLimit  clock.Millis = 1600 // an owner that the store confirms nothing to for so long, likewise
 	rankSpread     clock.Millis = 150  // claims of several entries are spread over this time
+	storePatience  clock.Millis = 600  // ... although the store has answered another entry for so long
 	loadLimit      clock.Millis = 3000 // an owner that has not loaded its state after so long is replaced
 	storeRetry     clock.Millis = 150
 	claimTimeout   clock.Millis = 1500
@@ -131,6 +132,7 @@
 func (e *Elector) pingUntil(ctx context.Context, record Record, newer <-chan struct{}) reason {
 	started := e.options.Clock.Now()
 	heard := started
+	e.answering = 0
 	ticker := time.NewTicker(pingPeriod.Duration())
 	defer ticker.Stop()
 	for {
@@ -182,7 +184,11 @@
 	switch {
 	case !answer.ReadyToAct && watched > loadLimit:
 		return notLoaded
-	case answer.ReadyToAct && answer.StoreAge > storeAgeLimit && e.storeAnswers():
+	case !answer.ReadyToAct || answer.StoreAge <= storeAgeLimit || !e.storeAnswers():
+		e.answering = 0
+	case e.answering == 0:
+		e.answering = e.options.Clock.Now()
+	case e.options.Clock.Now()-e.answering >= storePatience:
 		return storeless
 	}
 	return notDue
--- a/internal/site/runtime/writer.go
+++ b/internal/site/runtime/writer.go
@@ -15,9 +15,10 @@
 const (
 	retryPeriod clock.Millis = 50   // between tries that the store refused
 	hedgeAfter  clock.Millis = 150  // an append without an answer is repeated beside the first, which is harmless
+	mostHedge   clock.Millis = 500  // tries follow at least so often, so that a store's return is noticed
 	hedgeFactor              = 3    // ... or after so many times the usual length
 	tryTimeout  clock.Millis = 4000 // of a single try
-	maxTries                 = 6    // tries of one append under way at once
+	maxTries                 = 10   // tries of one append under way at once
 	lengthRate               = 8    // an append's length moves the usual length by one part in so many
 )
 
@@ -151,7 +152,7 @@
 		if open == 0 || ctx.Err() != nil {
 			break
 		}
-		wait *= 2
+		wait = min(2*wait, max(mostHedge, hedgeFactor*w.usual))
 	}
 	for ; open > 0; open-- {
 		answer, ok := next(ctx, answers, nil)
