Take a worker off the list of silent ones before forgetting it; watch each lasting task by itself; leases of 5 s

Now a lapse takes it off the list, and only a worker that no record names is forgotten. Ruled out: ends acknowledged too early, orders of a former owner. A test plays it and fails without the change. The list is recorded again every 500 ms while somebody is silent.

Each task is now watched.

--- a/internal/schedule/owner/book.go
+++ b/internal/schedule/owner/book.go
@@ -79,8 +79,9 @@
 	percent     int
 	usage       int64 // as last reported: tail latency in ms, or milli-CPU
 	usageAt     clock.Millis
-	pace        int    // percent; 100: unhindered
-	why         string // reason for a stop
+	overSince   clock.Millis // of a lasting task: since when it is over its target; 0: it is not
+	pace        int          // percent; 100: unhindered
+	why         string       // reason for a stop
 }
 
 // name returns the task's name.
--- a/internal/schedule/owner/colocate.go
+++ b/internal/schedule/owner/colocate.go
@@ -22,6 +22,7 @@
 	harmlessLoss = 0.2   // headroom that all that fills a worker may cost whatever the load
 	lowHeadroom  = 1.2   // measured headroom from which what costs most is moved away
 	soonHeadroom = 1.5   // measured headroom from which reports are wanted soon
+	overTail     = 0.97  // reported tail over target from which a lasting task counts as over it
 	moveLoss     = 0.3   // headroom that a task costs where it is worth moving away
 	minSpeed     = 0.4   // least share of its speed at which a task that fills is begun
 )
@@ -161,7 +162,7 @@
 		return 0, false
 	}
 	speed := min(max(plan.left, 0)/max(ask, tinyAsk), 1)
-	if w.harmed != 0 || speed < minSpeed && !desperate {
+	if w.pace == 0 || speed < minSpeed && !desperate {
 		return 0, false
 	}
 	score = weightSpeed*speed - weightLoss*most
@@ -246,11 +247,12 @@
 		}
 	}
 	w.planned = false
-	w.watched = lowest < soonHeadroom
+	over := o.overFor(w)
+	w.watched = lowest < soonHeadroom || over > 0
 	if lowest < lowHeadroom {
 		o.moveHarmful(w)
 	}
-	o.standStill(w, lowest)
+	o.standStill(w, over)
 }
 
 // loads lists what tasks that fill use of a worker, as just reported.
@@ -299,24 +301,38 @@
 	return runs
 }
 
-// standStill is the last resort: while a tail stays over its target, all that
-// fills the worker stands still.
-func (o *Owner) standStill(w *worker, lowest float64) {
-	switch {
-	case lowest >= 1:
-		w.harmed = 0
-	case w.harmed == 0:
-		w.harmed = o.now
+// overFor is how long the lasting task that has it worst has been over its
+// target, by itself: the mean of its job may hide it.
+func (o *Owner) overFor(w *worker) clock.Millis {
+	longest := clock.Millis(0)
+	for r := range w.runs {
+		if r.task.spec().TargetMS == 0 || r.usageAt != o.now {
+			continue
+		}
+		switch {
+		case o.tail(r) < overTail:
+			r.overSince = 0
+		case r.overSince == 0:
+			r.overSince = o.now
+		default:
+			longest = max(longest, o.now-r.overSince)
+		}
 	}
-	if w.harmed != 0 && o.now-w.harmed >= standStill && w.pace != 0 {
+	return longest
+}
+
+// standStill is the last resort: while a lasting task stays over its target, all
+// that fills its worker stands still.
+func (o *Owner) standStill(w *worker, over clock.Millis) {
+	switch {
+	case over >= standStill && w.pace != 0:
 		w.pace, w.pacedAt = 0, o.now
-	}
-	if w.harmed == 0 && w.pace == 0 && o.now-w.pacedAt > easePeriod {
+	case over == 0 && w.pace == 0 && o.now-w.pacedAt > easePeriod:
 		w.pace, w.pacedAt = fullPace, o.now
 	}
 	for _, r := range w.sorted() {
 		if r.task.spec().Fills && r.stage == stageConfirmed && r.pace != w.pace {
-			o.pace(r, w.pace, lowest)
+			o.pace(r, w.pace, over)
 		}
 	}
 }
@@ -330,11 +346,11 @@
 		Int64("ran_ms", int64(o.now-r.startedAt)).Int64("report_age_ms", int64(o.now-r.usageAt)).Send()
 }
 
-func (o *Owner) pace(r *run, percent int, headroom float64) {
+func (o *Owner) pace(r *run, percent int, over clock.Millis) {
 	o.options.Counts.Paces.Inc()
 	o.options.Log.Info().Str("event", "run_paced").Str("job", string(r.task.job.spec.ID)).Int("step", r.task.step).
 		Int("index", r.task.index).Int("run", r.number).Str("worker", r.worker.id).Int("percent", percent).
-		Int("before", r.pace).Float64("headroom", headroom).Int64("report_age_ms", int64(o.now-r.usageAt)).Send()
+		Int("before", r.pace).Int64("over_target_ms", int64(over)).Int64("report_age_ms", int64(o.now-r.usageAt)).Send()
 	r.pace = percent
 	o.options.Effects.Pace(fleet.Pace{
 		To: r.worker.address(), Task: r.task.name(), Run: r.number, Percent: percent, Token: o.options.Epoch,
--- /dev/null
+++ b/internal/schedule/owner/colocate_test.go
@@ -0,0 +1,172 @@
+package owner
+
+import (
+	"testing"
+
+	"github.com/VictoriaMetrics/metrics"
+	"github.com/google/go-cmp/cmp"
+	"github.com/rs/zerolog"
+
+	"github.com/oriolepier/oriolepier/internal/base/clock"
+	"github.com/oriolepier/oriolepier/internal/schedule/fleet"
+	"github.com/oriolepier/oriolepier/internal/schedule/harm"
+	"github.com/oriolepier/oriolepier/internal/schedule/job"
+	"github.com/oriolepier/oriolepier/internal/schedule/journal"
+	"github.com/oriolepier/oriolepier/internal/schedule/manifest"
+)
+
+// bench drives an owner by hand: appends are acknowledged and starts accepted
+// at once, and reports are what the test says.
+type bench struct {
+	own    *Owner
+	now    clock.Millis
+	paces  []fleet.Pace
+	stops  []fleet.Stop
+	runs   map[string]map[job.Task]int // by worker
+	settle func()                      // lets appends and orders be answered
+}
+
+func newBench(entries ...fleet.Entry) *bench {
+	b := &bench{now: clock.Hour, runs: map[string]map[job.Task]int{}}
+	var due []func()
+	b.own = New(Options{
+		Epoch: 1, Now: func() clock.Millis { return b.now }, Wall: func() int64 { return int64(b.now) },
+		Times: DefaultTimes(6000, 1000), Log: zerolog.Nop(), Counts: NewCounts(metrics.NewSet()),
+		Effects: Effects{
+			Append: func([]journal.Record) { due = append(due, func() { b.own.Appended(journal.Done) }) },
+			Start: func(order fleet.Start) {
+				b.runs[order.To.ID][order.Task] = order.Run
+				due = append(due, func() { b.own.Started(order, fleet.Answer{ClockMS: int64(b.now)}) })
+			},
+			Stop: func(order fleet.Stop) {
+				b.stops = append(b.stops, order)
+				delete(b.runs[order.To.ID], order.Task)
+				due = append(due, func() { b.own.Stopped(order, fleet.Answer{ClockMS: int64(b.now)}) })
+			},
+			Pace:   func(order fleet.Pace) { b.paces = append(b.paces, order) },
+			Hold:   func(fleet.Hold) {},
+			Resign: func(string) {},
+		},
+	})
+	queues := []manifest.Queue{{Name: "q", Pools: []string{"pool"}, Attempts: 4}}
+	b.own.SetManifest(manifest.New(1, queues, []manifest.Pool{{Name: "pool"}}, manifest.Limits{}))
+	for _, entry := range entries {
+		b.runs[entry.ID] = map[job.Task]int{}
+	}
+	b.own.SetWorkers(entries)
+	flush := b.own.Flush
+	b.settle = func() {
+		for range 20 {
+			flush()
+			acts := due
+			due = nil
+			for _, act := range acts {
+				act()
+			}
+			b.now += b.own.options.Times.AppendGap
+		}
+	}
+	return b
+}
+
+// report hands in a worker's report with the usage that the test gives its runs.
+func (b *bench) report(id string, usage func(task job.Task) int64) {
+	report := fleet.Report{ClockMS: int64(b.now), Born: 1}
+	for task, run := range b.runs[id] {
+		report.Running = append(report.Running, fleet.Run{Task: task, Run: run, Usage: usage(task)})
+	}
+	b.own.workers[id].holdSent = b.now - 1
+	b.own.Report(id, report)
+}
+
+const (
+	servingJob = "0000000000000001"
+	fillJob    = "0000000000000002"
+	targetMS   = 100
+)
+
+func servingSpec(count int) job.Spec {
+	return stepJob(servingJob, job.Step{Count: count, MilliCPU: 2000, Lasting: true, Image: "s", TargetMS: targetMS})
+}
+
+func fillSpec(count int) job.Spec {
+	return stepJob(fillJob, job.Step{Count: count, MilliCPU: 2000, Fills: true, Image: "f", EstimateMS: 60000})
+}
+
+func entryOf(id string) fleet.Entry {
+	return fleet.Entry{ID: id, Born: 1, Service: "pool", Address: id + ":1", Domain: "d", Room: fleet.Room{MilliCPU: 20000, MemoryMB: 1000}}
+}
+
+// A single lasting task that stays over its target, though others of its job do
+// not, makes what fills its worker stand still well before it counts as harm.
+func TestOneTaskOverItsTarget(t *testing.T) {
+	b := newBench(entryOf("w"))
+	none := func(job.Task) int64 { return 0 }
+	b.report("w", none)
+	b.own.Submit(servingSpec(2), func(Verdict) {})
+	b.settle()
+	b.own.Submit(fillSpec(1), func(Verdict) {})
+	b.settle()
+	if diff := cmp.Diff(3, len(b.runs["w"])); diff != "" {
+		t.Fatalf("runs on the worker (-want +got):\n%s", diff)
+	}
+	began := b.now
+	const harmCounts = 4 * clock.Second
+	for len(b.paces) == 0 && len(b.stops) == 0 && b.now-began < harmCounts {
+		b.report("w", func(task job.Task) int64 {
+			switch {
+			case task.Job == fillJob:
+				return 2000
+			case task.Index == 0:
+				return targetMS * 6 / 5
+			}
+			return targetMS * 3 / 10
+		})
+		b.now += 300
+	}
+	const most = harmCounts * 3 / 4 // the order needs its time, too
+	if took := b.now - began; took > most {
+		t.Errorf("nothing was done for %d ms, want at most %d", took, most)
+	}
+}
+
+// A pair that is known to be ruinous is kept apart; a harmless one shares.
+func TestRuinousPairIsKeptApart(t *testing.T) {
+	for _, test := range []struct {
+		name   string
+		weight float64
+		want   string // worker of the task that fills
+	}{{"ruinous", 15, "empty"}, {"harmless", 0, "serving"}} {
+		b := newBench(entryOf("serving"), entryOf("empty"))
+		quiet := func(task job.Task) int64 { return targetMS / 2 }
+		b.report("serving", quiet)
+		b.own.Submit(servingSpec(2), func(Verdict) {})
+		b.settle()
+		b.report("empty", quiet)
+		for range 200 {
+			b.own.harm.Observe(harm.Sample{
+				Serving: "s", Group: "g", Headroom: 2.2 - test.weight*0.1, Loads: []harm.Load{{Image: "f", Share: 0.1}},
+			})
+		}
+		if test.weight == 0 {
+			delete(b.runs, "empty")
+			b.own.workers["empty"].restUntil = clock.Hour * 2
+		}
+		b.now += 2000
+		b.report("serving", quiet)
+		if test.weight != 0 {
+			b.report("empty", quiet)
+		}
+		b.own.Submit(fillSpec(1), func(Verdict) {})
+		b.settle()
+		got := "none"
+		for id, runs := range b.runs {
+			if runs[job.Task{Job: fillJob}] > 0 {
+				got = id
+			}
+		}
+		if diff := cmp.Diff(test.want, got); diff != "" {
+			t.Errorf("%s (-want +got):\n%s", test.name, diff)
+		}
+	}
+}
--- a/internal/schedule/owner/dump.go
+++ b/internal/schedule/owner/dump.go
@@ -64,11 +64,10 @@
 func (o *Owner) dumpWorker(w *worker) WorkerDump {
 	dump := WorkerDump{
 		ID: w.id, Domain: w.entry.Domain, Listed: w.listed, Draining: w.entry.Draining, Usable: o.mayUse(w),
-		ContactAge: -1, Misses: w.misses, Runs: len(w.runs), FreeCPU: w.free().MilliCPU, FreeMB: w.free().MemoryMB,
+		ContactAge: o.contactAge(w), Misses: w.misses, Runs: len(w.runs), FreeCPU: w.free().MilliCPU, FreeMB: w.free().MemoryMB,
 		Pace: w.pace, Faults: w.faults,
 	}
 	if w.contactAt != 0 {
-		dump.ContactAge = o.now - w.contactAt
 		dump.LeaseLeft = w.untilMS - w.clockNow(o.now)
 	}
 	return dump
--- a/internal/schedule/owner/faults_test.go
+++ b/internal/schedule/owner/faults_test.go
@@ -57,6 +57,14 @@
 			w.workers[id].reach = true
 		}
 	}},
+	{name: "worker_cut_until_unlisted", begin: func(w *world, _ *seat) {
+		for _, m := range w.someWorkers() {
+			m.reach = false
+			w.at(3*clock.Second, func() { m.unlisted = !m.reach })
+			w.at(6500, func() { m.reach = true })
+			w.at(7500, func() { m.unlisted = false })
+		}
+	}},
 	{name: "worker_reborn_behind_cut", begin: func(w *world, _ *seat) {
 		for _, m := range w.someWorkers() {
 			m.reach = false
--- a/internal/schedule/owner/lease.go
+++ b/internal/schedule/owner/lease.go
@@ -77,9 +77,10 @@
 	w.lapsed = true
 	o.options.Counts.Lapses.Inc()
 	o.options.Log.Warn().Str("event", "lease_lapsed").Str("worker", w.id).Int("runs", len(w.runs)).
-		Int64("contact_age_ms", int64(o.now-w.contactAt)).Int64("until_ms", w.untilMS).
+		Int64("contact_age_ms", int64(o.contactAge(w))).Int64("until_ms", w.untilMS).
 		Int64("clock_ms", w.clockNow(o.now)).Int("misses", w.misses).Send()
 	for _, r := range w.sorted() {
 		o.over(r, endLapsed, "")
 	}
+	o.noteHeard(w) // nothing runs there any more, so the next owner need not know
 }
--- a/internal/schedule/owner/order.go
+++ b/internal/schedule/owner/order.go
@@ -137,7 +137,7 @@
 	w := r.worker
 	o.options.Log.Info().Str("event", "start_refused").Str("job", string(r.task.job.spec.ID)).Int("step", r.task.step).
 		Int("index", r.task.index).Int("run", r.number).Str("worker", w.id).Str("outcome", outcome.String()).
-		Bool("unanswered", r.unanswered).Int64("contact_age_ms", int64(o.now-w.contactAt)).Send()
+		Bool("unanswered", r.unanswered).Int64("contact_age_ms", int64(o.contactAge(w))).Send()
 	w.restUntil = o.now + refusalRest
 	r.task.notBefore = o.now + taskRest
 	if outcome == fleet.Unanswered || outcome == fleet.NotSent {
@@ -229,6 +229,6 @@
 	o.batch.then = append(o.batch.then, func() { o.order(r) })
 	o.options.Log.Info().Str("event", "run_placed").Str("job", string(j.spec.ID)).Int("step", task.step).
 		Int("index", task.index).Int("run", r.number).Str("worker", w.id).Str("failure_domain", w.entry.Domain).
-		Int64("waited_ms", int64(o.now-j.takenAt)).Int64("contact_age_ms", int64(o.now-w.contactAt)).
+		Int64("waited_ms", int64(o.now-j.takenAt)).Int64("contact_age_ms", int64(o.contactAge(w))).
 		Int64("manifest", o.tables.Version).Send()
 }
--- a/internal/schedule/owner/owner.go
+++ b/internal/schedule/owner/owner.go
@@ -85,10 +85,12 @@
 	cancels map[int]func(Verdict) // replies to cancellations that are yet to be recorded
 	asked   int                   // cancellations so far
 
-	formerKnown bool      // the former owner's list of silent workers is at hand
-	formerGone  bool      // the former owner renews no leases
-	silenceDue  bool      // the list of silent workers is to be recorded
-	heard       []*worker // workers to be trusted again after that
+	formerKnown bool           // the former owner's list of silent workers is at hand
+	formerGone  bool           // the former owner renews no leases
+	silenceAt   clock.Millis   // when the list of silent workers was last recorded
+	silentRuns  []silentWorker // that list
+	silenceDue  bool           // the list of silent workers is to be recorded
+	heard       []*worker      // workers to be trusted again after that
 
 	timers   timers
 	harm     *harm.Estimator
--- a/internal/schedule/owner/report.go
+++ b/internal/schedule/owner/report.go
@@ -30,7 +30,7 @@
 func (o *Owner) missed(w *worker, outcome fleet.Outcome) {
 	if w.misses == 0 {
 		o.options.Log.Warn().Str("event", "worker_silent").Str("worker", w.id).Str("outcome", outcome.String()).
-			Int64("contact_age_ms", int64(o.now-w.contactAt)).Int("runs", len(w.runs)).Send()
+			Int64("contact_age_ms", int64(o.contactAge(w))).Int("runs", len(w.runs)).Send()
 	}
 	w.misses++
 	if w.misses >= missesToDoubt && w.contactAt != 0 {
@@ -205,7 +205,7 @@
 	o.options.Counts.Ended(how.String())
 	o.options.Log.Info().Str("event", "run_over").Str("job", string(j.spec.ID)).Int("step", task.step).
 		Int("index", task.index).Int("run", r.number).Str("worker", r.worker.id).Str("how", how.String()).
-		Str("why", r.why).Int64("ran_ms", int64(o.now-r.startedAt)).Int64("contact_age_ms", int64(o.now-r.worker.contactAt)).Send()
+		Str("why", r.why).Int64("ran_ms", int64(o.now-r.startedAt)).Int64("contact_age_ms", int64(o.contactAge(r.worker))).Send()
 	o.learnEnd(r, how)
 	o.detach(r)
 	o.touch(j)
--- a/internal/schedule/owner/silence.go
+++ b/internal/schedule/owner/silence.go
@@ -26,6 +26,10 @@
 	Remaining clock.Millis
 }
 
+// silencePeriod is the time between records of the list while a worker is
+// silent; what is left of its lease gets shorter meanwhile.
+const silencePeriod clock.Millis = 500
+
 // formerSpan is how long a run may go on under leases of a former owner that
 // may still be renewing them.
 func (o *Owner) formerSpan() clock.Millis {
@@ -79,7 +83,8 @@
 	o.silenceDue = true
 }
 
-// noteHeard renews a worker's lease again, once that is recorded.
+// noteHeard takes a worker off the list of silent ones. Its lease may be renewed
+// again once that is recorded.
 func (o *Owner) noteHeard(w *worker) {
 	if !w.silent {
 		return
@@ -92,10 +97,12 @@
 
 // keepSilence adds the list of silent workers to the next append, if it changed.
 func (o *Owner) keepSilence() {
-	if !o.silenceDue {
+	again := len(o.silentRuns) > 0 && o.now-o.silenceAt >= silencePeriod
+	if !o.silenceDue && !again {
 		return
 	}
 	o.silenceDue = false
+	o.silenceAt = o.now
 	data, err := codec.Marshal(o.silence())
 	if err != nil {
 		o.options.Log.Error().Err(err).Msg("silent workers cannot be encoded")
@@ -115,6 +122,7 @@
 // can last there.
 func (o *Owner) silence() silence {
 	list := silence{Epoch: o.options.Epoch}
+	defer func() { o.silentRuns = list.Workers }()
 	for _, w := range o.ordered {
 		switch {
 		case w.contactAt == 0 && len(w.runs) > 0:
--- a/internal/schedule/owner/times.go
+++ b/internal/schedule/owner/times.go
@@ -28,7 +28,7 @@
 // the given length and which wants final states remembered for so long.
 func DefaultTimes(longestLease, statusKept clock.Millis) Times {
 	return Times{
-		Lease:      min(4*clock.Second, longestLease),
+		Lease:      min(5*clock.Second, longestLease),
 		HoldTime:   6 * clock.Second,
 		Slack:      300,
 		Wait:       800,
--- a/internal/schedule/owner/workers.go
+++ b/internal/schedule/owner/workers.go
@@ -36,7 +36,6 @@
 	restUntil clock.Millis // no new runs before
 	faults    int          // runs that went wrong in a row
 	doubts    []doubt      // starts without an answer that may still be carried out
-	harmed    clock.Millis // since when a lasting task is over its target; 0: not
 	pace      int          // of all that fills it, in percent
 	pacedAt   clock.Millis
 	watched   bool     // a headroom is low, so reports are wanted soon
@@ -78,6 +77,15 @@
 	return w.clockMS + passed - passed*driftPercent/100
 }
 
+// contactAge is how long ago a worker answered this owner, or -1 when it never
+// did.
+func (o *Owner) contactAge(w *worker) clock.Millis {
+	if w.contactAt == 0 {
+		return -1
+	}
+	return o.now - w.contactAt
+}
+
 // SetWorkers replaces the list of workers.
 func (o *Owner) SetWorkers(entries []fleet.Entry) {
 	if !o.enter() {
@@ -90,7 +98,7 @@
 		o.setWorker(entry)
 	}
 	for id, w := range o.workers {
-		if !w.listed && len(w.runs) == 0 && !w.holding {
+		if !w.listed && len(w.runs) == 0 && !w.holding && !w.silent && w.trusted {
 			o.options.Log.Info().Str("event", "worker_gone").Str("worker", id).Send()
 			delete(o.workers, id)
 		}
--- a/internal/schedule/owner/world_test.go
+++ b/internal/schedule/owner/world_test.go
@@ -58,8 +58,9 @@
 // machine is a worker and what stands between it and the owner.
 type machine struct {
 	*standin.Worker
-	reach bool // the owner's calls arrive
-	dead  bool
+	reach    bool // the owner's calls arrive
+	dead     bool
+	unlisted bool // its entry has expired
 }
 
 // seat is one owner with its own view of time, so that it can be frozen.
@@ -158,7 +159,8 @@
 	if len(w.seats) > 1 && w.seats[len(w.seats)-2].dead {
 		s.own.FormerGone()
 	}
-	w.tick(s)
+	const loading = 40 // ms between a claim and the first decision
+	w.at(loading, func() { w.tick(s) })
 	return s
 }
 
@@ -190,7 +192,7 @@
 func (w *world) list() []fleet.Entry {
 	var entries []fleet.Entry
 	for _, id := range w.ids() {
-		if m := w.workers[id]; !m.dead {
+		if m := w.workers[id]; !m.dead && !m.unlisted {
 			entries = append(entries, m.Entry)
 		}
 	}
@@ -320,7 +322,7 @@
 	m := w.workers[order.To.ID]
 	silent := func() { s.own.Report(order.To.ID, fleet.Report{Outcome: fleet.Unanswered}) }
 	if m == nil || m.dead || !m.reach {
-		w.at(clock.Millis(order.WaitMS)+600, func() { w.input(s, silent) })
+		w.at(clock.Millis(order.WaitMS)+400, func() { w.input(s, silent) })
 		return
 	}
 	if m.Entry.ID != order.To.ID {
@@ -329,7 +331,7 @@
 	}
 	w.at(w.orderLatency, func() {
 		if m.dead || !m.reach {
-			w.at(clock.Millis(order.WaitMS)+600, func() { w.input(s, silent) })
+			w.at(clock.Millis(order.WaitMS)+400, func() { w.input(s, silent) })
 			return
 		}
 		m.Pass(w.now)
@@ -344,7 +346,7 @@
 			w.at(w.orderLatency, func() {
 				if !m.reach {
 					silent := silent
-					w.at(600, func() { w.input(s, silent) })
+					w.at(400, func() { w.input(s, silent) })
 					return
 				}
 				w.input(s, func() { s.own.Report(order.To.ID, report) })
