Acknowledge no ends to a worker that may have restarted

Cause: a hold that reaches a worker's next incarnation before its entry tells of it carried the number of ends of the one before; ends of the new one up to that number were forgotten unseen, and their tasks ran again. Found by reading; the stand-in now keeps the number as the platform's worker may, entries lag by a heartbeat, and the play of worker_crash fails without the change.

--- a/internal/schedule/owner/faults_test.go
+++ b/internal/schedule/owner/faults_test.go
@@ -46,8 +46,7 @@
 	}, end: func(w *world) {
 		for _, id := range w.ids() {
 			if m := w.workers[id]; m.dead {
-				m.dead = false
-				m.Boot(w.now)
+				m.restart(w.now)
 			}
 		}
 	}},
@@ -71,7 +70,7 @@
 	{name: "worker_reborn_behind_cut", what: "a third of the workers cannot be reached and start again meanwhile", begin: func(w *world, _ *seat) {
 		for _, m := range w.someWorkers() {
 			m.reach = false
-			w.at(800, func() { m.Boot(w.now) })
+			w.at(800, func() { m.restart(w.now) })
 		}
 	}, end: func(w *world) {
 		for _, id := range w.ids() {
--- a/internal/schedule/owner/lease.go
+++ b/internal/schedule/owner/lease.go
@@ -28,7 +28,10 @@
 // hold asks a worker for its report and, while the ownership is confirmed and
 // the worker answers, renews its lease.
 func (o *Owner) hold(w *worker) {
-	order := fleet.Hold{To: w.address(), Acked: w.acked, Token: o.options.Epoch}
+	order := fleet.Hold{To: w.address(), Token: o.options.Epoch}
+	if w.misses == 0 {
+		order.Acked = w.acked // else it may reach another incarnation, whose ends have the same numbers
+	}
 	if w.contactAt != 0 && w.misses == 0 {
 		order.WaitMS = int64(o.options.Times.Wait)
 		switch {
--- a/internal/schedule/owner/world_test.go
+++ b/internal/schedule/owner/world_test.go
@@ -61,6 +61,15 @@
 	reach    bool // the owner's calls arrive
 	dead     bool
 	unlisted bool // its entry has expired
+	listed   fleet.Entry
+	listedAt clock.Millis // when it last wrote its entry
+}
+
+// restart begins a new incarnation, whose entry is seen a heartbeat later.
+func (m *machine) restart(now clock.Millis) {
+	m.dead = false
+	m.Boot(now)
+	m.listedAt = now
 }
 
 // seat is one owner with its own view of time, so that it can be frozen.
@@ -189,11 +198,17 @@
 	w.at(25, func() { w.tick(s) })
 }
 
+// heartbeat is the time between entries that a worker writes.
+const heartbeat clock.Millis = 1100
+
 func (w *world) list() []fleet.Entry {
 	var entries []fleet.Entry
 	for _, id := range w.ids() {
 		if m := w.workers[id]; !m.dead && !m.unlisted {
-			entries = append(entries, m.Entry)
+			if m.listedAt == 0 || w.now-m.listedAt >= heartbeat {
+				m.listed, m.listedAt = m.Entry, w.now
+			}
+			entries = append(entries, m.listed)
 		}
 	}
 	return entries
--- a/internal/standin/worker/worker.go
+++ b/internal/standin/worker/worker.go
@@ -59,6 +59,7 @@
 	ended  []fleet.End
 	count  int64 // ends so far
 	stale  int64 // ends up to this number were followed by a lapse
+	acked  int64 // ends up to this number are forgotten, also those to come
 }
 
 // run is one run of a task.
@@ -85,7 +86,7 @@
 func (w *Worker) Boot(now clock.Millis) {
 	w.Entry.Born = epoch + int64(now)
 	w.origin = now
-	w.token, w.until, w.count, w.stale = 0, 0, 0, 0
+	w.token, w.until, w.count, w.stale, w.acked = 0, 0, 0, 0, 0
 	w.runs = map[job.Task]*run{}
 	w.closed = map[job.Task]int{}
 	w.ended = nil
@@ -260,10 +261,11 @@
 }
 
 func (w *Worker) forget(acked int64) {
+	w.acked = max(w.acked, acked)
 	for _, end := range w.ended {
-		if end.Number <= acked && end.Number > w.stale && end.Cause == fleet.EndDone {
+		if end.Number <= w.acked && end.Number > w.stale && end.Cause == fleet.EndDone {
 			w.OnNoted(end.Task)
 		}
 	}
-	w.ended = slices.DeleteFunc(w.ended, func(end fleet.End) bool { return end.Number <= acked })
+	w.ended = slices.DeleteFunc(w.ended, func(end fleet.End) bool { return end.Number <= w.acked })
 }
