--- a/internal/schedule/harm/harm.go
+++ b/internal/schedule/harm/harm.go
@@ -42,6 +42,7 @@
 	quietRate     = 0.3               // share of an error that a level takes from a task alone
 	loadedRate    = 0.1               // ... and from one beside pairs that are known to be harmless
 	harmless      = 2.0               // weights below it are no reason to keep images apart
+	ruinous       = 3.5               // weights from it on make a worker no place for an image
 	tinyShare     = 0.005             // loads below it teach nothing
 	initial       = priorSpread * priorSpread / (noise * noise)
 )
@@ -89,6 +90,18 @@
 	return Estimate{Weight: priorWeight, Spread: priorSpread}
 }
 
+// Ruins returns the share of the images of lasting tasks that a fill image is
+// thought to ruin, 0 to 1.
+func (e *Estimator) Ruins(fill string) float64 {
+	ruined := 0
+	for _, m := range e.models {
+		if m.estimate(fill).Weight >= ruinous {
+			ruined++
+		}
+	}
+	return float64(ruined) / float64(max(len(e.models), 1))
+}
+
 // Level returns the headroom that tasks of a group have alone.
 func (e *Estimator) Level(group string) float64 {
 	if level, known := e.levels[group]; known {
--- a/internal/schedule/owner/colocate.go
+++ b/internal/schedule/owner/colocate.go
@@ -31,7 +31,8 @@
 const (
 	weightSpeed = 3.0 // of the speed that the task would have
 	weightLoss  = 2.0 // of the headroom that it would cost
-	weightAlone = 0.2 // for a worker without lasting tasks
+	weightAlone = 2.0 // for a worker without lasting tasks, of the share of images that the task's ruins ...
+	usualRuins  = 0.3 // ... beyond this one: such workers are kept for tasks that have few others
 )
 
 // Times of moving and slowing tasks that fill.
@@ -167,7 +168,7 @@
 	}
 	score = weightSpeed*speed - weightLoss*most
 	if len(plan.serving) == 0 {
-		score += weightAlone
+		score += weightAlone * (o.harm.Ruins(step.spec.Image) - usualRuins)
 	}
 	return score, true
 }
--- a/internal/schedule/owner/colocate_test.go
+++ b/internal/schedule/owner/colocate_test.go
@@ -170,3 +170,38 @@
 		}
 	}
 }
+
+// Workers without lasting tasks are kept for images that ruin most lasting
+// ones; an image that ruins none shares.
+func TestFreeWorkersAreKeptForImagesWithFewPlaces(t *testing.T) {
+	for _, test := range []struct {
+		name   string
+		weight float64
+		want   string
+	}{{"ruins all", 15, "empty"}, {"ruins none", 0, "serving"}} {
+		b := newBench(entryOf("serving"), entryOf("empty"))
+		quiet := func(task job.Task) int64 { return targetMS / 2 }
+		b.report("serving", quiet)
+		b.own.Submit(servingSpec(2), func(Verdict) {})
+		b.settle()
+		for range 200 {
+			b.own.harm.Observe(harm.Sample{
+				Serving: "s", Group: "g", Headroom: 2.2 - test.weight*0.1, Loads: []harm.Load{{Image: "f", Share: 0.1}},
+			})
+		}
+		b.now += 2000
+		b.report("serving", quiet)
+		b.report("empty", quiet)
+		b.own.Submit(fillSpec(1), func(Verdict) {})
+		b.settle()
+		got := "none"
+		for id, runs := range b.runs {
+			if runs[job.Task{Job: fillJob}] > 0 {
+				got = id
+			}
+		}
+		if diff := cmp.Diff(test.want, got); diff != "" {
+			t.Errorf("%s (-want +got):\n%s", test.name, diff)
+		}
+	}
+}
