--- a/internal/operator/entry/entry.go
+++ b/internal/operator/entry/entry.go
@@ -53,6 +53,7 @@
 		Out:  out,
 		Product: &daemon.Product{
 			Entries: len(settings.Peers), Peers: settings.Listen.Peers, Token: settings.Token, Keys: keys,
+			Level: settings.LogLevel,
 		},
 		Notice: time.Duration(settings.NoticeMS) * time.Millisecond,
 	})
--- a/internal/schedule/job/record.go
+++ b/internal/schedule/job/record.go
@@ -18,8 +18,8 @@
 // Progress is the durable part of a job that changes: one record, replaced at
 // each change.
 type Progress struct {
-	_        struct{}       `cbor:",toarray"`
-	State    State          //
+	_        struct{} `cbor:",toarray"`
+	State    State
 	Tasks    []TaskProgress // of all steps, in order; empty when nothing is left to run
 	EndedMS  int64          // Unix time of the final state; 0 before
 	Canceled bool           // the caller's cancellation was taken; runs may still be stopping
--- a/internal/schedule/owner/commit.go
+++ b/internal/schedule/owner/commit.go
@@ -116,7 +116,7 @@
 		records = append(records, o.recordsOf(j)...)
 	}
 	if len(records) == 0 {
-		records = append(records, journal.Record{Key: keyBeat, Value: []byte(o.options.Times.Heartbeat.Duration().String())})
+		records = append(records, journal.Record{Key: keyBeat, Value: []byte{1}})
 	}
 	return records
 }
--- a/internal/site/daemon/daemon.go
+++ b/internal/site/daemon/daemon.go
@@ -76,6 +76,7 @@
 	Peers   string       // address to answer other entries at
 	Token   string       // that operators and other entries must show; empty: none
 	Keys    *secret.Keys // nil: plain TCP
+	Level   string       // of log lines, such as "info"
 }
 
 // Daemon is one entry.
@@ -153,6 +154,9 @@
 func (d *Daemon) leave() {
 	d.logger.Info().Str("event", "entry_leaving").Bool("owner", d.elector.Owning()).Send()
 	d.leaving.Store(true)
+	if d.gate != nil {
+		d.gate.Drain(true)
+	}
 	d.elector.Retire()
 	notice := d.options.Notice
 	if notice == 0 {
--- a/internal/site/daemon/wire.go
+++ b/internal/site/daemon/wire.go
@@ -8,6 +8,7 @@
 
 	"github.com/VictoriaMetrics/metrics"
 	"github.com/cespare/xxhash/v2"
+	"github.com/pkg/errors"
 	"github.com/rs/zerolog"
 	"github.com/samber/do/v2"
 
@@ -50,7 +51,15 @@
 	setTimeFormat()
 	settings := do.MustInvoke[platform.Settings](injector)
 	sink := do.MustInvoke[*logline.Sink](injector)
-	return zerolog.New(sink).With().Timestamp().Str("entry", settings.Name).Logger(), nil
+	level := zerolog.InfoLevel
+	if product := do.MustInvoke[Options](injector).Product; product != nil && product.Level != "" {
+		parsed, err := zerolog.ParseLevel(product.Level)
+		if err != nil {
+			return zerolog.Logger{}, errors.Wrap(err, "log level")
+		}
+		level = parsed
+	}
+	return zerolog.New(sink).Level(level).With().Timestamp().Str("entry", settings.Name).Logger(), nil
 }
 
 func newTables(injector do.Injector) (*tables.Follower, error) {
--- a/internal/site/runtime/writer.go
+++ b/internal/site/runtime/writer.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"strconv"
 	"sync/atomic"
 	"time"
 
@@ -22,6 +23,9 @@
 	lengthRate               = 8    // an append's length moves the usual length by one part in so many
 )
 
+// keyEpoch is the key of the record by which an owner shuts former ones out.
+const keyEpoch = "epoch"
+
 // maxAppendBytes bounds the records of one call, well under the store's limit.
 const maxAppendBytes = 1 << 20
 
@@ -58,7 +62,7 @@
 
 // fence makes the store refuse every owner before this one.
 func (w *writer) fence(ctx context.Context) error {
-	outcome := w.append(ctx, []journal.Record{{Key: "epoch", Value: []byte("x")}})
+	outcome := w.append(ctx, []journal.Record{{Key: keyEpoch, Value: strconv.AppendInt(nil, w.options.Epoch, 10)}})
 	if outcome != journal.Done {
 		return errors.WithMessage(ErrOwnershipLost, "fence: "+outcome.String())
 	}
