--- a/internal/site/daemon/wire.go
+++ b/internal/site/daemon/wire.go
@@ -72,7 +72,7 @@
 		Clock:  do.MustInvoke[clock.Clock](injector),
 		Log:    do.MustInvoke[platform.Store](injector).Log(),
 		Logger: do.MustInvoke[zerolog.Logger](injector),
-		Decode: decode,
+		Decode: decode, Contact: do.MustInvoke[platform.Settings](injector).Bounds.Contact,
 	}), nil
 }
 
--- a/internal/site/tables/tables.go
+++ b/internal/site/tables/tables.go
@@ -24,8 +24,8 @@
 
 // Times of following.
 const (
-	pollWait    clock.Millis = 2500 // of one long poll; a connection gone silent is noticed after it
-	pollMargin  clock.Millis = 700
+	longestWait clock.Millis = 2500 // of one long poll; one that the store swallowed is noticed after it
+	pollMargin  clock.Millis = 500  // for the answer's way
 	retryPeriod clock.Millis = 120
 	readLimit   clock.Millis = 2000
 )
@@ -44,6 +44,9 @@
 	Clock  clock.Clock
 	Log    journal.Log
 	Logger zerolog.Logger
+	// Contact is how long after a disturbance an entry is held to a new manifest
+	// again; 0: as if it were very long.
+	Contact clock.Millis
 	// Decode reads a record. An error means that another writer left it.
 	Decode func(record journal.Record) (Change, error)
 }
@@ -104,9 +107,20 @@
 		defer cancel()
 		return f.options.Log.Newest(ctx, f.options.Topic)
 	}
-	ctx, cancel := context.WithTimeout(ctx, (pollWait + pollMargin).Duration())
+	wait := f.wait()
+	ctx, cancel := context.WithTimeout(ctx, (wait + pollMargin).Duration())
 	defer cancel()
-	return f.options.Log.Read(ctx, journal.Read{Topic: f.options.Topic, From: from, WaitMS: int64(pollWait)})
+	return f.options.Log.Read(ctx, journal.Read{Topic: f.options.Topic, From: from, WaitMS: int64(wait)})
+}
+
+// wait is the length of a long poll. One that the store swallowed must be given
+// up, and the next one answered, well before the entry is held to a new manifest
+// again.
+func (f *Follower) wait() clock.Millis {
+	if f.options.Contact == 0 {
+		return longestWait
+	}
+	return min(f.options.Contact/2, longestWait)
 }
 
 // apply takes records in order. With whole, they are all that there is, so a
--- a/internal/site/tables/tables_test.go
+++ b/internal/site/tables/tables_test.go
@@ -4,6 +4,7 @@
 	"context"
 	"strconv"
 	"strings"
+	"sync/atomic"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -88,3 +89,39 @@
 		_ = group.Wait() // the context's own end
 	})
 }
+
+// A poll that the store swallowed while it was silent must not outlast the time
+// after which an entry is held to a new manifest again.
+func TestPollThatTheStoreSwallowed(t *testing.T) {
+	const contact = 3 * clock.Second
+	for phase := range 16 { // of the poll under way when the store returns
+		synctest.Test(t, func(t *testing.T) {
+			standin := store.New()
+			log := standin.Log()
+			read, silent := log.Read, new(atomic.Bool)
+			log.Read = func(ctx context.Context, call journal.Read) journal.Page {
+				if silent.Load() {
+					<-ctx.Done()
+					return journal.Page{Outcome: journal.Unknown}
+				}
+				return read(ctx, call)
+			}
+			follower := New(Options{Topic: topic, Clock: clock.New(), Log: log, Logger: zerolog.Nop(), Decode: decode, Contact: contact})
+			ctx, cancel := context.WithCancel(t.Context())
+			group := new(errgroup.Group)
+			group.Go(func() error { return follower.Serve(ctx) })
+			put(standin, "config", "7")
+			time.Sleep(time.Second)
+			silent.Store(true)
+			time.Sleep(5*time.Second + time.Duration(phase)*200*time.Millisecond)
+			silent.Store(false)
+			put(standin, "config", "8")
+			time.Sleep(contact.Duration())
+			if diff := cmp.Diff(int64(8), follower.Current().Manifest.Version); diff != "" {
+				t.Errorf("phase %d (-want +got):\n%s", phase, diff)
+			}
+			cancel()
+			_ = group.Wait() // the context's own end
+		})
+	}
+}
