Hand the operators' tables from entry to entry; read on from the last record of a page

Signs of life now tell how far the owner has read, and an entry that is behind twice takes the owner's copy. Beside it, a page that is cut off at its size was taken for the whole rest.

--- a/internal/schedule/journal/journal.go
+++ b/internal/schedule/journal/journal.go
@@ -76,6 +76,15 @@
 	First   int64 // the oldest offset kept
 }
 
+// Next is the offset to read from after a page of a read, which may be cut off
+// before the topic's end.
+func (p Page) Next() int64 {
+	if len(p.Records) == 0 {
+		return p.End
+	}
+	return p.Records[len(p.Records)-1].Offset + 1
+}
+
 // Read asks for records from an offset on.
 type Read struct {
 	Topic  string
--- a/internal/site/daemon/daemon.go
+++ b/internal/site/daemon/daemon.go
@@ -100,6 +100,7 @@
 	former   atomic.Pointer[string] // name of the entry that owned before this one
 	seen     callers
 	leaving  atomic.Bool
+	behind   atomic.Bool // the owner's last sign of life told of newer tables
 }
 
 // Run serves until the context ends, and then leaves gracefully.
--- a/internal/site/daemon/serve.go
+++ b/internal/site/daemon/serve.go
@@ -24,6 +24,7 @@
 	"github.com/oriolepier/oriolepier/internal/site/gateway"
 	"github.com/oriolepier/oriolepier/internal/site/peer"
 	"github.com/oriolepier/oriolepier/internal/site/relay"
+	"github.com/oriolepier/oriolepier/internal/site/tables"
 	"github.com/oriolepier/oriolepier/platform"
 )
 
@@ -213,6 +214,10 @@
 			}
 			return peer.WaitingAnswer{Ruling: owner.Elsewhere}
 		},
+		Tables: func(context.Context, struct{}) peer.TablesAnswer {
+			known := d.tables.Copy()
+			return peer.TablesAnswer{End: known.End, Records: known.Records}
+		},
 	})
 	return server.Serve(ctx, listener)
 }
@@ -222,7 +227,7 @@
 
 func (d *Daemon) answerPing(_ context.Context, query peer.PingQuery) peer.PingAnswer {
 	now := d.clock.Now()
-	answer := peer.PingAnswer{Owner: d.elector.Owning(), Epoch: d.elector.Current().Epoch, Peers: d.seen.note(query.Address, now)}
+	answer := peer.PingAnswer{Owner: d.elector.Owning(), Epoch: d.elector.Current().Epoch, Peers: d.seen.note(query.Address, now), TablesEnd: d.tables.End()}
 	if run := d.local.Load(); run != nil {
 		if former := d.former.Load(); former != nil && *former == query.Name {
 			run.FormerGone() // it follows this owner, and so owns nothing
@@ -232,6 +237,27 @@
 	return answer
 }
 
+// catchUpTimeout bounds the wait for the owner's copy of the tables.
+const catchUpTimeout clock.Millis = 300
+
+// catchUp takes the operators' tables from the owner when it has read further
+// for two signs of life in a row: the store may refuse this entry alone.
+func (d *Daemon) catchUp(ctx context.Context, address string, answer peer.PingAnswer) {
+	behind := answer.TablesEnd > d.tables.End()
+	again := d.behind.Swap(behind)
+	if !behind || !again {
+		return
+	}
+	ctx, cancel := context.WithTimeout(ctx, catchUpTimeout.Duration())
+	defer cancel()
+	known, err := d.peers.Tables(ctx, address)
+	if err != nil {
+		d.logger.Warn().Str("event", "tables_not_offered").Str("peer", address).Err(err).Send()
+		return
+	}
+	d.tables.Offer(address, tables.Copy{End: known.End, Records: known.Records})
+}
+
 // callerKept is how long an entry that asked is counted among the others.
 const callerKept clock.Millis = 3 * clock.Second
 
--- a/internal/site/daemon/wire.go
+++ b/internal/site/daemon/wire.go
@@ -129,6 +129,7 @@
 		Cell: cellName, Name: d.settings.Name, Address: d.peerAddress(), Life: life(),
 		Topic: platform.Topic(ownersTopic), Clock: d.clock, Log: d.store.Log(), Logger: d.logger,
 		Ping: d.peers.Ping, Heard: d.peers.Heard, Rank: rank(d.settings.Name), Own: d.own,
+		Answered: d.catchUp,
 	})
 	if d.options.Product != nil {
 		d.box = view.NewBox()
--- a/internal/site/ownership/ownership.go
+++ b/internal/site/ownership/ownership.go
@@ -60,6 +60,8 @@
 	Logger  zerolog.Logger
 	Ping    func(ctx context.Context, address string, query peer.PingQuery) (peer.PingAnswer, error)
 	Heard   func(ctx context.Context, address string, query peer.HeardQuery) (peer.HeardAnswer, error)
+	// Answered is told of each sign of life of the owner.
+	Answered func(ctx context.Context, address string, answer peer.PingAnswer)
 	// Rank spreads the claims of several entries, 0 to 1.
 	Rank float64
 	// Own is called after a claim was won, and returns when the ownership ends.
--- a/internal/site/ownership/ownership_test.go
+++ b/internal/site/ownership/ownership_test.go
@@ -57,6 +57,7 @@
 			r.set(func() { age = r.electors[address].HeardAge(query.Epoch) })
 			return peer.HeardAnswer{Age: age}, nil
 		},
+		Answered: func(context.Context, string, peer.PingAnswer) {},
 		Own: func(ctx context.Context, epoch int64, _ Former) error {
 			r.mu.Lock()
 			r.owners = append(r.owners, fmt.Sprintf("%d %s", epoch, name))
--- a/internal/site/ownership/watch.go
+++ b/internal/site/ownership/watch.go
@@ -149,6 +149,7 @@
 			heard = now
 			e.heardAt.Store(int64(now))
 			e.peers.Store(&answer.Peers)
+			e.options.Answered(ctx, record.Address, answer)
 			if why := e.unfit(answer, now-started); why != notDue {
 				return why
 			}
--- a/internal/site/peer/client.go
+++ b/internal/site/peer/client.go
@@ -71,6 +71,11 @@
 	return call[WaitingAnswer](ctx, c, address, methodWaiting, query)
 }
 
+// Tables asks an entry for what it knows of the operators' topic.
+func (c *Client) Tables(ctx context.Context, address string) (TablesAnswer, error) {
+	return call[TablesAnswer](ctx, c, address, methodTables, struct{}{})
+}
+
 // Close drops all connections.
 func (c *Client) Close() {
 	c.mu.Lock()
--- a/internal/site/peer/peer.go
+++ b/internal/site/peer/peer.go
@@ -22,6 +22,7 @@
 
 	"github.com/oriolepier/oriolepier/internal/base/clock"
 	"github.com/oriolepier/oriolepier/internal/schedule/job"
+	"github.com/oriolepier/oriolepier/internal/schedule/journal"
 	"github.com/oriolepier/oriolepier/internal/schedule/owner"
 )
 
@@ -34,6 +35,7 @@
 	methodCancel  = "cancel"
 	methodLookup  = "lookup"
 	methodWaiting = "waiting"
+	methodTables  = "tables"
 )
 
 // Limits of connections.
@@ -68,6 +70,7 @@
 	StoreAge   clock.Millis `json:"store_age_ms"` // since the store last confirmed something to the owner
 	Peers      []string     `json:"peers"`        // addresses of entries that asked recently
 	ReadyToAct bool         `json:"ready"`        // its state is loaded
+	TablesEnd  int64        `json:"tables_end"`   // how far it has read the operators' topic
 }
 
 // HeardQuery asks an entry when it last heard the owner.
@@ -96,6 +99,12 @@
 	Queue string `json:"queue"`
 }
 
+// TablesAnswer is what an entry knows of the operators' topic.
+type TablesAnswer struct {
+	End     int64            `json:"end"`
+	Records []journal.Record `json:"records"`
+}
+
 // WaitingAnswer counts the jobs of a queue that have not begun.
 type WaitingAnswer struct {
 	Ruling owner.Ruling `json:"ruling"`
--- a/internal/site/peer/server.go
+++ b/internal/site/peer/server.go
@@ -23,6 +23,7 @@
 	Cancel  func(ctx context.Context, query JobQuery) owner.Verdict
 	Lookup  func(ctx context.Context, query JobQuery) owner.Finding
 	Waiting func(ctx context.Context, query QueueQuery) WaitingAnswer
+	Tables  func(ctx context.Context, query struct{}) TablesAnswer
 }
 
 // Server answers other entries.
@@ -124,6 +125,8 @@
 		return serve(ctx, request, s.handlers.Lookup)
 	case methodWaiting:
 		return serve(ctx, request, s.handlers.Waiting)
+	case methodTables:
+		return serve(ctx, request, s.handlers.Tables)
 	}
 	return nil, errors.Errorf("unknown method %q", request.Method)
 }
--- a/internal/site/roster/roster.go
+++ b/internal/site/roster/roster.go
@@ -72,7 +72,11 @@
 				clear(f.entries)
 			}
 			f.apply(page.Records, !known)
-			from, known = page.End, true
+			if known {
+				from = page.Next()
+			} else {
+				from, known = page.End, true
+			}
 		case journal.Forgotten:
 			known, wait = false, 0
 			f.options.Logger.Warn().Str("event", "workers_history_lost").Int64("from", from).Int64("first", page.First).Send()
--- a/internal/site/tables/tables.go
+++ b/internal/site/tables/tables.go
@@ -11,6 +11,9 @@
 
 import (
 	"context"
+	"maps"
+	"slices"
+	"sync"
 	"sync/atomic"
 
 	"github.com/rs/zerolog"
@@ -56,11 +59,15 @@
 	options Options
 	current atomic.Pointer[runtime.Tables]
 	contact atomic.Int64
+
+	mu     sync.Mutex // guards what follows, and changes of current
+	newest map[string]journal.Record
+	end    int64 // offset after the last record that is taken into account
 }
 
 // New returns a follower that knows nothing.
 func New(options Options) *Follower {
-	f := &Follower{options: options}
+	f := &Follower{options: options, newest: map[string]journal.Record{}}
 	f.current.Store(&runtime.Tables{Out: map[string]bool{}})
 	return f
 }
@@ -79,6 +86,43 @@
 	return current, current.Version > version
 }
 
+// Copy is what a follower knows, for an entry that the store refuses.
+type Copy struct {
+	End     int64            `json:"end"` // offset after the last record taken into account
+	Records []journal.Record `json:"records"`
+}
+
+// End returns the offset after the last record that is taken into account.
+func (f *Follower) End() int64 {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.end
+}
+
+// Copy returns what is known.
+func (f *Follower) Copy() Copy {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return Copy{End: f.end, Records: slices.Collect(maps.Values(f.newest))}
+}
+
+// Offer takes what another entry knows, if it has read further.
+func (f *Follower) Offer(from string, offered Copy) {
+	f.mu.Lock()
+	newer := offered.End > f.end
+	f.mu.Unlock()
+	if !newer {
+		return
+	}
+	f.options.Logger.Info().Str("event", "tables_offered").Str("peer", from).Int64("end", offered.End).
+		Int64("contact_age_ms", int64(f.ContactAge())).Send()
+	stored := make([]journal.Stored, 0, len(offered.Records))
+	for _, record := range offered.Records {
+		stored = append(stored, journal.Stored{Record: record})
+	}
+	f.apply(stored, true, offered.End)
+}
+
 // Serve follows until the context ends.
 func (f *Follower) Serve(ctx context.Context) error {
 	from, known := int64(0), false
@@ -87,8 +131,12 @@
 		switch page.Outcome {
 		case journal.Done:
 			f.contact.Store(int64(f.options.Clock.Now()))
-			f.apply(page.Records, !known)
-			from, known = page.End, true
+			next := page.End
+			if known {
+				next = page.Next()
+			}
+			f.apply(page.Records, !known, next)
+			from, known = next, true
 		case journal.Forgotten:
 			known = false
 			f.options.Logger.Warn().Str("event", "tables_history_lost").Int64("from", from).Int64("first", page.First).Send()
@@ -125,7 +173,14 @@
 
 // apply takes records in order. With whole, they are all that there is, so a
 // failure domain without a record is in service.
-func (f *Follower) apply(records []journal.Stored, whole bool) {
+func (f *Follower) apply(records []journal.Stored, whole bool, end int64) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	if end < f.end {
+		return // read before an entry that had read further offered what it knew
+	}
+	f.keep(records, whole)
+	f.end = end
 	next := f.Current()
 	out := map[string]bool{}
 	if !whole {
@@ -162,6 +217,20 @@
 	}
 }
 
+// keep remembers the newest record of each key.
+func (f *Follower) keep(records []journal.Stored, whole bool) {
+	if whole {
+		clear(f.newest)
+	}
+	for _, record := range records {
+		if len(record.Value) == 0 {
+			delete(f.newest, record.Key)
+			continue
+		}
+		f.newest[record.Key] = record.Record
+	}
+}
+
 func (f *Follower) log(before, version, offset int64) {
 	f.options.Logger.Info().Str("event", "manifest_in_force").Int64("version", version).
 		Int64("before", before).Int64("offset", offset).Send()
--- a/internal/site/tables/tables_test.go
+++ b/internal/site/tables/tables_test.go
@@ -125,3 +125,58 @@
 		})
 	}
 }
+
+// An entry that the store refuses takes the tables from another that has read
+// further, and never from one that has not.
+func TestOffer(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		standin := store.New()
+		ctx, cancel := context.WithCancel(t.Context())
+		group := new(errgroup.Group)
+		follow := func(log journal.Log) *Follower {
+			follower := New(Options{Topic: topic, Clock: clock.New(), Log: log, Logger: zerolog.Nop(), Decode: decode})
+			group.Go(func() error { return follower.Serve(ctx) })
+			return follower
+		}
+		refused, log := new(atomic.Bool), standin.Log()
+		read := log.Read
+		log.Read = func(ctx context.Context, call journal.Read) journal.Page {
+			page := read(ctx, call)
+			if refused.Load() {
+				return journal.Page{Outcome: journal.NotDone}
+			}
+			return page
+		}
+		behind, ahead := follow(log), follow(standin.Log())
+		put(standin, "config", "7")
+		put(standin, "out/a", "{}")
+		time.Sleep(time.Second)
+		old := behind.Copy()
+		refused.Store(true)
+		put(standin, "config", "8")
+		put(standin, "out/a", "")
+		put(standin, "out/b", "{}")
+		time.Sleep(time.Second)
+		before := behind.Current().Manifest.Version
+		behind.Offer("ahead", ahead.Copy())
+		behind.Offer("stale", old)
+		got := []seen{
+			{Version: before, Out: map[string]bool{"a": true}},
+			{Version: behind.Current().Manifest.Version, Out: behind.Current().Out},
+		}
+		refused.Store(false)
+		put(standin, "config", "9")
+		time.Sleep(5 * time.Second)
+		got = append(got, seen{Version: behind.Current().Manifest.Version, Out: behind.Current().Out})
+		want := []seen{
+			{Version: 7, Out: map[string]bool{"a": true}},
+			{Version: 8, Out: map[string]bool{"b": true}},
+			{Version: 9, Out: map[string]bool{"b": true}},
+		}
+		if diff := cmp.Diff(want, got); diff != "" {
+			t.Errorf("tables (-want +got):\n%s", diff)
+		}
+		cancel()
+		_ = group.Wait() // the context's own end
+	})
+}
