--- a/internal/schedule/owner/colocate_test.go
+++ b/internal/schedule/owner/colocate_test.go
@@ -79,6 +79,26 @@
 	b.own.Report(id, report)
 }
 
+// learn teaches the owner what the fill image costs the serving image.
+func (b *bench) learn(weight float64) {
+	const reports = 200
+	for range reports {
+		b.own.harm.Observe(harm.Sample{
+			Serving: "s", Group: "g", Headroom: harm.QuietHeadroom - weight*0.1, Loads: []harm.Load{{Image: "f", Share: 0.1}},
+		})
+	}
+}
+
+// workerOfFill names the worker that was told to start the task that fills.
+func (b *bench) workerOfFill() string {
+	for id, runs := range b.runs {
+		if runs[job.Task{Job: fillJob}] > 0 {
+			return id
+		}
+	}
+	return "none"
+}
+
 const (
 	servingJob = "0000000000000001"
 	fillJob    = "0000000000000002"
@@ -143,11 +163,7 @@
 		b.own.Submit(servingSpec(2), func(Verdict) {})
 		b.settle()
 		b.report("empty", quiet)
-		for range 200 {
-			b.own.harm.Observe(harm.Sample{
-				Serving: "s", Group: "g", Headroom: 2.2 - test.weight*0.1, Loads: []harm.Load{{Image: "f", Share: 0.1}},
-			})
-		}
+		b.learn(test.weight)
 		if test.weight == 0 {
 			delete(b.runs, "empty")
 			b.own.workers["empty"].restUntil = clock.Hour * 2
@@ -159,13 +175,7 @@
 		}
 		b.own.Submit(fillSpec(1), func(Verdict) {})
 		b.settle()
-		got := "none"
-		for id, runs := range b.runs {
-			if runs[job.Task{Job: fillJob}] > 0 {
-				got = id
-			}
-		}
-		if diff := cmp.Diff(test.want, got); diff != "" {
+		if diff := cmp.Diff(test.want, b.workerOfFill()); diff != "" {
 			t.Errorf("%s (-want +got):\n%s", test.name, diff)
 		}
 	}
@@ -184,23 +194,13 @@
 		b.report("serving", quiet)
 		b.own.Submit(servingSpec(2), func(Verdict) {})
 		b.settle()
-		for range 200 {
-			b.own.harm.Observe(harm.Sample{
-				Serving: "s", Group: "g", Headroom: 2.2 - test.weight*0.1, Loads: []harm.Load{{Image: "f", Share: 0.1}},
-			})
-		}
+		b.learn(test.weight)
 		b.now += 2000
 		b.report("serving", quiet)
 		b.report("empty", quiet)
 		b.own.Submit(fillSpec(1), func(Verdict) {})
 		b.settle()
-		got := "none"
-		for id, runs := range b.runs {
-			if runs[job.Task{Job: fillJob}] > 0 {
-				got = id
-			}
-		}
-		if diff := cmp.Diff(test.want, got); diff != "" {
+		if diff := cmp.Diff(test.want, b.workerOfFill()); diff != "" {
 			t.Errorf("%s (-want +got):\n%s", test.name, diff)
 		}
 	}
--- a/internal/site/roster/roster_test.go
+++ b/internal/site/roster/roster_test.go
@@ -18,7 +18,7 @@
 	"github.com/oriolepier/oriolepier/internal/standin/store"
 )
 
-const topic = "keyed.servers"
+const topic = "keyed.workers"
 
 func TestFollow(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
--- a/internal/site/tables/tables_test.go
+++ b/internal/site/tables/tables_test.go
@@ -20,7 +20,7 @@
 	"github.com/oriolepier/oriolepier/internal/standin/store"
 )
 
-const topic = "keyed.op"
+const topic = "keyed.tables"
 
 // decode reads keys "config" with a version, and "out/" with a domain.
 func decode(record journal.Record) (Change, error) {
