--- a/internal/schedule/journal/journal.go
+++ b/internal/schedule/journal/journal.go
@@ -90,7 +90,6 @@
 	Topic  string
 	From   int64
 	WaitMS int64 // the store waits so long for a record
-	MaxKB  int   // 0: the store's own limit
 }
 
 // Log is the platform's store.
--- a/internal/schedule/owner/book.go
+++ b/internal/schedule/owner/book.go
@@ -76,7 +76,6 @@
 	tries       int
 	confirmedAt clock.Millis // when the start, or in stageStopped the stop, was confirmed
 	startedAt   clock.Millis
-	percent     int
 	usage       int64 // as last reported: tail latency in ms, or milli-CPU
 	usageAt     clock.Millis
 	overSince   clock.Millis // of a lasting task: since when it is over its target; 0: it is not
--- a/internal/schedule/owner/colocate.go
+++ b/internal/schedule/owner/colocate.go
@@ -340,8 +340,7 @@
 
 func (o *Owner) logMove(r *run, part servingPart, loss float64) {
 	pair := o.harm.Pair(part.image, r.task.spec().Image)
-	o.options.Log.Info().Str("event", "run_moved").Str("job", string(r.task.job.spec.ID)).Int("step", r.task.step).
-		Int("index", r.task.index).Int("run", r.number).Str("worker", r.worker.id).
+	o.runLine("run_moved", r).
 		Str("image", r.task.spec().Image).Str("serving_image", part.image).Float64("weight", pair.Weight).
 		Float64("weight_spread", pair.Spread).Float64("loss", loss).Float64("headroom", part.headroom).
 		Int64("ran_ms", int64(o.now-r.startedAt)).Int64("report_age_ms", int64(o.now-r.usageAt)).Send()
@@ -349,8 +348,7 @@
 
 func (o *Owner) pace(r *run, percent int, over clock.Millis) {
 	o.options.Counts.Paces.Inc()
-	o.options.Log.Info().Str("event", "run_paced").Str("job", string(r.task.job.spec.ID)).Int("step", r.task.step).
-		Int("index", r.task.index).Int("run", r.number).Str("worker", r.worker.id).Int("percent", percent).
+	o.runLine("run_paced", r).Int("percent", percent).
 		Int("before", r.pace).Int64("over_target_ms", int64(over)).Int64("report_age_ms", int64(o.now-r.usageAt)).Send()
 	r.pace = percent
 	o.options.Effects.Pace(fleet.Pace{
@@ -361,12 +359,7 @@
 // Paced takes the answer to a pace. One that was not carried out, or perhaps
 // will be later, is sent again with the next report that asks for it.
 func (o *Owner) Paced(order fleet.Pace, answer fleet.Answer) {
-	if !o.enter() {
-		return
-	}
-	o.options.Counts.Answered("pace", answer.Outcome.String())
-	if answer.Outcome == fleet.Fenced {
-		o.resign("worker " + order.To.ID + " knows a newer owner")
+	if !o.enter() || o.deposed("pace", order.To.ID, answer.Outcome) {
 		return
 	}
 	r := o.runOf(order.Task, order.Run)
--- a/internal/schedule/owner/order.go
+++ b/internal/schedule/owner/order.go
@@ -1,6 +1,8 @@
 package owner
 
 import (
+	"github.com/rs/zerolog"
+
 	"github.com/oriolepier/oriolepier/internal/base/clock"
 	"github.com/oriolepier/oriolepier/internal/schedule/fleet"
 	"github.com/oriolepier/oriolepier/internal/schedule/job"
@@ -56,14 +58,20 @@
 	})
 }
 
+// deposed counts a worker's answer to an order, and resigns if the worker knows
+// a newer owner.
+func (o *Owner) deposed(order, worker string, outcome fleet.Outcome) bool {
+	o.options.Counts.Answered(order, outcome.String())
+	if outcome != fleet.Fenced {
+		return false
+	}
+	o.resign("worker " + worker + " knows a newer owner")
+	return true
+}
+
 // Started takes the answer to a start.
 func (o *Owner) Started(order fleet.Start, answer fleet.Answer) {
-	if !o.enter() {
-		return
-	}
-	o.options.Counts.Answered("start", answer.Outcome.String())
-	if answer.Outcome == fleet.Fenced {
-		o.resign("worker " + order.To.ID + " knows a newer owner")
+	if !o.enter() || o.deposed("start", order.To.ID, answer.Outcome) {
 		return
 	}
 	r := o.runOf(order.Task, order.Run)
@@ -101,6 +109,12 @@
 	w.doubts = append(w.doubts, d)
 }
 
+// runLine begins a log line about a run.
+func (o *Owner) runLine(event string, r *run) *zerolog.Event {
+	return o.options.Log.Info().Str("event", event).Str("job", string(r.task.job.spec.ID)).Int("step", r.task.step).
+		Int("index", r.task.index).Int("run", r.number).Str("worker", r.worker.id)
+}
+
 // confirm notes that a worker has a run.
 func (o *Owner) confirm(r *run) {
 	if r.stage == stageInherited && r.startedAt == 0 {
@@ -114,8 +128,7 @@
 	}
 	j.began = true
 	o.options.Counts.Starts.Inc()
-	o.options.Log.Info().Str("event", "run_started").Str("job", string(j.spec.ID)).Int("step", r.task.step).
-		Int("index", r.task.index).Int("run", r.number).Str("worker", r.worker.id).Int("tries", r.tries).Send()
+	o.runLine("run_started", r).Int("tries", r.tries).Send()
 }
 
 // retryStart repeats a start; the worker takes a repeat for the same run.
@@ -135,8 +148,7 @@
 // still be on its way, the run is stopped first, so that it can never begin.
 func (o *Owner) refused(r *run, outcome fleet.Outcome) {
 	w := r.worker
-	o.options.Log.Info().Str("event", "start_refused").Str("job", string(r.task.job.spec.ID)).Int("step", r.task.step).
-		Int("index", r.task.index).Int("run", r.number).Str("worker", w.id).Str("outcome", outcome.String()).
+	o.runLine("start_refused", r).Str("outcome", outcome.String()).
 		Bool("unanswered", r.unanswered).Int64("contact_age_ms", int64(o.contactAge(w))).Send()
 	w.restUntil = o.now + refusalRest
 	r.task.notBefore = o.now + taskRest
@@ -162,8 +174,7 @@
 	}
 	r.stage = stageStopping
 	r.why = why
-	o.options.Log.Info().Str("event", "run_stopping").Str("job", string(r.task.job.spec.ID)).Int("step", r.task.step).
-		Int("index", r.task.index).Int("run", r.number).Str("worker", r.worker.id).Str("why", why).Send()
+	o.runLine("run_stopping", r).Str("why", why).Send()
 	o.sendStop(r)
 }
 
@@ -173,12 +184,7 @@
 
 // Stopped takes the answer to a stop.
 func (o *Owner) Stopped(order fleet.Stop, answer fleet.Answer) {
-	if !o.enter() {
-		return
-	}
-	o.options.Counts.Answered("stop", answer.Outcome.String())
-	if answer.Outcome == fleet.Fenced {
-		o.resign("worker " + order.To.ID + " knows a newer owner")
+	if !o.enter() || o.deposed("stop", order.To.ID, answer.Outcome) {
 		return
 	}
 	r := o.runOf(order.Task, order.Run)
@@ -227,8 +233,7 @@
 	}
 	o.touch(j)
 	o.batch.then = append(o.batch.then, func() { o.order(r) })
-	o.options.Log.Info().Str("event", "run_placed").Str("job", string(j.spec.ID)).Int("step", task.step).
-		Int("index", task.index).Int("run", r.number).Str("worker", w.id).Str("failure_domain", w.entry.Domain).
+	o.runLine("run_placed", r).Str("failure_domain", w.entry.Domain).
 		Int64("waited_ms", int64(o.now-j.takenAt)).Int64("contact_age_ms", int64(o.contactAge(w))).
 		Int64("manifest", o.tables.Version).Send()
 }
--- a/internal/schedule/owner/place.go
+++ b/internal/schedule/owner/place.go
@@ -126,7 +126,7 @@
 	var best *worker
 	bestScore := 0.0
 	for _, w := range workers {
-		if !within(amount, w.free()) || !o.allowed(task, step, w) {
+		if !within(amount, w.free()) || !allowed(step, w) {
 			continue
 		}
 		score, ok := o.score(task, step, w)
@@ -137,8 +137,8 @@
 	return best
 }
 
-// allowed reports whether a step's own terms let a task run on a worker.
-func (o *Owner) allowed(task *taskState, step *stepState, w *worker) bool {
+// allowed reports whether a step's own terms let its tasks run on a worker.
+func allowed(step *stepState, w *worker) bool {
 	if step.spec.Label != "" && !slices.Contains(w.entry.Labels, step.spec.Label) {
 		return false
 	}
--- a/internal/schedule/owner/report.go
+++ b/internal/schedule/owner/report.go
@@ -13,12 +13,12 @@
 		return
 	}
 	w.holding = false
-	o.options.Counts.Answered("hold", report.Outcome.String())
+	if o.deposed("hold", id, report.Outcome) {
+		return
+	}
 	switch report.Outcome {
 	case fleet.Accepted:
 		o.contact(w, report)
-	case fleet.Fenced:
-		o.resign("worker " + id + " knows a newer owner")
 	case fleet.OtherLife:
 		o.otherLife(w)
 	default:
@@ -138,7 +138,6 @@
 
 // present updates a run from its row in a report.
 func (o *Owner) present(r *run, row fleet.Run) {
-	r.percent = row.Percent
 	r.usage = row.Usage
 	r.usageAt = o.now
 	if row.Checkpoint != "" && row.Checkpoint != r.task.checkpoint {
@@ -203,8 +202,7 @@
 		task.checkpoint = checkpoint
 	}
 	o.options.Counts.Ended(how.String())
-	o.options.Log.Info().Str("event", "run_over").Str("job", string(j.spec.ID)).Int("step", task.step).
-		Int("index", task.index).Int("run", r.number).Str("worker", r.worker.id).Str("how", how.String()).
+	o.runLine("run_over", r).Str("how", how.String()).
 		Str("why", r.why).Int64("ran_ms", int64(o.now-r.startedAt)).Int64("contact_age_ms", int64(o.contactAge(r.worker))).Send()
 	o.learnEnd(r, how)
 	o.detach(r)
--- a/internal/schedule/owner/times.go
+++ b/internal/schedule/owner/times.go
@@ -15,7 +15,6 @@
 	Fresh      clock.Millis // a confirmation younger than this proves ownership
 	StoreSlow  clock.Millis // an append that takes longer makes new submissions wait no more
 	StatusKept clock.Millis // for which a final state is remembered
-	Cancel     clock.Millis // bound for stopping a cancelled job
 }
 
 // Tries of an order before its run is given up and marked as never to begin.
--- a/internal/schedule/owner/workers.go
+++ b/internal/schedule/owner/workers.go
@@ -16,6 +16,7 @@
 	entry  fleet.Entry
 	listed bool // it stands in the list of workers
 	runs   map[*run]struct{}
+	inLine []*run // the same in an order that repeats; nil: to be sorted anew
 	used   fleet.Room
 
 	clockMS   int64        // its clock ...
@@ -194,7 +195,11 @@
 }
 
 // sorted lists the runs of a worker in an order that repeats.
+// The list is not to be changed; it stays as it is while runs come and go.
 func (w *worker) sorted() []*run {
+	if w.inLine != nil {
+		return w.inLine
+	}
 	runs := make([]*run, 0, len(w.runs))
 	for r := range w.runs {
 		runs = append(runs, r)
@@ -206,6 +211,7 @@
 			cmp.Compare(a.task.index, b.task.index),
 		)
 	})
+	w.inLine = runs
 	return runs
 }
 
@@ -215,7 +221,7 @@
 	r.task.run = r
 	r.task.job.runs++
 	w.runs[r] = struct{}{}
-	w.planned = false
+	w.planned, w.inLine = false, nil
 	amount := need(r.task.spec())
 	w.used.MilliCPU += amount.MilliCPU
 	w.used.MemoryMB += amount.MemoryMB
@@ -229,7 +235,7 @@
 func (o *Owner) detach(r *run) {
 	w := r.worker
 	delete(w.runs, r)
-	w.planned = false
+	w.planned, w.inLine = false, nil
 	r.task.run = nil
 	r.task.job.runs--
 	amount := need(r.task.spec())
--- a/internal/site/ownership/watch.go
+++ b/internal/site/ownership/watch.go
@@ -106,22 +106,22 @@
 // poll reads the topic from an offset on, waiting for a record; a negative
 // offset reads the newest records at once.
 func (e *Elector) poll(ctx context.Context, from int64) journal.Page {
-	if from < 0 {
-		page := e.options.Log.Newest(ctx, e.options.Topic)
-		if page.Outcome == journal.Done {
-			e.noteStore()
-		}
-		return page
-	}
-	ctx, cancel := context.WithTimeout(ctx, (tailWait + clock.Second).Duration())
-	defer cancel()
-	page := e.options.Log.Read(ctx, journal.Read{Topic: e.options.Topic, From: from, WaitMS: int64(tailWait)})
+	page := e.read(ctx, from)
 	if page.Outcome == journal.Done {
 		e.noteStore()
 	}
 	return page
 }
 
+func (e *Elector) read(ctx context.Context, from int64) journal.Page {
+	if from < 0 {
+		return e.options.Log.Newest(ctx, e.options.Topic)
+	}
+	ctx, cancel := context.WithTimeout(ctx, (tailWait + clock.Second).Duration())
+	defer cancel()
+	return e.options.Log.Read(ctx, journal.Read{Topic: e.options.Topic, From: from, WaitMS: int64(tailWait)})
+}
+
 func (e *Elector) newerIn(page journal.Page, record Record) bool {
 	found, err := e.find(page)
 	return err == nil && (found.Epoch > record.Epoch || found.Released && found.Epoch == record.Epoch)
