Let the strongest entry own the cell, and weak owners hand over to it

Cause: entries of a grown deployment differ (0.8 and 0.192 of a core), and the owner was whichever claimed first.

Change: a ping tells the asking entry's cores, the answer those of all; entries that know a stronger one wait 0.4 s with a claim, and an owner leaves to a stronger caller after its first second.

--- a/internal/site/daemon/serve.go
+++ b/internal/site/daemon/serve.go
@@ -7,11 +7,9 @@
 	"encoding/json"
 	"net"
 	"net/http"
-	"sync"
 	"time"
 
 	"github.com/pkg/errors"
-	"github.com/samber/lo"
 	"github.com/thejerf/suture/v4"
 	"golang.org/x/sync/errgroup"
 
@@ -227,7 +225,7 @@
 
 func (d *Daemon) answerPing(_ context.Context, query peer.PingQuery) peer.PingAnswer {
 	now := d.clock.Now()
-	answer := peer.PingAnswer{Owner: d.elector.Owning(), Epoch: d.elector.Current().Epoch, Peers: d.seen.note(query.Address, now), TablesEnd: d.tables.End()}
+	answer := peer.PingAnswer{Owner: d.elector.Owning(), Epoch: d.elector.Current().Epoch, Peers: d.seen.note(query, now), TablesEnd: d.tables.End()}
 	if run := d.local.Load(); run != nil {
 		if former := d.former.Load(); former != nil && *former == query.Name {
 			run.FormerGone() // it follows this owner, and so owns nothing
@@ -257,28 +255,3 @@
 	}
 	d.tables.Offer(address, tables.Copy{End: known.End, Records: known.Records})
 }
-
-// callerKept is how long an entry that asked is counted among the others.
-const callerKept clock.Millis = 3 * clock.Second
-
-// callers are the entries that asked recently.
-type callers struct {
-	mu   sync.Mutex
-	last map[string]clock.Millis // by address
-}
-
-// note adds an entry and returns the addresses of all.
-func (c *callers) note(address string, now clock.Millis) []string {
-	c.mu.Lock()
-	defer c.mu.Unlock()
-	if c.last == nil {
-		c.last = map[string]clock.Millis{}
-	}
-	c.last[address] = now
-	for known, at := range c.last {
-		if now-at > callerKept {
-			delete(c.last, known)
-		}
-	}
-	return lo.Keys(c.last)
-}
--- a/internal/site/daemon/wire.go
+++ b/internal/site/daemon/wire.go
@@ -128,7 +128,8 @@
 	d.elector = ownership.New(ownership.Options{
 		Cell: cellName, Name: d.settings.Name, Address: d.peerAddress(), Life: life(),
 		Topic: platform.Topic(ownersTopic), Clock: d.clock, Log: d.store.Log(), Logger: d.logger,
-		Ping: d.peers.Ping, Heard: d.peers.Heard, Rank: rank(d.settings.Name), Own: d.own,
+		Ping: d.peers.Ping, Heard: d.peers.Heard, Rank: rank(d.settings.Name), Cores: d.settings.Limits.Cores,
+		Own: d.own, Callers: func() []peer.Entry { return d.seen.recent(d.clock.Now()) },
 		Answered: d.catchUp,
 	})
 	if d.options.Product != nil {
--- a/internal/site/ownership/ownership.go
+++ b/internal/site/ownership/ownership.go
@@ -64,6 +64,10 @@
 	Answered func(ctx context.Context, address string, answer peer.PingAnswer)
 	// Rank spreads the claims of several entries, 0 to 1.
 	Rank float64
+	// Cores are the processor cores of this entry: the strongest should own.
+	Cores float64
+	// Callers lists the entries that asked this one for a sign of life recently.
+	Callers func() []peer.Entry
 	// Own is called after a claim was won, and returns when the ownership ends.
 	Own func(ctx context.Context, epoch int64, former Former) error
 }
@@ -73,7 +77,7 @@
 	options   Options
 	current   atomic.Pointer[Record]
 	heardAt   atomic.Int64 // when the current owner last gave a sign of life
-	peers     atomic.Pointer[[]string]
+	peers     atomic.Pointer[[]peer.Entry]
 	refused   clock.Millis // when the owner's address could last not be reached
 	answering clock.Millis // since when the store answers this entry but does not confirm the owner; 0: not so
 	storeAt   atomic.Int64 // when the store last answered this entry
@@ -86,7 +90,7 @@
 func New(options Options) *Elector {
 	e := &Elector{options: options, retired: make(chan struct{})}
 	e.current.Store(&Record{})
-	e.peers.Store(&[]string{})
+	e.peers.Store(&[]peer.Entry{})
 	return e
 }
 
@@ -196,19 +200,17 @@
 		return
 	}
 	e.note(record)
-	e.own(ctx, record, answer.End, Former{Name: before.Name, Gone: why.proves()})
+	e.own(ctx, record, answer.End, Former{Name: before.Name, Gone: why.proves()}, e.tenure(why))
 }
 
-// own runs the ownership until it ends, and gives it up in the record.
-func (e *Elector) own(ctx context.Context, record Record, end int64, former Former) {
+// own runs the ownership until it ends, and gives it up in the record. It is
+// not left to a stronger entry before the tenure is over.
+func (e *Elector) own(ctx context.Context, record Record, end int64, former Former, tenure clock.Millis) {
 	e.owning.Store(true)
 	owning, stop := context.WithCancel(ctx)
 	group := new(errgroup.Group)
 	group.Go(func() error {
-		select {
-		case <-e.retired:
-		case <-owning.Done():
-		}
+		e.awaitLeaving(owning, tenure)
 		stop()
 		return nil
 	})
--- a/internal/site/ownership/ownership_test.go
+++ b/internal/site/ownership/ownership_test.go
@@ -32,12 +32,13 @@
 	hung     map[string]bool    // answers nobody
 	cut      map[[2]string]bool // the first cannot reach the second
 	storeAge clock.Millis       // that the first entry tells when it owns
+	cores    map[string]float64 // of entries; 0: all alike
 }
 
 func newRig() *rig {
 	return &rig{
 		store: store.New(), electors: map[string]*Elector{}, dead: map[string]bool{}, hung: map[string]bool{},
-		cut: map[[2]string]bool{},
+		cut: map[[2]string]bool{}, cores: map[string]float64{},
 	}
 }
 
@@ -45,7 +46,8 @@
 func (r *rig) add(name string, rank float64) *Elector {
 	e := New(Options{
 		Cell: "0", Name: name, Address: name, Life: name, Topic: "keyed.owners", Clock: clock.New(),
-		Log: r.store.Log(), Logger: zerolog.Nop(), Rank: rank,
+		Log: r.store.Log(), Logger: zerolog.Nop(), Rank: rank, Cores: r.cores[name],
+		Callers: func() []peer.Entry { return r.entries() },
 		Ping: func(ctx context.Context, address string, _ peer.PingQuery) (peer.PingAnswer, error) {
 			return r.ping(ctx, name, address)
 		},
@@ -83,15 +85,27 @@
 	}
 	r.mu.Lock()
 	e := r.electors[to]
-	names := slices.Collect(maps.Keys(r.electors))
 	r.mu.Unlock()
-	answer := peer.PingAnswer{Owner: e.Owning(), Epoch: e.Current().Epoch, ReadyToAct: true, Peers: names}
+	answer := peer.PingAnswer{Owner: e.Owning(), Epoch: e.Current().Epoch, ReadyToAct: true, Peers: r.entries()}
 	if to == "a" {
 		answer.StoreAge = age
 	}
 	return answer, nil
 }
 
+// entries lists the entries whose processes are there.
+func (r *rig) entries() []peer.Entry {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	var entries []peer.Entry
+	for _, name := range slices.Sorted(maps.Keys(r.electors)) {
+		if !r.dead[name] {
+			entries = append(entries, peer.Entry{Address: name, Cores: r.cores[name]})
+		}
+	}
+	return entries
+}
+
 func (r *rig) set(change func()) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
@@ -104,10 +118,17 @@
 // play starts electors a, b and c, in which a comes first, lets something
 // happen after three seconds, and tells who owned during the next ten.
 func play(t *testing.T, happen func(r *rig)) []string {
+	t.Helper()
+	return playWith(t, nil, happen)
+}
+
+// playWith is play with entries of different strengths.
+func playWith(t *testing.T, cores map[string]float64, happen func(r *rig)) []string {
 	t.Helper()
 	var owners []string
 	synctest.Test(t, func(t *testing.T) {
 		r := newRig()
+		maps.Copy(r.cores, cores)
 		ctx, cancel := context.WithCancel(t.Context())
 		group := new(errgroup.Group)
 		for i, name := range []string{"a", "b", "c"} {
@@ -186,6 +207,33 @@
 	}
 }
 
+// Entries differ in their processors, and all decisions are made on the owner's.
+func TestWeakOwnerHandsOverToAStrongEntry(t *testing.T) {
+	got := playWith(t, map[string]float64{"a": 0.192, "b": 0.192, "c": 0.8}, func(*rig) {})
+	if diff := cmp.Diff([]string{"1 a", "2 " + another}, got); diff != "" {
+		t.Errorf("owners (-want +got):\n%s", diff)
+	}
+}
+
+func TestWeakEntryOwnsWhereNoStrongOneIsLeft(t *testing.T) {
+	got := playWith(t, map[string]float64{"a": 0.8, "b": 0.192, "c": 0.192}, func(r *rig) {
+		r.set(func() { r.dead["a"] = true })
+	})
+	if diff := cmp.Diff([]string{"1 a", "2 " + another}, got); diff != "" {
+		t.Errorf("owners (-want +got):\n%s", diff)
+	}
+}
+
+// A strong entry that is heard but does not claim is not waited for again and again.
+func TestWeakOwnerStaysWhereTheStrongEntryCannotOwn(t *testing.T) {
+	got := playWith(t, map[string]float64{"a": 0.192, "b": 0.192, "c": 0.8}, func(r *rig) {
+		r.electors["c"].Retire()
+	})
+	if len(got) != 3 {
+		t.Errorf("owners %v, want a, the strong entry, and one that stays", got)
+	}
+}
+
 // A claim whose answer is lost is settled by reading, and made once.
 func TestClaimWithoutAnAnswer(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
--- a/internal/site/ownership/watch.go
+++ b/internal/site/ownership/watch.go
@@ -169,7 +169,9 @@
 func (e *Elector) ping(ctx context.Context, record Record) (peer.PingAnswer, error) {
 	ctx, cancel := context.WithTimeout(ctx, pingTimeout.Duration())
 	defer cancel()
-	return e.options.Ping(ctx, record.Address, peer.PingQuery{Name: e.options.Name, Address: e.options.Address})
+	return e.options.Ping(ctx, record.Address, peer.PingQuery{
+		Name: e.options.Name, Address: e.options.Address, Cores: e.options.Cores,
+	})
 }
 
 // refusedTwice reports whether the owner's address could not be reached twice
@@ -208,12 +210,12 @@
 	defer cancel()
 	group, ctx := errgroup.WithContext(ctx)
 	heard := make(chan struct{}, len(*e.peers.Load()))
-	for _, address := range *e.peers.Load() {
-		if address == e.options.Address {
+	for _, other := range *e.peers.Load() {
+		if other.Address == e.options.Address {
 			continue
 		}
 		group.Go(func() error {
-			answer, err := e.options.Heard(ctx, address, peer.HeardQuery{Epoch: record.Epoch})
+			answer, err := e.options.Heard(ctx, other.Address, peer.HeardQuery{Epoch: record.Epoch})
 			if err == nil && answer.Age >= 0 && answer.Age < silenceLimit/2 {
 				heard <- struct{}{}
 			}
@@ -224,9 +226,13 @@
 	return len(heard) > 0
 }
 
-// spread waits for this entry's turn among those that may claim.
+// spread waits for this entry's turn among those that may claim: the strongest
+// first, in order of rank.
 func (e *Elector) spread(ctx context.Context, why reason) reason {
 	wait := clock.Millis(e.options.Rank * float64(rankSpread))
+	if e.outclassed(*e.peers.Load()) {
+		wait += weakWait
+	}
 	if e.options.Clock.Sleep(ctx, wait) != nil {
 		return notDue
 	}
--- a/internal/site/peer/peer.go
+++ b/internal/site/peer/peer.go
@@ -59,8 +59,15 @@
 
 // PingQuery asks an entry whether it owns the cell.
 type PingQuery struct {
-	Name    string `json:"name"`    // of the asking entry
-	Address string `json:"address"` // at which it answers peers
+	Name    string  `json:"name"`    // of the asking entry
+	Address string  `json:"address"` // at which it answers peers
+	Cores   float64 `json:"cores"`   // processor cores that it may use
+}
+
+// Entry is another entry, as far as an owner needs to know it.
+type Entry struct {
+	Address string  `json:"address"` // at which it answers peers
+	Cores   float64 `json:"cores"`   // processor cores that it may use
 }
 
 // PingAnswer is a sign of life.
@@ -68,7 +75,7 @@
 	Owner      bool         `json:"owner"`
 	Epoch      int64        `json:"epoch"`
 	StoreAge   clock.Millis `json:"store_age_ms"` // since the store last confirmed something to the owner
-	Peers      []string     `json:"peers"`        // addresses of entries that asked recently
+	Peers      []Entry      `json:"peers"`        // entries that asked recently
 	ReadyToAct bool         `json:"ready"`        // its state is loaded
 	TablesEnd  int64        `json:"tables_end"`   // how far it has read the operators' topic
 }
--- a/internal/site/peer/peer_test.go
+++ b/internal/site/peer/peer_test.go
@@ -27,7 +27,7 @@
 	}
 	server := NewServer(security, Handlers{
 		Ping: func(_ context.Context, query PingQuery) PingAnswer {
-			return PingAnswer{Epoch: 4, Peers: []string{query.Address}}
+			return PingAnswer{Epoch: 4, Peers: []Entry{{Address: query.Address, Cores: query.Cores}}}
 		},
 		Submit: func(_ context.Context, query SubmitQuery) owner.Verdict {
 			return owner.Verdict{Ruling: owner.Refused, Reason: string(query.Spec.ID)}
@@ -47,8 +47,8 @@
 	address := listen(t, Security{Token: "a-token"})
 	client := NewClient(Security{Token: "a-token"})
 	defer client.Close()
-	pong, err := client.Ping(context.Background(), address, PingQuery{Address: "x"})
-	if diff := cmp.Diff(PingAnswer{Epoch: 4, Peers: []string{"x"}}, pong); err != nil || diff != "" {
+	pong, err := client.Ping(context.Background(), address, PingQuery{Address: "x", Cores: 0.4})
+	if diff := cmp.Diff(PingAnswer{Epoch: 4, Peers: []Entry{{Address: "x", Cores: 0.4}}}, pong); err != nil || diff != "" {
 		t.Errorf("%v (-want +got):\n%s", err, diff)
 	}
 	verdict, err := client.Submit(context.Background(), address, SubmitQuery{Spec: job.Spec{ID: "5c"}})
