Answer requests that are still open when an entry has to end

Change: open requests may take what the platform's grace leaves, and their contexts end 0.3 s before the end, so that each is told 503 or 504.

--- a/internal/site/daemon/daemon.go
+++ b/internal/site/daemon/daemon.go
@@ -144,28 +144,6 @@
 	return err
 }
 
-// Times of leaving. Together they stay below the platform's grace.
-const (
-	leaveNotice  = 2300 * time.Millisecond // until the platform has seen twice that this entry is not ready
-	leaveServing = 2200 * time.Millisecond // for requests that are being served
-)
-
-// leave hands an ownership over and lets the platform take this entry out of
-// rotation while it goes on serving.
-func (d *Daemon) leave() {
-	d.logger.Info().Str("event", "entry_leaving").Bool("owner", d.elector.Owning()).Send()
-	d.leaving.Store(true)
-	if d.gate != nil {
-		d.gate.Drain(true)
-	}
-	d.elector.Retire()
-	notice := d.options.Notice
-	if notice == 0 {
-		notice = leaveNotice
-	}
-	time.Sleep(notice)
-}
-
 // awaitReload reads the settings again when it is asked to.
 func (d *Daemon) awaitReload(ctx context.Context) error {
 	for {
--- a/internal/site/daemon/serve.go
+++ b/internal/site/daemon/serve.go
@@ -51,7 +51,7 @@
 		EventHook: func(event suture.Event) {
 			d.logger.Error().Str("event", "part_failed").Str("what", event.String()).Send()
 		},
-		Timeout: leaveServing + time.Second,
+		Timeout: d.departure().serving + time.Second,
 	})
 	parts := []service{
 		{name: "tables", run: d.tables.Serve},
@@ -148,7 +148,7 @@
 	return d.serveHTTP(ctx, d.metricsAddress(), d.guarded(mux))
 }
 
-// serveHTTP serves until the context ends, and then lets requests in flight end.
+// serveHTTP serves until the context ends, and then answers what is open.
 func (d *Daemon) serveHTTP(ctx context.Context, address string, handler http.Handler) error {
 	listener, err := new(net.ListenConfig).Listen(ctx, "tcp", address)
 	if err != nil {
@@ -157,17 +157,29 @@
 	if d.options.Product != nil && d.options.Product.Keys != nil {
 		listener = tls.NewListener(listener, d.options.Product.Keys.Server())
 	}
+	return serveUntil(ctx, listener, handler, d.departure().serving)
+}
+
+// serveUntil serves until the context ends. Requests that are open then may be
+// served on for a while. Shortly before its end their contexts end, so that
+// their callers are told that they were given up.
+func serveUntil(ctx context.Context, listener net.Listener, handler http.Handler, serving time.Duration) error {
+	requests, giveUp := context.WithCancel(context.WithoutCancel(ctx))
+	defer giveUp()
 	server := &http.Server{
 		Handler: handler, ReadHeaderTimeout: headerTimeout, IdleTimeout: idleTimeout, MaxHeaderBytes: maxHeaderBytes,
+		BaseContext: func(net.Listener) context.Context { return requests },
 	}
 	group, ended := errgroup.WithContext(context.WithoutCancel(ctx))
 	group.Go(func() error { return server.Serve(listener) })
+	address := listener.Addr().String()
 	select {
 	case <-ended.Done():
 		return fault.New(fault.Unknown, "serve", address, group.Wait())
 	case <-ctx.Done():
 	}
-	leaving, cancel := context.WithTimeout(context.WithoutCancel(ctx), leaveServing)
+	defer time.AfterFunc(max(serving-lastWord, 0), giveUp).Stop()
+	leaving, cancel := context.WithTimeout(context.WithoutCancel(ctx), serving)
 	defer cancel()
 	if err := server.Shutdown(leaving); err != nil && !errors.Is(err, context.DeadlineExceeded) {
 		return fault.New(fault.Unknown, "shut down", address, err)
