--- a/internal/schedule/owner/bench_test.go
+++ b/internal/schedule/owner/bench_test.go
@@ -86,3 +86,35 @@
 		}
 	}
 }
+
+// BenchmarkBacklog is one pass over 150 jobs whose tasks would ruin the lasting
+// ones that every worker has.
+func BenchmarkBacklog(b *testing.B) {
+	for _, workers := range []int{66, 490} {
+		b.Run(fmt.Sprint(workers, "workers"), func(b *testing.B) {
+			rig := backlog(workers)
+			for b.Loop() {
+				rig.own.place()
+			}
+		})
+	}
+}
+
+func backlog(workers int) *bench {
+	rig := loadedBench(workers)
+	rig.learn(30)
+	spec := servingSpec(2 * workers)
+	spec.Steps[0].PerWorker = 2
+	rig.own.Submit(spec, func(Verdict) {})
+	rig.settle()
+	for i := range 150 {
+		fill := fillSpec(20)
+		fill.ID = job.ID(fmt.Sprintf("%016x", 1000+i))
+		rig.own.Submit(fill, func(Verdict) {})
+	}
+	rig.own.enter()
+	for _, w := range rig.own.ordered {
+		w.contactAt, w.clockAt = rig.now, rig.now
+	}
+	return rig
+}
--- a/internal/schedule/owner/place.go
+++ b/internal/schedule/owner/place.go
@@ -21,15 +21,13 @@
 		return
 	}
 	o.countTrials()
+	found := misses{}
 	blocked := 0
-	for _, j := range o.queue() {
-		queue, known := o.tables.Queue(j.spec.Queue)
-		if !known {
-			continue
-		}
+	for _, next := range o.queue() {
+		j := next.job
 		for i := range j.steps {
 			if step := &j.steps[i]; step.open && step.waiting > 0 {
-				blocked += o.placeStep(j, step, queue.Pools, usable)
+				blocked += o.placeStep(j, step, next.pools, usable, found)
 			}
 		}
 		if blocked > maxTriesPerPass {
@@ -40,7 +38,7 @@
 
 // placeStep places the waiting tasks of a step until one fits nowhere; it
 // returns 1 then.
-func (o *Owner) placeStep(j *jobState, step *stepState, pools []string, usable map[string][]*worker) int {
+func (o *Owner) placeStep(j *jobState, step *stepState, pools []string, usable map[string][]*worker, found misses) int {
 	for k := range step.tasks {
 		task := &step.tasks[k]
 		if task.phase != job.Waiting {
@@ -52,9 +50,13 @@
 		}
 		var w *worker
 		for _, pool := range pools {
+			if found.cover(pool, j, step) {
+				continue
+			}
 			if w = o.choose(task, step, usable[pool]); w != nil {
 				break
 			}
+			found.note(pool, j, step)
 		}
 		if w == nil {
 			return 1
@@ -65,30 +67,44 @@
 	return 0
 }
 
-// queue lists the jobs that have startable tasks, most urgent first.
-func (o *Owner) queue() []*jobState {
-	var jobs []*jobState
+// queuedJob is a job with startable tasks, and what decides its turn.
+type queuedJob struct {
+	job      *jobState
+	pools    []string
+	lasting  bool
+	useless  bool // its caller has no use for it any more
+	priority int  // of its queue, 0 first
+}
+
+// queue lists the jobs that have startable tasks, most urgent first: lasting
+// ones, then those that are still of use, by priority and by the end of their
+// objective.
+func (o *Owner) queue() []queuedJob {
+	var jobs []queuedJob
 	for _, j := range o.jobs {
-		if j.startable() {
-			jobs = append(jobs, j)
+		if !j.startable() {
+			continue
 		}
+		queue, known := o.tables.Queue(j.spec.Queue)
+		if !known {
+			continue
+		}
+		jobs = append(jobs, queuedJob{
+			job: j, pools: queue.Pools, lasting: j.lasting(), useless: o.now > j.objects.late, priority: queue.Priority,
+		})
 	}
-	slices.SortFunc(jobs, o.compare)
+	slices.SortFunc(jobs, func(a, b queuedJob) int {
+		return cmp.Or(
+			-compareBool(a.lasting, b.lasting),
+			compareBool(a.useless, b.useless),
+			cmp.Compare(a.priority, b.priority),
+			cmp.Compare(a.job.objects.onTime, b.job.objects.onTime),
+			cmp.Compare(a.job.spec.ID, b.job.spec.ID),
+		)
+	})
 	return jobs
 }
 
-// compare orders jobs: lasting ones first, then those that are still of use,
-// by priority and by the end of their objective.
-func (o *Owner) compare(a, b *jobState) int {
-	return cmp.Or(
-		-compareBool(a.lasting(), b.lasting()),
-		compareBool(o.now > a.objects.late, o.now > b.objects.late),
-		cmp.Compare(o.priority(a), o.priority(b)),
-		cmp.Compare(a.objects.onTime, b.objects.onTime),
-		cmp.Compare(a.spec.ID, b.spec.ID),
-	)
-}
-
 func compareBool(a, b bool) int {
 	switch {
 	case a == b:
@@ -99,11 +115,6 @@
 	return -1
 }
 
-func (o *Owner) priority(j *jobState) int {
-	queue, _ := o.tables.Queue(j.spec.Queue)
-	return queue.Priority
-}
-
 // usable lists the workers that may get new runs, by pool.
 func (o *Owner) usable() map[string][]*worker {
 	pools := map[string][]*worker{}
--- a/internal/schedule/owner/submit_test.go
+++ b/internal/schedule/owner/submit_test.go
@@ -131,7 +131,7 @@
 	made("lasting", "batch", 900, 1000, true)
 	var got []string
 	for _, j := range o.queue() {
-		got = append(got, string(j.spec.ID))
+		got = append(got, string(j.job.spec.ID))
 	}
 	want := []string{"lasting", "urgent", "batch-soon", "batch-later", "urgent-useless"}
 	if diff := cmp.Diff(want, got); diff != "" {
--- a/internal/site/daemon/daemon.go
+++ b/internal/site/daemon/daemon.go
@@ -52,7 +52,7 @@
 // Limits of the process.
 const (
 	memoryShare   = 0.6 // of the process's memory limit, from which the collector works harder
-	collectorGoal = 60  // percent of the live heap; memory is paid for at its peak
+	collectorGoal = 100 // percent of the live heap; memory is paid for at its peak
 	bytesPerMB    = 1 << 20
 )
 
