Follow the load of lasting tasks as a line, learned where little fills their workers

Two causes: users' load swings by half within 14 s, and a mean of past reports is behind it by up to one unit of headroom; and a level was learned from crowded workers too, so that it took the blame and weights were learned as 0 (level 0.84 beside twelve tasks of weight 0; the same job alone has 1.5 to 3.5). Ruled out by a fit of 47,000 rows: that tasks of one job differ in load (standard deviation 0.04 of the inverse tail), that harm grows with load (residual 0.078 plain, 0.082 times the load).

Change: a level is a line through the last seconds, looked 1.2 s ahead; reports count the less, the more fills the worker; alone, a task is taken to keep its target. Less is left unused at first (0.04).

--- a/internal/schedule/harm/harm.go
+++ b/internal/schedule/harm/harm.go
@@ -39,9 +39,9 @@
 	memory        = 0.9995            // weight of the past against a new report
 	maxWeight     = 40.0              // no estimate goes beyond it
 	surely        = 2.0               // standard deviation below which a pair counts as known
-	quietRate     = 0.3               // share of an error that a level takes from a task alone
-	loadedRate    = 0.1               // ... and from one beside pairs that are known to be harmless
-	harmless      = 2.0               // weights below it are no reason to keep images apart
+	doubtfulLoss  = 0.3               // a loss from which a report says little of the level without it
+	doubtfulShare = 0.1               // ... and a share of a worker's processors
+	leastLevel    = 1.2               // alone, a lasting task keeps its target
 	ruinous       = 3.5               // weights from it on make a worker no place for an image
 	tinyShare     = 0.005             // loads below it teach nothing
 	initial       = priorSpread * priorSpread / (noise * noise)
@@ -55,8 +55,9 @@
 
 // Sample is what a report says of a worker's lasting tasks of one group.
 type Sample struct {
-	Serving  string  // image of the lasting tasks
-	Group    string  // tasks that have the same users, and so the same load
+	Serving  string // image of the lasting tasks
+	Group    string // tasks that have the same users, and so the same load
+	At       clock.Millis
 	Headroom float64 // target over tail
 	Loads    []Load  // of what fills the worker beside them
 }
@@ -72,14 +73,14 @@
 
 // Estimator holds the estimates of all pairs. It is not safe for concurrent use.
 type Estimator struct {
-	models  map[string]*model  // by image of lasting tasks
-	levels  map[string]float64 // by group
+	models  map[string]*model // by image of lasting tasks
+	levels  map[string]*trend // by group
 	changed bool
 }
 
 // New returns an estimator that knows nothing.
 func New() *Estimator {
-	return &Estimator{models: map[string]*model{}, levels: map[string]float64{}}
+	return &Estimator{models: map[string]*model{}, levels: map[string]*trend{}}
 }
 
 // Pair returns the estimate for a pair.
@@ -102,10 +103,11 @@
 	return float64(ruined) / float64(max(len(e.models), 1))
 }
 
-// Level returns the headroom that tasks of a group have alone.
-func (e *Estimator) Level(group string) float64 {
-	if level, known := e.levels[group]; known {
-		return level
+// Level returns the headroom that tasks of a group are expected to have alone
+// at a time, which may lie ahead.
+func (e *Estimator) Level(group string, at clock.Millis) float64 {
+	if known := e.levels[group]; known != nil {
+		return known.level(at)
 	}
 	return QuietHeadroom
 }
@@ -121,21 +123,29 @@
 		e.models[sample.Serving] = m
 	}
 	shares, total := m.shares(sample.Loads)
-	lost, trusted := m.lost(shares)
-	level := e.Level(sample.Group)
-	miss := min(sample.Headroom, MaxHeadroom) - (level - lost)
+	lost, known := m.lost(shares)
+	headroom := min(sample.Headroom, MaxHeadroom)
 	if total >= tinyShare {
-		m.update(shares, -miss)
+		m.update(shares, e.Level(sample.Group, sample.At)-lost-headroom)
 		e.changed = true
 	}
-	switch {
-	case total < tinyShare:
-		e.levels[sample.Group] = level + quietRate*miss
-	case trusted:
-		e.levels[sample.Group] = level + loadedRate*miss
+	if known {
+		e.observeLevel(sample, headroom+lost, lost, total)
 	}
 }
 
+// observeLevel takes a level that was worked out from a report: the less filled
+// the worker, and the less was lost to that, the more it counts.
+func (e *Estimator) observeLevel(sample Sample, level, lost, filled float64) {
+	group := e.levels[sample.Group]
+	if group == nil {
+		group = newTrend(QuietHeadroom, sample.At)
+		e.levels[sample.Group] = group
+	}
+	loss, share := lost/doubtfulLoss, filled/doubtfulShare
+	group.add(max(level, leastLevel), 1/(1+loss*loss+share*share), sample.At)
+}
+
 // model holds the weights for one image of lasting tasks, and the matrix of
 // recursive least squares.
 type model struct {
@@ -186,18 +196,18 @@
 	return shares, total
 }
 
-// lost is the headroom that loads are thought to cost; it is trusted where all
-// of them are known to be harmless.
-func (m *model) lost(shares []float64) (lost float64, trusted bool) {
-	trusted = true
+// lost is the headroom that loads are thought to cost, and whether that is
+// known of all of them.
+func (m *model) lost(shares []float64) (lost float64, known bool) {
+	known = true
 	for i, share := range shares {
 		if share < tinyShare {
 			continue
 		}
 		lost += m.weights[i] * share
-		trusted = trusted && noise*math.Sqrt(m.spread[i][i]) < surely && m.weights[i] < harmless
+		known = known && noise*math.Sqrt(m.spread[i][i]) < surely
 	}
-	return lost, trusted
+	return max(lost, 0), known
 }
 
 // update is one step of recursive least squares.
--- a/internal/schedule/harm/harm_test.go
+++ b/internal/schedule/harm/harm_test.go
@@ -6,6 +6,8 @@
 	"testing"
 
 	"github.com/google/go-cmp/cmp"
+
+	"github.com/oriolepier/oriolepier/internal/base/clock"
 )
 
 // truth is a made-up deployment: most pairs are harmless, some are ruinous.
@@ -48,7 +50,7 @@
 		headroom -= t.weights[pairName{serving, load.Image}] * load.Share
 		loads = append(loads, load)
 	}
-	return Sample{Serving: serving, Group: group, Headroom: max(headroom, 0.1), Loads: loads}
+	return Sample{Serving: serving, Group: group, At: clock.Millis(60 * round), Headroom: max(headroom, 0.1), Loads: loads}
 }
 
 // After some hundred reports, ruinous pairs are told from harmless ones, also
--- a/internal/schedule/owner/colocate.go
+++ b/internal/schedule/owner/colocate.go
@@ -16,7 +16,7 @@
 	leastUse     = 0.2   // least share of its processors that a lasting task is thought to use
 	mostUse      = 0.8   // ... and the most
 	useMargin    = 0.02  // added to it, as its load may rise while a task runs beside it
-	spareShare   = 0.08  // share of a worker with lasting tasks that is left unused, at first
+	spareShare   = 0.04  // share of a worker with lasting tasks that is left unused, at first
 	crowdedShare = -0.15 // ... and for a task that has waited for crowdedWait
 	safeHeadroom = 1.6   // predicted headroom down to which a task that costs some may be added
 	harmlessLoss = 0.2   // headroom that all that fills a worker may cost whatever the load
@@ -43,6 +43,7 @@
 	easePeriod    clock.Millis = 1500 // least time that it stands still
 	settleTime    clock.Millis = 1200 // until the tail of a new lasting task says something
 	quickWait     clock.Millis = 300  // that a worker may wait with its report while a headroom is low
+	lookAhead     clock.Millis = 1200 // a task that fills runs about so long
 )
 
 // fillPlan is what a worker has to offer to tasks that fill, computed once for
@@ -58,6 +59,7 @@
 	image    string
 	group    string
 	headroom float64 // as reported
+	ahead    float64 // by how much it will change with its users' load
 	lost     float64 // to all that fills the worker
 	fresh    float64 // the part of that which the report does not show yet
 	count    int
@@ -108,6 +110,7 @@
 func (o *Owner) sumUp(part *servingPart, w *worker) {
 	tail := part.headroom / float64(part.count)
 	part.headroom = min(1/max(tail, 1/harm.MaxHeadroom), harm.MaxHeadroom)
+	part.ahead = o.harm.Level(part.group, o.now+lookAhead) - o.harm.Level(part.group, w.contactAt)
 	for r := range w.runs {
 		spec := r.task.spec()
 		if !spec.Fills || r.stage == stageStopping || r.stage == stageStopped {
@@ -129,7 +132,7 @@
 // servingUse is the share of its processors that a lasting task uses, which its
 // headroom alone tells.
 func (o *Owner) servingUse(r *run) float64 {
-	load := 1 - o.harm.Level(groupOf(r))/idleHeadroom
+	load := 1 - o.harm.Level(groupOf(r), o.now+lookAhead)/idleHeadroom
 	return min(max(load, leastUse), mostUse) + useMargin
 }
 
@@ -154,7 +157,7 @@
 		}
 		loss := pair.Weight * ask
 		costly := part.lost+loss > harmlessLoss
-		if costly && part.headroom-part.fresh-loss < safeHeadroom && !desperate {
+		if costly && part.headroom+part.ahead-part.fresh-loss < safeHeadroom && !desperate {
 			return 0, false
 		}
 		most = max(most, loss)
@@ -244,7 +247,7 @@
 	for _, part := range o.plan(w).serving {
 		lowest = min(lowest, part.headroom)
 		if part.settled {
-			o.harm.Observe(harm.Sample{Serving: part.image, Group: part.group, Headroom: part.headroom, Loads: loads})
+			o.harm.Observe(harm.Sample{Serving: part.image, Group: part.group, At: o.now, Headroom: part.headroom, Loads: loads})
 		}
 	}
 	w.planned = false
