Keep workers free for large tasks that wait

Change: for a task that has waited 0.5 s one worker is kept, of those that would hold it without their short tasks, for 4 s at the most, for a thirtieth of a pool at once.

--- a/internal/schedule/owner/book.go
+++ b/internal/schedule/owner/book.go
@@ -37,6 +37,7 @@
 	left    int            // tasks that are not done
 	waiting int            // tasks that could start
 	onHost  map[string]int // runs by worker id; only kept where the step limits them
+	kept    int            // workers that are kept for its tasks
 }
 
 // taskState is a task in memory.
--- a/internal/schedule/owner/misses.go
+++ b/internal/schedule/owner/misses.go
@@ -40,7 +40,7 @@
 // note remembers that a task of a step fits nowhere in a pool. One that its own
 // step kept from some workers says nothing of others.
 func (m misses) note(pool string, j *jobState, step *stepState) {
-	if step.spec.PerWorker > 0 || step.spec.Label != "" {
+	if step.spec.PerWorker > 0 || step.spec.Label != "" || m.cover(pool, j, step) {
 		return
 	}
 	kind := kindOf(pool, step)
@@ -48,8 +48,11 @@
 }
 
 // cover reports whether a task that was at most as hard to place as one of a
-// step has found no worker.
+// step has found no worker. A step with a worker of its own is always tried.
 func (m misses) cover(pool string, j *jobState, step *stepState) bool {
+	if step.kept > 0 {
+		return false
+	}
 	this := missOf(j, step)
 	return slices.ContainsFunc(m[kindOf(pool, step)], func(before miss) bool {
 		return within(before.ask, this.ask) && before.movedAt <= this.movedAt
--- a/internal/schedule/owner/owner.go
+++ b/internal/schedule/owner/owner.go
@@ -95,6 +95,7 @@
 	timers   timers
 	harm     *harm.Estimator
 	trials   map[trial]int // pairs of images that are being tried
+	reserved int           // workers that are kept for large tasks
 	harmAt   clock.Millis  // of the next record of the estimates
 	gone     bool          // resigned
 	placeDue bool          // something changed that may let a task start
--- a/internal/schedule/owner/place.go
+++ b/internal/schedule/owner/place.go
@@ -21,6 +21,7 @@
 		return
 	}
 	o.countTrials()
+	o.dropReservations()
 	found := misses{}
 	blocked := 0
 	for _, next := range o.queue() {
@@ -50,13 +51,14 @@
 		}
 		var w *worker
 		for _, pool := range pools {
-			if found.cover(pool, j, step) {
-				continue
+			if !found.cover(pool, j, step) {
+				w = o.choose(task, step, usable[pool])
 			}
-			if w = o.choose(task, step, usable[pool]); w != nil {
+			if w != nil {
 				break
 			}
 			found.note(pool, j, step)
+			o.reserve(j, step, usable[pool])
 		}
 		if w == nil {
 			return 1
@@ -137,7 +139,7 @@
 	var best *worker
 	bestScore := 0.0
 	for _, w := range workers {
-		if !within(amount, w.free()) || !allowed(step, w) {
+		if !within(amount, w.free()) || !allowed(step, w) || w.keptFrom(step) {
 			continue
 		}
 		score, ok := o.score(task, step, w)
--- a/internal/schedule/owner/workers.go
+++ b/internal/schedule/owner/workers.go
@@ -11,13 +11,15 @@
 
 // worker is one incarnation of a worker in memory.
 type worker struct {
-	id     string
-	born   int64 // 0: not known yet
-	entry  fleet.Entry
-	listed bool // it stands in the list of workers
-	runs   map[*run]struct{}
-	inLine []*run // the same in an order that repeats; nil: to be sorted anew
-	used   fleet.Room
+	id      string
+	born    int64 // 0: not known yet
+	entry   fleet.Entry
+	listed  bool // it stands in the list of workers
+	runs    map[*run]struct{}
+	inLine  []*run // the same in an order that repeats; nil: to be sorted anew
+	used    fleet.Room
+	lasting fleet.Room   // the part of it that lasting tasks use
+	kept    *reservation // for whose tasks its room is kept; nil: nobody's
 
 	clockMS   int64        // its clock ...
 	clockAt   clock.Millis // ... as read at this time; 0: never
@@ -101,6 +103,7 @@
 	for id, w := range o.workers {
 		if !w.listed && len(w.runs) == 0 && !w.holding && !w.silent && w.trusted {
 			o.options.Log.Info().Str("event", "worker_gone").Str("worker", id).Send()
+			o.release(w)
 			delete(o.workers, id)
 		}
 	}
@@ -222,15 +225,27 @@
 	r.task.job.runs++
 	w.runs[r] = struct{}{}
 	w.planned, w.inLine = false, nil
-	amount := need(r.task.spec())
-	w.used.MilliCPU += amount.MilliCPU
-	w.used.MemoryMB += amount.MemoryMB
-	w.used.GPUs += amount.GPUs
+	w.commit(r.task.spec(), 1)
 	if hosts := r.task.job.steps[r.task.step].onHost; hosts != nil {
 		hosts[w.id]++
 	}
 }
 
+// commit adds what a number of a step's tasks take to what is committed.
+func (w *worker) commit(step *job.Step, tasks int64) {
+	amount := need(step)
+	add(&w.used, amount, tasks)
+	if step.Lasting {
+		add(&w.lasting, amount, tasks)
+	}
+}
+
+func add(sum *fleet.Room, amount fleet.Room, times int64) {
+	sum.MilliCPU += times * amount.MilliCPU
+	sum.MemoryMB += times * amount.MemoryMB
+	sum.GPUs += times * amount.GPUs
+}
+
 // detach frees the room of a run that is over.
 func (o *Owner) detach(r *run) {
 	w := r.worker
@@ -238,10 +253,7 @@
 	w.planned, w.inLine = false, nil
 	r.task.run = nil
 	r.task.job.runs--
-	amount := need(r.task.spec())
-	w.used.MilliCPU -= amount.MilliCPU
-	w.used.MemoryMB -= amount.MemoryMB
-	w.used.GPUs -= amount.GPUs
+	w.commit(r.task.spec(), -1)
 	if hosts := r.task.job.steps[r.task.step].onHost; hosts != nil {
 		hosts[w.id]--
 	}
