Leave workers that let everything stand still

Cause: a worker may answer all calls and let its runs hang; only failures counted against it, so it kept its runs for the whole hang and got new ones. Ruled out: processors used up by others; then the reported use is low.

--- a/internal/schedule/owner/book.go
+++ b/internal/schedule/owner/book.go
@@ -80,6 +80,9 @@
 	startedAt   clock.Millis
 	usage       int64 // as last reported: tail latency in ms, or milli-CPU
 	usageAt     clock.Millis
+	percent     int          // of its work, as last reported
+	judged      bool         // the last report lets tell whether it gets on
+	stillSince  clock.Millis // since when it has shown no progress; 0: never reported
 	overSince   clock.Millis // of a lasting task: since when it is over its target; 0: it is not
 	pace        int          // percent; 100: unhindered
 	why         string       // reason for a stop
--- a/internal/schedule/owner/colocate.go
+++ b/internal/schedule/owner/colocate.go
@@ -282,7 +282,7 @@
 	lowest := harm.MaxHeadroom
 	for _, part := range o.plan(w).serving {
 		lowest = min(lowest, part.headroom)
-		if part.settled {
+		if part.settled && part.headroom > 1/stallTail {
 			o.harm.Observe(harm.Sample{Serving: part.image, Group: part.group, At: o.now, Headroom: part.headroom, Loads: loads})
 		}
 	}
--- a/internal/schedule/owner/colocate_test.go
+++ b/internal/schedule/owner/colocate_test.go
@@ -73,7 +73,7 @@
 func (b *bench) report(id string, usage func(task job.Task) int64) {
 	report := fleet.Report{ClockMS: int64(b.now), Born: 1}
 	for task, run := range b.runs[id] {
-		report.Running = append(report.Running, fleet.Run{Task: task, Run: run, Usage: usage(task)})
+		report.Running = append(report.Running, fleet.Run{Task: task, Run: run, Usage: usage(task), Percent: int(b.now/10) % 100})
 	}
 	b.own.workers[id].holdSent = b.now - 1
 	b.own.Report(id, report)
--- a/internal/schedule/owner/counts.go
+++ b/internal/schedule/owner/counts.go
@@ -16,6 +16,7 @@
 	Lapses     *metrics.Counter
 	Paces      *metrics.Counter
 	Moves      *metrics.Counter
+	Stalls     *metrics.Counter
 	AppendTime Span // from an append's first send to its acknowledgement
 	AcceptTime Span // from a submission's arrival at the owner to its acknowledgement
 	StartTime  Span // from a submission's arrival to its first start
@@ -41,6 +42,7 @@
 		Lapses:     set.NewCounter("oriolepier_worker_leases_lapsed_total"),
 		Paces:      set.NewCounter("oriolepier_task_paces_total"),
 		Moves:      set.NewCounter("oriolepier_task_moves_total"),
+		Stalls:     set.NewCounter("oriolepier_worker_stalls_total"),
 		AppendTime: span("oriolepier_store_append_seconds"),
 		AcceptTime: span("oriolepier_job_accept_seconds"),
 		StartTime:  span("oriolepier_job_first_start_seconds"),
--- a/internal/schedule/owner/place.go
+++ b/internal/schedule/owner/place.go
@@ -252,7 +252,7 @@
 	w := r.worker
 	switch how {
 	case endDone:
-		w.faults = 0
+		w.faults, w.stalls = 0, 0
 	case endFailed:
 		w.faults++
 		r.task.avoid = w.id
--- a/internal/schedule/owner/report.go
+++ b/internal/schedule/owner/report.go
@@ -80,7 +80,13 @@
 	if !report.More {
 		o.findMissing(w, listed)
 	}
-	o.watchHarm(w)
+	switch {
+	case o.resting(w): // its tails say nothing of harm
+	case o.standsStill(w):
+		o.leaveStill(w)
+	default:
+		o.watchHarm(w)
+	}
 }
 
 // takeEnds applies the ends that a worker lists, and plans to let the worker
@@ -140,6 +146,7 @@
 func (o *Owner) present(r *run, row fleet.Run) {
 	r.usage = row.Usage
 	r.usageAt = o.now
+	o.noteProgress(r, row)
 	if row.Checkpoint != "" && row.Checkpoint != r.task.checkpoint {
 		r.task.checkpoint = row.Checkpoint // recorded with the job's next change
 	}
--- /dev/null
+++ b/internal/schedule/owner/stall_test.go
@@ -0,0 +1,86 @@
+package owner
+
+import (
+	"testing"
+
+	"github.com/google/go-cmp/cmp"
+
+	"github.com/oriolepier/oriolepier/internal/base/clock"
+	"github.com/oriolepier/oriolepier/internal/schedule/fleet"
+	"github.com/oriolepier/oriolepier/internal/schedule/job"
+)
+
+// standing plays a worker with a task that fills beside a lasting one, reported
+// every 300 ms as the test says, until tasks are stopped or time is over. It
+// returns the stopped tasks' jobs.
+func standing(t *testing.T, row func(task job.Task, after clock.Millis) fleet.Run) map[job.ID]bool {
+	t.Helper()
+	b := newBench(entryOf("w"))
+	b.idle()
+	b.own.Submit(servingSpec(1), func(Verdict) {})
+	b.own.Submit(fillSpec(1), func(Verdict) {})
+	b.settle()
+	began := b.now
+	for len(b.stops) == 0 && b.now-began < 4*clock.Second {
+		b.now += 300
+		report := fleet.Report{ClockMS: int64(b.now), Born: 1}
+		for task, run := range b.runs["w"] {
+			shown := row(task, b.now-began)
+			shown.Task, shown.Run = task, run
+			report.Running = append(report.Running, shown)
+		}
+		b.own.workers["w"].holdSent = b.now - 1
+		b.own.Report("w", report)
+	}
+	stopped := map[job.ID]bool{}
+	for _, stop := range b.stops {
+		stopped[stop.Task.Job] = true
+	}
+	return stopped
+}
+
+// What a worker that stands still reports: work that uses its processors and
+// does not get on, and users who get no answers.
+func TestWorkerThatStandsStillIsLeft(t *testing.T) {
+	got := standing(t, func(task job.Task, after clock.Millis) fleet.Run {
+		switch {
+		case after < 1500 && task.Job == fillJob:
+			return fleet.Run{Percent: int(after / 100), Usage: 2000}
+		case after < 1500:
+			return fleet.Run{Percent: 100, Usage: targetMS / 2}
+		case task.Job == fillJob:
+			return fleet.Run{Percent: 15, Usage: 2000}
+		}
+		return fleet.Run{Percent: 100, Usage: 600 * targetMS}
+	})
+	want := map[job.ID]bool{servingJob: true, fillJob: true}
+	if diff := cmp.Diff(want, got); diff != "" {
+		t.Errorf("stopped jobs (-want +got):\n%s", diff)
+	}
+}
+
+// A task that fills gets on slowly, or not at all, where others use the
+// processors; that is no fault of its worker.
+func TestWorkerWithoutProcessorsToSpareIsKept(t *testing.T) {
+	got := standing(t, func(task job.Task, after clock.Millis) fleet.Run {
+		if task.Job == fillJob {
+			return fleet.Run{Percent: 15, Usage: 100}
+		}
+		return fleet.Run{Percent: 100, Usage: targetMS / 2}
+	})
+	if diff := cmp.Diff(map[job.ID]bool{}, got); diff != "" {
+		t.Errorf("stopped jobs (-want +got):\n%s", diff)
+	}
+}
+
+func TestSlowProgressIsProgress(t *testing.T) {
+	got := standing(t, func(task job.Task, after clock.Millis) fleet.Run {
+		if task.Job == fillJob {
+			return fleet.Run{Percent: int(after / 600), Usage: 2000}
+		}
+		return fleet.Run{Percent: 100, Usage: targetMS / 2}
+	})
+	if diff := cmp.Diff(map[job.ID]bool{}, got); diff != "" {
+		t.Errorf("stopped jobs (-want +got):\n%s", diff)
+	}
+}
--- a/internal/schedule/owner/workers.go
+++ b/internal/schedule/owner/workers.go
@@ -38,6 +38,7 @@
 	acked     int64        // ends up to this number are recorded
 	restUntil clock.Millis // no new runs before
 	faults    int          // runs that went wrong in a row
+	stalls    int          // times in a row that it stood still
 	doubts    []doubt      // starts without an answer that may still be carried out
 	pace      int          // of all that fills it, in percent
 	pacedAt   clock.Millis
