--- a/internal/site/front/front.go
+++ b/internal/site/front/front.go
@@ -163,14 +163,7 @@
 		return failed
 	}
 	x.reply = f.options.Desk.Submit(ctx, spec)
-	switch x.reply.Outcome {
-	case relay.NotRun:
-		return unavailable("no owner is known")
-	case relay.Unknown:
-		return answer{status: http.StatusGatewayTimeout, reason: "whether the job was recorded is not known"}
-	case relay.Answered:
-	}
-	return verdictAnswer(x.reply.Verdict)
+	return replyAnswer(x.reply, "whether the job was recorded is not known")
 }
 
 // read reads and checks a submission; a failed answer has a status.
@@ -215,14 +208,20 @@
 
 func (f *Front) cancel(ctx context.Context, x *exchange) answer {
 	x.reply = f.options.Desk.Cancel(ctx, job.ID(x.rest))
-	switch x.reply.Outcome {
+	return replyAnswer(x.reply, "whether the job was cancelled is not known")
+}
+
+// replyAnswer turns a reply into a status; doubt is the reason where it is not
+// known what the owner did.
+func replyAnswer(reply relay.Reply, doubt string) answer {
+	switch reply.Outcome {
 	case relay.NotRun:
 		return unavailable("no owner is known")
 	case relay.Unknown:
-		return answer{status: http.StatusGatewayTimeout, reason: "whether the job was cancelled is not known"}
+		return answer{status: http.StatusGatewayTimeout, reason: doubt}
 	case relay.Answered:
 	}
-	return verdictAnswer(x.reply.Verdict)
+	return verdictAnswer(reply.Verdict)
 }
 
 func verdictAnswer(verdict owner.Verdict) answer {
--- a/internal/site/ownership/watch.go
+++ b/internal/site/ownership/watch.go
@@ -150,7 +150,7 @@
 			e.heardAt.Store(int64(now))
 			e.peers.Store(&answer.Peers)
 			e.options.Answered(ctx, record.Address, answer)
-			if why := e.unfit(answer, now-started); why != notDue {
+			if why := e.unfit(ctx, answer, now-started); why != notDue {
 				return why
 			}
 		case now-heard > silenceLimit && !e.othersHear(ctx, record):
@@ -183,11 +183,11 @@
 }
 
 // unfit returns why an owner that answers should be replaced, if it should.
-func (e *Elector) unfit(answer peer.PingAnswer, watched clock.Millis) reason {
+func (e *Elector) unfit(ctx context.Context, answer peer.PingAnswer, watched clock.Millis) reason {
 	switch {
 	case !answer.ReadyToAct && watched > loadLimit:
 		return notLoaded
-	case !answer.ReadyToAct || answer.StoreAge <= storeAgeLimit || !e.storeAnswers():
+	case !answer.ReadyToAct || answer.StoreAge <= storeAgeLimit || !e.storeAnswers(ctx):
 		e.answering = 0
 	case e.answering == 0:
 		e.answering = e.options.Clock.Now()
@@ -198,8 +198,8 @@
 }
 
 // storeAnswers asks the store whether this entry reaches it.
-func (e *Elector) storeAnswers() bool {
-	ctx, cancel := context.WithTimeout(context.Background(), pingTimeout.Duration())
+func (e *Elector) storeAnswers(ctx context.Context) bool {
+	ctx, cancel := context.WithTimeout(ctx, pingTimeout.Duration())
 	defer cancel()
 	return e.poll(ctx, -1).Outcome == journal.Done
 }
--- a/internal/site/relay/relay.go
+++ b/internal/site/relay/relay.go
@@ -79,30 +79,38 @@
 	remote func(ctx context.Context, address string) (Reply, error)
 }
 
-// Submit hands a job in.
-func (d Desk) Submit(ctx context.Context, spec job.Spec) Reply {
-	return d.ask(ctx, question{
-		local: func(ctx context.Context, own *Local) (Reply, error) {
-			return Reply{Verdict: own.Submit(ctx, spec)}, nil
-		},
+// order is a question whose answer is a verdict alone.
+func order(
+	local func(ctx context.Context, own *Local) owner.Verdict,
+	remote func(ctx context.Context, address string) (owner.Verdict, error),
+) question {
+	return question{
+		local: func(ctx context.Context, own *Local) (Reply, error) { return Reply{Verdict: local(ctx, own)}, nil },
 		remote: func(ctx context.Context, address string) (Reply, error) {
-			verdict, err := d.options.Peers.Submit(ctx, address, peer.SubmitQuery{Spec: spec})
+			verdict, err := remote(ctx, address)
 			return Reply{Verdict: verdict}, err
 		},
-	})
+	}
+}
+
+// Submit hands a job in.
+func (d Desk) Submit(ctx context.Context, spec job.Spec) Reply {
+	return d.ask(ctx, order(
+		func(ctx context.Context, own *Local) owner.Verdict { return own.Submit(ctx, spec) },
+		func(ctx context.Context, address string) (owner.Verdict, error) {
+			return d.options.Peers.Submit(ctx, address, peer.SubmitQuery{Spec: spec})
+		},
+	))
 }
 
 // Cancel cancels a job.
 func (d Desk) Cancel(ctx context.Context, id job.ID) Reply {
-	return d.ask(ctx, question{
-		local: func(ctx context.Context, own *Local) (Reply, error) {
-			return Reply{Verdict: own.Cancel(ctx, id)}, nil
+	return d.ask(ctx, order(
+		func(ctx context.Context, own *Local) owner.Verdict { return own.Cancel(ctx, id) },
+		func(ctx context.Context, address string) (owner.Verdict, error) {
+			return d.options.Peers.Cancel(ctx, address, peer.JobQuery{ID: id})
 		},
-		remote: func(ctx context.Context, address string) (Reply, error) {
-			verdict, err := d.options.Peers.Cancel(ctx, address, peer.JobQuery{ID: id})
-			return Reply{Verdict: verdict}, err
-		},
-	})
+	))
 }
 
 // Lookup asks for a job's state.
