--- a/internal/schedule/owner/faults_test.go
+++ b/internal/schedule/owner/faults_test.go
@@ -50,6 +50,15 @@
 			}
 		}
 	}},
+	{name: "worker_stands_still", what: "nothing that runs on a third of the workers gets on; they answer all calls", begin: func(w *world, _ *seat) {
+		for _, m := range w.someWorkers() {
+			m.StandStill(w.now)
+		}
+	}, end: func(w *world) {
+		for _, id := range w.ids() {
+			w.workers[id].GoOn(w.now)
+		}
+	}},
 	{name: "worker_cut", what: "a third of the workers run on and cannot be reached", begin: func(w *world, _ *seat) {
 		for _, m := range w.someWorkers() {
 			m.reach = false
--- a/internal/schedule/owner/stall.go
+++ b/internal/schedule/owner/stall.go
@@ -16,17 +16,17 @@
 	stallPart                 = 0.15             // ... or this share of a task's length, if that is longer
 	stallBegin   clock.Millis = 900              // of a run, until it must show progress; restoring a checkpoint takes so long
 	stallTail                 = 20.0             // tail over target of a lasting task that answers nobody
-	stallUsage                = 0.25             // share of its processors that a task must use to be judged
+	stallUsage                = 0.25             // share of its processors that a task that fills must get to be judged
 	stallRest    clock.Millis = 4 * clock.Second // without new runs of a worker that stood still
 	stallDoubles              = 2                // times that the rest doubles while the worker stands still again
 )
 
 // noteProgress takes what a report shows of a run's work. Runs that are slowed,
-// or that get no processors, are not expected to get on.
+// or that fill a worker whose processors others use, are not expected to get on.
 func (o *Owner) noteProgress(r *run, row fleet.Run) {
 	spec := r.task.spec()
 	moved := row.Percent != r.percent
-	r.judged = r.pace == fullPace && float64(row.Usage) >= stallUsage*float64(spec.MilliCPU)
+	r.judged = r.pace == fullPace && (!spec.Fills || float64(row.Usage) >= stallUsage*float64(spec.MilliCPU))
 	if spec.Lasting {
 		r.judged = spec.TargetMS > 0
 		moved = float64(row.Usage) < stallTail*float64(spec.TargetMS)
--- a/internal/standin/worker/worker.go
+++ b/internal/standin/worker/worker.go
@@ -51,6 +51,7 @@
 	OnEnd   func(task job.Task, c fleet.EndCause) // told of each end
 	OnNoted func(task job.Task)                   // told when a good end was acknowledged, with no lapse between
 
+	still  clock.Millis // since when all that it runs stands still; 0: it does not
 	origin clock.Millis // when its clock read zero
 	token  int64
 	until  int64 // end of the lease, on its clock
@@ -87,11 +88,37 @@
 	w.Entry.Born = epoch + int64(now)
 	w.origin = now
 	w.token, w.until, w.count, w.stale, w.acked = 0, 0, 0, 0, 0
+	w.still = 0
 	w.runs = map[job.Task]*run{}
 	w.closed = map[job.Task]int{}
 	w.ended = nil
 }
 
+// StandStill lets nothing that runs get on any more. Calls are still answered.
+func (w *Worker) StandStill(now clock.Millis) {
+	w.Pass(now)
+	w.still = now
+}
+
+// GoOn ends StandStill.
+func (w *Worker) GoOn(now clock.Millis) {
+	if w.still == 0 {
+		return
+	}
+	for _, r := range w.runs {
+		r.begun += now - max(w.still, r.begun)
+	}
+	w.still = 0
+}
+
+// worked is how long a run has got on.
+func (w *Worker) worked(r *run, now clock.Millis) clock.Millis {
+	if w.still != 0 {
+		now = w.still
+	}
+	return max(now-r.begun, 0)
+}
+
 // Clock returns what its clock reads.
 func (w *Worker) Clock(now clock.Millis) int64 {
 	passed := int64(now - w.origin)
@@ -139,7 +166,7 @@
 	}
 	for _, task := range w.Tasks() {
 		r := w.runs[task]
-		over := r.work.Length > 0 && now-r.begun >= r.work.Length
+		over := r.work.Length > 0 && w.worked(r, now) >= r.work.Length
 		switch {
 		case lapsed:
 			w.end(task, fleet.EndLapsed)
@@ -251,7 +278,7 @@
 	w.forget(order.Acked)
 	for _, task := range w.Tasks() {
 		r := w.runs[task]
-		percent := 100 * (now - r.begun) / max(r.work.Length, 1)
+		percent := 100 * w.worked(r, now) / max(r.work.Length, 1)
 		report.Running = append(report.Running, fleet.Run{
 			Task: task, Run: r.number, Percent: int(min(percent, 99)), Usage: r.work.Usage,
 		})
