Leave workers that are as good as still, and tell them from crowded ones

And five workers, from 5.7 s on, got on at a fifth of their speed with tails 50 times their targets; runs that got on at all hid that. Ruled out: a hang (shares of work done grew by 2 to 4 in 0.7 s).

Change: lasting tasks alone count only where nothing else is there; beside short runs, what these got done of what was due in the last second must be under 0.35 as well; a worker that just listed a good end is not left.

--- a/internal/schedule/owner/place.go
+++ b/internal/schedule/owner/place.go
@@ -253,6 +253,7 @@
 	switch how {
 	case endDone:
 		w.faults, w.stalls = 0, 0
+		w.doneAt = o.now
 	case endFailed:
 		w.faults++
 		r.task.avoid = w.id
--- a/internal/schedule/owner/report.go
+++ b/internal/schedule/owner/report.go
@@ -75,18 +75,20 @@
 	w.misses = 0
 	w.lapsed = false
 	w.nextHold = o.now + max(o.options.Times.ReportGap, o.perWorker(gapSpread))
+	o.forgetSpeed(w)
 	o.takeEnds(w, report.Ended)
 	listed := o.takeRunning(w, report.Running)
 	if !report.More {
 		o.findMissing(w, listed)
 	}
-	switch {
-	case o.resting(w): // its tails say nothing of harm
-	case o.standsStill(w):
-		o.leaveStill(w)
-	default:
-		o.watchHarm(w)
+	if o.resting(w) {
+		return // its tails say nothing of harm
+	}
+	if sum := o.stillness(w); o.standsStill(w, sum) {
+		o.leaveStill(w, sum)
+		return
 	}
+	o.watchHarm(w)
 }
 
 // takeEnds applies the ends that a worker lists, and plans to let the worker
@@ -144,9 +146,9 @@
 
 // present updates a run from its row in a report.
 func (o *Owner) present(r *run, row fleet.Run) {
+	o.noteProgress(r, row)
 	r.usage = row.Usage
 	r.usageAt = o.now
-	o.noteProgress(r, row)
 	if row.Checkpoint != "" && row.Checkpoint != r.task.checkpoint {
 		r.task.checkpoint = row.Checkpoint // recorded with the job's next change
 	}
--- a/internal/schedule/owner/workers.go
+++ b/internal/schedule/owner/workers.go
@@ -39,6 +39,9 @@
 	restUntil clock.Millis // no new runs before
 	faults    int          // runs that went wrong in a row
 	stalls    int          // times in a row that it stood still
+	doneAt    clock.Millis // when it last listed a good end
+	got, due  float64      // milliseconds of work that its short runs did lately, and should have done
+	speedAt   clock.Millis // when these sums were last aged
 	doubts    []doubt      // starts without an answer that may still be carried out
 	pace      int          // of all that fills it, in percent
 	pacedAt   clock.Millis
