--- a/internal/schedule/owner/stall.go
+++ b/internal/schedule/owner/stall.go
@@ -46,10 +46,11 @@
 }
 
 // noteSpeed adds what a short run has got on since its last report, and what was
-// due by the processors that it got, to the sums of its worker.
+// due by the processors that it got, to the sums of its worker. Without an
+// estimate of its length nothing is due.
 func (o *Owner) noteSpeed(r *run, row fleet.Run) {
 	spec := r.task.spec()
-	if spec.Lasting || r.usageAt == 0 || !r.judged || o.now < r.startedAt+stallBegin {
+	if spec.Lasting || spec.EstimateMS == 0 || r.usageAt == 0 || !r.judged || o.now < r.startedAt+stallBegin {
 		return
 	}
 	share := 1.0
--- a/internal/schedule/owner/stall_test.go
+++ b/internal/schedule/owner/stall_test.go
@@ -103,6 +103,19 @@
 	}
 }
 
+// What is due can only be told by an estimate.
+func TestTaskWithoutAnEstimateSaysNothingOfSpeed(t *testing.T) {
+	o := newBench(entryOf("w")).own
+	w := o.workers["w"]
+	spec := stepJob(fillJob, job.Step{Count: 1, MilliCPU: 2000})
+	r := &run{task: &newJob(spec).steps[0].tasks[0], worker: w, judged: true, usageAt: o.now, pace: fullPace}
+	o.now += 10 * clock.Second
+	o.noteProgress(r, fleet.Run{Percent: 1, Usage: 2000})
+	if w.slow() || w.due != 0 {
+		t.Errorf("%g ms of work are due", w.due)
+	}
+}
+
 func TestSlowProgressIsProgress(t *testing.T) {
 	got := standing(t, func(task job.Task, after clock.Millis) fleet.Run {
 		if task.Job == fillJob {
