Let other entries make the calls to workers

Cause: one owner made all calls to 890 workers itself, 0.4 ms of a core each, and its processor bound the cell: 42 % of the first starts were never made.

Ruled out: deciding.

Change: package linkshard. The owner still decides every start, stop and hold; entries near the workers, chosen by strength and assigned by weighted rendezvous hashing, make the calls and answer in batches. Links hold no state; a batch is dropped by a link whose clock is ahead of the reading that the batch names; a link serves no lower epoch than it has seen; an owner asks from its own entry before it believes that a worker is silent. Cells of few workers keep calling by themselves. Entries are told of each other only when their list has changed.

--- a/internal/schedule/fleet/fleet.go
+++ b/internal/schedule/fleet/fleet.go
@@ -1,5 +1,6 @@
 // Package fleet holds what the scheduler says to workers and hears from them,
-// as typed values. The adapter translates them; the owner decides by them.
+// as typed values. The adapter translates them; the owner decides by them, and
+// entries hand them to each other in the encoding that the tags give.
 //
 // # Usage
 //
@@ -11,6 +12,8 @@
 package fleet
 
 import (
+	"context"
+
 	"github.com/oriolepier/oriolepier/internal/base/clock"
 	"github.com/oriolepier/oriolepier/internal/schedule/job"
 )
@@ -39,45 +42,45 @@
 
 // Address is how to reach one incarnation of a worker.
 type Address struct {
-	ID   string
-	Host string // host:port
+	ID   string `cbor:"1,keyasint"`
+	Host string `cbor:"2,keyasint"` // host:port
 }
 
 // Start orders a run.
 type Start struct {
-	To         Address
-	Task       job.Task
-	Run        int
-	Text       string
-	Checkpoint string
-	UntilMS    int64 // lease, on the worker's clock
-	Token      int64 // fencing token
+	To         Address  `cbor:"1,keyasint,omitempty"`
+	Task       job.Task `cbor:"2,keyasint,omitempty"`
+	Run        int      `cbor:"3,keyasint,omitempty"`
+	Text       string   `cbor:"4,keyasint,omitempty"`
+	Checkpoint string   `cbor:"5,keyasint,omitempty"`
+	UntilMS    int64    `cbor:"6,keyasint,omitempty"` // lease, on the worker's clock
+	Token      int64    `cbor:"7,keyasint,omitempty"` // fencing token
 }
 
 // Stop orders a run to end, or never to begin.
 type Stop struct {
-	To    Address
-	Task  job.Task
-	Run   int
-	Token int64
+	To    Address  `cbor:"1,keyasint,omitempty"`
+	Task  job.Task `cbor:"2,keyasint,omitempty"`
+	Run   int      `cbor:"3,keyasint,omitempty"`
+	Token int64    `cbor:"4,keyasint,omitempty"`
 }
 
 // Pace orders the share of its speed at which a run works.
 type Pace struct {
-	To      Address
-	Task    job.Task
-	Run     int
-	Percent int
-	Token   int64
+	To      Address  `cbor:"1,keyasint,omitempty"`
+	Task    job.Task `cbor:"2,keyasint,omitempty"`
+	Run     int      `cbor:"3,keyasint,omitempty"`
+	Percent int      `cbor:"4,keyasint,omitempty"`
+	Token   int64    `cbor:"5,keyasint,omitempty"`
 }
 
 // Hold renews the lease of all runs of a worker and asks for its report.
 type Hold struct {
-	To      Address
-	UntilMS int64 // 0: the lease is left as it is
-	Acked   int64 // ends up to this number are recorded and may be forgotten
-	WaitMS  int64 // the worker may wait so long for an end
-	Token   int64
+	To      Address `cbor:"1,keyasint,omitempty"`
+	UntilMS int64   `cbor:"2,keyasint,omitempty"` // 0: the lease is left as it is
+	Acked   int64   `cbor:"3,keyasint,omitempty"` // ends up to this number are recorded and may be forgotten
+	WaitMS  int64   `cbor:"4,keyasint,omitempty"` // the worker may wait so long for an end
+	Token   int64   `cbor:"5,keyasint,omitempty"`
 }
 
 // Outcome of an order.
@@ -98,6 +101,13 @@
 	Malformed          // the worker does not understand the order
 )
 
+// Known reports whether the value is one of the outcomes.
+func (o Outcome) Known() bool { return o <= Malformed }
+
+// Doubtful reports whether a worker's silence or the way to it explains an
+// outcome, so that another way may do better.
+func (o Outcome) Doubtful() bool { return o == Unanswered || o == NotSent }
+
 // String names the outcome for logs.
 func (o Outcome) String() string {
 	return [...]string{
@@ -106,19 +116,36 @@
 	}[o]
 }
 
+// Calls are the calls to workers. Each waits for the worker's answer.
+type Calls struct {
+	Start func(ctx context.Context, order Start) Answer
+	Stop  func(ctx context.Context, order Stop) Answer
+	Pace  func(ctx context.Context, order Pace) Answer
+	Hold  func(ctx context.Context, order Hold) Report
+}
+
+// Dispatch sends orders on their way. Its functions return at once; the answer
+// is handed over later, from any goroutine, and at most once.
+type Dispatch struct {
+	Start func(order Start, answer func(Answer))
+	Stop  func(order Stop, answer func(Answer))
+	Pace  func(order Pace, answer func(Answer))
+	Hold  func(order Hold, report func(Report))
+}
+
 // Answer is a worker's answer to an order.
 type Answer struct {
-	Outcome Outcome
-	ClockMS int64 // the worker's clock; 0 when it was not given
+	Outcome Outcome `cbor:"1,keyasint"`
+	ClockMS int64   `cbor:"2,keyasint,omitempty"` // the worker's clock; 0 when it was not given
 }
 
 // Run is a run that a worker lists as present.
 type Run struct {
-	Task       job.Task
-	Run        int
-	Checkpoint string
-	Percent    int   // of its work
-	Usage      int64 // of a task with a target: its tail latency in ms; of others: milli-CPU in use
+	Task       job.Task `cbor:"1,keyasint,omitempty"`
+	Run        int      `cbor:"2,keyasint,omitempty"`
+	Checkpoint string   `cbor:"3,keyasint,omitempty"`
+	Percent    int      `cbor:"4,keyasint,omitempty"` // of its work
+	Usage      int64    `cbor:"5,keyasint,omitempty"` // of a task with a target: its tail latency in ms; of others: milli-CPU in use
 }
 
 // EndCause says how a run ended.
@@ -134,6 +161,9 @@
 	EndAlone  // the others of its gang did not come
 )
 
+// Known reports whether the value is one of the causes.
+func (c EndCause) Known() bool { return c <= EndAlone }
+
 // String names the cause for logs.
 func (c EndCause) String() string {
 	return [...]string{"done", "failed", "stopped", "lapsed", "broken", "alone"}[c]
@@ -141,19 +171,19 @@
 
 // End is a run that a worker lists as over. Numbers rise within an incarnation.
 type End struct {
-	Number     int64
-	Task       job.Task
-	Run        int
-	Cause      EndCause
-	Checkpoint string
+	Number     int64    `cbor:"1,keyasint,omitempty"`
+	Task       job.Task `cbor:"2,keyasint,omitempty"`
+	Run        int      `cbor:"3,keyasint,omitempty"`
+	Cause      EndCause `cbor:"4,keyasint"`
+	Checkpoint string   `cbor:"5,keyasint,omitempty"`
 }
 
 // Report is a worker's answer to a Hold.
 type Report struct {
-	Outcome Outcome
-	ClockMS int64
-	Born    int64
-	Running []Run
-	Ended   []End
-	More    bool // the list of ends was cut off
+	Outcome Outcome `cbor:"1,keyasint"`
+	ClockMS int64   `cbor:"2,keyasint,omitempty"`
+	Born    int64   `cbor:"3,keyasint,omitempty"`
+	Running []Run   `cbor:"4,keyasint,omitempty"`
+	Ended   []End   `cbor:"5,keyasint,omitempty"`
+	More    bool    `cbor:"6,keyasint,omitempty"` // the list of ends was cut off
 }
--- a/internal/schedule/job/job.go
+++ b/internal/schedule/job/job.go
@@ -67,10 +67,10 @@
 
 // Task names a task of a job.
 type Task struct {
-	Job        ID
-	Occurrence int
-	Step       int
-	Index      int
+	Job        ID  `cbor:"1,keyasint"`
+	Occurrence int `cbor:"2,keyasint,omitempty"`
+	Step       int `cbor:"3,keyasint,omitempty"`
+	Index      int `cbor:"4,keyasint,omitempty"`
 }
 
 // State is what callers see of a job.
--- a/internal/site/daemon/callers.go
+++ b/internal/site/daemon/callers.go
@@ -1,8 +1,13 @@
 package daemon
 
 import (
+	"fmt"
+	"maps"
+	"slices"
 	"sync"
 
+	"github.com/cespare/xxhash/v2"
+
 	"github.com/oriolepier/oriolepier/internal/base/clock"
 	"github.com/oriolepier/oriolepier/internal/site/peer"
 )
@@ -14,6 +19,8 @@
 type callers struct {
 	mu   sync.Mutex
 	last map[string]caller // by address
+	list []peer.Entry      // the same in order of address; nil: to be made anew
+	hash uint64            // of the list
 }
 
 type caller struct {
@@ -21,28 +28,42 @@
 	at    clock.Millis
 }
 
-// note adds an entry and returns all.
-func (c *callers) note(query peer.PingQuery, now clock.Millis) []peer.Entry {
+// note adds an entry and returns all, with a hash by which lists can be compared.
+func (c *callers) note(query peer.PingQuery, now clock.Millis) ([]peer.Entry, uint64) {
+	entry := peer.Entry{Address: query.Address, Cores: query.Cores, Domain: query.Domain, Links: query.Links}
 	c.mu.Lock()
+	defer c.mu.Unlock()
 	if c.last == nil {
 		c.last = map[string]caller{}
 	}
-	c.last[query.Address] = caller{entry: peer.Entry{Address: query.Address, Cores: query.Cores}, at: now}
-	c.mu.Unlock()
-	return c.recent(now)
+	if c.last[entry.Address].entry != entry {
+		c.list = nil
+	}
+	c.last[entry.Address] = caller{entry: entry, at: now}
+	return c.listed(now)
 }
 
 // recent returns the entries that asked within the last few seconds.
 func (c *callers) recent(now clock.Millis) []peer.Entry {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	entries := make([]peer.Entry, 0, len(c.last))
+	entries, _ := c.listed(now)
+	return entries
+}
+
+func (c *callers) listed(now clock.Millis) ([]peer.Entry, uint64) {
 	for address, known := range c.last {
 		if now-known.at > callerKept {
 			delete(c.last, address)
-			continue
+			c.list = nil
 		}
-		entries = append(entries, known.entry)
 	}
-	return entries
+	if c.list == nil {
+		c.list = make([]peer.Entry, 0, len(c.last))
+		for _, address := range slices.Sorted(maps.Keys(c.last)) {
+			c.list = append(c.list, c.last[address].entry)
+		}
+		c.hash = xxhash.Sum64String(fmt.Sprint(c.list))
+	}
+	return c.list, c.hash
 }
--- a/internal/site/daemon/daemon.go
+++ b/internal/site/daemon/daemon.go
@@ -30,6 +30,7 @@
 	"github.com/oriolepier/oriolepier/internal/base/clock"
 	"github.com/oriolepier/oriolepier/internal/base/logline"
 	"github.com/oriolepier/oriolepier/internal/schedule/owner"
+	"github.com/oriolepier/oriolepier/internal/site/linkshard"
 	"github.com/oriolepier/oriolepier/internal/site/ownership"
 	"github.com/oriolepier/oriolepier/internal/site/peer"
 	"github.com/oriolepier/oriolepier/internal/site/relay"
@@ -89,7 +90,7 @@
 	metrics  *metrics.Set
 	counts   *owner.Counts
 	store    platform.Store
-	workers  platform.Workers
+	shard    *linkshard.Shard
 	tables   *tables.Follower
 	roster   *roster.Follower
 	elector  *ownership.Elector
@@ -160,29 +161,27 @@
 
 // own runs an ownership.
 func (d *Daemon) own(ctx context.Context, epoch int64, former ownership.Former) error {
+	pool := d.newPool(epoch)
 	run := runtime.New(runtime.Options{
 		Epoch: epoch, Topic: platform.Topic(cellTopic), Clock: d.clock, Log: d.store.Log(),
-		Orders: runtime.Orders{
-			Start: d.workers.Start, Stop: d.workers.Stop, Pace: d.workers.Pace, Hold: d.workers.Hold,
-		},
+		Orders: pool.Dispatch(),
 		Times:  owner.DefaultTimes(d.settings.Bounds.MaxLease, d.settings.Bounds.StatusKept),
 		Cores:  d.settings.Limits.Cores,
-		Logger: d.logger, Counts: d.counts, Tables: d.tables.Since, Workers: d.roster.Since,
+		Logger: d.logger, Counts: d.counts, Tables: d.tables.Since, Workers: d.listWorkers(pool),
 		FormerGone: former.Gone,
 	})
 	d.former.Store(&former.Name)
 	d.local.Store(run)
 	defer d.local.Store(nil)
-	if d.options.Product != nil {
-		return run.Serve(ctx) // the list of workers is followed all the time
-	}
-	ctx, cancel := context.WithCancel(ctx)
-	defer cancel()
+	parts, stop := context.WithCancel(context.WithoutCancel(ctx))
 	group := new(errgroup.Group)
-	group.Go(func() error { return d.roster.Serve(ctx) })
+	group.Go(func() error { return pool.Serve(parts) })
+	if d.options.Product == nil { // else the list of workers is followed all the time
+		group.Go(func() error { return d.roster.Serve(parts) })
+	}
 	err := run.Serve(ctx)
-	cancel()
-	_ = group.Wait() // the follower ends with its context and has no other error
+	stop()
+	_ = group.Wait() // its parts end with their context and have no other error
 	return err
 }
 
--- a/internal/site/daemon/serve.go
+++ b/internal/site/daemon/serve.go
@@ -228,6 +228,7 @@
 			known := d.tables.Copy()
 			return peer.TablesAnswer{End: known.End, Records: known.Records}
 		},
+		Link: d.shard.Serve,
 	})
 	return server.Serve(ctx, listener)
 }
@@ -237,7 +238,14 @@
 
 func (d *Daemon) answerPing(_ context.Context, query peer.PingQuery) peer.PingAnswer {
 	now := d.clock.Now()
-	answer := peer.PingAnswer{Owner: d.elector.Owning(), Epoch: d.elector.Current().Epoch, Peers: d.seen.note(query, now), TablesEnd: d.tables.End(), Cores: d.settings.Limits.Cores}
+	peers, hash := d.seen.note(query, now)
+	if query.Known == hash {
+		peers = nil
+	}
+	answer := peer.PingAnswer{
+		Owner: d.elector.Owning(), Epoch: d.elector.Current().Epoch, Peers: peers, PeersHash: hash,
+		TablesEnd: d.tables.End(), Cores: d.settings.Limits.Cores,
+	}
 	if run := d.local.Load(); run != nil {
 		if former := d.former.Load(); former != nil && *former == query.Name {
 			run.FormerGone() // it follows this owner, and so owns nothing
--- a/internal/site/daemon/wire.go
+++ b/internal/site/daemon/wire.go
@@ -15,8 +15,10 @@
 	"github.com/oriolepier/oriolepier/internal/base/clock"
 	"github.com/oriolepier/oriolepier/internal/base/logline"
 	"github.com/oriolepier/oriolepier/internal/config/release"
+	"github.com/oriolepier/oriolepier/internal/schedule/fleet"
 	"github.com/oriolepier/oriolepier/internal/schedule/journal"
 	"github.com/oriolepier/oriolepier/internal/schedule/owner"
+	"github.com/oriolepier/oriolepier/internal/site/linkshard"
 	"github.com/oriolepier/oriolepier/internal/site/ownership"
 	"github.com/oriolepier/oriolepier/internal/site/peer"
 	"github.com/oriolepier/oriolepier/internal/site/roster"
@@ -38,6 +40,7 @@
 	do.ProvideValue(injector, platform.NewWorkers(settings.Limits.Cores))
 	do.ProvideValue(injector, peer.NewClient(options.security()))
 	do.Provide(injector, newLogger)
+	do.Provide(injector, newShard)
 	do.Provide(injector, newTables)
 	do.Provide(injector, newRoster)
 	do.Provide(injector, newDaemon)
@@ -109,6 +112,15 @@
 	}), nil
 }
 
+func newShard(injector do.Injector) (*linkshard.Shard, error) {
+	workers := do.MustInvoke[platform.Workers](injector)
+	return linkshard.NewShard(linkshard.ShardOptions{
+		Clock:  do.MustInvoke[clock.Clock](injector),
+		Calls:  fleet.Calls{Start: workers.Start, Stop: workers.Stop, Pace: workers.Pace, Hold: workers.Hold},
+		Logger: do.MustInvoke[zerolog.Logger](injector),
+	}), nil
+}
+
 func newDaemon(injector do.Injector) (*Daemon, error) {
 	set := do.MustInvoke[*metrics.Set](injector)
 	d := &Daemon{
@@ -120,7 +132,7 @@
 		metrics:  set,
 		counts:   owner.NewCounts(set),
 		store:    do.MustInvoke[platform.Store](injector),
-		workers:  do.MustInvoke[platform.Workers](injector),
+		shard:    do.MustInvoke[*linkshard.Shard](injector),
 		tables:   do.MustInvoke[*tables.Follower](injector),
 		roster:   do.MustInvoke[*roster.Follower](injector),
 		peers:    do.MustInvoke[*peer.Client](injector),
@@ -128,7 +140,7 @@
 	d.elector = ownership.New(ownership.Options{
 		Cell: cellName, Name: d.settings.Name, Address: d.peerAddress(), Life: life(),
 		Topic: platform.Topic(ownersTopic), Clock: d.clock, Log: d.store.Log(), Logger: d.logger,
-		Ping: d.peers.Ping, Heard: d.peers.Heard, Rank: rank(d.settings.Name), Cores: d.settings.Limits.Cores,
+		Ping: d.ping, Heard: d.peers.Heard, Rank: rank(d.settings.Name), Cores: d.settings.Limits.Cores,
 		Own: d.own, Callers: func() []peer.Entry { return d.seen.recent(d.clock.Now()) },
 		Answered: d.catchUp,
 	})
--- a/internal/site/ownership/ownership.go
+++ b/internal/site/ownership/ownership.go
@@ -78,6 +78,7 @@
 	current   atomic.Pointer[Record]
 	heardAt   atomic.Int64 // when the current owner last gave a sign of life
 	peers     atomic.Pointer[[]peer.Entry]
+	known     uint64       // hash of that list, as the owner named it
 	refused   clock.Millis // when the owner's address could last not be reached
 	answering clock.Millis // since when the store answers this entry but does not confirm the owner; 0: not so
 	patience  float64      // by which limits are stretched for the owner that is watched
@@ -98,6 +99,9 @@
 // Current returns the newest known record of the owner.
 func (e *Elector) Current() Record { return *e.current.Load() }
 
+// Peers lists the entries that the owner knew at its last sign of life.
+func (e *Elector) Peers() []peer.Entry { return *e.peers.Load() }
+
 // Owning reports whether this process owns the cell.
 func (e *Elector) Owning() bool { return e.owning.Load() }
 
--- a/internal/site/ownership/strength.go
+++ b/internal/site/ownership/strength.go
@@ -45,6 +45,7 @@
 		others := e.options.Callers()
 		if e.outclassed(others) {
 			e.peers.Store(&others)
+			e.known = 0
 			e.options.Logger.Info().Str("event", "ownership_left").Str("cell", e.options.Cell).
 				Float64("cores", e.options.Cores).Int("entries_heard", len(others)).
 				Str("reason", "a stronger entry is there").Send()
--- a/internal/site/ownership/watch.go
+++ b/internal/site/ownership/watch.go
@@ -152,7 +152,7 @@
 			heard = now
 			e.patience = clock.Patience(answer.Cores)
 			e.heardAt.Store(int64(now))
-			e.peers.Store(&answer.Peers)
+			e.notePeers(answer)
 			e.options.Answered(ctx, record.Address, answer)
 			if why := e.unfit(ctx, answer, now-started); why != notDue {
 				return why
@@ -174,10 +174,20 @@
 	ctx, cancel := context.WithTimeout(ctx, pingTimeout.Stretch(e.patience).Duration())
 	defer cancel()
 	return e.options.Ping(ctx, record.Address, peer.PingQuery{
-		Name: e.options.Name, Address: e.options.Address, Cores: e.options.Cores,
+		Name: e.options.Name, Address: e.options.Address, Cores: e.options.Cores, Known: e.known,
 	})
 }
 
+// notePeers takes the owner's list of entries, if it sent one. It leaves the list
+// out while it is the one that this entry named.
+func (e *Elector) notePeers(answer peer.PingAnswer) {
+	if len(answer.Peers) == 0 && answer.PeersHash == e.known {
+		return
+	}
+	e.known = answer.PeersHash
+	e.peers.Store(&answer.Peers)
+}
+
 // refused reports whether an address refused a connection. One that was not
 // accepted in time says only that its process is busy, or cut off.
 func refused(err error) bool {
--- a/internal/site/peer/client.go
+++ b/internal/site/peer/client.go
@@ -112,11 +112,27 @@
 
 func (c *Client) conn(ctx context.Context, address string) (*connection, error) {
 	c.mu.Lock()
-	open, ok := c.conns[address]
+	known, ok := c.conns[address]
 	c.mu.Unlock()
 	if ok {
-		return open, nil
+		return known, nil
 	}
+	open, err := c.dial(ctx, address, deaf{})
+	if err != nil {
+		return nil, err
+	}
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if other, taken := c.conns[address]; taken {
+		open.close()
+		return other, nil
+	}
+	c.conns[address] = open
+	return open, nil
+}
+
+// dial opens a connection and shows the token.
+func (c *Client) dial(ctx context.Context, address string, handler jsonrpc2.Handler) (*connection, error) {
 	tcp, err := socket.Dial(ctx, address, dialTimeout)
 	if err != nil {
 		return nil, fault.New(fault.NotSent, "dial peer", address, err)
@@ -126,17 +142,10 @@
 	}
 	// The connection outlives this call, so it must not end with its context.
 	stream := jsonrpc2.NewBufferedStream(tcp, boundedCodec{})
-	open = &connection{tcp: tcp, rpc: jsonrpc2.NewConn(context.WithoutCancel(ctx), stream, deaf{}, quiet)}
+	open := &connection{tcp: tcp, rpc: jsonrpc2.NewConn(context.WithoutCancel(ctx), stream, handler, quiet)}
 	if err := c.greet(ctx, open, address); err != nil {
 		return nil, err
 	}
-	c.mu.Lock()
-	defer c.mu.Unlock()
-	if other, taken := c.conns[address]; taken {
-		open.close()
-		return other, nil
-	}
-	c.conns[address] = open
 	return open, nil
 }
 
--- a/internal/site/peer/peer.go
+++ b/internal/site/peer/peer.go
@@ -36,6 +36,9 @@
 	methodLookup  = "lookup"
 	methodWaiting = "waiting"
 	methodTables  = "tables"
+	methodLink    = "link"    // opens a link's session on this connection
+	methodOrders  = "orders"  // a batch for a link; a notification
+	methodResults = "results" // a batch from a link; a notification
 )
 
 // Limits of connections.
@@ -62,12 +65,17 @@
 	Name    string  `json:"name"`    // of the asking entry
 	Address string  `json:"address"` // at which it answers peers
 	Cores   float64 `json:"cores"`   // processor cores that it may use
+	Domain  string  `json:"domain"`  // its failure domain
+	Links   bool    `json:"links"`   // it serves as a link, and is not leaving
+	Known   uint64  `json:"known"`   // PeersHash of the list of entries that it has; 0: none
 }
 
 // Entry is another entry, as far as an owner needs to know it.
 type Entry struct {
 	Address string  `json:"address"` // at which it answers peers
 	Cores   float64 `json:"cores"`   // processor cores that it may use
+	Domain  string  `json:"domain"`  // its failure domain
+	Links   bool    `json:"links"`   // it serves as a link, and is not leaving
 }
 
 // PingAnswer is a sign of life.
@@ -76,7 +84,8 @@
 	Epoch      int64        `json:"epoch"`
 	Cores      float64      `json:"cores"`        // processor cores of the answering entry
 	StoreAge   clock.Millis `json:"store_age_ms"` // since the store last confirmed something to the owner
-	Peers      []Entry      `json:"peers"`        // entries that asked recently
+	Peers      []Entry      `json:"peers"`        // entries that asked recently; left out where the query names their hash
+	PeersHash  uint64       `json:"peers_hash"`   // of that list; 0 from an older version
 	ReadyToAct bool         `json:"ready"`        // its state is loaded
 	TablesEnd  int64        `json:"tables_end"`   // how far it has read the operators' topic
 }
--- a/internal/site/peer/server.go
+++ b/internal/site/peer/server.go
@@ -13,6 +13,7 @@
 
 	"github.com/oriolepier/oriolepier/internal/base/fault"
 	"github.com/oriolepier/oriolepier/internal/schedule/owner"
+	"github.com/oriolepier/oriolepier/internal/site/linkshard"
 )
 
 // Handlers answer the methods. Each is called on a goroutine of its own.
@@ -24,6 +25,8 @@
 	Lookup  func(ctx context.Context, query JobQuery) owner.Finding
 	Waiting func(ctx context.Context, query QueueQuery) WaitingAnswer
 	Tables  func(ctx context.Context, query struct{}) TablesAnswer
+	// Link serves a link's session until it ends; nil: this entry is no link.
+	Link func(ctx context.Context, query linkshard.Query, line linkshard.Line) error
 }
 
 // Server answers other entries.
@@ -73,7 +76,9 @@
 }
 
 func (s *Server) handle(ctx context.Context, conn net.Conn) {
-	ses := &session{token: s.security.Token, handlers: s.handlers}
+	ctx, cancel := context.WithCancel(ctx)
+	defer cancel()
+	ses := &session{token: s.security.Token, handlers: s.handlers, batches: make(chan []byte, batchesWaiting)}
 	ses.admitted.Store(s.security.Token == "")
 	handler := jsonrpc2.AsyncHandler(ses)
 	rpc := jsonrpc2.NewConn(ctx, jsonrpc2.NewBufferedStream(conn, boundedCodec{}), handler, quiet)
@@ -89,22 +94,34 @@
 	token    string
 	handlers Handlers
 	admitted atomic.Bool // the caller has shown the token
+	linked   atomic.Bool // a link's session was opened
+	batches  chan []byte // of that session
 }
 
 // Handle implements jsonrpc2.Handler.
 func (s *session) Handle(ctx context.Context, rpc *jsonrpc2.Conn, request *jsonrpc2.Request) {
+	if request.Method == methodLink && s.admitted.Load() {
+		if err := s.serveLink(ctx, rpc, request); err != nil {
+			s.refuse(ctx, rpc, request, err)
+		}
+		return
+	}
 	answer, err := s.answer(ctx, request)
 	if request.Notif {
 		return
 	}
 	if err != nil {
-		// The connection may be gone, and then the caller knows.
-		_ = rpc.ReplyWithError(ctx, request.ID, &jsonrpc2.Error{Code: jsonrpc2.CodeInvalidRequest, Message: err.Error()})
+		s.refuse(ctx, rpc, request, err)
 		return
 	}
 	_ = rpc.Reply(ctx, request.ID, answer)
 }
 
+func (s *session) refuse(ctx context.Context, rpc *jsonrpc2.Conn, request *jsonrpc2.Request, err error) {
+	// The connection may be gone, and then the caller knows.
+	_ = rpc.ReplyWithError(ctx, request.ID, &jsonrpc2.Error{Code: jsonrpc2.CodeInvalidRequest, Message: err.Error()})
+}
+
 func (s *session) answer(ctx context.Context, request *jsonrpc2.Request) (any, error) {
 	if request.Method == methodHello {
 		return s.admit(request)
@@ -127,6 +144,8 @@
 		return serve(ctx, request, s.handlers.Waiting)
 	case methodTables:
 		return serve(ctx, request, s.handlers.Tables)
+	case methodOrders:
+		return nil, s.takeOrders(ctx, request)
 	}
 	return nil, errors.Errorf("unknown method %q", request.Method)
 }
--- a/internal/site/runtime/runtime.go
+++ b/internal/site/runtime/runtime.go
@@ -39,21 +39,13 @@
 // ErrOwnershipLost ends Serve when another owner exists.
 var ErrOwnershipLost = errors.New("ownership lost")
 
-// Orders are the calls to workers.
-type Orders struct {
-	Start func(ctx context.Context, order fleet.Start) fleet.Answer
-	Stop  func(ctx context.Context, order fleet.Stop) fleet.Answer
-	Pace  func(ctx context.Context, order fleet.Pace) fleet.Answer
-	Hold  func(ctx context.Context, order fleet.Hold) fleet.Report
-}
-
 // Options of a runtime.
 type Options struct {
 	Epoch  int64
 	Topic  string // of the cell's records
 	Clock  clock.Clock
 	Log    journal.Log
-	Orders Orders
+	Orders fleet.Dispatch // carries orders to workers
 	Times  owner.Times
 	Cores  float64 // of this process; 0: not known
 	Logger zerolog.Logger
@@ -293,29 +285,25 @@
 func (r *Runtime) append(records []journal.Record) { r.writer.write(records) }
 
 func (r *Runtime) start(order fleet.Start) {
-	r.spawn(func() {
-		answer := r.options.Orders.Start(r.ctx, order)
+	r.options.Orders.Start(order, func(answer fleet.Answer) {
 		r.post(func() { r.own.Started(order, answer) })
 	})
 }
 
 func (r *Runtime) stop(order fleet.Stop) {
-	r.spawn(func() {
-		answer := r.options.Orders.Stop(r.ctx, order)
+	r.options.Orders.Stop(order, func(answer fleet.Answer) {
 		r.post(func() { r.own.Stopped(order, answer) })
 	})
 }
 
 func (r *Runtime) pace(order fleet.Pace) {
-	r.spawn(func() {
-		answer := r.options.Orders.Pace(r.ctx, order)
+	r.options.Orders.Pace(order, func(answer fleet.Answer) {
 		r.post(func() { r.own.Paced(order, answer) })
 	})
 }
 
 func (r *Runtime) hold(order fleet.Hold) {
-	r.spawn(func() {
-		report := r.options.Orders.Hold(r.ctx, order)
+	r.options.Orders.Hold(order, func(report fleet.Report) {
 		r.post(func() { r.own.Report(order.To.ID, report) })
 	})
 }
