--- a/internal/schedule/owner/colocate.go
+++ b/internal/schedule/owner/colocate.go
@@ -54,7 +54,8 @@
 	lost     float64 // to all that fills the worker
 	fresh    float64 // the part of that which the report does not show yet
 	count    int
-	settled  bool // its tasks have run long enough to learn from
+	settled  bool     // its tasks have run long enough to learn from
+	unknown  []string // images of what fills the worker whose pairs with this one are not known
 }
 
 // planFill sums a worker up for tasks that fill.
@@ -104,10 +105,17 @@
 	part.ahead = o.harm.Level(part.group, o.now+lookAhead) - o.harm.Level(part.group, w.contactAt)
 	for r := range w.runs {
 		spec := r.task.spec()
-		if !spec.Fills || r.stage == stageStopping || r.stage == stageStopped {
+		if !spec.Fills {
 			continue
 		}
-		lost := o.loss(part.image, r) * float64(r.pace) / fullPace
+		pair := o.harm.Pair(part.image, spec.Image)
+		if !pair.Known() {
+			part.unknown = append(part.unknown, spec.Image)
+		}
+		if r.stage == stageStopping || r.stage == stageStopped {
+			continue
+		}
+		lost := pair.Weight * share(spec.MilliCPU, w) * float64(r.pace) / fullPace
 		part.lost += lost
 		if r.usageAt == 0 || r.usageAt-r.startedAt < harm.Window {
 			part.fresh += lost
@@ -177,9 +185,10 @@
 	ask := share(step.spec.MilliCPU, w)
 	desperate := o.now-f.job.movedAt > desperateWait
 	most := 0.0
-	for _, part := range plan.serving {
+	for i := range plan.serving {
+		part := &plan.serving[i]
 		pair := o.pair(f, part.image)
-		if !pair.Known() && !desperate && o.exploring(part.image, step.spec.Image, w) {
+		if !pair.Known() && !desperate && o.exploring(part, step.spec.Image) {
 			return 0, false
 		}
 		loss := pair.Weight * ask
--- a/internal/schedule/owner/owner.go
+++ b/internal/schedule/owner/owner.go
@@ -96,6 +96,8 @@
 	timers   timers
 	harm     *harm.Estimator
 	trials   map[trial]int          // pairs of images that are being tried
+	tried    int                    // tasks that began such a trial
+	ratings  []rating               // of the step that is being placed, by pool
 	reserved int                    // workers that are kept for large tasks
 	demands  map[string]shortDemand // by pool
 	harmAt   clock.Millis           // of the next record of the estimates
--- a/internal/schedule/owner/place.go
+++ b/internal/schedule/owner/place.go
@@ -58,6 +58,7 @@
 // placeStep places the waiting tasks of a step until one fits nowhere; it
 // returns 1 then.
 func (o *Owner) placeStep(j *jobState, step *stepState, pools []string, usable map[string]*poolRoom, found misses) int {
+	ratings := o.newRatings(len(pools))
 	for k := range step.tasks {
 		task := &step.tasks[k]
 		if task.phase != job.Waiting {
@@ -68,13 +69,13 @@
 			continue
 		}
 		var w *worker
-		for _, name := range pools {
+		for i, name := range pools {
 			pool := usable[name]
 			if pool == nil || !pool.admits(task, o.now) {
 				continue
 			}
 			if !found.cover(name, j, step) {
-				w = o.choose(task, step, pool.workers)
+				w = o.choose(&ratings[i], task, step, pool.workers)
 			}
 			if w != nil {
 				pool.assigned(step)
@@ -162,24 +163,6 @@
 		w.clockAt != 0 && w.misses == 0 && !w.lapsed && o.now-w.contactAt < staleContact && o.now >= w.restUntil
 }
 
-// choose returns the best worker for a task, or nil.
-func (o *Owner) choose(task *taskState, step *stepState, workers []*worker) *worker {
-	amount := need(step.spec)
-	fills := o.filler(task, step)
-	var best *worker
-	bestScore := 0.0
-	for _, w := range workers {
-		if !within(amount, w.free()) || !allowed(step, w) || w.keptFrom(step) {
-			continue
-		}
-		score, ok := o.score(task, step, fills, w)
-		if ok && (best == nil || score > bestScore) {
-			best, bestScore = w, score
-		}
-	}
-	return best
-}
-
 // allowed reports whether a step's own terms let its tasks run on a worker.
 func allowed(step *stepState, w *worker) bool {
 	if step.spec.Label != "" && !slices.Contains(w.entry.Labels, step.spec.Label) {
@@ -200,12 +183,9 @@
 	weightSameWork = 2.0 // lasting tasks of an image are kept together
 )
 
-// score rates a worker that has room for a task; higher is better. It is not
-// ok where the task would do harm. Fills is nil for a task that does not.
-func (o *Owner) score(task *taskState, step *stepState, fills *filler, w *worker) (score float64, ok bool) {
-	if task.avoid == w.id {
-		score -= weightAvoid
-	}
+// score rates a worker that has room for a task of a step; higher is better. It
+// is not ok where the task would do harm. Fills is nil for a step that does not.
+func (o *Owner) score(step *stepState, fills *filler, w *worker) (score float64, ok bool) {
 	if step.spec.Rack != "" && slices.Contains(w.entry.Labels, step.spec.Rack) {
 		score += weightRack
 	}
--- a/internal/schedule/owner/trials.go
+++ b/internal/schedule/owner/trials.go
@@ -4,29 +4,21 @@
 
 // exploring reports whether a pair that is not known yet is being tried: one
 // task at a time on a worker that has nothing else unknown.
-func (o *Owner) exploring(serving, fill string, w *worker) bool {
-	for r := range w.runs {
-		spec := r.task.spec()
-		if spec.Fills && !o.harm.Pair(serving, spec.Image).Known() {
-			return true
-		}
-	}
-	return o.trials[trial{serving, fill}] > 0
+func (o *Owner) exploring(part *servingPart, fill string) bool {
+	return len(part.unknown) > 0 || o.trials[trial{part.image, fill}] > 0
 }
 
 // trial is a pair of images that is being tried.
 type trial struct{ serving, fill string }
 
-// countTrials counts the workers on which each unknown pair is being tried.
+// countTrials counts the tasks by which each unknown pair is being tried.
 func (o *Owner) countTrials() {
 	clear(o.trials)
 	for _, w := range o.ordered {
-		for _, part := range o.plan(w).serving {
-			for r := range w.runs {
-				spec := r.task.spec()
-				if spec.Fills && !o.harm.Pair(part.image, spec.Image).Known() {
-					o.trials[trial{part.image, spec.Image}]++
-				}
+		plan := o.plan(w)
+		for i := range plan.serving {
+			for _, fill := range plan.serving[i].unknown {
+				o.trials[trial{plan.serving[i].image, fill}]++
 			}
 		}
 	}
@@ -37,9 +29,11 @@
 	if !step.spec.Fills {
 		return
 	}
-	for _, part := range o.plan(w).serving {
-		if !o.harm.Pair(part.image, step.spec.Image).Known() {
-			o.trials[trial{part.image, step.spec.Image}]++
+	plan := o.plan(w)
+	for i := range plan.serving {
+		if !o.harm.Pair(plan.serving[i].image, step.spec.Image).Known() {
+			o.trials[trial{plan.serving[i].image, step.spec.Image}]++
+			o.tried++
 		}
 	}
 }
