--- a/internal/schedule/owner/book.go
+++ b/internal/schedule/owner/book.go
@@ -112,7 +112,7 @@
 			step.tasks[k] = taskState{job: j, step: i, index: k}
 		}
 	}
-	j.openSteps()
+	j.openSteps(0)
 	return j
 }
 
@@ -125,13 +125,18 @@
 	}
 }
 
-// openSteps opens each step whose earlier steps are done.
-func (j *jobState) openSteps() {
+// openSteps opens each step whose earlier steps are done, and notes since when
+// its tasks could start.
+func (j *jobState) openSteps(now clock.Millis) {
 	for i := range j.steps {
 		step := &j.steps[i]
-		step.open = step.open || !slices.ContainsFunc(step.spec.After, func(before int) bool {
-			return j.steps[before].left > 0
-		})
+		if step.open || slices.ContainsFunc(step.spec.After, func(before int) bool { return j.steps[before].left > 0 }) {
+			continue
+		}
+		step.open = true
+		for k := range step.tasks {
+			step.tasks[k].freeAt = max(step.tasks[k].freeAt, now)
+		}
 	}
 }
 
--- a/internal/schedule/owner/load.go
+++ b/internal/schedule/owner/load.go
@@ -95,7 +95,7 @@
 			j.left--
 		}
 	}
-	j.openSteps()
+	j.openSteps(0)
 }
 
 func (o *Owner) loadTask(task *taskState, step *stepState, kept job.TaskProgress) {
--- a/internal/schedule/owner/order.go
+++ b/internal/schedule/owner/order.go
@@ -234,6 +234,6 @@
 	o.touch(j)
 	o.batch.then = append(o.batch.then, func() { o.order(r) })
 	o.runLine("run_placed", r).Str("failure_domain", w.entry.Domain).
-		Int64("waited_ms", int64(o.now-j.takenAt)).Int64("contact_age_ms", int64(o.contactAge(w))).
+		Int64("waited_ms", int64(o.now-max(task.freeAt, j.takenAt))).Int64("contact_age_ms", int64(o.contactAge(w))).
 		Int64("manifest", o.tables.Version).Send()
 }
--- a/internal/schedule/owner/owner.go
+++ b/internal/schedule/owner/owner.go
@@ -105,6 +105,7 @@
 	placeDue bool                   // something changed that may let a task start
 	nextPass clock.Millis           // of the next pass that only the time makes due
 	sweepAt  clock.Millis
+	drainAt  clock.Millis // of the next look for lasting tasks that must move
 }
 
 // New returns an owner without jobs or workers. Its ownership begins now.
@@ -138,6 +139,7 @@
 	o.keepAlive()
 	o.keepHarm()
 	o.keepSilence()
+	o.leaveDraining()
 	o.sweep()
 	o.flush()
 }
--- a/internal/schedule/owner/report.go
+++ b/internal/schedule/owner/report.go
@@ -239,7 +239,7 @@
 		return
 	}
 	j.left--
-	j.openSteps()
+	j.openSteps(o.now)
 	if j.left == 0 && !j.state.Final() {
 		o.options.Counts.DoneTime.Observe(o.now - j.takenAt)
 		o.finish(j, job.Completed, "all tasks done")
