Ask a few entries for their word on the owner, and let weak ones ping half as often

Cause: when an owner was not heard, each of 97 entries asked all others, some 9,200 calls at once; and each pinged the owner four times a second.

Change: eight neighbours are asked; entries that leave the claim to stronger ones ping every 500 ms.

--- a/internal/site/ownership/ownership_test.go
+++ b/internal/site/ownership/ownership_test.go
@@ -273,3 +273,33 @@
 		}
 	})
 }
+
+// Each entry asks a few others for their word on the owner, and never itself;
+// all are asked by somebody.
+func TestFewEntriesAreAskedForTheirWord(t *testing.T) {
+	var all []peer.Entry
+	for i := range 97 {
+		all = append(all, peer.Entry{Address: fmt.Sprintf("e%02d", i)})
+	}
+	asked := map[string]int{}
+	for _, own := range all {
+		e := New(Options{Address: own.Address})
+		e.peers.Store(&all)
+		for _, other := range e.neighbours() {
+			if other.Address == own.Address {
+				t.Errorf("%s asks itself", own.Address)
+			}
+			asked[other.Address]++
+		}
+	}
+	for _, entry := range all {
+		if asked[entry.Address] != askMost {
+			t.Errorf("%s is asked %d times, want %d", entry.Address, asked[entry.Address], askMost)
+		}
+	}
+	e := New(Options{Address: "a"})
+	e.peers.Store(&[]peer.Entry{{Address: "a"}, {Address: "b"}})
+	if diff := cmp.Diff([]peer.Entry{{Address: "b"}}, e.neighbours()); diff != "" {
+		t.Errorf("neighbours of two entries (-want +got):\n%s", diff)
+	}
+}
--- a/internal/site/ownership/watch.go
+++ b/internal/site/ownership/watch.go
@@ -3,7 +3,7 @@
 import (
 	"context"
 	"net"
-	"time"
+	"slices"
 
 	"github.com/pkg/errors"
 	"golang.org/x/sync/errgroup"
@@ -30,6 +30,9 @@
 	askTimeout     clock.Millis = 250               // for other entries' word on the owner
 )
 
+// askMost bounds the entries that are asked for their word on the owner.
+const askMost = 8
+
 // reason to claim a cell.
 type reason string
 
@@ -136,8 +139,6 @@
 	heard := started
 	e.patience = clock.Patience(e.options.Cores)
 	e.answering = 0
-	ticker := time.NewTicker(pingPeriod.Duration())
-	defer ticker.Stop()
 	for {
 		answer, err := e.ping(ctx, record)
 		now := e.options.Clock.Now()
@@ -160,16 +161,30 @@
 		case now-heard > silenceLimit.Stretch(e.patience) && !e.othersHear(ctx, record):
 			return unheard
 		}
-		select {
-		case <-newer:
-			return notDue
-		case <-ctx.Done():
+		if e.options.Clock.Pause(ctx, e.pingWait(), newer) != nil || closed(newer) {
 			return notDue
-		case <-ticker.C:
 		}
 	}
 }
 
+// pingWait is the time until the next ping. Weak entries, of which there may be
+// many, leave it to stronger ones to notice first, and ask half as often.
+func (e *Elector) pingWait() clock.Millis {
+	if e.outclassed(*e.peers.Load()) {
+		return 2 * pingPeriod
+	}
+	return pingPeriod
+}
+
+func closed(signal <-chan struct{}) bool {
+	select {
+	case <-signal:
+		return true
+	default:
+		return false
+	}
+}
+
 func (e *Elector) ping(ctx context.Context, record Record) (peer.PingAnswer, error) {
 	ctx, cancel := context.WithTimeout(ctx, pingTimeout.Stretch(e.patience).Duration())
 	defer cancel()
@@ -226,16 +241,27 @@
 	return e.poll(ctx, -1).Outcome == journal.Done
 }
 
-// othersHear asks other entries whether one of them hears the owner.
+// neighbours returns some of the other entries: those that follow this one in
+// the list of all, so that each entry asks others and is asked by few.
+func (e *Elector) neighbours() []peer.Entry {
+	all := *e.peers.Load()
+	own := slices.IndexFunc(all, func(other peer.Entry) bool { return other.Address == e.options.Address })
+	var found []peer.Entry
+	for i := 1; i <= len(all) && len(found) < askMost; i++ {
+		if other := all[(own+i)%len(all)]; other.Address != e.options.Address {
+			found = append(found, other)
+		}
+	}
+	return found
+}
+
+// othersHear asks some other entries whether one of them hears the owner.
 func (e *Elector) othersHear(ctx context.Context, record Record) bool {
 	ctx, cancel := context.WithTimeout(ctx, askTimeout.Duration())
 	defer cancel()
 	group, ctx := errgroup.WithContext(ctx)
-	heard := make(chan struct{}, len(*e.peers.Load()))
-	for _, other := range *e.peers.Load() {
-		if other.Address == e.options.Address {
-			continue
-		}
+	heard := make(chan struct{}, askMost)
+	for _, other := range e.neighbours() {
 		group.Go(func() error {
 			answer, err := e.options.Heard(ctx, other.Address, peer.HeardQuery{Epoch: record.Epoch})
 			if err == nil && answer.Age >= 0 && answer.Age < silenceLimit/2 {
