--- a/internal/site/daemon/daemon.go
+++ b/internal/site/daemon/daemon.go
@@ -89,6 +89,7 @@
 	sink     *logline.Sink
 	metrics  *metrics.Set
 	counts   *owner.Counts
+	links    *linkshard.Counts
 	store    platform.Store
 	shard    *linkshard.Shard
 	tables   *tables.Follower
@@ -98,7 +99,8 @@
 	box      *view.Box  // what requests are routed by; of deployments with tables of their own
 	gate     *gate.Gate // the request side
 	local    atomic.Pointer[runtime.Runtime]
-	former   atomic.Pointer[string] // name of the entry that owned before this one
+	pool     atomic.Pointer[linkshard.Pool] // while the owner is here
+	former   atomic.Pointer[string]         // name of the entry that owned before this one
 	seen     callers
 	leaving  atomic.Bool
 	behind   atomic.Bool // the owner's last sign of life told of newer tables
@@ -173,6 +175,8 @@
 	d.former.Store(&former.Name)
 	d.local.Store(run)
 	defer d.local.Store(nil)
+	d.pool.Store(pool)
+	defer d.pool.Store(nil)
 	parts, stop := context.WithCancel(context.WithoutCancel(ctx))
 	group := new(errgroup.Group)
 	group.Go(func() error { return pool.Serve(parts) })
--- a/internal/site/daemon/dump.go
+++ b/internal/site/daemon/dump.go
@@ -5,6 +5,7 @@
 
 	"github.com/oriolepier/oriolepier/internal/base/clock"
 	"github.com/oriolepier/oriolepier/internal/schedule/owner"
+	"github.com/oriolepier/oriolepier/internal/site/linkshard"
 )
 
 // dumpTimeout bounds the wait for the owner's part of a dump.
@@ -12,18 +13,19 @@
 
 // state is what an entry knows and believes, for operators.
 type state struct {
-	Entry      string       `json:"entry"`
-	Domain     string       `json:"failure_domain"`
-	Ready      bool         `json:"ready"`
-	Leaving    bool         `json:"leaving"`
-	Manifest   int64        `json:"manifest"`
-	TablesAge  clock.Millis `json:"tables_age_ms"`
-	Owner      string       `json:"owner"`
-	OwnerEpoch int64        `json:"owner_epoch"`
-	OwnerAge   clock.Millis `json:"owner_heard_ms"` // negative: not heard
-	StoreAge   clock.Millis `json:"store_age_ms"`
-	LinesLost  int64        `json:"log_lines_dropped"`
-	Cell       *owner.Dump  `json:"cell,omitempty"` // of the owner alone
+	Entry      string             `json:"entry"`
+	Domain     string             `json:"failure_domain"`
+	Ready      bool               `json:"ready"`
+	Leaving    bool               `json:"leaving"`
+	Manifest   int64              `json:"manifest"`
+	TablesAge  clock.Millis       `json:"tables_age_ms"`
+	Owner      string             `json:"owner"`
+	OwnerEpoch int64              `json:"owner_epoch"`
+	OwnerAge   clock.Millis       `json:"owner_heard_ms"` // negative: not heard
+	StoreAge   clock.Millis       `json:"store_age_ms"`
+	LinesLost  int64              `json:"log_lines_dropped"`
+	Links      []linkshard.Status `json:"links,omitempty"` // of the owner alone, like what follows
+	Cell       *owner.Dump        `json:"cell,omitempty"`
 }
 
 func (d *Daemon) dump(ctx context.Context) state {
@@ -36,6 +38,9 @@
 		Owner: record.Name, OwnerEpoch: record.Epoch, OwnerAge: d.elector.HeardAge(record.Epoch),
 		StoreAge: d.elector.StoreAge(), LinesLost: d.sink.Dropped.Load(),
 	}
+	if pool := d.pool.Load(); pool != nil {
+		dump.Links = pool.Status()
+	}
 	if run := d.local.Load(); run != nil {
 		if cell, ok := run.Dump(ctx); ok {
 			dump.Cell = &cell
--- a/internal/site/daemon/wire.go
+++ b/internal/site/daemon/wire.go
@@ -40,6 +40,7 @@
 	do.ProvideValue(injector, platform.NewWorkers(settings.Limits.Cores))
 	do.ProvideValue(injector, peer.NewClient(options.security()))
 	do.Provide(injector, newLogger)
+	do.Provide(injector, newLinkCounts)
 	do.Provide(injector, newShard)
 	do.Provide(injector, newTables)
 	do.Provide(injector, newRoster)
@@ -112,12 +113,17 @@
 	}), nil
 }
 
+func newLinkCounts(injector do.Injector) (*linkshard.Counts, error) {
+	return linkshard.NewCounts(do.MustInvoke[*metrics.Set](injector)), nil
+}
+
 func newShard(injector do.Injector) (*linkshard.Shard, error) {
 	workers := do.MustInvoke[platform.Workers](injector)
 	return linkshard.NewShard(linkshard.ShardOptions{
 		Clock:  do.MustInvoke[clock.Clock](injector),
 		Calls:  fleet.Calls{Start: workers.Start, Stop: workers.Stop, Pace: workers.Pace, Hold: workers.Hold},
 		Logger: do.MustInvoke[zerolog.Logger](injector),
+		Counts: do.MustInvoke[*linkshard.Counts](injector),
 	}), nil
 }
 
@@ -132,6 +138,7 @@
 		metrics:  set,
 		counts:   owner.NewCounts(set),
 		store:    do.MustInvoke[platform.Store](injector),
+		links:    do.MustInvoke[*linkshard.Counts](injector),
 		shard:    do.MustInvoke[*linkshard.Shard](injector),
 		tables:   do.MustInvoke[*tables.Follower](injector),
 		roster:   do.MustInvoke[*roster.Follower](injector),
--- a/internal/site/linkshard/carry.go
+++ b/internal/site/linkshard/carry.go
@@ -37,14 +37,17 @@
 // tries again; that goes from here.
 func (p *Pool) order(worker string, o order, answer func(fleet.Answer)) {
 	s := p.route(worker)
-	if s == nil || !s.carry(o, func(end ending) {
+	taken := s != nil && s.carry(o, func(end ending) {
 		if end.result.outcome().Doubtful() {
 			p.note(worker, true, startSpan)
 		}
 		answer(*end.result.Answer)
-	}) {
-		p.here(o, func(done result) { answer(*done.Answer) })
+	})
+	if taken {
+		p.options.Counts.byLink.Inc()
+		return
 	}
+	p.here(o, func(done result) { answer(*done.Answer) })
 }
 
 // hold carries a hold. A link's silence says nothing of the worker, so this
@@ -55,6 +58,7 @@
 	}
 	s := p.route(o.To.ID)
 	if s != nil && s.carry(order{Hold: &o}, func(end ending) { p.held(o, end, report) }) {
+		p.options.Counts.byLink.Inc()
 		return
 	}
 	p.here(order{Hold: &o}, func(done result) { report(*done.Report) })
@@ -76,6 +80,7 @@
 				span = ownSpan
 			}
 			p.note(o.To.ID, reached, span)
+			p.options.Counts.bypassed.Inc()
 			p.options.Logger.Info().Str("event", "link_bypassed").Str("worker", o.To.ID).Bool("reached", reached).
 				Str("by_link", end.result.outcome().String()).Str("from_here", done.outcome().String()).Send()
 			report(*done.Report)
@@ -85,6 +90,7 @@
 
 // here makes a call from this entry.
 func (p *Pool) here(o order, done func(result)) {
+	p.options.Counts.fromHere.Inc()
 	if !p.spawn(func(ctx context.Context) { done(p.options.Own.carryOut(ctx, o)) }) {
 		done(failed(o, fleet.NotSent))
 	}
--- a/internal/site/linkshard/linkshard.go
+++ b/internal/site/linkshard/linkshard.go
@@ -23,7 +23,7 @@
 //
 // # Usage
 //
-//	shard := linkshard.NewShard(linkshard.ShardOptions{Clock: clk, Calls: calls, Logger: logger})
+//	shard := linkshard.NewShard(linkshard.ShardOptions{Clock: clk, Calls: calls, Logger: logger, Counts: counts})
 //	err := shard.Serve(ctx, query, line) // for each owner that opens a session
 //
 //	pool := linkshard.NewPool(options)
--- a/internal/site/linkshard/open.go
+++ b/internal/site/linkshard/open.go
@@ -18,7 +18,8 @@
 	p.restless[entry.Address] = p.options.Clock.Now() + openAgain
 	p.look()
 	p.mu.Unlock()
-	if ctx.Err() == nil {
+	if ctx.Err() == nil && !errors.Is(err, errRetired) {
+		p.options.Counts.lost.Inc()
 		p.options.Logger.Warn().Str("event", "link_lost").Str("link", entry.Address).Err(err).Send()
 	}
 }
@@ -93,7 +94,8 @@
 	if s.retiredAt == 0 {
 		s.retiredAt = p.options.Clock.Now()
 	}
-	return s.idle() || p.options.Clock.Now()-s.retiredAt > retireLimit
+	open, _ := s.state()
+	return open == 0 || p.options.Clock.Now()-s.retiredAt > retireLimit
 }
 
 // watch returns why a session must end.
@@ -126,6 +128,7 @@
 	p.changed = true
 	p.look()
 	p.mu.Unlock()
+	p.options.Counts.opened.Inc()
 	p.options.Logger.Info().Str("event", "link_opened").Str("link", s.entry.Address).Str("failure_domain", s.entry.Domain).
 		Float64("cores", s.entry.Cores).Int64("epoch", p.options.Epoch).Send()
 }
--- a/internal/site/linkshard/pool.go
+++ b/internal/site/linkshard/pool.go
@@ -34,6 +34,7 @@
 	Name   string  // of this entry
 	Cores  float64 // of this process; 0: not known
 	Own    *Shard  // of this entry
+	Counts *Counts
 	// Entries lists the other entries that could be links now.
 	Entries func() []Entry
 	// Dial connects to an entry and opens a session there. Received is called
@@ -246,9 +247,30 @@
 	return true
 }
 
-// Count returns how many links have a session.
-func (p *Pool) Count() int {
+// Status is what an owner knows of a link, for operators.
+type Status struct {
+	Address string       `json:"address"`
+	Domain  string       `json:"failure_domain"`
+	Cores   float64      `json:"cores"`
+	Workers int          `json:"workers"`
+	Open    int          `json:"open_orders"`
+	Age     clock.Millis `json:"heard_ms"` // since the link last sent something
+	Leaving bool         `json:"leaving"`  // it gets no new orders
+}
+
+// Status lists the links in order of address.
+func (p *Pool) Status() []Status {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	return len(p.sessions)
+	workers := lo.CountValues(lo.Values(p.assigned))
+	var all []Status
+	for _, address := range slices.Sorted(maps.Keys(p.sessions)) {
+		s := p.sessions[address]
+		open, age := s.state()
+		all = append(all, Status{
+			Address: address, Domain: s.entry.Domain, Cores: s.entry.Cores, Workers: workers[address],
+			Open: open, Age: age, Leaving: s.retired,
+		})
+	}
+	return all
 }
--- a/internal/site/linkshard/rig_test.go
+++ b/internal/site/linkshard/rig_test.go
@@ -8,6 +8,7 @@
 	"testing/synctest"
 	"time"
 
+	"github.com/VictoriaMetrics/metrics"
 	"github.com/pkg/errors"
 	"github.com/rs/zerolog"
 	"golang.org/x/sync/errgroup"
@@ -74,6 +75,7 @@
 func (r *rig) newPool(epoch int64) *Pool {
 	return NewPool(PoolOptions{
 		Clock: clock.New(), Logger: zerolog.Nop(), Epoch: epoch, Name: ownAddress, Cores: 0.1, Own: r.shard(ownAddress),
+		Counts: NewCounts(metrics.NewSet()),
 		Entries: func() []Entry {
 			r.mu.Lock()
 			defer r.mu.Unlock()
@@ -93,7 +95,7 @@
 	answer := func(ctx context.Context, to fleet.Address, kind string) fleet.Answer {
 		return fleet.Answer{Outcome: r.call(ctx, address, to.ID, kind)}
 	}
-	made := NewShard(ShardOptions{Clock: clock.New(), Logger: zerolog.Nop(), Calls: fleet.Calls{
+	made := NewShard(ShardOptions{Clock: clock.New(), Logger: zerolog.Nop(), Counts: NewCounts(metrics.NewSet()), Calls: fleet.Calls{
 		Start: func(ctx context.Context, o fleet.Start) fleet.Answer { return answer(ctx, o.To, "start") },
 		Stop:  func(ctx context.Context, o fleet.Stop) fleet.Answer { return answer(ctx, o.To, "stop") },
 		Pace:  func(ctx context.Context, o fleet.Pace) fleet.Answer { return answer(ctx, o.To, "pace") },
--- a/internal/site/linkshard/session.go
+++ b/internal/site/linkshard/session.go
@@ -157,11 +157,11 @@
 	return nil
 }
 
-// idle reports whether nothing is open.
-func (s *session) idle() bool {
+// state returns how many orders are open, and how long ago the link was heard.
+func (s *session) state() (open int, age clock.Millis) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	return len(s.open) == 0
+	return len(s.open), s.clock.Now() - s.heardAt
 }
 
 // lose ends the session and gives up all that is open. It returns how much that was.
--- a/internal/site/linkshard/shard.go
+++ b/internal/site/linkshard/shard.go
@@ -21,6 +21,7 @@
 	Clock  clock.Clock // must also count suspended time
 	Calls  fleet.Calls
 	Logger zerolog.Logger
+	Counts *Counts
 }
 
 // Shard carries out the orders of owners elsewhere.
@@ -139,6 +140,7 @@
 // drop answers orders that may be out of date by now, and does not carry them out.
 func (w *work) drop(ctx context.Context, batch orders, age clock.Millis) {
 	w.dropped += len(batch.List)
+	w.shard.options.Counts.dropped.Add(len(batch.List))
 	w.shard.options.Logger.Warn().Str("event", "orders_dropped").Int("orders", len(batch.List)).
 		Int64("age_ms", int64(age)).Send()
 	for _, o := range batch.List {
--- a/internal/site/runtime/cell_test.go
+++ b/internal/site/runtime/cell_test.go
@@ -230,13 +230,14 @@
 // links makes the owner's pool and the links of other entries, over TCP.
 func (c *cell) links(b *testing.B, ctx context.Context, group *errgroup.Group, logger zerolog.Logger) (*linkshard.Pool, func(int64) (Workers, bool)) {
 	b.Helper()
+	counts := linkshard.NewCounts(metrics.NewSet())
 	var links []linkshard.Entry
 	for i := range cellDomains * cellLinks {
 		listener, err := net.Listen("tcp", "127.0.0.1:0")
 		if err != nil {
 			b.Fatal(err)
 		}
-		shard := linkshard.NewShard(linkshard.ShardOptions{Clock: clock.New(), Calls: c.calls(), Logger: logger})
+		shard := linkshard.NewShard(linkshard.ShardOptions{Clock: clock.New(), Calls: c.calls(), Logger: logger, Counts: counts})
 		server := peer.NewServer(peer.Security{}, peer.Handlers{Link: shard.Serve})
 		group.Go(func() error { return server.Serve(ctx, listener) })
 		links = append(links, linkshard.Entry{
@@ -245,7 +246,8 @@
 	}
 	pool := linkshard.NewPool(linkshard.PoolOptions{
 		Clock: clock.New(), Logger: logger, Epoch: 1, Name: "owner", Cores: 0.8,
-		Own:     linkshard.NewShard(linkshard.ShardOptions{Clock: clock.New(), Calls: c.calls(), Logger: logger}),
+		Own:     linkshard.NewShard(linkshard.ShardOptions{Clock: clock.New(), Calls: c.calls(), Logger: logger, Counts: counts}),
+		Counts:  counts,
 		Entries: func() []linkshard.Entry { return links },
 		Dial:    peer.NewClient(peer.Security{}).Link,
 	})
