Let lasting tasks that must run have workers that are kept for large ones

Ruled out: the 4 s for which newcomers are held back; the tasks had run before.

Change: a lasting task that had its place, or has waited for 4 s, may have a kept worker. The test failed before.

--- a/internal/schedule/owner/headroom.go
+++ b/internal/schedule/owner/headroom.go
@@ -34,9 +34,9 @@
 }
 
 // admits reports whether a pool has room for a task, if it is a lasting one,
-// beside what short tasks need. One that had its place before has it still.
+// beside what short tasks need.
 func (p *poolRoom) admits(task *taskState, now clock.Millis) bool {
-	if !task.spec().Lasting || task.number > 0 || now-task.freeAt >= lastingWait {
+	if !task.spec().Lasting || task.mustRun(now) {
 		return true
 	}
 	return float64(p.lasting+task.spec().MilliCPU) <= (1-p.kept)*float64(p.total)
--- a/internal/schedule/owner/rating.go
+++ b/internal/schedule/owner/rating.go
@@ -16,6 +16,7 @@
 	fills   *filler
 	movedAt clock.Millis // of the step's job, as scored
 	tried   int          // trials of unknown pairs begun in this pass, as scored
+	must    bool         // the task scored for must run, if a worker has room
 	chosen  int          // place of the worker that got the last task; negative: none
 }
 
@@ -37,7 +38,7 @@
 // choose returns the best worker for a task, or nil.
 func (o *Owner) choose(known *rating, task *taskState, step *stepState, workers []*worker) *worker {
 	switch {
-	case !known.valid || known.movedAt != task.job.movedAt || known.tried != o.tried:
+	case !known.valid || known.movedAt != task.job.movedAt || known.tried != o.tried || known.must != task.mustRun(o.now):
 		o.rate(known, task, step, workers)
 	case known.chosen >= 0:
 		known.scores[known.chosen] = o.rateOne(known, step, workers[known.chosen])
@@ -65,6 +66,7 @@
 func (o *Owner) rate(known *rating, task *taskState, step *stepState, workers []*worker) {
 	known.valid = true
 	known.movedAt, known.tried = task.job.movedAt, o.tried
+	known.must = task.mustRun(o.now)
 	known.fills = o.filler(task, step)
 	known.scores = known.scores[:0]
 	for _, w := range workers {
@@ -73,7 +75,7 @@
 }
 
 func (o *Owner) rateOne(known *rating, step *stepState, w *worker) float64 {
-	if !within(need(step.spec), w.free()) || !allowed(step, w) || w.keptFrom(step) {
+	if !within(need(step.spec), w.free()) || !allowed(step, w) || w.keptFrom(step, known.must) {
 		return unfitting
 	}
 	score, ok := o.score(step, known.fills, w)
--- a/internal/schedule/owner/reserve.go
+++ b/internal/schedule/owner/reserve.go
@@ -22,9 +22,16 @@
 }
 
 // keptFrom reports whether a worker is kept for another step's tasks. Tasks that
-// fill take no counted processors and are let in.
-func (w *worker) keptFrom(step *stepState) bool {
-	return w.kept != nil && w.kept.step != step && !step.spec.Fills
+// fill take no counted processors and are let in, and so are tasks that must run
+// while there is any room.
+func (w *worker) keptFrom(step *stepState, must bool) bool {
+	return w.kept != nil && w.kept.step != step && !step.spec.Fills && !must
+}
+
+// mustRun reports whether a lasting task may be held back no longer: it had its
+// place, or has waited for long.
+func (t *taskState) mustRun(now clock.Millis) bool {
+	return t.spec().Lasting && (t.number > 0 || now-t.freeAt >= lastingWait)
 }
 
 // dropReservations ends those that are of no use any more, and counts the rest.
--- a/internal/schedule/owner/reserve_test.go
+++ b/internal/schedule/owner/reserve_test.go
@@ -86,3 +86,28 @@
 		t.Error("a worker is kept that will never have room")
 	}
 }
+
+// A worker that is kept for a large task is let to a lasting task that had its
+// place, or has waited for long: such a task may not be without a run while there
+// is room for it.
+func TestLastingTaskThatLostItsPlaceTakesAKeptWorker(t *testing.T) {
+	for _, test := range []struct {
+		name   string
+		number int
+		waited clock.Millis
+		want   int
+	}{{"had its place", 1, 0, 1}, {"has waited", 0, lastingWait, 1}, {"has just come", 0, 0, 0}} {
+		b := newBench(entryOf("w"))
+		b.idle()
+		large := newJob(stepJob(largeJob, job.Step{Count: 1, MilliCPU: 20000}))
+		b.own.workers["w"].kept = &reservation{job: large, step: &large.steps[0], until: b.now + clock.Minute}
+		b.own.Submit(stepJob(servingJob, job.Step{Count: 1, MilliCPU: 2000, Lasting: true}), func(Verdict) {})
+		task := &b.own.jobs[servingJob].steps[0].tasks[0]
+		task.number = test.number
+		task.freeAt = b.now - test.waited
+		b.settle()
+		if got := b.lastingOn()["w"]; got != test.want {
+			t.Errorf("%s: %d lasting tasks on the kept worker, want %d", test.name, got, test.want)
+		}
+	}
+}
