Refuse lasting jobs of which less than half finds room beside short work

Ruled out: slow placing, misses that cover others, reservations: at most 5 cores were free on any worker that could hold a task of 10 to 20.

Change: a lasting job is refused at once, with Retry-After, when less than half of its tasks would find room beside those taken before and what short work has wanted lately. It is asked for once more or elsewhere, instead of taking the room of urgent work.

--- a/internal/schedule/owner/submit.go
+++ b/internal/schedule/owner/submit.go
@@ -113,6 +113,9 @@
 	if o.tooLarge(queue.Pools, spec) {
 		return Verdict{Ruling: Invalid, Reason: "a task is larger than any worker of its pool"}
 	}
+	if o.crowded(queue.Pools, spec) {
+		return Verdict{Ruling: Refused, Reason: "no room for more lasting tasks", RetryAfter: lastingRetry}
+	}
 	return Verdict{Ruling: Taken}
 }
 
