--- a/internal/schedule/owner/faults_test.go
+++ b/internal/schedule/owner/faults_test.go
@@ -230,6 +230,35 @@
 Beside these: ` + "`site/ownership`" + ` plays who owns, ` + "`site/tables`" + ` and ` + "`site/roster`" + ` lost history and outages,
 ` + "`operator/standin`" + ` kills real processes, and ` + "`deploy/days`" + ` has days for the bench.
 
+## Links
+
+` + "`go test ./internal/site/linkshard`" + ` plays a pool, its links and forty workers in virtual time, without a network.
+
+| fault | what must hold |
+|---|---|
+| a link is killed with a start and a hold under way | the start counts as unanswered, the hold is asked elsewhere; no other worker gets another link |
+| a link is frozen for 3 s and goes on | it carries out nothing that it was sent before |
+| a link that the owner does not hear | its workers are asked elsewhere within a second, none counts as silent |
+| a link that does not reach its workers | the owner's entry asks first, and calls them until the link may again |
+| a worker that answers nobody | is reported as silent, after its link and the owner have asked |
+| a newer owner opens a session | the older one's ends, and it gets no other |
+| a batch arrives twice | it is answered once; the worker's own rules cover the second start |
+| batches that cannot be read, in either direction | the session ends, the calls go on from elsewhere |
+| all links restart at once | the owner's entry calls until they are back |
+| an entry leaves | it answers what it has and gets nothing new |
+| fields of a newer version | are ignored |
+
+## What went wrong elsewhere
+
+| at other operators | here |
+|---|---|
+| work of a worker that was only silent was started again or given up | ` + "`worker_cut`, `worker_cut_until_unlisted`, `TestLinkCutOffFromItsWorkers`, `TestLinkCutOffFromTheOwner`" + ` |
+| both processes of a hand-over acted | ` + "`owner_superseded_at_once`, `owner_frozen`, `TestNewerOwnerEndsTheOlderSession`" + ` |
+| a paused process acted on an expired permission | ` + "`owner_frozen`, `TestFrozenLinkDropsWhatIsOld`" + `; starts carry the end of their lease |
+| a malformed message took a process down | ` + "`TestMalformedResults`, `TestMalformedOrdersEndTheSession`, `FuzzOrders`, `FuzzResults`, `TestFrameAboveTheLimit`" + ` |
+| after a lost answer work ran again, or was said not to have run | ` + "`answers_lost`, `store_answers_lost`, `TestKilledLink`, `TestOutcomes` of site/relay" + ` |
+| after a restart a server that left, or a withdrawn key, was in use | ` + "`TestFollow` of site/roster and site/tables" + `: a process that starts knows nothing and reads the newest records |
+
 ## Not proved without the bench
 
 - A late start that reaches a worker's next incarnation before the owner has reached it. Nothing could stop it.
@@ -237,6 +266,7 @@
 - Clocks that jump: the time of day orders jobs and ages final states, and nothing else. No test shows it.
 - An owner too weak for its workers: it reads their reports too late, leases lapse, and ends that nobody read count as
   lapsed. On tsetseg-vault-grown an owner with 0.192 of a core broke LOST, TWICE and BUDGET so. The strongest entry owns
-  now; where all entries are too weak nothing else helps yet.
+  now, and other entries make its calls.
+- Links and owner in one play: the owner's matrix plays its calls as lost, late or unanswered, links are played apart.
 - Silent connections: a peer that never reads is played; a store and workers that fall silent on old connections are not.
 `
