Order the pace of inherited tasks anew

Ruled out: a worker that stands still, room, the links (few workers, none used).

Change: the pace of inherited tasks that fill is unknown, so the wanted one is ordered with the first report. The test failed before.

--- a/internal/schedule/owner/load.go
+++ b/internal/schedule/owner/load.go
@@ -112,6 +112,9 @@
 	case job.Assigned:
 		step.waiting--
 		r := &run{task: task, number: kept.Run, born: kept.Born, stage: stageInherited, unanswered: true, pace: fullPace}
+		if step.spec.Fills {
+			r.pace = unknownPace // a former owner may have made it stand still
+		}
 		o.attach(r, o.inherit(kept.Worker, kept.Born))
 	}
 }
--- a/internal/schedule/owner/relief.go
+++ b/internal/schedule/owner/relief.go
@@ -158,5 +158,6 @@
 	r.pace = unknownPace
 }
 
-// unknownPace stands for a pace whose order got no answer.
+// unknownPace stands for a pace whose order got no answer, or that a former owner
+// ordered; the pace that is wanted is ordered again.
 const unknownPace = 99
