Replace an owner sooner that the store refuses

Change: an owner that the store has not confirmed for 1.1 s (1.6 s), while it has answered another entry for 0.4 s (0.6 s), is replaced.

--- a/internal/site/ownership/watch.go
+++ b/internal/site/ownership/watch.go
@@ -19,9 +19,9 @@
 	pingPeriod     clock.Millis = 250
 	pingTimeout    clock.Millis = 400
 	silenceLimit   clock.Millis = 900  // an owner that nobody hears for so long is replaced
-	storeAgeLimit  clock.Millis = 1600 // an owner that the store confirms nothing to for so long, likewise
+	storeAgeLimit  clock.Millis = 1100 // an owner that the store confirms nothing to for so long, likewise; it writes twice a second
 	rankSpread     clock.Millis = 150  // claims of several entries are spread over this time
-	storePatience  clock.Millis = 600  // ... although the store has answered another entry for so long
+	storePatience  clock.Millis = 400  // ... although the store has answered another entry for so long
 	loadLimit      clock.Millis = 3000 // an owner that has not loaded its state after so long is replaced
 	storeRetry     clock.Millis = 150
 	claimTimeout   clock.Millis = 1500
