--- a/internal/schedule/owner/book.go
+++ b/internal/schedule/owner/book.go
@@ -197,10 +197,15 @@
 	return task.run
 }
 
+// asked returns what a task asks for.
+func asked(step *job.Step) fleet.Room {
+	return fleet.Room{MilliCPU: step.MilliCPU, MemoryMB: step.MemoryMB, GPUs: step.GPUs}
+}
+
 // need returns what a task takes of a worker's room. Tasks that fill take
 // processors only as others leave them.
 func need(step *job.Step) fleet.Room {
-	room := fleet.Room{MilliCPU: step.MilliCPU, MemoryMB: step.MemoryMB, GPUs: step.GPUs}
+	room := asked(step)
 	if step.Fills {
 		room.MilliCPU = 0
 	}
--- a/internal/schedule/owner/misses.go
+++ b/internal/schedule/owner/misses.go
@@ -28,7 +28,7 @@
 func missOf(j *jobState, step *stepState) miss {
 	spec := step.spec
 	return miss{
-		ask:     fleet.Room{MilliCPU: spec.MilliCPU, MemoryMB: spec.MemoryMB, GPUs: spec.GPUs},
+		ask:     asked(spec),
 		movedAt: j.movedAt,
 	}
 }
--- a/internal/schedule/owner/relief.go
+++ b/internal/schedule/owner/relief.go
@@ -19,7 +19,7 @@
 	soonHeadroom              = 1.5  // measured headroom from which reports are wanted soon
 	overTail                  = 0.97 // reported tail over target from which a lasting task counts as over it
 	moveLoss                  = 0.3  // headroom that a task costs where it is worth moving away
-	standStill   clock.Millis = 1500 // a tail over its target for so long makes all that fills stand still
+	pauseAfter   clock.Millis = 1500 // a tail over its target for so long makes all that fills stand still
 	easePeriod   clock.Millis = 1500 // least time that it stands still
 	quickWait    clock.Millis = 300  // that a worker may wait with its report while a headroom is low
 )
@@ -42,7 +42,7 @@
 	if lowest < lowHeadroom {
 		o.moveHarmful(w)
 	}
-	o.standStill(w, over)
+	o.pauseFilling(w, over)
 }
 
 // loads lists what tasks that fill use of a worker, as just reported.
@@ -111,11 +111,11 @@
 	return longest
 }
 
-// standStill is the last resort: while a lasting task stays over its target, all
+// pauseFilling is the last resort: while a lasting task stays over its target, all
 // that fills its worker stands still.
-func (o *Owner) standStill(w *worker, over clock.Millis) {
+func (o *Owner) pauseFilling(w *worker, over clock.Millis) {
 	switch {
-	case over >= standStill && w.pace != 0:
+	case over >= pauseAfter && w.pace != 0:
 		w.pace, w.pacedAt = 0, o.now
 	case over == 0 && w.pace == 0 && o.now-w.pacedAt > easePeriod:
 		w.pace, w.pacedAt = fullPace, o.now
--- a/internal/schedule/owner/reserve.go
+++ b/internal/schedule/owner/reserve.go
@@ -92,9 +92,5 @@
 // freeOfShort is the room that a worker has when all but its lasting tasks have
 // ended.
 func (w *worker) freeOfShort() fleet.Room {
-	return fleet.Room{
-		MilliCPU: w.entry.Room.MilliCPU - w.lasting.MilliCPU,
-		MemoryMB: w.entry.Room.MemoryMB - w.lasting.MemoryMB,
-		GPUs:     w.entry.Room.GPUs - w.lasting.GPUs,
-	}
+	return less(w.entry.Room, w.lasting)
 }
--- a/internal/schedule/owner/workers.go
+++ b/internal/schedule/owner/workers.go
@@ -69,11 +69,13 @@
 
 // free is the room that is committed to no run.
 func (w *worker) free() fleet.Room {
-	return fleet.Room{
-		MilliCPU: w.entry.Room.MilliCPU - w.used.MilliCPU,
-		MemoryMB: w.entry.Room.MemoryMB - w.used.MemoryMB,
-		GPUs:     w.entry.Room.GPUs - w.used.GPUs,
-	}
+	return less(w.entry.Room, w.used)
+}
+
+// less is a room without a part of it.
+func less(room, part fleet.Room) fleet.Room {
+	add(&room, part, -1)
+	return room
 }
 
 func (w *worker) address() fleet.Address { return fleet.Address{ID: w.id, Host: w.entry.Address} }
