--- a/internal/site/linkshard/open.go
+++ b/internal/site/linkshard/open.go
@@ -24,27 +24,18 @@
 	}
 }
 
+// serve opens a session and returns why it ended.
 func (p *Pool) serve(ctx context.Context, entry Entry) error {
 	ctx, cancel := context.WithCancel(ctx)
 	defer cancel()
-	var s *session
-	ready := make(chan struct{})
-	broken := make(chan error, 1)
-	connection, err := p.dial(ctx, entry, func(data []byte) {
-		<-ready
-		if err := s.receive(data); err != nil {
-			select {
-			case broken <- err:
-			default: // it is known already
-			}
-		}
-	})
+	inlet := &inlet{ready: make(chan struct{}), broken: make(chan error, 1)}
+	connection, err := p.dial(ctx, entry, func(batch []byte) { inlet.take(ctx, batch) })
 	if err != nil {
 		return err
 	}
 	defer connection.Close()
-	s = newSession(entry, p.options.Clock, connection.Opening.Stamp)
-	close(ready)
+	s := newSession(entry, p.options.Clock, connection.Opening.Stamp)
+	inlet.open(s)
 	p.add(s)
 	defer p.remove(s)
 	group := new(errgroup.Group)
@@ -52,7 +43,7 @@
 		defer cancel()
 		return s.send(ctx, connection.Send)
 	})
-	err = p.watch(ctx, s, connection.Done, broken)
+	err = p.watch(ctx, s, connection.Done, inlet.broken)
 	connection.Close() // a send under way ends with it
 	cancel()
 	if sending := group.Wait(); err == nil {
@@ -61,6 +52,32 @@
 	return err
 }
 
+// inlet hands batches to a session, from the moment when there is one.
+type inlet struct {
+	session *session
+	ready   chan struct{} // closed once the session is set
+	broken  chan error    // why a batch could not be taken
+}
+
+func (i *inlet) open(s *session) {
+	i.session = s
+	close(i.ready)
+}
+
+func (i *inlet) take(ctx context.Context, batch []byte) {
+	select {
+	case <-i.ready:
+	case <-ctx.Done():
+		return // it was never opened
+	}
+	if err := i.session.receive(batch); err != nil {
+		select {
+		case i.broken <- err:
+		default: // it is known already
+		}
+	}
+}
+
 // dial opens a session within a time.
 func (p *Pool) dial(ctx context.Context, entry Entry, received func([]byte)) (Connection, error) {
 	ctx, cancel := context.WithTimeout(ctx, openTimeout.Stretch(clock.Patience(entry.Cores)).Duration())
