Compress what owners and links send each other, and bound batches by their bytes

Change: batches are compressed; a bomb costs no more than the codec's limit. A batch of results holds 64, so that 500 ends a report fit.

--- a/internal/site/linkshard/linkshard.go
+++ b/internal/site/linkshard/linkshard.go
@@ -45,8 +45,11 @@
 	answerLimit  clock.Millis = 1200 // beyond the time that a worker may wait, an order is unanswered
 )
 
-// maxBatchOrders bounds one batch, and with it the length of a frame.
-const maxBatchOrders = 256
+// Bounds of one batch, so that a frame holds it whatever texts and ends it has.
+const (
+	maxBatchOrders  = 256 // starts of the longest text are 1 MB
+	maxBatchResults = 64  // reports of the most ends are 2 MB
+)
 
 // Query opens a session.
 type Query struct {
--- a/internal/site/linkshard/linkshard_test.go
+++ b/internal/site/linkshard/linkshard_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"strings"
 	"sync/atomic"
 	"testing"
 	"time"
@@ -12,6 +13,7 @@
 	"github.com/oriolepier/oriolepier/internal/base/clock"
 	"github.com/oriolepier/oriolepier/internal/base/codec"
 	"github.com/oriolepier/oriolepier/internal/schedule/fleet"
+	"github.com/oriolepier/oriolepier/internal/schedule/job"
 )
 
 func TestLinksOfTheWorkersDomainMakeTheCalls(t *testing.T) {
@@ -285,7 +287,7 @@
 // Fields of a newer version are left out, so that both run side by side.
 func TestUnknownFieldsAreIgnored(t *testing.T) {
 	newer := map[int]any{1: 5, 2: []any{map[int]any{1: 7, 5: map[int]any{4: 800, 99: "new"}, 98: true}}, 97: "more"}
-	data, err := codec.Marshal(newer)
+	data, err := pack(newer)
 	if err != nil {
 		t.Fatal(err)
 	}
@@ -296,11 +298,22 @@
 	}
 }
 
+// A small batch that claims to hold very much costs no more than the limit.
+func TestBatchThatUnpacksToTooMuch(t *testing.T) {
+	bomb, err := pack(strings.Repeat("x", 16*codec.MaxRecordBytes))
+	if err != nil {
+		t.Fatal(err)
+	}
+	if _, err := decodeOrders(bomb); !errors.Is(err, codec.ErrTooLarge) {
+		t.Errorf("error %v, want that it is too large", err)
+	}
+}
+
 // bareShard answers no calls.
 func (r *rig) bareShard() *Shard { return NewShard(ShardOptions{Clock: clock.New()}) }
 
 func FuzzOrders(f *testing.F) {
-	seed, err := codec.Marshal(orders{Echo: 1, List: []order{{Number: 2, Stop: &fleet.Stop{Run: 3}}}})
+	seed, err := pack(orders{Echo: 1, List: []order{{Number: 2, Stop: &fleet.Stop{Run: 3}}}})
 	if err != nil {
 		f.Fatal(err)
 	}
@@ -316,7 +329,7 @@
 }
 
 func FuzzResults(f *testing.F) {
-	seed, err := codec.Marshal(results{Stamp: 1, List: []result{{Number: 2, Report: &fleet.Report{Ended: []fleet.End{{Run: 1}}}}}})
+	seed, err := pack(results{Stamp: 1, List: []result{{Number: 2, Report: &fleet.Report{Ended: []fleet.End{{Run: 1}}}}}})
 	if err != nil {
 		f.Fatal(err)
 	}
@@ -331,3 +344,36 @@
 		}
 	})
 }
+
+// The largest batches in either direction can be read.
+func TestLargestBatches(t *testing.T) {
+	const mostEnds = 500 // of one report
+	var most orders
+	for i := range maxBatchOrders {
+		start := fleet.Start{Task: job.Task{Job: "5c0e7a21d94b36f8", Index: i}, Text: strings.Repeat("x", job.MaxTextBytes)}
+		most.List = append(most.List, order{Number: int64(i), Start: &start})
+	}
+	packed, err := pack(most)
+	if err != nil {
+		t.Fatal(err)
+	}
+	if _, err := decodeOrders(packed); err != nil {
+		t.Error(err)
+	}
+	report := fleet.Report{}
+	for i := range mostEnds {
+		report.Ended = append(report.Ended, fleet.End{
+			Number: int64(i), Task: job.Task{Job: "5c0e7a21d94b36f8", Step: 9, Index: i}, Run: 9, Checkpoint: "00000bb87a21d94b",
+		})
+	}
+	var answers results
+	for i := range maxBatchResults {
+		answers.List = append(answers.List, result{Number: int64(i), Report: &report})
+	}
+	if packed, err = pack(answers); err != nil {
+		t.Fatal(err)
+	}
+	if _, err := decodeResults(packed); err != nil {
+		t.Error(err)
+	}
+}
--- a/internal/site/linkshard/message.go
+++ b/internal/site/linkshard/message.go
@@ -4,7 +4,6 @@
 	"github.com/pkg/errors"
 
 	"github.com/oriolepier/oriolepier/internal/base/clock"
-	"github.com/oriolepier/oriolepier/internal/base/codec"
 	"github.com/oriolepier/oriolepier/internal/schedule/fleet"
 )
 
@@ -61,7 +60,7 @@
 
 func decodeOrders(data []byte) (orders, error) {
 	var batch orders
-	if err := codec.Unmarshal(data, &batch); err != nil {
+	if err := unpack(data, &batch); err != nil {
 		return orders{}, errors.WithMessage(err, "orders of a session")
 	}
 	for _, o := range batch.List {
@@ -84,7 +83,7 @@
 
 func decodeResults(data []byte) (results, error) {
 	var batch results
-	if err := codec.Unmarshal(data, &batch); err != nil {
+	if err := unpack(data, &batch); err != nil {
 		return results{}, errors.WithMessage(err, "results of a session")
 	}
 	for _, r := range batch.List {
--- a/internal/site/linkshard/session.go
+++ b/internal/site/linkshard/session.go
@@ -7,7 +7,6 @@
 	"github.com/pkg/errors"
 
 	"github.com/oriolepier/oriolepier/internal/base/clock"
-	"github.com/oriolepier/oriolepier/internal/base/codec"
 	"github.com/oriolepier/oriolepier/internal/schedule/fleet"
 )
 
@@ -82,7 +81,7 @@
 			return err
 		}
 		for batch := s.next(); len(batch.List) > 0; batch = s.next() {
-			data, err := codec.Marshal(batch)
+			data, err := pack(batch)
 			if err != nil {
 				return err
 			}
--- a/internal/site/linkshard/shard.go
+++ b/internal/site/linkshard/shard.go
@@ -9,7 +9,6 @@
 	"golang.org/x/sync/errgroup"
 
 	"github.com/oriolepier/oriolepier/internal/base/clock"
-	"github.com/oriolepier/oriolepier/internal/base/codec"
 	"github.com/oriolepier/oriolepier/internal/schedule/fleet"
 )
 
@@ -56,7 +55,7 @@
 		return nil
 	}
 	s.options.Logger.Info().Str("event", "link_serves").Int64("epoch", query.Epoch).Str("owner", query.Owner).Send()
-	work := &work{shard: s, results: make(chan result, maxBatchOrders)}
+	work := &work{shard: s, results: make(chan result, maxBatchResults)}
 	group := new(errgroup.Group)
 	group.Go(func() error { return work.report(ctx, line.Send) })
 	err := work.serve(ctx, group, line.In)
@@ -163,7 +162,7 @@
 			return nil
 		}
 		batch.Stamp = w.shard.options.Clock.Now()
-		data, err := codec.Marshal(batch)
+		data, err := pack(batch)
 		if err != nil {
 			return err
 		}
@@ -189,7 +188,7 @@
 	if clk.Sleep(ctx, resultGather) != nil {
 		return batch, false
 	}
-	for len(batch.List) < maxBatchOrders {
+	for len(batch.List) < maxBatchResults {
 		select {
 		case more := <-w.results:
 			batch.List = append(batch.List, more)
