Relocate long-running tasks that keep best-effort tasks waiting

Cause: best-effort images that are incompatible with most long-running images wait while processors are idle, because single tasks of an incompatible image stand on nearly every worker.

Room arithmetic moves into methods of fleet.Room.

--- a/internal/schedule/fleet/fleet.go
+++ b/internal/schedule/fleet/fleet.go
@@ -26,6 +26,21 @@
 	GPUs     int64
 }
 
+// FitsIn reports whether an amount fits in the room that is free.
+func (r Room) FitsIn(free Room) bool {
+	return r.MilliCPU <= free.MilliCPU && r.MemoryMB <= free.MemoryMB && r.GPUs <= free.GPUs
+}
+
+// Plus returns the room increased by a multiple of another; a negative multiple
+// decreases it.
+func (r Room) Plus(other Room, times int64) Room {
+	return Room{
+		MilliCPU: r.MilliCPU + times*other.MilliCPU,
+		MemoryMB: r.MemoryMB + times*other.MemoryMB,
+		GPUs:     r.GPUs + times*other.GPUs,
+	}
+}
+
 // Entry is a worker's own entry in the list of workers.
 type Entry struct {
 	ID              string
--- a/internal/schedule/interference/interference.go
+++ b/internal/schedule/interference/interference.go
@@ -76,6 +76,9 @@
 // Known reports whether there are enough observations to rely on the weight.
 func (e Estimate) Known() bool { return e.Spread < maxKnownSpread }
 
+// Incompatible reports whether the images are known to be incompatible.
+func (e Estimate) Incompatible() bool { return e.Weight-e.Spread >= incompatibleWeight }
+
 // Estimator holds the estimates of all pairs. It is not safe for concurrent
 // use.
 type Estimator struct {
--- a/internal/schedule/owner/metrics.go
+++ b/internal/schedule/owner/metrics.go
@@ -10,17 +10,18 @@
 type Metrics struct {
 	set *metrics.Set
 
-	Accepted   *metrics.Counter  // jobs whose record was acknowledged
-	Appends    *metrics.Counter  // acknowledged appends
-	Starts     *metrics.Counter  // confirmed starts; after a takeover also inherited runs when first reported
-	Lapses     *metrics.Counter  // workers whose leases expired
-	Paces      *metrics.Counter  // pace orders sent
-	Moves      *metrics.Counter  // best-effort runs stopped for interference
-	Stalls     *metrics.Counter  // workers found stalled
-	AppendTime DurationHistogram // from the first send of an append to its acknowledgement
-	AcceptTime DurationHistogram // from the submission of a job to the acknowledgement of its record
-	StartTime  DurationHistogram // from the submission of a job to its first confirmed start
-	DoneTime   DurationHistogram // from the submission of a job to its completion
+	Accepted    *metrics.Counter  // jobs whose record was acknowledged
+	Appends     *metrics.Counter  // acknowledged appends
+	Starts      *metrics.Counter  // confirmed starts; after a takeover also inherited runs when first reported
+	Lapses      *metrics.Counter  // workers whose leases expired
+	Paces       *metrics.Counter  // pace orders sent
+	Moves       *metrics.Counter  // best-effort runs stopped for interference
+	Relocations *metrics.Counter  // long-running runs stopped to make room for best-effort tasks
+	Stalls      *metrics.Counter  // workers found stalled
+	AppendTime  DurationHistogram // from the first send of an append to its acknowledgement
+	AcceptTime  DurationHistogram // from the submission of a job to the acknowledgement of its record
+	StartTime   DurationHistogram // from the submission of a job to its first confirmed start
+	DoneTime    DurationHistogram // from the submission of a job to its completion
 }
 
 // DurationHistogram is a histogram in seconds that observes milliseconds.
@@ -35,18 +36,19 @@
 func NewMetrics(set *metrics.Set) *Metrics {
 	newDuration := func(name string) DurationHistogram { return DurationHistogram{histogram: set.NewHistogram(name)} }
 	return &Metrics{
-		set:        set,
-		Accepted:   set.NewCounter("oriolepier_jobs_accepted_total"),
-		Appends:    set.NewCounter("oriolepier_store_appends_total"),
-		Starts:     set.NewCounter("oriolepier_task_starts_total"),
-		Lapses:     set.NewCounter("oriolepier_worker_leases_lapsed_total"),
-		Paces:      set.NewCounter("oriolepier_task_paces_total"),
-		Moves:      set.NewCounter("oriolepier_task_moves_total"),
-		Stalls:     set.NewCounter("oriolepier_worker_stalls_total"),
-		AppendTime: newDuration("oriolepier_store_append_seconds"),
-		AcceptTime: newDuration("oriolepier_job_accept_seconds"),
-		StartTime:  newDuration("oriolepier_job_first_start_seconds"),
-		DoneTime:   newDuration("oriolepier_job_completion_seconds"),
+		set:         set,
+		Accepted:    set.NewCounter("oriolepier_jobs_accepted_total"),
+		Appends:     set.NewCounter("oriolepier_store_appends_total"),
+		Starts:      set.NewCounter("oriolepier_task_starts_total"),
+		Lapses:      set.NewCounter("oriolepier_worker_leases_lapsed_total"),
+		Paces:       set.NewCounter("oriolepier_task_paces_total"),
+		Moves:       set.NewCounter("oriolepier_task_moves_total"),
+		Relocations: set.NewCounter("oriolepier_task_relocations_total"),
+		Stalls:      set.NewCounter("oriolepier_worker_stalls_total"),
+		AppendTime:  newDuration("oriolepier_store_append_seconds"),
+		AcceptTime:  newDuration("oriolepier_job_accept_seconds"),
+		StartTime:   newDuration("oriolepier_job_first_start_seconds"),
+		DoneTime:    newDuration("oriolepier_job_completion_seconds"),
 	}
 }
 
--- a/internal/schedule/owner/owner.go
+++ b/internal/schedule/owner/owner.go
@@ -95,17 +95,19 @@
 
 	timers                   timers
 	interference             *interference.Estimator
-	trials                   map[trial]int          // tasks placed to learn an unknown pair of images, by pair
-	trialsStarted            int                    // trials begun so far, one for each unknown pair beside a placed task
-	ratings                  []rating               // worker scores for the step being placed, by pool
-	reservedWorkers          int                    // workers reserved for large tasks
-	batchDemands             map[string]batchDemand // recent demand of batch tasks, by pool
-	nextInterferenceRecordAt clock.Millis           // earliest next record of the interference estimates
-	resigned                 bool                   // the ownership is lost; no input is handled any more
-	placementDue             bool                   // a placement pass is due because some input may let a task start
-	nextPassAt               clock.Millis           // next placement pass that is due by time alone
-	nextExpiryAt             clock.Millis           // next removal of expired final states
-	nextDrainCheckAt         clock.Millis           // next check for long-running tasks on draining workers
+	trials                   map[trial]int             // tasks placed to learn an unknown pair of images, by pair
+	trialsStarted            int                       // trials begun so far, one for each unknown pair beside a placed task
+	ratings                  []rating                  // worker scores for the step being placed, by pool
+	relocations              map[*taskState]relocating // long-running tasks on the way to another worker
+	nextRelocationAt         clock.Millis              // earliest next plan of relocations
+	reservedWorkers          int                       // workers reserved for large tasks
+	batchDemands             map[string]batchDemand    // recent demand of batch tasks, by pool
+	nextInterferenceRecordAt clock.Millis              // earliest next record of the interference estimates
+	resigned                 bool                      // the ownership is lost; no input is handled any more
+	placementDue             bool                      // a placement pass is due because some input may let a task start
+	nextPassAt               clock.Millis              // next placement pass that is due by time alone
+	nextExpiryAt             clock.Millis              // next removal of expired final states
+	nextDrainCheckAt         clock.Millis              // next check for long-running tasks on draining workers
 }
 
 // New returns an owner without jobs or workers. Its ownership counts from now.
@@ -123,6 +125,7 @@
 		interference:         interference.New(),
 		trials:               map[trial]int{},
 		batchDemands:         map[string]batchDemand{},
+		relocations:          map[*taskState]relocating{},
 	}
 }
 
@@ -140,6 +143,7 @@
 	o.scheduleHeartbeat()
 	o.recordInterference()
 	o.recordUnresponsive()
+	o.expireRelocations()
 	o.moveOffDraining()
 	o.removeExpiredJobs()
 	o.flush()
--- a/internal/schedule/owner/place.go
+++ b/internal/schedule/owner/place.go
@@ -45,6 +45,7 @@
 		}
 	}
 	if unplaced > 0 {
+		o.relocate(jobs)
 		o.scheduleNextPass()
 	}
 }
@@ -72,21 +73,11 @@
 			o.timers.add(task.notBefore, func() { o.placementDue = true })
 			continue
 		}
-		var w *worker
-		for i, name := range pools {
-			pool := usablePools[name]
-			if pool == nil || !pool.admits(task, o.now) {
-				continue
-			}
-			if !failures.covers(name, j, step) {
-				w = o.chooseWorker(&ratings[i], task, step, pool.workers)
-			}
-			if w != nil {
-				pool.addAssigned(step)
-				break
-			}
-			failures.record(name, j, step)
-			o.reserveWorker(j, step, pool.workers)
+		w := o.relocationTarget(task, step, pools)
+		if w != nil {
+			ratings = o.resetRatings(len(pools)) // the destination has less room than when it was rated
+		} else {
+			w = o.findPlace(task, step, pools, usablePools, ratings, failures)
 		}
 		if w == nil {
 			return 1
@@ -97,6 +88,26 @@
 	return 0
 }
 
+// findPlace returns the best worker for a task in the first pool that has one,
+// or nil. A pool without one may reserve a worker for the step.
+func (o *Owner) findPlace(task *taskState, step *stepState, pools []string, usablePools map[string]*poolCapacity, ratings []rating, failures placementFailures) *worker {
+	for i, name := range pools {
+		pool := usablePools[name]
+		if pool == nil || !pool.admits(task, o.now) {
+			continue
+		}
+		if !failures.covers(name, task.job, step) {
+			if w := o.chooseWorker(&ratings[i], task, step, pool.workers); w != nil {
+				pool.addAssigned(step)
+				return w
+			}
+		}
+		failures.record(name, task.job, step)
+		o.reserveWorker(task.job, step, pool.workers)
+	}
+	return nil
+}
+
 // queuedJob is a job with startable tasks and its sort keys.
 type queuedJob struct {
 	job         *jobState
--- a/internal/schedule/owner/placement_failures.go
+++ b/internal/schedule/owner/placement_failures.go
@@ -56,6 +56,6 @@
 	}
 	request := failedRequestOf(j, step)
 	return slices.ContainsFunc(m[failureClassOf(pool, step)], func(failed failedRequest) bool {
-		return fitsIn(failed.resources, request.resources) && failed.lastPlacementChangeAt <= request.lastPlacementChangeAt
+		return failed.resources.FitsIn(request.resources) && failed.lastPlacementChangeAt <= request.lastPlacementChangeAt
 	})
 }
--- a/internal/schedule/owner/rating.go
+++ b/internal/schedule/owner/rating.go
@@ -75,7 +75,7 @@
 }
 
 func (o *Owner) rateWorker(cached *rating, step *stepState, w *worker) float64 {
-	if !fitsIn(committedRoom(step.spec), w.freeRoom()) || !constraintsAllow(step, w) || w.reservedForOther(step, cached.mustPlace) {
+	if !committedRoom(step.spec).FitsIn(w.freeRoom()) || !constraintsAllow(step, w) || w.reservedForOther(step, cached.mustPlace) {
 		return unsuitable
 	}
 	score, ok := o.score(step, cached.bestEffort, w)
--- /dev/null
+++ b/internal/schedule/owner/relocate_test.go
@@ -0,0 +1,78 @@
+package owner
+
+import (
+	"fmt"
+	"testing"
+
+	"github.com/google/go-cmp/cmp"
+
+	"github.com/oriolepier/oriolepier/internal/base/clock"
+)
+
+// relocationHarness has two long-running tasks on two workers with room for
+// both on either.
+func relocationHarness(t *testing.T) (b *ownerHarness, from, to *worker, moved *run) {
+	t.Helper()
+	b = newHarness(testEntry("w0"), testEntry("w1"))
+	spec := servingSpec(2)
+	spec.Steps[0].PerWorker = 1
+	b.owner.Submit(spec, func(Verdict) {})
+	b.reportAndDeliver()
+	from, to = b.owner.workers["w0"], b.owner.workers["w1"]
+	if len(from.runs) != 1 || len(to.runs) != 1 {
+		t.Fatalf("runs on the workers: %d and %d, want 1 and 1", len(from.runs), len(to.runs))
+	}
+	b.owner.jobs[spec.ID].spec.Steps[0].PerWorker = 0
+	return b, from, to, from.sortedRuns()[0]
+}
+
+// A relocated task runs on its destination, and its room is held there until
+// then.
+func TestRelocatedTaskRunsOnItsDestination(t *testing.T) {
+	b, from, to, moved := relocationHarness(t)
+	free := to.freeRoom()
+	b.owner.beginRelocation(moved, to)
+	if diff := cmp.Diff(free.Plus(committedRoom(moved.task.spec()), -1), to.freeRoom()); diff != "" {
+		t.Errorf("free room of the destination while the task stops (-want +got):\n%s", diff)
+	}
+	b.reportAndDeliver()
+	b.reportAndDeliver()
+	got := fmt.Sprint(len(from.runs), len(to.runs), to.promised, len(b.owner.relocations))
+	if diff := cmp.Diff("0 2 {0 0 0} 0", got); diff != "" {
+		t.Errorf("runs, promised room and relocations afterwards (-want +got):\n%s", diff)
+	}
+}
+
+// The room of a relocation is released if its job ends on the way, or if the
+// worker that the task leaves does not answer in time.
+func TestRoomOfRelocationIsReleased(t *testing.T) {
+	for name, interrupt := range map[string]func(b *ownerHarness){
+		"cancelled":  func(b *ownerHarness) { b.owner.Cancel(servingJob, func(Verdict) {}) },
+		"unanswered": func(b *ownerHarness) { b.now += relocationTimeout + clock.Second },
+	} {
+		t.Run(name, func(t *testing.T) {
+			b, _, to, moved := relocationHarness(t)
+			b.owner.beginRelocation(moved, to)
+			interrupt(b)
+			b.owner.Tick()
+			got := fmt.Sprint(to.promised, len(b.owner.relocations))
+			if diff := cmp.Diff("{0 0 0} 0", got); diff != "" {
+				t.Errorf("promised room and relocations (-want +got):\n%s", diff)
+			}
+		})
+	}
+}
+
+// Tasks whose callers limit how many may be without a run are not relocated.
+func TestTaskWithLimitedAbsenceIsNotMovable(t *testing.T) {
+	b, _, _, moved := relocationHarness(t)
+	b.now += minTimeOnWorker
+	b.owner.now = b.now
+	if !b.owner.movable(moved) {
+		t.Error("a confirmed run cannot be moved")
+	}
+	moved.task.job.spec.Steps[0].MayMiss = 1
+	if b.owner.movable(moved) {
+		t.Error("a run of a step with limited absence can be moved")
+	}
+}
--- a/internal/schedule/owner/reserve.go
+++ b/internal/schedule/owner/reserve.go
@@ -74,7 +74,7 @@
 	required := committedRoom(step.spec)
 	var best *worker
 	for _, w := range workers {
-		if w.reserved != nil || !constraintsAllow(step, w) || !fitsIn(required, w.freeWithoutBatch()) {
+		if w.reserved != nil || !constraintsAllow(step, w) || !required.FitsIn(w.freeWithoutBatch()) {
 			continue
 		}
 		if best == nil || w.freeRoom().MilliCPU > best.freeRoom().MilliCPU {
@@ -95,5 +95,5 @@
 // freeWithoutBatch is the room of a worker once all but its long-running tasks
 // have ended.
 func (w *worker) freeWithoutBatch() fleet.Room {
-	return subtractRoom(w.entry.Room, w.longRunning)
+	return w.entry.Room.Plus(w.longRunning, -1)
 }
--- a/internal/schedule/owner/submit.go
+++ b/internal/schedule/owner/submit.go
@@ -133,7 +133,7 @@
 		}
 		known = true
 		for i := range spec.Steps {
-			fits[i] = fits[i] || fitsIn(committedRoom(&spec.Steps[i]), w.entry.Room)
+			fits[i] = fits[i] || committedRoom(&spec.Steps[i]).FitsIn(w.entry.Room)
 		}
 	}
 	if !known {
--- a/internal/schedule/owner/workers.go
+++ b/internal/schedule/owner/workers.go
@@ -20,6 +20,7 @@
 	sortedCache []*run // runs in a deterministic order; nil: to be sorted again
 	committed   fleet.Room
 	longRunning fleet.Room   // the part of committed that belongs to long-running tasks
+	promised    fleet.Room   // held for long-running tasks that are being relocated here
 	reserved    *reservation // step that this worker is reserved for; nil: none
 
 	clockMS                int64        // its clock in its last report
@@ -63,20 +64,10 @@
 // uncertainStartTTL is the longest time an order can be in transit.
 const uncertainStartTTL clock.Millis = 15 * clock.Second
 
-// fitsIn reports whether an amount of resources fits in a room.
-func fitsIn(amount, room fleet.Room) bool {
-	return amount.MilliCPU <= room.MilliCPU && amount.MemoryMB <= room.MemoryMB && amount.GPUs <= room.GPUs
-}
-
-// freeRoom returns the room that is not committed to runs.
+// freeRoom returns the room that is neither committed to runs nor promised to
+// tasks that are being relocated to the worker.
 func (w *worker) freeRoom() fleet.Room {
-	return subtractRoom(w.entry.Room, w.committed)
-}
-
-// subtractRoom returns a room minus a part of it.
-func subtractRoom(room, part fleet.Room) fleet.Room {
-	addRoom(&room, part, -1)
-	return room
+	return w.entry.Room.Plus(w.committed, -1).Plus(w.promised, -1)
 }
 
 func (w *worker) address() fleet.Address { return fleet.Address{ID: w.id, Host: w.entry.Address} }
@@ -245,18 +236,12 @@
 // frees it.
 func (w *worker) commitRoom(step *job.Step, tasks int64) {
 	amount := committedRoom(step)
-	addRoom(&w.committed, amount, tasks)
+	w.committed = w.committed.Plus(amount, tasks)
 	if step.Lasting {
-		addRoom(&w.longRunning, amount, tasks)
+		w.longRunning = w.longRunning.Plus(amount, tasks)
 	}
 }
 
-func addRoom(sum *fleet.Room, amount fleet.Room, times int64) {
-	sum.MilliCPU += times * amount.MilliCPU
-	sum.MemoryMB += times * amount.MemoryMB
-	sum.GPUs += times * amount.GPUs
-}
-
 // detach removes an ended run from its worker and frees its room.
 func (o *Owner) detach(r *run) {
 	w := r.worker
