Place best-effort tasks with the more care the more slack their job has

Cause: four fifths of what long-running tasks lose is time over their target beside best-effort tasks, also where those had seconds to spare; and after 1.8 s without a place a best-effort task went where it does harm.

Change: the headroom and the idle processors that a placement must leave depend on the job's slack to its objective, instead of on its wait; without slack they are 1.6 and -5 % (overcommitment before: 15 %). Limits are dropped after 6 s. A failed request covers no more urgent one of the same pass.

--- a/internal/schedule/owner/colocate.go
+++ b/internal/schedule/owner/colocate.go
@@ -15,9 +15,10 @@
 	minServingUse        = 0.2   // least share of its requested processors that a long-running task is assumed to use
 	maxServingUse        = 0.8   // largest share of its requested processors that a long-running task is assumed to use
 	servingUseMargin     = 0.02  // added to the assumed use, as the load may rise while a best-effort task runs
-	initialSpareShare    = 0.04  // share left unused on a worker with serving tasks, for a job that has not waited
-	finalSpareShare      = -0.15 // the same for a job that has waited for spareRampTime; negative: overcommitted
-	minPredictedHeadroom = 1.6   // predicted headroom below which no best-effort task is added, unless its loss is negligible
+	ampleSpareShare      = 0.06  // share left unused on a worker with serving tasks by a job with ample slack
+	minSpareShare        = -0.05 // the same for a job without slack; negative: overcommitted
+	amplePredicted       = 2.3   // predicted headroom that a job with ample slack leaves, unless its loss is negligible
+	minPredictedHeadroom = 1.6   // the same for a job without slack
 	negligibleLoss       = 0.2   // headroom that all best-effort tasks of a worker may cost whatever the load
 	minStartSpeed        = 0.4   // share of its full speed that a best-effort task must be expected to reach
 )
@@ -32,8 +33,7 @@
 
 // Times for placing best-effort tasks.
 const (
-	relaxPlacementAfter clock.Millis = 1800 // wait after which limits on headroom, spare share and speed no longer exclude workers; the best score decides
-	spareRampTime       clock.Millis = 400  // wait over which the required spare share falls from its initial to its final value
+	relaxPlacementAfter clock.Millis = 6000 // wait after which limits on headroom, spare share and speed no longer exclude workers; the best score decides
 	tailWarmup          clock.Millis = 1200 // age of a long-running run from which its tail latency is meaningful
 	predictionHorizon   clock.Millis = 1200 // headrooms are predicted so far ahead, about the length of a best-effort run
 )
@@ -141,17 +141,12 @@
 	return min(max(load, minServingUse), maxServingUse) + servingUseMargin
 }
 
-// spareShare is the share of a worker with serving tasks that a job's
-// tasks must leave unused; it falls with the time that the job has waited.
-func (o *Owner) spareShare(j *jobState) float64 {
-	waited := min(float64(o.now-j.lastPlacementChangeAt)/float64(spareRampTime), 1)
-	return initialSpareShare + waited*(finalSpareShare-initialSpareShare)
-}
-
 // bestEffortTask is a best-effort task with the estimates for its image.
 type bestEffortTask struct {
 	step              *stepState
 	job               *jobState
+	spareShare        float64 // share of a worker with serving tasks that must stay unused
+	requiredHeadroom  float64 // predicted headroom that the serving tasks must keep
 	incompatibleShare float64 // share of the images of long-running tasks that are incompatible with it
 	pairs             []servingEstimate
 }
@@ -183,7 +178,12 @@
 	if !step.spec.Fills {
 		return nil
 	}
-	return &bestEffortTask{step: step, job: task.job, incompatibleShare: o.interference.IncompatibleShare(step.spec.Image)}
+	urgency := o.urgency(task.job)
+	return &bestEffortTask{
+		step: step, job: task.job, incompatibleShare: o.interference.IncompatibleShare(step.spec.Image),
+		spareShare:       ampleSpareShare + urgency*(minSpareShare-ampleSpareShare),
+		requiredHeadroom: amplePredicted + urgency*(minPredictedHeadroom-amplePredicted),
+	}
 }
 
 // scoreBestEffort rates a worker for a best-effort task. It is not ok where the
@@ -203,12 +203,12 @@
 		taskLoss := pairEstimate.Weight * requested
 		// Below negligibleLoss the load of the users alone decides.
 		significant := group.loss+taskLoss > negligibleLoss
-		if significant && group.headroom+group.headroomChange-group.unreportedLoss-taskLoss < minPredictedHeadroom && !relaxed {
+		if significant && group.headroom+group.headroomChange-group.unreportedLoss-taskLoss < task.requiredHeadroom && !relaxed {
 			return 0, false
 		}
 		maxLoss = max(maxLoss, taskLoss)
 	}
-	if len(plan.serving) > 0 && plan.idleShare-requested < o.spareShare(task.job) && !relaxed {
+	if len(plan.serving) > 0 && plan.idleShare-requested < task.spareShare && !relaxed {
 		return 0, false
 	}
 	speed := min(max(plan.idleShare, 0)/max(requested, minRequestedShare), 1)
--- a/internal/schedule/owner/objective.go
+++ b/internal/schedule/owner/objective.go
@@ -2,6 +2,7 @@
 
 import (
 	"github.com/oriolepier/oriolepier/internal/base/clock"
+	"github.com/oriolepier/oriolepier/internal/schedule/job"
 )
 
 // defaultTaskLength is assumed for a task without an estimate.
@@ -26,21 +27,53 @@
 	return objective{dueAt: j.submittedAt + length, expiresAt: j.submittedAt + expiryFactor*length}
 }
 
+// ampleSlack is the slack from which a job is not urgent at all.
+const ampleSlack clock.Millis = 2500
+
+// urgency is 1 for a job that keeps its latency objective only if its tasks run
+// without a further wait, falling to 0 with ampleSlack. It is also 0 for a job
+// that is late already: little is lost by making it wait.
+func (o *Owner) urgency(j *jobState) float64 {
+	if o.now > j.deadlines.dueAt {
+		return 0
+	}
+	slack := j.deadlines.dueAt - o.now - o.remainingPath(j)
+	return 1 - min(max(float64(slack)/float64(ampleSlack), 0), 1)
+}
+
 // criticalPath is the expected duration of a job's longest chain of steps.
 func (o *Owner) criticalPath(j *jobState) clock.Millis {
-	ends := make([]clock.Millis, len(j.spec.Steps))
+	return longestChain(j, func(*stepState) bool { return true })
+}
+
+// remainingPath is the expected duration of the longest chain of steps that are
+// not done, each from its beginning.
+func (o *Owner) remainingPath(j *jobState) clock.Millis {
+	return longestChain(j, func(step *stepState) bool { return step.unfinished > 0 })
+}
+
+// longestChain is the expected duration of the longest chain of the counted
+// steps of a job.
+func longestChain(j *jobState, counts func(*stepState) bool) clock.Millis {
+	ends := make([]clock.Millis, len(j.steps))
 	longest := clock.Millis(0)
-	for i, step := range j.spec.Steps {
-		start := clock.Millis(0)
-		for _, predecessor := range step.After {
-			start = max(start, ends[predecessor])
+	for i := range j.steps {
+		step := &j.steps[i]
+		for _, predecessor := range step.spec.After {
+			ends[i] = max(ends[i], ends[predecessor])
 		}
-		length := clock.Millis(step.EstimateMS)
-		if length == 0 {
-			length = defaultTaskLength
+		if counts(step) {
+			ends[i] += taskLength(step.spec)
 		}
-		ends[i] = start + length
 		longest = max(longest, ends[i])
 	}
 	return longest
 }
+
+// taskLength is the expected duration of a step's tasks.
+func taskLength(spec *job.Step) clock.Millis {
+	if spec.EstimateMS == 0 {
+		return defaultTaskLength
+	}
+	return clock.Millis(spec.EstimateMS)
+}
--- a/internal/schedule/owner/place.go
+++ b/internal/schedule/owner/place.go
@@ -91,18 +91,19 @@
 // findPlace returns the best worker for a task in the first pool that has one,
 // or nil. A pool without one may reserve a worker for the step.
 func (o *Owner) findPlace(task *taskState, step *stepState, pools []string, usablePools map[string]*poolCapacity, ratings []rating, failures placementFailures) *worker {
+	urgency := o.urgency(task.job)
 	for i, name := range pools {
 		pool := usablePools[name]
 		if pool == nil || !pool.admits(task, o.now) {
 			continue
 		}
-		if !failures.covers(name, task.job, step) {
+		if !failures.covers(name, task.job, step, urgency) {
 			if w := o.chooseWorker(&ratings[i], task, step, pool.workers); w != nil {
 				pool.addAssigned(step)
 				return w
 			}
 		}
-		failures.record(name, task.job, step)
+		failures.record(name, task.job, step, urgency)
 		o.reserveWorker(task.job, step, pool.workers)
 	}
 	return nil
--- a/internal/schedule/owner/placement_failures_test.go
+++ b/internal/schedule/owner/placement_failures_test.go
@@ -33,23 +33,26 @@
 		{name: "another pool", pool: "q", step: failedStep},
 	}
 	failures := placementFailures{}
-	failures.record("p", &jobState{lastPlacementChangeAt: 10}, &stepState{spec: &failedStep})
+	failures.record("p", &jobState{lastPlacementChangeAt: 10}, &stepState{spec: &failedStep}, 0.5)
 	for _, c := range cases {
 		j := &jobState{lastPlacementChangeAt: 10}
 		if c.later {
 			j.lastPlacementChangeAt = 11
 		}
-		if diff := cmp.Diff(c.want, failures.covers(c.pool, j, &stepState{spec: &c.step})); diff != "" {
+		if diff := cmp.Diff(c.want, failures.covers(c.pool, j, &stepState{spec: &c.step}, 0.5)); diff != "" {
 			t.Errorf("%s (-want +got):\n%s", c.name, diff)
 		}
 	}
-	if failures.covers("p", &jobState{lastPlacementChangeAt: 9}, &stepState{spec: &failedStep}) {
+	if failures.covers("p", &jobState{lastPlacementChangeAt: 10}, &stepState{spec: &failedStep}, 0.6) {
+		t.Error("a more urgent request counts as at least as hard to place")
+	}
+	if failures.covers("p", &jobState{lastPlacementChangeAt: 9}, &stepState{spec: &failedStep}, 0.5) {
 		t.Error("a job with a longer wait, and so relaxed constraints, was skipped")
 	}
 	limited := with(func(s *job.Step) { s.PerWorker = 1; s.Image = "h" })
-	failures.record("p", &jobState{}, &stepState{spec: &limited})
+	failures.record("p", &jobState{}, &stepState{spec: &limited}, 0)
 	plain := with(func(s *job.Step) { s.Image = "h" })
-	if failures.covers("p", &jobState{}, &stepState{spec: &plain}) {
+	if failures.covers("p", &jobState{}, &stepState{spec: &plain}, 0) {
 		t.Error("a task was skipped because of the per-worker limit of another step")
 	}
 }
