Tell what keeps tasks waiting for a worker

Each placement pass that leaves work waiting counts why each worker was turned down, by a typed reason: counters and gauges, a log line a change of the leading reason, fields of the dump, the last reason in run_placed, and a line of explain with the longest wait. No decision changes.

--- a/internal/operator/command/command_test.go
+++ b/internal/operator/command/command_test.go
@@ -114,6 +114,7 @@
 a line of another program
 {"level":"info","entry":"a","event":"job_accepted","job":"` + job + `","queue":"q","epoch":3,"time":1015}
 {"level":"info","entry":"a","event":"run_placed","job":"` + job + `","step":0,"index":1,"run":1,"worker":"w","contact_age_ms":40,"time":1022}
+{"level":"info","entry":"a","event":"run_placed","job":"` + job + `","step":0,"index":2,"run":1,"worker":"x","waited_ms":2210,"blocked_by":"incompatible","blocked_workers":36,"time":3225}
 {"level":"info","entry":"a","event":"run_placed","job":"another","time":1023}
 {"level":"warn","entry":"a","event":"lease_lapsed","worker":"w","time":5000}
 {"level":"info","entry":"c","event":"run_ended","job":"` + job + `","step":0,"index":1,"run":1,"cause":"lapsed","time":5010}
--- a/internal/operator/command/explain.go
+++ b/internal/operator/command/explain.go
@@ -57,6 +57,9 @@
 	for _, l := range lines {
 		ses.printf("%8d ms  %-24s %-18s %s", l.at-lines[0].at, l.entry, l.event, l.formatFields())
 	}
+	if wait, ok := longestWait(lines); ok {
+		ses.printf("longest wait: %s", wait)
+	}
 	for _, missing := range missingEvents(lines) {
 		ses.printf("missing: %s", missing)
 	}
@@ -106,6 +109,28 @@
 	return strings.Join(words, " ")
 }
 
+// minToldWait is the least wait in ms that longestWait tells.
+const minToldWait = 500
+
+// longestWait describes the longest wait of a task for a worker, and what kept it
+// waiting.
+func longestWait(lines []logLine) (string, bool) {
+	longest := float64(minToldWait)
+	text := ""
+	for _, l := range lines {
+		waited, _ := l.fields["waited_ms"].(float64)
+		if l.event != "run_placed" || waited < longest {
+			continue
+		}
+		longest = waited
+		text = fmt.Sprintf("%.0f ms, step %s index %s run %s", waited, formatValue(l.fields["step"]), formatValue(l.fields["index"]), formatValue(l.fields["run"]))
+		if workers, _ := l.fields["blocked_workers"].(float64); workers > 0 {
+			text += fmt.Sprintf("; most workers were ruled out by: %s (%.0f)", formatValue(l.fields["blocked_by"]), workers)
+		}
+	}
+	return text, text != ""
+}
+
 // missingEvents describes the events of a job's course that no log line records.
 func missingEvents(lines []logLine) []string {
 	seen := map[string]bool{}
--- a/internal/schedule/owner/colocate.go
+++ b/internal/schedule/owner/colocate.go
@@ -188,9 +188,9 @@
 	}
 }
 
-// scoreBestEffort rates a worker for a best-effort task. It is not ok where the
+// scoreBestEffort rates a worker for a best-effort task. It is rejected where the
 // task would interfere too much or run too slowly.
-func (o *Owner) scoreBestEffort(task *bestEffortTask, w *worker) (score float64, ok bool) {
+func (o *Owner) scoreBestEffort(task *bestEffortTask, w *worker) (score float64, rejected rejection) {
 	plan := o.plan(w)
 	step := task.step
 	requested := cpuShare(step.spec.MilliCPU, w)
@@ -200,22 +200,28 @@
 		group := &plan.serving[i]
 		pairEstimate := o.pairEstimate(task, group.image)
 		if !pairEstimate.Known() && !relaxed && o.underTrial(group, step.spec.Image) {
-			return 0, false
+			return 0, rejectedTrial
 		}
 		taskLoss := pairEstimate.Weight * requested
 		// Below negligibleLoss the load of the users alone decides.
 		significant := group.loss+taskLoss > negligibleLoss
 		if significant && group.headroom+group.headroomChange-group.unreportedLoss-taskLoss < task.requiredHeadroom && !relaxed {
-			return 0, false
+			if pairEstimate.Incompatible() {
+				return 0, rejectedIncompatible
+			}
+			return 0, rejectedHeadroom
 		}
 		maxLoss = max(maxLoss, taskLoss)
 	}
 	if len(plan.serving) > 0 && plan.idleShare-requested < task.spareShare && !relaxed {
-		return 0, false
+		return 0, rejectedIdle
 	}
 	speed := min(max(plan.idleShare, 0)/max(requested, minRequestedShare), 1)
-	if w.pace == 0 || speed < minStartSpeed && !relaxed {
-		return 0, false
+	if w.pace == 0 {
+		return 0, rejectedPaused
+	}
+	if speed < minStartSpeed && !relaxed {
+		return 0, rejectedIdle
 	}
 	score = weightSpeed*speed - weightLoss*maxLoss
 	if len(plan.serving) > 0 {
@@ -223,7 +229,7 @@
 	} else {
 		score += weightIdle*ampleIdleShare + weightNoServing*(task.incompatibleShare-typicalIncompatibleShare)
 	}
-	return score, true
+	return score, notRejected
 }
 
 // minRequestedShare avoids a division by zero for steps that request no
--- a/internal/schedule/owner/dump.go
+++ b/internal/schedule/owner/dump.go
@@ -13,6 +13,9 @@
 	DomainsOut         []string       `json:"failure_domains_out"`
 	Jobs               map[string]int `json:"jobs"` // by state
 	Waiting            int            `json:"tasks_waiting"`
+	WaitingCPU         int64          `json:"waiting_milli_cpu"` // requested by tasks that the last placement pass left waiting
+	IdleCPU            int64          `json:"idle_milli_cpu"`    // of usable workers, not in use while tasks wait
+	Blocked            map[string]int `json:"blocked_steps"`     // steps that wait, by the leading reason
 	Workers            []WorkerDump   `json:"workers"`
 	PreviousOwnerKnown bool           `json:"former_owner_known"`
 }
@@ -41,6 +44,12 @@
 		Epoch: o.options.Epoch, OwnedFor: o.now - o.claimedAt, StoreAge: o.now - o.ownershipConfirmedAt,
 		Manifest: o.tables.Version, Jobs: map[string]int{}, PreviousOwnerKnown: o.unresponsiveListCurrent,
 	}
+	dump.WaitingCPU, dump.IdleCPU, dump.Blocked = o.blocked.waitingCPU, o.blocked.idleCPU, map[string]int{}
+	for kind, steps := range o.blocked.steps {
+		if steps > 0 {
+			dump.Blocked[rejection(kind).String()] = steps
+		}
+	}
 	for domain := range o.domainsOut {
 		dump.DomainsOut = append(dump.DomainsOut, domain)
 	}
--- a/internal/schedule/owner/metrics.go
+++ b/internal/schedule/owner/metrics.go
@@ -18,6 +18,8 @@
 	Moves       *metrics.Counter  // best-effort runs stopped for interference
 	Relocations *metrics.Counter  // long-running runs stopped to make room for best-effort tasks
 	Stalls      *metrics.Counter  // workers found stalled
+	WaitingCPU  *metrics.Gauge    // milli-CPU requested by tasks that the last placement pass left waiting
+	IdleCPU     *metrics.Gauge    // milli-CPU of usable workers that is not in use while tasks wait
 	AppendTime  DurationHistogram // from the first send of an append to its acknowledgement
 	AcceptTime  DurationHistogram // from the submission of a job to the acknowledgement of its record
 	StartTime   DurationHistogram // from the submission of a job to its first confirmed start
@@ -45,6 +47,8 @@
 		Moves:       set.NewCounter("oriolepier_task_moves_total"),
 		Relocations: set.NewCounter("oriolepier_task_relocations_total"),
 		Stalls:      set.NewCounter("oriolepier_worker_stalls_total"),
+		WaitingCPU:  set.NewGauge("oriolepier_placement_waiting_milli_cpu", nil),
+		IdleCPU:     set.NewGauge("oriolepier_placement_idle_milli_cpu", nil),
 		AppendTime:  newDuration("oriolepier_store_append_seconds"),
 		AcceptTime:  newDuration("oriolepier_job_accept_seconds"),
 		StartTime:   newDuration("oriolepier_job_first_start_seconds"),
@@ -63,6 +67,11 @@
 	c.set.GetOrCreateCounter(`oriolepier_runs_ended_total{cause="` + cause + `"}`).Inc()
 }
 
+// Blocked counts steps that a placement pass left waiting, by leading reason.
+func (c *Metrics) Blocked(reason rejection, steps int) {
+	c.set.GetOrCreateCounter(`oriolepier_placement_blocked_total{reason="` + reason.String() + `"}`).Add(steps)
+}
+
 // Answered counts an answer to an order or hold, by kind and outcome.
 func (c *Metrics) Answered(order, outcome string) {
 	c.set.GetOrCreateCounter(`oriolepier_orders_total{order="` + order + `",outcome="` + outcome + `"}`).Inc()
--- a/internal/schedule/owner/orders.go
+++ b/internal/schedule/owner/orders.go
@@ -237,7 +237,11 @@
 	}
 	o.markChanged(j)
 	o.batch.onAck = append(o.batch.onAck, func() { o.startRecorded(r) })
+	blockedBy, blockedWorkers := step.rejections.leading()
 	o.logRun("run_placed", r).Str("failure_domain", w.entry.Domain).
-		Int64("waited_ms", int64(o.now-max(task.waitingSince, j.submittedAt))).Int64("contact_age_ms", int64(o.contactAge(w))).
+		Int64("waited_ms", int64(o.now-max(task.waitingSince, j.submittedAt))).Str("blocked_by", blockedBy.String()).Int("blocked_workers", blockedWorkers).Int64("contact_age_ms", int64(o.contactAge(w))).
 		Int64("manifest", o.tables.Version).Send()
+	if step.waiting == 0 {
+		step.rejections = rejections{}
+	}
 }
--- a/internal/schedule/owner/owner.go
+++ b/internal/schedule/owner/owner.go
@@ -103,6 +103,9 @@
 	reservedWorkers          int                       // workers reserved for large tasks
 	batchDemands             map[string]batchDemand    // recent demand of batch tasks, by pool
 	nextInterferenceRecordAt clock.Millis              // earliest next record of the interference estimates
+	blocked                  blockedTasks              // what the last placement pass left waiting
+	loggedReason             rejection                 // leading reason in the last log line on it
+	nextBlockedLogAt         clock.Millis              // earliest next such line
 	resigned                 bool                      // the ownership is lost; no input is handled any more
 	placementDue             bool                      // a placement pass is due because some input may let a task start
 	nextPassAt               clock.Millis              // next placement pass that is due by time alone
--- a/internal/schedule/owner/place.go
+++ b/internal/schedule/owner/place.go
@@ -33,17 +33,23 @@
 	o.updateBatchShares(usablePools, jobs)
 	failures := placementFailures{}
 	unplaced := 0
+	var blocked blockedTasks
 	for _, queued := range jobs {
 		j := queued.job
 		for i := range j.steps {
 			if step := &j.steps[i]; step.ready && step.waiting > 0 {
-				unplaced += o.placeStep(j, step, queued.pools, usablePools, failures)
+				if o.placeStep(j, step, queued.pools, usablePools, failures) {
+					continue
+				}
+				unplaced++
+				blocked.add(step)
 			}
 		}
 		if unplaced > maxUnplacedPerPass {
 			break
 		}
 	}
+	o.reportBlocked(blocked)
 	if unplaced > 0 {
 		o.relocate(jobs)
 		o.scheduleNextPass()
@@ -61,8 +67,8 @@
 }
 
 // placeStep places the waiting tasks of a step until no worker suits the next
-// one. It returns the number of steps left unplaced, 0 or 1.
-func (o *Owner) placeStep(j *jobState, step *stepState, pools []string, usablePools map[string]*poolCapacity, failures placementFailures) int {
+// one. It returns false if tasks are left waiting for a worker.
+func (o *Owner) placeStep(j *jobState, step *stepState, pools []string, usablePools map[string]*poolCapacity, failures placementFailures) bool {
 	ratings := o.resetRatings(len(pools))
 	for k := range step.tasks {
 		task := &step.tasks[k]
@@ -80,32 +86,39 @@
 			w = o.findPlace(task, step, pools, usablePools, ratings, failures)
 		}
 		if w == nil {
-			return 1
+			return false
 		}
 		o.assign(task, w)
 		o.addTrial(step, w)
 	}
-	return 0
+	return true
 }
 
 // findPlace returns the best worker for a task in the first pool that has one,
 // or nil. A pool without one may reserve a worker for the step.
 func (o *Owner) findPlace(task *taskState, step *stepState, pools []string, usablePools map[string]*poolCapacity, ratings []rating, failures placementFailures) *worker {
-	urgency := o.urgency(task.job)
+	var rejected rejections
 	for i, name := range pools {
 		pool := usablePools[name]
 		if pool == nil || !pool.admits(task, o.now) {
+			rejected[rejectedPool]++
 			continue
 		}
-		if !failures.covers(name, task.job, step, urgency) {
+		request := o.failedRequestOf(task.job, step)
+		if known, covered := failures.covering(name, step, request); covered {
+			request.rejections = known.rejections
+		} else {
 			if w := o.chooseWorker(&ratings[i], task, step, pool.workers); w != nil {
 				pool.addAssigned(step)
 				return w
 			}
+			request.rejections = ratings[i].countRejections()
+			failures.record(name, step, request)
 		}
-		failures.record(name, task.job, step, urgency)
+		rejected = rejected.plus(request.rejections)
 		o.reserveWorker(task.job, step, pool.workers)
 	}
+	step.rejections = rejected
 	return nil
 }
 
@@ -202,22 +215,22 @@
 	weightSameImage     = 2.0 // times imageAffinity: bonus for tasks with a target of the same image, penalty for other images
 )
 
-// score rates a worker that has room for a task of a step; higher is better. It
-// is not ok where the task would interfere too much with long-running tasks.
-// The argument bestEffort is nil unless the step is best-effort.
-func (o *Owner) score(step *stepState, bestEffort *bestEffortTask, w *worker) (score float64, ok bool) {
+// score rates a worker that has room for a task of a step; higher is better. A
+// worker is rejected where the task would interfere too much with long-running
+// tasks. The argument bestEffort is nil unless the step is best-effort.
+func (o *Owner) score(step *stepState, bestEffort *bestEffortTask, w *worker) (score float64, rejected rejection) {
 	if step.spec.Rack != "" && slices.Contains(w.entry.Labels, step.spec.Rack) {
 		score += weightRack
 	}
 	score -= weightFailures * float64(w.failuresInARow)
 	switch {
 	case bestEffort != nil:
-		gain, acceptable := o.scoreBestEffort(bestEffort, w)
-		return score + gain, acceptable
+		gain, reason := o.scoreBestEffort(bestEffort, w)
+		return score + gain, reason
 	case step.spec.TargetMS > 0:
-		return score + weightPacking*committed(w) + weightSameImage*o.imageAffinity(step, w), true
+		return score + weightPacking*committed(w) + weightSameImage*o.imageAffinity(step, w), notRejected
 	}
-	return score + weightPacking*committed(w), true
+	return score + weightPacking*committed(w), notRejected
 }
 
 // committed is the share of a worker's processors that is committed to runs.
--- a/internal/schedule/owner/placement_failures.go
+++ b/internal/schedule/owner/placement_failures.go
@@ -19,45 +19,53 @@
 	bestEffort bool
 }
 
-// failedRequest is how hard a task was to place.
+// failedRequest is how hard a task was to place, and why no worker took it.
 type failedRequest struct {
 	resources             fleet.Room
 	lastPlacementChangeAt clock.Millis // of its job; an earlier time relaxes the constraints
 	urgency               float64      // of its job; a higher one relaxes the constraints
+	rejections            rejections
 }
 
-func failedRequestOf(j *jobState, step *stepState, urgency float64) failedRequest {
+func (o *Owner) failedRequestOf(j *jobState, step *stepState) failedRequest {
 	return failedRequest{
 		resources:             requestedRoom(step.spec),
 		lastPlacementChangeAt: j.lastPlacementChangeAt,
-		urgency:               urgency,
+		urgency:               o.urgency(j),
 	}
 }
 
+// isAtMostAsHardAs reports whether every worker that rejects this request
+// rejects the other one, too.
+func (r failedRequest) isAtMostAsHardAs(other failedRequest) bool {
+	return r.resources.FitsIn(other.resources) && r.lastPlacementChangeAt <= other.lastPlacementChangeAt && r.urgency >= other.urgency
+}
+
 func failureClassOf(pool string, step *stepState) failureClass {
 	return failureClass{pool: pool, image: step.spec.Image, bestEffort: step.spec.Fills}
 }
 
-// record adds a task of a step for which a pool has no worker. Steps with a
+// record adds a request of a step for which a pool has no worker. Steps with a
 // label or a per-worker limit are left out, because their failure does not
 // apply to other steps.
-func (m placementFailures) record(pool string, j *jobState, step *stepState, urgency float64) {
-	if step.spec.PerWorker > 0 || step.spec.Label != "" || m.covers(pool, j, step, urgency) {
+func (m placementFailures) record(pool string, step *stepState, request failedRequest) {
+	if step.spec.PerWorker > 0 || step.spec.Label != "" {
 		return
 	}
 	class := failureClassOf(pool, step)
-	m[class] = append(m[class], failedRequestOf(j, step, urgency))
+	m[class] = append(m[class], request)
 }
 
-// covers reports whether a request that is at most as hard to place has failed
-// in this pass. A step that holds a reservation is always tried.
-func (m placementFailures) covers(pool string, j *jobState, step *stepState, urgency float64) bool {
+// covering returns a request that has failed in this pass and is at most as hard
+// to place. A step that holds a reservation is always tried.
+func (m placementFailures) covering(pool string, step *stepState, request failedRequest) (known failedRequest, ok bool) {
 	if step.reserved > 0 {
-		return false
+		return failedRequest{}, false
+	}
+	failed := m[failureClassOf(pool, step)]
+	i := slices.IndexFunc(failed, func(known failedRequest) bool { return known.isAtMostAsHardAs(request) })
+	if i < 0 {
+		return failedRequest{}, false
 	}
-	request := failedRequestOf(j, step, urgency)
-	return slices.ContainsFunc(m[failureClassOf(pool, step)], func(failed failedRequest) bool {
-		return failed.resources.FitsIn(request.resources) && failed.lastPlacementChangeAt <= request.lastPlacementChangeAt &&
-			failed.urgency >= request.urgency
-	})
+	return failed[i], true
 }
--- a/internal/schedule/owner/placement_failures_test.go
+++ b/internal/schedule/owner/placement_failures_test.go
@@ -5,6 +5,7 @@
 
 	"github.com/google/go-cmp/cmp"
 
+	"github.com/oriolepier/oriolepier/internal/base/clock"
 	"github.com/oriolepier/oriolepier/internal/schedule/job"
 )
 
@@ -32,27 +33,34 @@
 		{name: "counted processors", pool: "p", step: with(func(s *job.Step) { s.Fills = false })},
 		{name: "another pool", pool: "q", step: failedStep},
 	}
+	request := func(step job.Step, lastPlacementChangeAt clock.Millis, urgency float64) failedRequest {
+		return failedRequest{resources: requestedRoom(&step), lastPlacementChangeAt: lastPlacementChangeAt, urgency: urgency}
+	}
 	failures := placementFailures{}
-	failures.record("p", &jobState{lastPlacementChangeAt: 10}, &stepState{spec: &failedStep}, 0.5)
+	covers := func(pool string, step job.Step, request failedRequest) bool {
+		_, covered := failures.covering(pool, &stepState{spec: &step}, request)
+		return covered
+	}
+	failures.record("p", &stepState{spec: &failedStep}, request(failedStep, 10, 0.5))
 	for _, c := range cases {
-		j := &jobState{lastPlacementChangeAt: 10}
+		changedAt := clock.Millis(10)
 		if c.later {
-			j.lastPlacementChangeAt = 11
+			changedAt = 11
 		}
-		if diff := cmp.Diff(c.want, failures.covers(c.pool, j, &stepState{spec: &c.step}, 0.5)); diff != "" {
+		if diff := cmp.Diff(c.want, covers(c.pool, c.step, request(c.step, changedAt, 0.5))); diff != "" {
 			t.Errorf("%s (-want +got):\n%s", c.name, diff)
 		}
 	}
-	if failures.covers("p", &jobState{lastPlacementChangeAt: 10}, &stepState{spec: &failedStep}, 0.6) {
+	if covers("p", failedStep, request(failedStep, 10, 0.6)) {
 		t.Error("a more urgent request counts as at least as hard to place")
 	}
-	if failures.covers("p", &jobState{lastPlacementChangeAt: 9}, &stepState{spec: &failedStep}, 0.5) {
+	if covers("p", failedStep, request(failedStep, 9, 0.5)) {
 		t.Error("a job with a longer wait, and so relaxed constraints, was skipped")
 	}
 	limited := with(func(s *job.Step) { s.PerWorker = 1; s.Image = "h" })
-	failures.record("p", &jobState{}, &stepState{spec: &limited}, 0)
+	failures.record("p", &stepState{spec: &limited}, request(limited, 0, 0))
 	plain := with(func(s *job.Step) { s.Image = "h" })
-	if failures.covers("p", &jobState{}, &stepState{spec: &plain}, 0) {
+	if covers("p", plain, request(plain, 0, 0)) {
 		t.Error("a task was skipped because of the per-worker limit of another step")
 	}
 }
--- a/internal/schedule/owner/rating.go
+++ b/internal/schedule/owner/rating.go
@@ -12,7 +12,8 @@
 // or mustPlace has changed.
 type rating struct {
 	valid                 bool
-	scores                []float64 // by index in the pool's list; unsuitable: not to be used
+	scores                []float64   // by index in the pool's list; unsuitable: not to be used
+	reasons               []rejection // by the same index; notRejected: suitable
 	bestEffort            *bestEffortTask
 	lastPlacementChangeAt clock.Millis // of the step's job when the workers were scored
 	trialsStarted         int          // Owner.trialsStarted when the workers were scored
@@ -41,7 +42,7 @@
 	case !cached.valid || cached.lastPlacementChangeAt != task.job.lastPlacementChangeAt || cached.trialsStarted != o.trialsStarted || cached.mustPlace != task.mustRun(o.now):
 		o.rateWorkers(cached, task, step, workers)
 	case cached.lastChosen >= 0:
-		cached.scores[cached.lastChosen] = o.rateWorker(cached, step, workers[cached.lastChosen])
+		cached.scores[cached.lastChosen], cached.reasons[cached.lastChosen] = o.rateWorker(cached, step, workers[cached.lastChosen])
 	}
 	cached.lastChosen = -1
 	best := unsuitable
@@ -68,19 +69,38 @@
 	cached.lastPlacementChangeAt, cached.trialsStarted = task.job.lastPlacementChangeAt, o.trialsStarted
 	cached.mustPlace = task.mustRun(o.now)
 	cached.bestEffort = o.bestEffortTask(task, step)
-	cached.scores = cached.scores[:0]
+	cached.scores, cached.reasons = cached.scores[:0], cached.reasons[:0]
 	for _, w := range workers {
-		cached.scores = append(cached.scores, o.rateWorker(cached, step, w))
+		score, reason := o.rateWorker(cached, step, w)
+		cached.scores = append(cached.scores, score)
+		cached.reasons = append(cached.reasons, reason)
 	}
 }
 
-func (o *Owner) rateWorker(cached *rating, step *stepState, w *worker) float64 {
-	if !committedRoom(step.spec).FitsIn(w.freeRoom()) || !constraintsAllow(step, w) || w.reservedForOther(step, cached.mustPlace) {
-		return unsuitable
+// rateWorker scores a worker for a step; unsuitable with the reason if it cannot
+// run the next task.
+func (o *Owner) rateWorker(cached *rating, step *stepState, w *worker) (float64, rejection) {
+	switch {
+	case !committedRoom(step.spec).FitsIn(w.freeRoom()):
+		return unsuitable, rejectedRoom
+	case !constraintsAllow(step, w):
+		return unsuitable, rejectedLimits
+	case w.reservedForOther(step, cached.mustPlace):
+		return unsuitable, rejectedReservation
+	}
+	score, reason := o.score(step, cached.bestEffort, w)
+	if reason != notRejected {
+		return unsuitable, reason
 	}
-	score, ok := o.score(step, cached.bestEffort, w)
-	if !ok {
-		return unsuitable
+	return score, notRejected
+}
+
+// countRejections counts the rated workers by the reason why they cannot run the
+// step.
+func (c *rating) countRejections() rejections {
+	var counts rejections
+	for _, reason := range c.reasons {
+		counts[reason]++
 	}
-	return score
+	return counts
 }
--- a/internal/schedule/owner/state.go
+++ b/internal/schedule/owner/state.go
@@ -38,6 +38,7 @@
 	waiting      int            // tasks without a run that are not done
 	runsByWorker map[string]int // runs by worker id; nil unless the step limits runs per worker
 	reserved     int            // workers reserved for its tasks
+	rejections   rejections     // workers by the reason why they could not run its next task, in the last pass that found none
 }
 
 // taskState is the in-memory state of a task.
