Log no age for runs whose start the owner does not know

A run that a new owner inherited and that ended before its worker reported it was logged with ran_ms counted from time zero (3600066). It is -1 now, as contact_age_ms is without a contact; the same for report_age_ms.

--- a/internal/schedule/owner/interference.go
+++ b/internal/schedule/owner/interference.go
@@ -139,13 +139,13 @@
 	o.logRun("run_moved", r).
 		Str("image", r.task.spec().Image).Str("serving_image", group.image).Float64("weight", pair.Weight).
 		Float64("weight_spread", pair.Spread).Float64("loss", loss).Float64("headroom", group.headroom).
-		Int64("ran_ms", int64(o.now-r.startedAt)).Int64("report_age_ms", int64(o.now-r.reportedAt)).Send()
+		Int64("ran_ms", int64(age(r.startedAt, o.now))).Int64("report_age_ms", int64(age(r.reportedAt, o.now))).Send()
 }
 
 func (o *Owner) pace(r *run, percent int, overTarget clock.Millis) {
 	o.options.Metrics.Paces.Inc()
 	o.logRun("run_paced", r).Int("percent", percent).
-		Int("before", r.pace).Int64("over_target_ms", int64(overTarget)).Int64("report_age_ms", int64(o.now-r.reportedAt)).Send()
+		Int("before", r.pace).Int64("over_target_ms", int64(overTarget)).Int64("report_age_ms", int64(age(r.reportedAt, o.now))).Send()
 	r.pace = percent
 	o.options.Effects.Pace(fleet.Pace{
 		To: r.worker.address(), Task: r.task.key(), Run: r.runNumber, Percent: percent, Token: o.options.Epoch,
--- a/internal/schedule/owner/relocate.go
+++ b/internal/schedule/owner/relocate.go
@@ -138,7 +138,7 @@
 	to.promised = to.promised.Plus(committedRoom(r.task.spec()), 1)
 	o.relocations[r.task] = relocating{to: to, until: o.now + relocationTimeout}
 	o.options.Metrics.Relocations.Inc()
-	o.logRun("run_relocated", r).Str("to", to.id).Str("image", r.task.spec().Image).Int64("ran_ms", int64(o.now-r.startedAt)).Send()
+	o.logRun("run_relocated", r).Str("to", to.id).Str("image", r.task.spec().Image).Int64("ran_ms", int64(age(r.startedAt, o.now))).Send()
 	o.stopRun(r, "makes room for best-effort tasks")
 }
 
--- a/internal/schedule/owner/report.go
+++ b/internal/schedule/owner/report.go
@@ -216,7 +216,7 @@
 	}
 	o.options.Metrics.Ended(end.String())
 	o.logRun("run_ended", r).Str("cause", end.String()).
-		Str("reason", r.stopReason).Int64("ran_ms", int64(o.now-r.startedAt)).Int64("contact_age_ms", int64(o.contactAge(r.worker))).Send()
+		Str("reason", r.stopReason).Int64("ran_ms", int64(age(r.startedAt, o.now))).Int64("contact_age_ms", int64(o.contactAge(r.worker))).Send()
 	o.updateWorkerHistory(r, end)
 	o.detach(r)
 	o.markChanged(j)
--- a/internal/schedule/owner/takeover_test.go
+++ b/internal/schedule/owner/takeover_test.go
@@ -1,8 +1,13 @@
 package owner
 
 import (
+	"bytes"
+	"strings"
 	"testing"
 
+	"github.com/rs/zerolog"
+
+	"github.com/oriolepier/oriolepier/internal/schedule/fleet"
 	"github.com/oriolepier/oriolepier/internal/schedule/job"
 	"github.com/oriolepier/oriolepier/internal/schedule/journal"
 )
@@ -50,3 +55,18 @@
 		t.Errorf("pace orders %v, want none", b.paces)
 	}
 }
+
+// TestInheritedRunThatHasEndedHasNoAge checks the log line of a run that ended
+// before its worker reported it to the new owner: nobody knows when it started.
+func TestInheritedRunThatHasEndedHasNoAge(t *testing.T) {
+	b := ownerAfterTakeover(t, bestEffortSpec(1))
+	var log bytes.Buffer
+	b.owner.options.Log = zerolog.New(&log)
+	b.owner.Report("w", fleet.Report{
+		ClockMS: int64(b.now), Incarnation: 1,
+		Ended: []fleet.End{{Number: 1, Task: job.Task{Job: bestEffortJob}, Run: 1, Cause: fleet.EndDone}},
+	})
+	if want := `"cause":"done","reason":"","ran_ms":-1`; !strings.Contains(log.String(), want) {
+		t.Errorf("no log line with %s:\n%s", want, log.String())
+	}
+}
--- a/internal/schedule/owner/workers.go
+++ b/internal/schedule/owner/workers.go
@@ -81,11 +81,15 @@
 
 // contactAge returns the age of the last report of a worker's current
 // incarnation to this owner, or -1 without one.
-func (o *Owner) contactAge(w *worker) clock.Millis {
-	if w.lastReportAt == 0 {
+func (o *Owner) contactAge(w *worker) clock.Millis { return age(w.lastReportAt, o.now) }
+
+// age returns the time since an event, or -1 if it has not happened or is not
+// known.
+func age(at, now clock.Millis) clock.Millis {
+	if at == 0 {
 		return -1
 	}
-	return o.now - w.lastReportAt
+	return now - at
 }
 
 // SetWorkers replaces the list of workers.
