Back off from workers that fail runs in a row, more than chance explains

Cause: a worker that fails all that it starts is idle again at once and attracts the next tasks, whose attempts are limited.

The rate counts only runs on workers whose last run did not fail, so jobs that fail everywhere do not make their workers suspect. A pass that finds no usable worker is repeated. Relocations are planned a pool at a time, leave out steps that need a label, and are spaced out in large cells.

--- a/internal/schedule/owner/owner.go
+++ b/internal/schedule/owner/owner.go
@@ -106,11 +106,12 @@
 	blocked                  blockedTasks              // what the last placement pass left waiting
 	loggedReason             rejection                 // leading reason in the last log line on it
 	nextBlockedLogAt         clock.Millis              // earliest next such line
-	resigned                 bool                      // the ownership is lost; no input is handled any more
-	placementDue             bool                      // a placement pass is due because some input may let a task start
-	nextPassAt               clock.Millis              // next placement pass that is due by time alone
-	nextExpiryAt             clock.Millis              // next removal of expired final states
-	nextDrainCheckAt         clock.Millis              // next check for long-running tasks on draining workers
+	failureRate              failureRate
+	resigned                 bool         // the ownership is lost; no input is handled any more
+	placementDue             bool         // a placement pass is due because some input may let a task start
+	nextPassAt               clock.Millis // next placement pass that is due by time alone
+	nextExpiryAt             clock.Millis // next removal of expired final states
+	nextDrainCheckAt         clock.Millis // next check for long-running tasks on draining workers
 }
 
 // New returns an owner without jobs or workers. Its ownership counts from now.
@@ -127,6 +128,7 @@
 		cancelReplies:        map[int]func(Verdict){},
 		interference:         interference.New(),
 		trials:               map[trial]int{},
+		failureRate:          initialFailureRate,
 		batchDemands:         map[string]batchDemand{},
 		relocations:          map[*taskState]relocating{},
 	}
--- a/internal/schedule/owner/place.go
+++ b/internal/schedule/owner/place.go
@@ -25,6 +25,7 @@
 func (o *Owner) runPlacementPass() {
 	usablePools := o.usablePools()
 	if len(usablePools) == 0 {
+		o.scheduleNextPass() // the workers may be backing off
 		return
 	}
 	o.countTrials()
@@ -104,7 +105,7 @@
 			rejected[rejectedPool]++
 			continue
 		}
-		request := o.failedRequestOf(task.job, step)
+		request := o.requestOf(task.job, step)
 		if known, covered := failures.covering(name, step, request); covered {
 			request.rejections = known.rejections
 		} else {
@@ -267,10 +268,11 @@
 	w := r.worker
 	switch cause {
 	case endDone:
-		w.failuresInARow, w.stallsInARow = 0, 0
+		o.noteOutcome(w, false)
+		w.stallsInARow = 0
 		w.lastDoneAt = o.now
 	case endFailed:
-		w.failuresInARow++
+		o.noteOutcome(w, true)
 		r.task.avoidWorker = w.id
 	case endLeaseLapsed, endWorkerRestarted, endStopped, endNotStarted:
 		r.task.avoidWorker = w.id
--- a/internal/schedule/owner/placement_failures.go
+++ b/internal/schedule/owner/placement_failures.go
@@ -27,12 +27,14 @@
 	rejections            rejections
 }
 
-func (o *Owner) failedRequestOf(j *jobState, step *stepState) failedRequest {
-	return failedRequest{
-		resources:             requestedRoom(step.spec),
-		lastPlacementChangeAt: j.lastPlacementChangeAt,
-		urgency:               o.urgency(j),
+// requestOf returns how hard the next task of a step is to place. Urgency counts
+// for best-effort tasks only.
+func (o *Owner) requestOf(j *jobState, step *stepState) failedRequest {
+	request := failedRequest{resources: requestedRoom(step.spec), lastPlacementChangeAt: j.lastPlacementChangeAt}
+	if step.spec.Fills {
+		request.urgency = o.urgency(j)
 	}
+	return request
 }
 
 // isAtMostAsHardAs reports whether every worker that rejects this request
--- a/internal/schedule/owner/rating.go
+++ b/internal/schedule/owner/rating.go
@@ -83,6 +83,8 @@
 	switch {
 	case !committedRoom(step.spec).FitsIn(w.freeRoom()):
 		return unsuitable, rejectedRoom
+	case w.isOnTrial():
+		return unsuitable, rejectedFailing
 	case !constraintsAllow(step, w):
 		return unsuitable, rejectedLimits
 	case w.reservedForOther(step, cached.mustPlace):
--- a/internal/schedule/owner/rejection.go
+++ b/internal/schedule/owner/rejection.go
@@ -17,12 +17,13 @@
 	rejectedTrial                  // the pair of images is being tried, or another one there
 	rejectedIdle                   // too few of its processors are idle
 	rejectedPaused                 // its best-effort tasks are paused
+	rejectedFailing                // it failed runs in a row, and one is under way to show whether it still does
 	rejectedPool                   // the pool has no usable worker, or leaves no more room to long-running tasks
 	rejectionKinds
 )
 
 func (r rejection) String() string {
-	return [...]string{"none", "room", "limits", "reservation", "incompatible", "headroom", "trial", "idle_processors", "paused", "pool"}[r]
+	return [...]string{"none", "room", "limits", "reservation", "incompatible", "headroom", "trial", "idle_processors", "paused", "failing", "pool"}[r]
 }
 
 // rejections counts workers by the reason why they cannot run a task.
--- a/internal/schedule/owner/relocate.go
+++ b/internal/schedule/owner/relocate.go
@@ -1,6 +1,7 @@
 package owner
 
 import (
+	"maps"
 	"slices"
 
 	"github.com/oriolepier/oriolepier/internal/base/clock"
@@ -15,11 +16,12 @@
 
 // Limits of relocations.
 const (
-	relocateAfter      clock.Millis = 600               // wait of a best-effort job that asks for a relocation
-	relocationInterval clock.Millis = 300               // between plans, so that each sees the effect of the one before
-	relocationTimeout  clock.Millis = 3 * clock.Second  // after it a task may be placed anywhere
-	minTimeOnWorker    clock.Millis = 10 * clock.Second // least time that a task stays on a worker
-	maxRelocatingShare              = 0.05              // share of the long-running tasks that are relocated at a time
+	relocateAfter               clock.Millis = 600               // wait of a best-effort job that asks for a relocation
+	relocationInterval          clock.Millis = 300               // between plans, so that each sees the effect of the one before
+	relocationIntervalPerWorker              = 200               // µs for each worker of the cell, if that is longer; bounds the cost in a large cell
+	relocationTimeout           clock.Millis = 3 * clock.Second  // after it a task may be placed anywhere
+	minTimeOnWorker             clock.Millis = 10 * clock.Second // least time that a task stays on a worker
+	maxRelocatingShare                       = 0.05              // share of the long-running tasks that are relocated at a time
 )
 
 // relocating is the destination of a long-running task that is being relocated.
@@ -34,12 +36,12 @@
 	if o.now < o.nextRelocationAt {
 		return
 	}
-	demands := o.waitingDemands(jobs)
+	pool, demands := o.waitingDemands(jobs)
 	if len(demands) == 0 {
 		return
 	}
-	o.nextRelocationAt = o.now + relocationInterval
-	workers, listed, runs := o.relocationWorkers()
+	o.nextRelocationAt = o.now + max(relocationInterval, o.scaleByWorkers(relocationIntervalPerWorker))
+	workers, listed, runs := o.relocationWorkers(pool)
 	planner := relocation.New(workers, demands, func(serving, bestEffort string) bool {
 		return o.interference.Pair(serving, bestEffort).Incompatible()
 	})
@@ -54,35 +56,47 @@
 	}
 }
 
-// waitingDemands sums up by image the processors that waiting best-effort tasks
-// request.
-func (o *Owner) waitingDemands(jobs []queuedJob) []relocation.Demand {
-	var demands []relocation.Demand
+// waitingDemands returns the pool in which best-effort tasks request most
+// processors in vain, and what they request there by image. Steps that need a
+// label are left out, as clearing any worker may not help them.
+func (o *Owner) waitingDemands(jobs []queuedJob) (pool string, demands []relocation.Demand) {
+	byPool := map[string]int64{}
+	byImage := map[string]map[string]int64{} // by pool
 	for _, queued := range jobs {
 		if queued.expired || o.now-queued.job.lastPlacementChangeAt < relocateAfter {
 			continue
 		}
 		for i := range queued.job.steps {
 			step := &queued.job.steps[i]
-			if !step.ready || step.waiting == 0 || !step.spec.Fills {
+			if !step.ready || step.waiting == 0 || !step.spec.Fills || step.spec.Label != "" {
 				continue
 			}
-			k := slices.IndexFunc(demands, func(d relocation.Demand) bool { return d.Image == step.spec.Image })
-			if k < 0 {
-				k = len(demands)
-				demands = append(demands, relocation.Demand{Image: step.spec.Image})
+			waiting := int64(step.waiting) * step.spec.MilliCPU
+			for _, name := range queued.pools {
+				if byImage[name] == nil {
+					byImage[name] = map[string]int64{}
+				}
+				byPool[name] += waiting
+				byImage[name][step.spec.Image] += waiting
 			}
-			demands[k].MilliCPU += int64(step.waiting) * step.spec.MilliCPU
 		}
 	}
-	return demands
+	for _, name := range slices.Sorted(maps.Keys(byPool)) {
+		if byPool[name] > byPool[pool] {
+			pool = name
+		}
+	}
+	for image, waiting := range byImage[pool] {
+		demands = append(demands, relocation.Demand{Image: image, MilliCPU: waiting})
+	}
+	return pool, demands
 }
 
-// relocationWorkers describes the usable workers to the planner, and lists them
-// and their long-running runs in the same order.
-func (o *Owner) relocationWorkers() (workers []relocation.Worker, listed []*worker, runs []*run) {
+// relocationWorkers describes the usable workers of a pool to the planner, and
+// lists them and their long-running runs in the same order.
+func (o *Owner) relocationWorkers(pool string) (workers []relocation.Worker, listed []*worker, runs []*run) {
 	for _, w := range o.sortedWorkers {
-		if !o.isUsable(w) {
+		if w.entry.Service != pool || !o.isUsable(w) {
 			continue
 		}
 		described := relocation.Worker{
--- a/internal/schedule/owner/relocate_test.go
+++ b/internal/schedule/owner/relocate_test.go
@@ -7,6 +7,8 @@
 	"github.com/google/go-cmp/cmp"
 
 	"github.com/oriolepier/oriolepier/internal/base/clock"
+	"github.com/oriolepier/oriolepier/internal/schedule/job"
+	"github.com/oriolepier/oriolepier/internal/schedule/relocation"
 )
 
 // relocationHarness has two long-running tasks on two workers with room for
@@ -76,3 +78,28 @@
 		t.Error("a run of a step with limited absence can be moved")
 	}
 }
+
+// A relocation serves the pool in which most is requested in vain, and counts
+// only what may use that pool for long enough.
+func TestDemandsOfThePoolWithMostWaiting(t *testing.T) {
+	b := newHarness(testEntry("w"))
+	b.owner.now = b.now
+	waiting := func(id job.ID, image, pool string, tasks int, waited clock.Millis) queuedJob {
+		j := newJob(jobSpec(string(id), job.Step{Count: tasks, MilliCPU: 1000, Fills: true, Image: image}))
+		j.lastPlacementChangeAt = b.now - waited
+		return queuedJob{job: j, pools: []string{pool}}
+	}
+	labelled := waiting("0000000000000005", "f", "large", 9, relocateAfter)
+	labelled.job.spec.Steps[0].Label = "gpu"
+	pool, demands := b.owner.waitingDemands([]queuedJob{
+		waiting("0000000000000001", "f", "small", 3, relocateAfter),
+		waiting("0000000000000002", "f", "large", 2, relocateAfter),
+		waiting("0000000000000003", "f", "large", 3, relocateAfter),
+		waiting("0000000000000004", "g", "large", 9, relocateAfter-1),
+		labelled,
+	})
+	want := []relocation.Demand{{Image: "f", MilliCPU: 5000}}
+	if diff := cmp.Diff(want, demands); diff != "" || pool != "large" {
+		t.Errorf("pool %q, demands (-want +got):\n%s", pool, diff)
+	}
+}
--- a/internal/schedule/owner/workers.go
+++ b/internal/schedule/owner/workers.go
@@ -40,6 +40,7 @@
 	endsRecorded           int64            // highest number of an applied end that is recorded
 	backoffUntil           clock.Millis     // no new runs are placed before it
 	failuresInARow         int              // consecutive failed runs
+	failing                bool             // its consecutive failures are too many to be by chance; valid while failuresInARow is not 0
 	stallsInARow           int              // consecutive stalls without a completed run
 	lastDoneAt             clock.Millis     // when it last reported a completed run
 	workDone, workExpected float64          // recent work of its batch runs in ms, decayed: done, and expected
