--- a/internal/schedule/owner/failing.go
+++ b/internal/schedule/owner/failing.go
@@ -18,7 +18,7 @@
 	minFailureRate      = 0.01
 	failureRateRuns     = 200.0            // runs over which the failure rate is averaged
 	failingBackoff      = 2 * clock.Second // first backoff of a failing worker
-	maxFailingDoublings = 1                // the backoff doubles with each two further failures, so often at most
+	maxFailingDoublings = 1                // how often the backoff doubles, with each two further failures
 )
 
 // failureRate is the share of runs that fail on workers whose last run did not:
--- a/internal/schedule/owner/relocate.go
+++ b/internal/schedule/owner/relocate.go
@@ -18,7 +18,7 @@
 const (
 	relocateAfter               clock.Millis = 600               // wait of a best-effort job that asks for a relocation
 	relocationInterval          clock.Millis = 300               // between plans, so that each sees the effect of the one before
-	relocationIntervalPerWorker              = 2000              // µs for each worker of the cell, if that is longer; a plan costs up to 0.1 ms a worker
+	relocationIntervalPerWorker              = 2000              // µs for each worker of the cell, if that is longer; bounds the cost in a large cell
 	relocationTimeout           clock.Millis = 3 * clock.Second  // after it a task may be placed anywhere
 	minTimeOnWorker             clock.Millis = 10 * clock.Second // least time that a task stays on a worker
 	maxRelocatingShare                       = 0.05              // share of the long-running tasks that are relocated at a time
