Count the starts that an ended link session left open

The lines on links said how many orders were open and not what they were. An abandoned start that counts as not sent lets its run be placed elsewhere at once, so link_removed, link_lost and link_ended now tell starts without an answer from starts that were not sent, and link_serves the epoch before. No decision changes.

--- a/internal/site/linkshard/message.go
+++ b/internal/site/linkshard/message.go
@@ -2,6 +2,7 @@
 
 import (
 	"github.com/pkg/errors"
+	"github.com/samber/lo"
 
 	"github.com/oriolepier/oriolepier/internal/base/clock"
 	"github.com/oriolepier/oriolepier/internal/schedule/fleet"
@@ -53,6 +54,11 @@
 	List []order      `cbor:"2,keyasint"`
 }
 
+// countStarts returns the number of start orders in a batch.
+func (b orders) countStarts() int {
+	return lo.CountBy(b.List, func(o order) bool { return o.Start != nil })
+}
+
 // results is a batch of results from a link to the owner.
 type results struct {
 	Stamp clock.Millis `cbor:"1,keyasint"` // reading of the link's clock
--- a/internal/site/linkshard/open.go
+++ b/internal/site/linkshard/open.go
@@ -13,7 +13,7 @@
 // runSession opens a session, serves it until it ends and sets the backoff before
 // the next one.
 func (p *Pool) runSession(ctx context.Context, entry Entry) {
-	err := p.serveSession(ctx, entry)
+	abandoned, err := p.serveSession(ctx, entry)
 	p.mu.Lock()
 	delete(p.active, entry.Address)
 	p.redialAfter[entry.Address] = p.options.Clock.Now() + reopenBackoff
@@ -21,24 +21,26 @@
 	p.mu.Unlock()
 	if ctx.Err() == nil && !errors.Is(err, errRetired) {
 		p.options.Metrics.sessionsLost.Inc()
-		p.options.Logger.Warn().Str("event", "link_lost").Str("link", entry.Address).Err(err).Send()
+		p.options.Logger.Warn().Str("event", "link_lost").Str("link", entry.Address).Int64("epoch", p.options.Epoch).
+			EmbedObject(abandoned).Err(err).Send()
 	}
 }
 
-// serveSession opens a session, serves it and returns why it ended.
-func (p *Pool) serveSession(ctx context.Context, entry Entry) error {
+// serveSession opens a session, serves it and returns the orders that it abandoned
+// and why it ended.
+func (p *Pool) serveSession(ctx context.Context, entry Entry) (abandoned abandonedOrders, err error) {
 	ctx, cancel := context.WithCancel(ctx)
 	defer cancel()
 	resultReceiver := &resultReceiver{ready: make(chan struct{}), failure: make(chan error, 1)}
 	connection, err := p.openSession(ctx, entry, func(batch []byte) { resultReceiver.receive(ctx, batch) })
 	if err != nil {
-		return err
+		return abandonedOrders{}, err
 	}
 	defer connection.Close()
 	s := newSession(entry, p.options.Clock, connection.OpenReply.Stamp)
 	resultReceiver.attach(s)
 	p.addSession(s)
-	defer p.removeSession(s)
+	defer func() { abandoned = p.removeSession(s) }()
 	group := new(errgroup.Group)
 	group.Go(func() error {
 		defer cancel()
@@ -48,9 +50,9 @@
 	connection.Close() // also ends a send in progress
 	cancel()
 	if sending := group.Wait(); err == nil {
-		return sending
+		return abandonedOrders{}, sending
 	}
-	return err
+	return abandonedOrders{}, err
 }
 
 // resultReceiver hands batches to a session. Batches that arrive before attach wait
@@ -154,12 +156,14 @@
 }
 
 // removeSession reassigns a session's workers to other links and abandons its
-// pending orders.
-func (p *Pool) removeSession(s *session) {
+// pending orders, which it counts.
+func (p *Pool) removeSession(s *session) abandonedOrders {
 	p.mu.Lock()
 	delete(p.sessions, s.entry.Address)
 	p.assignWorkers()
 	p.mu.Unlock()
-	open := s.closeSession()
-	p.options.Logger.Info().Str("event", "link_removed").Str("link", s.entry.Address).Int("open_orders", open).Send()
+	abandoned := s.closeSession()
+	p.options.Logger.Info().Str("event", "link_removed").Str("link", s.entry.Address).Int64("epoch", p.options.Epoch).
+		EmbedObject(abandoned).Send()
+	return abandoned
 }
--- a/internal/site/linkshard/session.go
+++ b/internal/site/linkshard/session.go
@@ -5,6 +5,7 @@
 	"sync"
 
 	"github.com/pkg/errors"
+	"github.com/rs/zerolog"
 
 	"github.com/oriolepier/oriolepier/internal/base/clock"
 	"github.com/oriolepier/oriolepier/internal/schedule/fleet"
@@ -164,18 +165,44 @@
 	return len(s.pending), s.clock.Now() - s.receivedAt
 }
 
-// closeSession abandons all pending orders and returns their number.
-func (s *session) closeSession() int {
+// abandonedOrders counts the orders of a session that had no result when it ended.
+type abandonedOrders struct {
+	all              int
+	startsUnanswered int // start orders that the link may have executed
+	startsNotSent    int // start orders that were not handed to the connection
+}
+
+// add counts an order.
+func (a *abandonedOrders) add(known *pendingOrder) {
+	a.all++
+	switch {
+	case known.order.Start == nil:
+	case known.sent:
+		a.startsUnanswered++
+	default:
+		a.startsNotSent++
+	}
+}
+
+// MarshalZerologObject adds the counts to a log line.
+func (a abandonedOrders) MarshalZerologObject(event *zerolog.Event) {
+	event.Int("open_orders", a.all).Int("starts_unanswered", a.startsUnanswered).Int("starts_not_sent", a.startsNotSent)
+}
+
+// closeSession abandons all pending orders and counts them.
+func (s *session) closeSession() abandonedOrders {
 	s.mu.Lock()
 	pending := s.pending
 	s.pending, s.queue, s.closed = nil, nil, true
 	s.mu.Unlock()
+	var abandoned abandonedOrders
 	for _, known := range pending {
+		abandoned.add(known)
 		outcome := fleet.NotSent
 		if known.sent {
 			outcome = fleet.Unanswered
 		}
 		known.done(completion{result: failedResult(known.order, outcome), sessionLost: true})
 	}
-	return len(pending)
+	return abandoned
 }
--- a/internal/site/linkshard/shard.go
+++ b/internal/site/linkshard/shard.go
@@ -48,38 +48,42 @@
 func (s *Shard) Serve(ctx context.Context, query OpenRequest, line ServerConn) error {
 	ctx, cancel := context.WithCancel(ctx)
 	defer cancel()
-	if !s.admitOwner(query.Epoch, cancel) {
+	admitted, previousEpoch := s.admitOwner(query.Epoch, cancel)
+	if !admitted {
 		line.Open(OpenReply{Refused: "a newer owner is known"})
 		return ErrSuperseded
 	}
 	if !line.Open(OpenReply{Stamp: s.options.Clock.Now()}) {
 		return nil
 	}
-	s.options.Logger.Info().Str("event", "link_serves").Int64("epoch", query.Epoch).Str("owner", query.Owner).Send()
-	executor := &executor{shard: s, results: make(chan result, maxBatchResults)}
+	s.options.Logger.Info().Str("event", "link_serves").Int64("epoch", query.Epoch).Str("owner", query.Owner).
+		Int64("epoch_before", previousEpoch).Send()
+	executor := &executor{shard: s, results: make(chan executed, maxBatchResults)}
 	group := new(errgroup.Group)
 	group.Go(func() error { return executor.sendResults(ctx, line.Send) })
 	err := executor.receiveOrders(ctx, group, line.In)
 	cancel()
 	sendErr := group.Wait()
 	s.options.Logger.Info().Str("event", "link_ended").Int64("epoch", query.Epoch).Str("owner", query.Owner).
-		AnErr("cause", err).AnErr("sending", sendErr).Int("dropped", executor.ordersDropped).Send()
+		AnErr("cause", err).AnErr("sending", sendErr).Int("dropped", executor.ordersDropped).Int("starts", executor.starts).
+		Int("starts_unanswered", executor.starts-executor.startsAnswered).Int("starts_not_sent", executor.startsDropped).Send()
 	return err
 }
 
-// admitOwner ends the current session in favor of a new one. It returns false if the
-// new owner's epoch is lower.
-func (s *Shard) admitOwner(epoch int64, cancel context.CancelFunc) bool {
+// admitOwner ends the current session in favor of a new one, and returns the highest
+// epoch before. It admits no owner of a lower epoch.
+func (s *Shard) admitOwner(epoch int64, cancel context.CancelFunc) (admitted bool, previousEpoch int64) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	if epoch < s.epoch {
-		return false
+	previousEpoch = s.epoch
+	if epoch < previousEpoch {
+		return false, previousEpoch
 	}
 	if s.cancel != nil {
 		s.cancel()
 	}
 	s.epoch, s.cancel = epoch, cancel
-	return true
+	return true, previousEpoch
 }
 
 // execute executes one order by a call to its worker.
@@ -102,9 +106,18 @@
 
 // executor executes the orders of one session.
 type executor struct {
-	shard         *Shard
-	results       chan result
-	ordersDropped int // orders in batches older than maxBatchAge
+	shard          *Shard
+	results        chan executed
+	ordersDropped  int // orders in batches older than maxBatchAge
+	startsDropped  int // of these, start orders
+	starts         int // start orders received, with those dropped
+	startsAnswered int // start orders whose results were handed to the connection, with those dropped
+}
+
+// executed is an order with its result.
+type executed struct {
+	order  order
+	result result
 }
 
 // receiveOrders executes each batch that arrives. A malformed batch ends the session,
@@ -125,6 +138,7 @@
 }
 
 func (s *executor) executeBatch(ctx context.Context, group *errgroup.Group, batch orders) {
+	s.starts += batch.countStarts()
 	if age := s.shard.options.Clock.Now() - batch.Echo; age > maxBatchAge {
 		s.dropStale(ctx, batch, age)
 		return
@@ -132,7 +146,7 @@
 	for _, o := range batch.List {
 		group.Go(func() error {
 			done := s.shard.execute(ctx, o)
-			s.queueResult(ctx, done)
+			s.queueResult(ctx, executed{order: o, result: done})
 			return nil
 		})
 	}
@@ -142,15 +156,16 @@
 // without executing them.
 func (s *executor) dropStale(ctx context.Context, batch orders, age clock.Millis) {
 	s.ordersDropped += len(batch.List)
+	s.startsDropped += batch.countStarts()
 	s.shard.options.Metrics.ordersDropped.Add(len(batch.List))
 	s.shard.options.Logger.Warn().Str("event", "orders_dropped").Int("orders", len(batch.List)).
-		Int64("age_ms", int64(age)).Send()
+		Int("starts", batch.countStarts()).Int64("age_ms", int64(age)).Send()
 	for _, o := range batch.List {
-		s.queueResult(ctx, failedResult(o, fleet.NotSent))
+		s.queueResult(ctx, executed{order: o, result: failedResult(o, fleet.NotSent)})
 	}
 }
 
-func (s *executor) queueResult(ctx context.Context, done result) {
+func (s *executor) queueResult(ctx context.Context, done executed) {
 	select {
 	case s.results <- done:
 	case <-ctx.Done():
@@ -160,7 +175,7 @@
 // sendResults sends results in batches; an empty batch serves as heartbeat.
 func (s *executor) sendResults(ctx context.Context, send func([]byte) error) error {
 	for {
-		batch, ok := s.gatherResults(ctx)
+		batch, starts, ok := s.gatherResults(ctx)
 		if !ok {
 			return nil
 		}
@@ -172,32 +187,39 @@
 		if err := send(data); err != nil {
 			return err
 		}
+		s.startsAnswered += starts
 	}
 }
 
 // gatherResults waits for a result, at most heartbeatPeriod, and then collects more
-// results for resultBatchWindow. It returns false when the session has ended.
-func (s *executor) gatherResults(ctx context.Context) (results, bool) {
-	var batch results
+// results for resultBatchWindow. It also counts the start orders among them, and
+// returns false when the session has ended.
+func (s *executor) gatherResults(ctx context.Context) (batch results, starts int, ok bool) {
+	add := func(done executed) {
+		batch.List = append(batch.List, done.result)
+		if done.order.Start != nil {
+			starts++
+		}
+	}
 	clk := s.shard.options.Clock
 	heartbeat, cancel := context.WithTimeout(ctx, heartbeatPeriod.Duration())
 	defer cancel()
 	select {
 	case first := <-s.results:
-		batch.List = append(batch.List, first)
+		add(first)
 	case <-heartbeat.Done():
-		return batch, ctx.Err() == nil
+		return batch, starts, ctx.Err() == nil
 	}
 	if clk.Sleep(ctx, resultBatchWindow) != nil {
-		return batch, false
+		return batch, starts, false
 	}
 	for len(batch.List) < maxBatchResults {
 		select {
 		case more := <-s.results:
-			batch.List = append(batch.List, more)
+			add(more)
 		default:
-			return batch, true
+			return batch, starts, true
 		}
 	}
-	return batch, true
+	return batch, starts, true
 }
