Log the evidence on which a run is ended, and each step of a takeover

A task ran on two workers at once, so some owner ended its first run too early, and the lines did not say why it took the run for over. run_ended and lease_lapsed now carry the kind of evidence and its age, a takeover has a line at each step from claim to first hold, previous_owner_stopped says by what, ownership_lost how old the last confirmation and the last lease are, and a start that grants a lease which a hold would not have renewed is counted and logged. worker_replaced, worker_listed and worker_responsive have what tells a replaced or moved worker and a slow clock apart, late_end_reported a run that was done after an owner had ended it otherwise.

The condition of sendHold moves into renewalBlock, unchanged, so that starts can be compared with it. No decision changes. The test of explain has the new keys in one of its lines.

--- a/internal/operator/command/command_test.go
+++ b/internal/operator/command/command_test.go
@@ -117,7 +117,7 @@
 {"level":"info","entry":"a","event":"run_placed","job":"` + job + `","step":0,"index":2,"run":1,"worker":"x","waited_ms":2210,"blocked_by":"incompatible","blocked_workers":36,"time":3225}
 {"level":"info","entry":"a","event":"run_placed","job":"another","time":1023}
 {"level":"warn","entry":"a","event":"lease_lapsed","worker":"w","time":5000}
-{"level":"info","entry":"c","event":"run_ended","job":"` + job + `","step":0,"index":1,"run":1,"cause":"lapsed","time":5010}
+{"level":"info","entry":"c","event":"run_ended","job":"` + job + `","step":0,"index":1,"run":1,"cause":"lapsed","evidence":"recorded_rest","evidence_age_ms":3200,"epoch":4,"time":5010}
 `
 	code, printed := runCommand(t, journal.Log{}, log, "explain", job)
 	if code != option.ExitDone {
--- a/internal/schedule/owner/drain_test.go
+++ b/internal/schedule/owner/drain_test.go
@@ -86,11 +86,11 @@
 	b.owner.batchDemands["pool"] = batchDemand{share: maxBatchShare / batchMargin, at: b.now}
 	for _, r := range b.owner.workers["w1"].sortedRuns() {
 		delete(b.runs["w1"], r.task.key())
-		b.owner.endRun(r, endLeaseLapsed, "")
+		b.owner.endRun(r, endLeaseLapsed, proof{}, "")
 	}
 	for _, r := range b.owner.workers["w2"].sortedRuns() {
 		delete(b.runs["w2"], r.task.key())
-		b.owner.endRun(r, endLeaseLapsed, "")
+		b.owner.endRun(r, endLeaseLapsed, proof{}, "")
 	}
 	b.owner.workers["w2"].backoffUntil = b.now + clock.Minute
 	b.deliverPending()
--- a/internal/schedule/owner/lease.go
+++ b/internal/schedule/owner/lease.go
@@ -28,10 +28,9 @@
 }
 
 // sendHold sends a hold, which requests a worker's report and renews the lease
-// of its runs. No lease is renewed while the worker's clock is unknown, it misses
-// holds or is unresponsive, its removal from the list of unresponsive workers is
-// not recorded yet, or mayRenewLeases is false.
+// of its runs unless renewalBlock forbids it.
 func (o *Owner) sendHold(w *worker) {
+	o.noteFirstHold()
 	order := fleet.Hold{To: w.address(), Token: o.options.Epoch}
 	// After a missed hold the worker may have restarted and number its ends from
 	// the start again, so none are acknowledged.
@@ -51,11 +50,12 @@
 		order.WaitMS = 0
 		w.skipHoldWait = false
 	}
-	if w.clockReadAt != 0 && w.missedHolds < missedHoldsToUnresponsive && !w.unresponsive && w.delistingRecorded && o.mayRenewLeases() {
+	if o.renewalBlock(w) == renewalAllowed {
+		w.unpromisedGrantLogged = false
 		order.UntilMS = o.grantLease(w)
 	}
 	w.holdInFlight = true
-	w.holdSentAt = o.now
+	w.holdSentAt, w.holdAddress = o.now, w.entry.Address
 	o.options.Effects.Hold(order)
 }
 
@@ -67,9 +67,76 @@
 	return clock.Millis(len(o.sortedWorkers) * micros / microsPerMilli).Scale(clock.TimeoutFactor(o.options.Cores))
 }
 
+// noteFirstHold logs the first hold of an ownership, with which its takeover of the
+// workers begins.
+func (o *Owner) noteFirstHold() {
+	if o.firstHoldAt != 0 {
+		return
+	}
+	o.firstHoldAt = o.now
+	o.options.Log.Info().Str("event", "holds_begun").Int64("epoch", o.options.Epoch).
+		Int64("since_claim_ms", int64(o.now-o.claimedAt)).Int64("since_fence_ms", int64(age(o.fencedAt, o.now))).
+		Int("workers", len(o.sortedWorkers)).Send()
+}
+
+// renewalBlock is a reason why holds renew no lease on a worker.
+type renewalBlock uint8
+
+const (
+	renewalAllowed      renewalBlock = iota
+	clockUnknown                     // the worker's clock is unknown
+	holdsMissed                      // it misses holds
+	workerListed                     // it is unresponsive, so the next owner may end its runs after the recorded time
+	delistingUnrecorded              // its removal from the list of unresponsive workers is not recorded yet
+	renewWindowOver                  // mayRenewLeases is false
+)
+
+func (b renewalBlock) String() string {
+	return [...]string{"none", "clock_unknown", "holds_missed", "worker_listed", "delisting_unrecorded", "renew_window_over"}[b]
+}
+
+// renewalBlock returns the first reason why holds renew no lease on a worker.
+func (o *Owner) renewalBlock(w *worker) renewalBlock {
+	switch {
+	case w.clockReadAt == 0:
+		return clockUnknown
+	case w.missedHolds >= missedHoldsToUnresponsive:
+		return holdsMissed
+	case w.unresponsive:
+		return workerListed
+	case !w.delistingRecorded:
+		return delistingUnrecorded
+	case !o.mayRenewLeases():
+		return renewWindowOver
+	}
+	return renewalAllowed
+}
+
+// noteUnpromisedGrant counts a start order whose lease a hold could not have
+// renewed, so that a later owner may count on an earlier end of the worker's
+// leases. It logs the first one since the last renewal.
+func (o *Owner) noteUnpromisedGrant(r *run) {
+	w := r.worker
+	block := o.renewalBlock(w)
+	if block == renewalAllowed {
+		return
+	}
+	o.options.Metrics.UnpromisedGrant(block)
+	if w.unpromisedGrantLogged {
+		return
+	}
+	w.unpromisedGrantLogged = true
+	extended := w.clockLowerBound(o.now) + int64(o.options.Times.Lease) - w.leaseUntilMS
+	o.logRun("lease_granted_by_start", r).Str("reason", block.String()).Int("tries", r.startsSent).
+		Int64("extended_ms", max(extended, 0)).Int64("store_age_ms", int64(o.now-o.ownershipConfirmedAt)).
+		Int64("list_age_ms", int64(age(o.unresponsiveEncodedAt, o.now))).Int("misses", w.missedHolds).
+		Int64("contact_age_ms", int64(o.contactAge(w))).Int("runs", len(w.runs)).Send()
+}
+
 // grantLease returns the end of a lease granted now, on the worker's clock, and
 // records it in the worker's state.
 func (o *Owner) grantLease(w *worker) int64 {
+	o.leaseGrantedAt = o.now
 	until := w.clockLowerBound(o.now) + int64(o.options.Times.Lease)
 	w.leaseUntilMS = max(w.leaseUntilMS, until)
 	return until
@@ -95,12 +162,16 @@
 // endLapsedRuns ends all runs of a worker whose leases have expired.
 func (o *Owner) endLapsedRuns(w *worker) {
 	w.leasesLapsed = true
+	by := w.lapseProof()
 	o.options.Metrics.Lapses.Inc()
 	o.options.Log.Warn().Str("event", "lease_lapsed").Str("worker", w.id).Int("runs", len(w.runs)).
 		Int64("contact_age_ms", int64(o.contactAge(w))).Int64("until_ms", w.leaseUntilMS).
-		Int64("clock_ms", w.clockLowerBound(o.now)).Int("misses", w.missedHolds).Send()
+		Int64("clock_ms", w.clockLowerBound(o.now)).Int("misses", w.missedHolds).
+		Str("evidence", by.evidence.String()).Int64("evidence_age_ms", int64(age(by.at, o.now))).
+		Int64("epoch", o.options.Epoch).Int64("list_epoch", o.loadedList.epoch).Int64("recorded_rest_ms", int64(w.recordedRest)).
+		Int64("since_claim_ms", int64(o.now-o.claimedAt)).Int64("since_fence_ms", int64(age(o.fencedAt, o.now))).Send()
 	for _, r := range w.sortedRuns() {
-		o.endRun(r, endLeaseLapsed, "")
+		o.endRun(r, endLeaseLapsed, by, "")
 	}
 	o.markResponsive(w) // no runs are left there, so the next owner has no lease to wait for
 }
--- a/internal/schedule/owner/load.go
+++ b/internal/schedule/owner/load.go
@@ -10,9 +10,21 @@
 	"github.com/oriolepier/oriolepier/internal/schedule/journal"
 )
 
+// Fenced logs that the store has confirmed the record that fences earlier owners,
+// after a number of attempts. Call it before the records are read.
+func (o *Owner) Fenced(attempts int) {
+	if !o.beginInput() {
+		return
+	}
+	o.fencedAt = o.now
+	o.options.Metrics.FenceTime.Observe(o.now - o.claimedAt)
+	o.options.Log.Info().Str("event", "cell_fenced").Int64("epoch", o.options.Epoch).
+		Int64("since_claim_ms", int64(o.now-o.claimedAt)).Int("attempts", attempts).Send()
+}
+
 // Load restores the state that previous owners recorded. Call it once, after the
-// ownership was won and before any other input: no other owner can append from
-// then on, so the records are consistent.
+// ownership was won and before any other input but Fenced: no other owner can
+// append from then on, so the records are consistent.
 //
 // Recorded runs may be executing until their workers have answered.
 func (o *Owner) Load(records []journal.Stored) error {
@@ -36,7 +48,10 @@
 		runs += j.runs
 	}
 	o.options.Log.Info().Str("event", "state_loaded").Int64("epoch", o.options.Epoch).
-		Int("records", len(records)).Int("jobs", len(o.jobs)).Int("runs", runs).Send()
+		Int("records", len(records)).Int("jobs", len(o.jobs)).Int("runs", runs).
+		Int64("since_claim_ms", int64(o.now-o.claimedAt)).Int64("read_ms", int64(age(o.fencedAt, o.now))).
+		Int64("list_epoch", o.loadedList.epoch).Int("list_workers", o.loadedList.workers).
+		Int64("least_rest_ms", int64(o.loadedList.leastRest)).Int64("most_rest_ms", int64(o.loadedList.mostRest)).Send()
 	o.placementDue = true
 	o.unresponsiveChanged = true
 	return nil
--- a/internal/schedule/owner/metrics.go
+++ b/internal/schedule/owner/metrics.go
@@ -20,6 +20,7 @@
 	Stalls      *metrics.Counter  // workers found stalled
 	WaitingCPU  *metrics.Gauge    // milli-CPU requested by tasks that the last placement pass left waiting
 	IdleCPU     *metrics.Gauge    // milli-CPU of usable workers that is not in use while tasks wait
+	FenceTime   DurationHistogram // from the confirmation of a claim to that of the record that fences earlier owners
 	AppendTime  DurationHistogram // from the first send of an append to its acknowledgement
 	AcceptTime  DurationHistogram // from the submission of a job to the acknowledgement of its record
 	StartTime   DurationHistogram // from the submission of a job to its first confirmed start
@@ -49,6 +50,7 @@
 		Stalls:      set.NewCounter("oriolepier_worker_stalls_total"),
 		WaitingCPU:  set.NewGauge("oriolepier_placement_waiting_milli_cpu", nil),
 		IdleCPU:     set.NewGauge("oriolepier_placement_idle_milli_cpu", nil),
+		FenceTime:   newDuration("oriolepier_cell_fence_seconds"),
 		AppendTime:  newDuration("oriolepier_store_append_seconds"),
 		AcceptTime:  newDuration("oriolepier_job_accept_seconds"),
 		StartTime:   newDuration("oriolepier_job_first_start_seconds"),
@@ -72,6 +74,12 @@
 	c.set.GetOrCreateCounter(`oriolepier_placement_blocked_total{reason="` + reason.String() + `"}`).Add(steps)
 }
 
+// UnpromisedGrant counts a start order whose lease a hold could not have renewed, by
+// the reason.
+func (c *Metrics) UnpromisedGrant(reason renewalBlock) {
+	c.set.GetOrCreateCounter(`oriolepier_leases_granted_by_start_total{reason="` + reason.String() + `"}`).Inc()
+}
+
 // Answered counts an answer to an order or hold, by kind and outcome.
 func (c *Metrics) Answered(order, outcome string) {
 	c.set.GetOrCreateCounter(`oriolepier_orders_total{order="` + order + `",outcome="` + outcome + `"}`).Inc()
--- a/internal/schedule/owner/orders.go
+++ b/internal/schedule/owner/orders.go
@@ -26,7 +26,7 @@
 	}
 	if reason := o.startBlockedReason(r); reason != "" {
 		r.stopReason = reason
-		o.endRun(r, endNotStarted, "")
+		o.endRun(r, endNotStarted, proof{evidence: evidenceNeverSent, at: o.now}, "")
 		return
 	}
 	r.stage = stageOrdered
@@ -54,6 +54,8 @@
 func (o *Owner) sendStart(r *run) {
 	w := r.worker
 	r.startsSent++
+	r.orderSentAt = o.now
+	o.noteUnpromisedGrant(r)
 	o.options.Effects.Start(fleet.Start{
 		To: w.address(), Task: r.task.key(), Run: r.runNumber, Text: r.task.job.spec.Text,
 		Checkpoint: r.task.checkpoint, UntilMS: o.grantLease(w), Token: o.options.Epoch,
@@ -162,7 +164,20 @@
 		o.stopRun(r, "start "+outcome.String())
 		return
 	}
-	o.endRun(r, endNotStarted, "")
+	o.endRun(r, endNotStarted, proof{evidence: refusalEvidence(outcome), at: r.orderSentAt}, "")
+}
+
+// refusalEvidence returns what an outcome of a start order shows, if no other start
+// order of the run is unanswered.
+func refusalEvidence(outcome fleet.Outcome) evidence {
+	switch outcome {
+	case fleet.NotSent:
+		return evidenceNeverSent
+	case fleet.OtherIncarnation:
+		return evidenceOtherIncarnation
+	default:
+		return evidenceRefused
+	}
 }
 
 // stopRun orders a worker to end a run, or never to begin it.
@@ -172,7 +187,7 @@
 	}
 	if r.stage == stageRecording {
 		r.stopReason = stopReason
-		o.endRun(r, endNotStarted, "")
+		o.endRun(r, endNotStarted, proof{evidence: evidenceNeverSent, at: o.now}, "")
 		return
 	}
 	r.stage = stageStopping
@@ -182,6 +197,7 @@
 }
 
 func (o *Owner) sendStop(r *run) {
+	r.orderSentAt = o.now
 	o.options.Effects.Stop(fleet.Stop{To: r.worker.address(), Task: r.task.key(), Run: r.runNumber, Token: o.options.Epoch})
 }
 
@@ -200,7 +216,7 @@
 		r.confirmedAt = o.now
 		r.worker.skipHoldWait = true
 	case fleet.OtherIncarnation:
-		o.endRun(r, endWorkerRestarted, "")
+		o.endRun(r, endWorkerRestarted, proof{evidence: evidenceOtherIncarnation, at: r.orderSentAt}, "")
 	default:
 		o.timers.add(o.now+o.options.Times.OrderRetry, func() {
 			if r.stage == stageStopping && r.task.run == r {
--- a/internal/schedule/owner/owner.go
+++ b/internal/schedule/owner/owner.go
@@ -55,14 +55,15 @@
 
 // Options configure an owner.
 type Options struct {
-	Epoch     int64               // epoch of the ownership; the fencing token of all orders
-	Now       func() clock.Millis // monotonic clock; must include time spent suspended
-	WallClock func() int64        // Unix milliseconds; may jump, so it is used only for the age of jobs and final states across owners
-	Times     Times
-	Cores     float64 // processor cores of this process; 0: unknown
-	Effects   Effects
-	Log       zerolog.Logger
-	Metrics   *Metrics
+	Epoch         int64               // epoch of the ownership; the fencing token of all orders
+	PreviousOwner string              // name of the previous owner, for log lines; empty: unknown
+	Now           func() clock.Millis // monotonic clock; must include time spent suspended
+	WallClock     func() int64        // Unix milliseconds; may jump, so it is used only for the age of jobs and final states across owners
+	Times         Times
+	Cores         float64 // processor cores of this process; 0: unknown
+	Effects       Effects
+	Log           zerolog.Logger
+	Metrics       *Metrics
 }
 
 // Owner is the state of one cell. It is not safe for concurrent use.
@@ -71,6 +72,11 @@
 	now       clock.Millis // time of the input being handled
 	claimedAt clock.Millis // when the ownership was won
 
+	// For log lines only; 0: not yet, or unknown.
+	fencedAt       clock.Millis // when the store confirmed that earlier owners are fenced
+	firstHoldAt    clock.Millis // when the first hold was sent
+	leaseGrantedAt clock.Millis // when a lease was last granted, on any worker
+
 	tables        manifest.Manifest // queues, pools and limits in force
 	domainsOut    map[string]bool   // failure domains out of service
 	jobs          map[job.ID]*jobState
@@ -86,6 +92,7 @@
 	cancelReplies map[int]func(Verdict) // replies to cancellations that are not recorded yet
 	cancelCount   int                   // cancellations received; numbers cancelReplies
 
+	loadedList              loadedList           // summary of the list that was loaded
 	unresponsiveListCurrent bool                 // the loaded list of unresponsive workers was written by the directly preceding owner
 	previousOwnerStopped    bool                 // the previous owner no longer renews leases
 	unresponsiveEncodedAt   clock.Millis         // when the list of unresponsive workers was last encoded; its append may be pending
@@ -121,6 +128,7 @@
 		options:              options,
 		now:                  now,
 		claimedAt:            now,
+		loadedList:           unresponsiveList{}.summary(),
 		ownershipConfirmedAt: now,
 		domainsOut:           map[string]bool{},
 		jobs:                 map[job.ID]*jobState{},
@@ -209,7 +217,9 @@
 		return
 	}
 	o.resigned = true
-	o.options.Log.Warn().Str("event", "ownership_lost").Int64("epoch", o.options.Epoch).Str("reason", reason).Send()
+	o.options.Log.Warn().Str("event", "ownership_lost").Int64("epoch", o.options.Epoch).Str("reason", reason).
+		Int64("store_age_ms", int64(o.now-o.ownershipConfirmedAt)).Int64("lease_age_ms", int64(age(o.leaseGrantedAt, o.now))).
+		Int64("owned_for_ms", int64(o.now-o.claimedAt)).Send()
 	o.answerCallersNotOwner()
 	o.options.Effects.Resign(reason)
 }
--- a/internal/schedule/owner/report.go
+++ b/internal/schedule/owner/report.go
@@ -48,9 +48,11 @@
 // incarnationReplaced ends the runs of a worker at whose address another
 // incarnation answers: the incarnation that held them no longer exists.
 func (o *Owner) incarnationReplaced(w *worker) {
-	o.options.Log.Warn().Str("event", "worker_replaced").Str("worker", w.id).Int("runs", len(w.runs)).Send()
+	o.options.Log.Warn().Str("event", "worker_replaced").Str("worker", w.id).Int("runs", len(w.runs)).
+		Str("address", w.entry.Address).Str("hold_address", w.holdAddress).Int64("hold_age_ms", int64(age(w.holdSentAt, o.now))).
+		Int64("born", w.incarnation).Int64("contact_age_ms", int64(o.contactAge(w))).Send()
 	for _, r := range w.sortedRuns() {
-		o.endRun(r, endWorkerRestarted, "")
+		o.endRun(r, endWorkerRestarted, proof{evidence: evidenceOtherIncarnation, at: w.holdSentAt}, "")
 	}
 	w.missedHolds++
 	w.nextHoldAt = o.now + clock.Second
@@ -59,11 +61,12 @@
 // handleReport applies a worker's report.
 func (o *Owner) handleReport(w *worker, report fleet.Report) {
 	if report.Incarnation > w.incarnation {
-		o.workerRestarted(w, report.Incarnation)
+		o.workerRestarted(w, report.Incarnation, evidenceWorkerRestartedReported)
 	}
 	if w.missedHolds > 0 || w.lastReportAt == 0 {
 		o.options.Log.Info().Str("event", "worker_responsive").Str("worker", w.id).Int("misses", w.missedHolds).
-			Int("running", len(report.Running)).Int("ended", len(report.Ended)).Send()
+			Int("running", len(report.Running)).Int("ended", len(report.Ended)).Int64("born", report.Incarnation).
+			Int64("clock_ms", report.ClockMS).Int64("clock_expected_ms", w.expectedClock(o.now)).Int64("until_ms", w.leaseUntilMS).Send()
 		o.placementDue = true
 	}
 	if w.lastReportAt == 0 {
@@ -102,6 +105,7 @@
 		highest = max(highest, end.Number)
 		r := o.currentRun(end.Task, end.Run)
 		if r == nil || r.worker != w {
+			o.noteLateEnd(w, end)
 			continue // the run was ended earlier
 		}
 		o.applyEnd(r, end)
@@ -118,16 +122,32 @@
 	})
 }
 
+// noteLateEnd logs the completion of a run that an owner had ended before without
+// it. Ends that were applied before, which workers repeat, are not logged.
+func (o *Owner) noteLateEnd(w *worker, end fleet.End) {
+	task := o.task(end.Task)
+	if end.Cause != fleet.EndDone || end.Number <= w.endsApplied || task == nil || task.spec().Lasting {
+		return
+	}
+	if task.runNumber == end.Run && task.phase == job.Done {
+		return
+	}
+	o.options.Log.Warn().Str("event", "late_end_reported").Str("job", string(end.Task.Job)).Int("step", end.Task.Step).
+		Int("index", end.Task.Index).Int("run", end.Run).Str("worker", w.id).Int("newest_run", task.runNumber).
+		Int64("hold_age_ms", int64(age(w.holdSentAt, o.now))).Int64("epoch", o.options.Epoch).Send()
+}
+
 func (o *Owner) applyEnd(r *run, end fleet.End) {
+	reported := proof{evidence: evidenceReported, at: r.worker.holdSentAt}
 	switch end.Cause {
 	case fleet.EndDone:
-		o.endRun(r, endDone, "")
+		o.endRun(r, endDone, reported, "")
 	case fleet.EndFailed:
-		o.endRun(r, endFailed, end.Checkpoint)
+		o.endRun(r, endFailed, reported, end.Checkpoint)
 	case fleet.EndStopped:
-		o.endRun(r, endStopped, end.Checkpoint)
+		o.endRun(r, endStopped, reported, end.Checkpoint)
 	case fleet.EndLeaseLapsed, fleet.EndGangBroken, fleet.EndGangIncomplete:
-		o.endRun(r, endLeaseLapsed, end.Checkpoint)
+		o.endRun(r, endLeaseLapsed, reported, end.Checkpoint)
 	}
 }
 
@@ -182,7 +202,7 @@
 		}
 		switch r.stage {
 		case stageStopped:
-			o.endRun(r, endStopped, "")
+			o.endRun(r, endStopped, proof{evidence: evidenceStopConfirmed, at: r.confirmedAt}, "")
 		case stageConfirmed, stageInherited:
 			o.stopRun(r, "missing from its worker's report")
 		case stageRecording, stageOrdered, stageStopping:
@@ -208,7 +228,7 @@
 
 // endRun ends a run: it frees the worker's room, and completes its task or
 // makes it wait for another run.
-func (o *Owner) endRun(r *run, end runEnd, checkpoint string) {
+func (o *Owner) endRun(r *run, end runEnd, by proof, checkpoint string) {
 	task, j := r.task, r.task.job
 	step := &j.steps[task.step]
 	if checkpoint != "" {
@@ -216,7 +236,8 @@
 	}
 	o.options.Metrics.Ended(end.String())
 	o.logRun("run_ended", r).Str("cause", end.String()).
-		Str("reason", r.stopReason).Int64("ran_ms", int64(age(r.startedAt, o.now))).Int64("contact_age_ms", int64(o.contactAge(r.worker))).Send()
+		Str("reason", r.stopReason).Int64("ran_ms", int64(age(r.startedAt, o.now))).Int64("contact_age_ms", int64(o.contactAge(r.worker))).
+		Str("evidence", by.evidence.String()).Int64("evidence_age_ms", int64(age(by.at, o.now))).Int64("epoch", o.options.Epoch).Send()
 	o.updateWorkerHistory(r, end)
 	o.detach(r)
 	o.markChanged(j)
--- a/internal/schedule/owner/simulation_test.go
+++ b/internal/schedule/owner/simulation_test.go
@@ -167,7 +167,7 @@
 	}
 	s.owner.SetManifest(sim.tables)
 	if len(sim.owners) > 1 && sim.owners[len(sim.owners)-2].down {
-		s.owner.PreviousOwnerStopped()
+		s.owner.PreviousOwnerStopped(StopPingedOwner)
 	}
 	const loadTime = 40 // ms between a claim and the first tick
 	sim.at(loadTime, func() { sim.tick(s) })
--- a/internal/schedule/owner/unresponsive.go
+++ b/internal/schedule/owner/unresponsive.go
@@ -28,6 +28,29 @@
 	Remaining clock.Millis
 }
 
+// notListed is the recorded rest of a worker that is not on the loaded list.
+const notListed clock.Millis = -1
+
+// loadedList summarizes the list of unresponsive workers that an owner loaded, for
+// its log lines.
+type loadedList struct {
+	epoch               int64 // of the owner that wrote it; 0: there was none
+	workers             int
+	leastRest, mostRest clock.Millis // remaining times of leases in it; notListed without workers
+}
+
+// summary summarizes a list of unresponsive workers.
+func (l unresponsiveList) summary() loadedList {
+	sum := loadedList{epoch: l.Epoch, workers: len(l.Workers), leastRest: notListed, mostRest: notListed}
+	for i, recorded := range l.Workers {
+		if i == 0 || recorded.Remaining < sum.leastRest {
+			sum.leastRest = recorded.Remaining
+		}
+		sum.mostRest = max(sum.mostRest, recorded.Remaining)
+	}
+	return sum
+}
+
 // unresponsiveRecordPeriod is the time between records of the list while a
 // worker is unresponsive, as the remaining time of its leases decreases.
 const unresponsiveRecordPeriod clock.Millis = 500
@@ -52,27 +75,43 @@
 	if err := codec.Unmarshal(data, &list); err != nil {
 		return errors.WithMessage(err, "decode the list of unresponsive workers")
 	}
+	o.loadedList = list.summary()
 	o.unresponsiveListCurrent = list.Epoch == o.options.Epoch-1
 	for _, recorded := range list.Workers {
 		w := o.inheritedWorker(recorded.ID, 0)
 		w.unresponsive = true
-		w.runsEndBy = min(w.runsEndBy, o.claimedAt+recorded.Remaining)
+		w.recordedRest = recorded.Remaining
+		w.limitRunsEnd(proof{evidence: evidenceRecordedRest, at: o.claimedAt}, recorded.Remaining)
 	}
 	return nil
 }
 
+// StopEvidence is what shows that the previous owner of a cell has stopped.
+type StopEvidence string
+
+// The evidence that the previous owner has stopped.
+const (
+	NotStopped      StopEvidence = ""                 // nothing shows it
+	NeverOwned      StopEvidence = "none"             // there was no previous owner
+	StopReleased    StopEvidence = "released"         // it released the cell
+	StopNewProcess  StopEvidence = "previous_process" // it was an earlier process of this entry
+	StopNotOwning   StopEvidence = "not_owning"       // it answered a ping, and not as the owner of its epoch
+	StopPingedOwner StopEvidence = "ping"             // it pinged this entry, as only an entry that is not the owner does
+)
+
 // PreviousOwnerStopped records that the previous owner no longer renews leases: its
 // process has ended, or has acknowledged this owner.
-func (o *Owner) PreviousOwnerStopped() {
+func (o *Owner) PreviousOwnerStopped(by StopEvidence) {
 	if !o.beginInput() || !o.unresponsiveListCurrent || o.previousOwnerStopped {
 		return
 	}
 	o.previousOwnerStopped = true
 	o.options.Log.Info().Str("event", "previous_owner_stopped").Int64("epoch", o.options.Epoch).
-		Int64("after_ms", int64(o.now-o.claimedAt)).Send()
+		Int64("after_ms", int64(o.now-o.claimedAt)).Int64("since_fence_ms", int64(age(o.fencedAt, o.now))).
+		Str("by", string(by)).Str("name", o.options.PreviousOwner).Send()
 	for _, w := range o.sortedWorkers {
 		if w.lastReportAt == 0 {
-			w.runsEndBy = min(w.runsEndBy, o.now+o.maxLeaseSpan())
+			w.limitRunsEnd(proof{evidence: evidencePreviousOwnerStopped, at: o.now}, o.maxLeaseSpan())
 		}
 	}
 }
--- a/internal/schedule/owner/workers.go
+++ b/internal/schedule/owner/workers.go
@@ -28,12 +28,18 @@
 	leaseUntilMS           int64        // end of the longest lease granted to its runs, on its clock
 	lastReportAt           clock.Millis // time of the last report of its current incarnation to this owner; 0: none
 	runsEndBy              clock.Millis // while lastReportAt is 0: its runs have ended by then
+	runsEndProof           proof        // why they have ended by then
+	recordedRest           clock.Millis // remaining time of its leases in the loaded list of unresponsive workers; notListed without it
+	incarnationFrom        evidence     // what showed its present incarnation
+	incarnationKnownAt     clock.Millis // when that was seen first
 	unresponsive           bool         // belongs in the next list of unresponsive workers; leases are not renewed
 	delistingRecorded      bool         // false from the removal from the list until a list without it is recorded
 	leasesLapsed           bool         // its leases have expired since its last report
+	unpromisedGrantLogged  bool         // noteUnpromisedGrant has logged it since its last renewal
 	missedHolds            int          // consecutive unanswered holds
 	holdInFlight           bool         // a hold is in flight
 	holdSentAt             clock.Millis // when the newest hold was sent
+	holdAddress            string       // to which address that was
 	nextHoldAt             clock.Millis
 	skipHoldWait           bool             // the next hold requests an immediate report
 	endsApplied            int64            // highest number of a reported end that was applied
@@ -80,6 +86,15 @@
 	return w.clockMS + elapsed - elapsed*driftPercent/100
 }
 
+// expectedClock returns the lower bound of the worker's clock, or -1 if it has not
+// been read.
+func (w *worker) expectedClock(now clock.Millis) int64 {
+	if w.clockReadAt == 0 {
+		return -1
+	}
+	return w.clockLowerBound(now)
+}
+
 // contactAge returns the age of the last report of a worker's current
 // incarnation to this owner, or -1 without one.
 func (o *Owner) contactAge(w *worker) clock.Millis { return age(w.lastReportAt, o.now) }
@@ -120,19 +135,23 @@
 	if w == nil {
 		w = o.newWorker(entry.ID)
 	}
-	if !w.listed && w.entry.ID == "" || w.entry.Draining != entry.Draining {
+	if !w.listed && w.entry.ID == "" || w.entry.Draining != entry.Draining || w.entry.Address != entry.Address {
 		o.options.Log.Info().Str("event", "worker_listed").Str("worker", entry.ID).Str("pool", entry.Service).
-			Str("failure_domain", entry.Domain).Bool("draining", entry.Draining).Int64("born", entry.Incarnation).Send()
+			Str("failure_domain", entry.Domain).Bool("draining", entry.Draining).Int64("born", entry.Incarnation).
+			Str("address", entry.Address).Str("address_before", w.entry.Address).Send()
 	}
 	if entry.Incarnation > w.incarnation {
-		o.workerRestarted(w, entry.Incarnation)
+		o.workerRestarted(w, entry.Incarnation, evidenceWorkerRestartedListed)
 	}
 	w.listed = true
 	w.entry = entry
 }
 
 func (o *Owner) newWorker(id string) *worker {
-	w := &worker{id: id, runs: map[*run]struct{}{}, runsEndBy: o.claimedAt + o.previousOwnerLeaseSpan(), delistingRecorded: true, pace: fullPace}
+	w := &worker{
+		id: id, runs: map[*run]struct{}{}, delistingRecorded: true, pace: fullPace, recordedRest: notListed,
+		runsEndBy: o.claimedAt + o.previousOwnerLeaseSpan(), runsEndProof: proof{evidence: evidenceRenewWindow, at: o.claimedAt},
+	}
 	o.workers[id] = w
 	return w
 }
@@ -145,7 +164,10 @@
 		w = o.newWorker(id)
 		o.sortWorkers()
 	}
-	w.incarnation = max(w.incarnation, incarnation)
+	if incarnation > w.incarnation {
+		w.incarnation = incarnation
+		w.incarnationFrom, w.incarnationKnownAt = evidenceWorkerRestartedRecorded, o.now
+	}
 	return w
 }
 
@@ -158,17 +180,19 @@
 }
 
 // workerRestarted resets the state of a worker that has a newer incarnation.
-func (o *Owner) workerRestarted(w *worker, incarnation int64) {
+func (o *Owner) workerRestarted(w *worker, incarnation int64, from evidence) {
 	if w.incarnation != 0 {
 		o.options.Log.Warn().Str("event", "worker_restarted").Str("worker", w.id).
-			Int64("born", incarnation).Int64("before", w.incarnation).Int("runs", len(w.runs)).Send()
+			Int64("born", incarnation).Int64("before", w.incarnation).Int("runs", len(w.runs)).
+			Str("evidence", from.String()).Int64("contact_age_ms", int64(o.contactAge(w))).Send()
 		w.endsApplied, w.endsRecorded = 0, 0
 		w.clockReadAt, w.clockMS, w.leaseUntilMS = 0, 0, 0
 		w.lastReportAt = 0
-		w.runsEndBy = o.now + uncertainStartTTL
+		w.runsEndBy, w.runsEndProof = o.now+uncertainStartTTL, proof{evidence: evidenceRestartUnreported, at: o.now}
 		w.leasesLapsed = false
 	}
 	w.incarnation = incarnation
+	w.incarnationFrom, w.incarnationKnownAt = from, o.now
 	o.endRunsOfOldIncarnations(w)
 }
 
@@ -182,7 +206,7 @@
 		case r.startUnanswered:
 			o.stopRun(r, "worker restarted")
 		default:
-			o.endRun(r, endWorkerRestarted, "")
+			o.endRun(r, endWorkerRestarted, w.restartProof(), "")
 		}
 	}
 }
--- a/internal/site/daemon/daemon.go
+++ b/internal/site/daemon/daemon.go
@@ -172,7 +172,7 @@
 		Times:      owner.DefaultTimes(d.settings.Bounds.MaxLease, d.settings.Bounds.StatusKept),
 		Cores:      d.settings.Limits.Cores,
 		Logger:     d.logger, Metrics: d.ownerMetrics, Tables: d.tables.Since, Workers: d.listWorkers(pool),
-		PreviousOwnerStopped: previousOwner.Stopped,
+		PreviousOwner: previousOwner.Name, PreviousOwnerStopped: previousOwner.Stopped,
 	})
 	d.previousOwner.Store(&previousOwner.Name)
 	d.localOwner.Store(run)
--- a/internal/site/daemon/serve.go
+++ b/internal/site/daemon/serve.go
@@ -249,7 +249,7 @@
 	}
 	if run := d.localOwner.Load(); run != nil {
 		if previousOwner := d.previousOwner.Load(); previousOwner != nil && *previousOwner == query.Name {
-			run.PreviousOwnerStopped() // it pings this entry as the owner, so its own ownership has ended
+			run.PreviousOwnerStopped(owner.StopPingedOwner) // it pings this entry as the owner, so its own ownership has ended
 		}
 		answer.StoreAge, answer.StateLoaded = run.StoreAge()
 	}
--- a/internal/site/ownership/ownership.go
+++ b/internal/site/ownership/ownership.go
@@ -34,6 +34,7 @@
 	"github.com/oriolepier/oriolepier/internal/base/clock"
 	"github.com/oriolepier/oriolepier/internal/base/codec"
 	"github.com/oriolepier/oriolepier/internal/schedule/journal"
+	"github.com/oriolepier/oriolepier/internal/schedule/owner"
 	"github.com/oriolepier/oriolepier/internal/site/peer"
 )
 
@@ -48,8 +49,8 @@
 
 // PreviousOwner describes the previous owner of a cell to the entry that took over.
 type PreviousOwner struct {
-	Name    string // entry name
-	Stopped bool   // whether it is certain to send no more orders
+	Name    string             // entry name
+	Stopped owner.StopEvidence // what makes it certain that it sends no more orders; NotStopped if nothing does
 }
 
 // Options configures an Elector.
@@ -210,14 +211,16 @@
 	record := Record{
 		Epoch: previous.Epoch + 1, Name: e.options.Name, Address: e.options.Address, Incarnation: e.options.Incarnation,
 	}
+	started := e.options.Clock.Now()
 	answer := e.appendRecord(ctx, record, end)
 	e.options.Logger.Info().Str("event", "cell_claimed").Str("cell", e.options.Cell).Int64("epoch", record.Epoch).
-		Str("reason", string(reason)).Str("owner_before", previous.Name).Str("outcome", answer.Outcome.String()).Send()
+		Str("reason", string(reason)).Str("owner_before", previous.Name).Str("outcome", answer.Outcome.String()).
+		Int64("took_ms", int64(e.options.Clock.Now()-started)).Send()
 	if answer.Outcome != journal.Done {
 		return
 	}
 	e.recordOwner(record)
-	e.runOwnership(ctx, record, answer.End, PreviousOwner{Name: previous.Name, Stopped: reason.provesOwnerGone()}, e.tenureFor(reason))
+	e.runOwnership(ctx, record, answer.End, PreviousOwner{Name: previous.Name, Stopped: reason.stopEvidence()}, e.tenureFor(reason))
 }
 
 // runOwnership runs an ownership until it ends, and then appends its release. It
--- a/internal/site/ownership/watch.go
+++ b/internal/site/ownership/watch.go
@@ -11,6 +11,7 @@
 	"github.com/oriolepier/oriolepier/internal/base/clock"
 	"github.com/oriolepier/oriolepier/internal/base/fault"
 	"github.com/oriolepier/oriolepier/internal/schedule/journal"
+	"github.com/oriolepier/oriolepier/internal/schedule/owner"
 	"github.com/oriolepier/oriolepier/internal/site/peer"
 )
 
@@ -51,10 +52,21 @@
 	storeless          claimReason = "the owner is cut off from the store"
 )
 
-// provesOwnerGone reports whether a reason implies that the previous owner sends
-// no more orders.
-func (r claimReason) provesOwnerGone() bool {
-	return r == neverOwned || r == released || r == previousProcess || r == notOwning
+// stopEvidence returns how a reason shows that the previous owner sends no more
+// orders, or NotStopped.
+func (r claimReason) stopEvidence() owner.StopEvidence {
+	switch r {
+	case neverOwned:
+		return owner.NeverOwned
+	case released:
+		return owner.StopReleased
+	case previousProcess:
+		return owner.StopNewProcess
+	case notOwning:
+		return owner.StopNotOwning
+	default:
+		return owner.NotStopped
+	}
 }
 
 // watch follows one owner until a newer record exists, or until there is a
@@ -151,6 +163,7 @@
 		case err != nil && connectionRefused(err) && e.refusedTwice(now):
 			return refusesConnections
 		case err == nil && (!answer.Owner || answer.Epoch != record.Epoch):
+			e.logNotOwning(record, answer, now-started)
 			return notOwning
 		case err == nil:
 			lastAnswer = now
@@ -170,6 +183,15 @@
 	}
 }
 
+// logNotOwning logs the answer by which the entry of the newest record is taken to
+// be no owner. An answer with an earlier epoch may come from an entry whose claim
+// has succeeded and which has not read that yet.
+func (e *Elector) logNotOwning(record Record, answer peer.PingAnswer, watched clock.Millis) {
+	e.options.Logger.Warn().Str("event", "owner_not_owning").Str("cell", e.options.Cell).Int64("epoch", record.Epoch).
+		Str("owner", record.Name).Bool("answered_owner", answer.Owner).Int64("answered_epoch", answer.Epoch).
+		Int64("watched_ms", int64(watched)).Send()
+}
+
 // pingWait returns the time until the next ping. Weak entries, of which there
 // may be many, ping half as often, since stronger entries claim first.
 func (e *Elector) pingWait() clock.Millis {
--- a/internal/site/runtime/runtime.go
+++ b/internal/site/runtime/runtime.go
@@ -56,8 +56,10 @@
 	// given version.
 	Tables  func(seen int64) (Tables, bool)
 	Workers func(seen int64) (Workers, bool)
-	// PreviousOwnerStopped is set if the previous owner is known to have stopped acting.
-	PreviousOwnerStopped bool
+	// PreviousOwner is the name of the previous owner, for log lines.
+	PreviousOwner string
+	// PreviousOwnerStopped is what shows that it has stopped acting, if anything does.
+	PreviousOwnerStopped owner.StopEvidence
 }
 
 // Tables is one version of the operators' tables.
@@ -97,7 +99,7 @@
 		loaded:   make(chan struct{}),
 	}
 	r.stateMachine = owner.New(owner.Options{
-		Epoch: options.Epoch, Now: options.Clock.Now,
+		Epoch: options.Epoch, PreviousOwner: options.PreviousOwner, Now: options.Clock.Now,
 		WallClock: func() int64 { return time.Now().UnixMilli() },
 		Times:     options.Times, Cores: options.Cores, Log: options.Logger, Metrics: options.Metrics,
 		Effects: owner.Effects{
@@ -133,9 +135,11 @@
 
 // load fences previous owners off the cell's records and reads the records.
 func (r *Runtime) load(ctx context.Context) error {
-	if err := r.writer.fence(ctx); err != nil {
+	attempts, err := r.writer.fence(ctx)
+	if err != nil {
 		return err
 	}
+	r.stateMachine.Fenced(attempts)
 	for {
 		page := r.options.Log.Newest(ctx, r.options.Topic)
 		if page.Outcome == journal.Done {
@@ -153,8 +157,8 @@
 	ticker := time.NewTicker(tickPeriod.Duration())
 	defer ticker.Stop()
 	r.applyUpdates()
-	if r.options.PreviousOwnerStopped {
-		r.stateMachine.PreviousOwnerStopped()
+	if by := r.options.PreviousOwnerStopped; by != owner.NotStopped {
+		r.stateMachine.PreviousOwnerStopped(by)
 	}
 	r.stateMachine.Tick()
 	for {
@@ -276,11 +280,12 @@
 	})
 }
 
-// PreviousOwnerStopped informs the owner that the previous owner has stopped acting.
-func (r *Runtime) PreviousOwnerStopped() {
+// PreviousOwnerStopped informs the owner that the previous owner has stopped acting,
+// and what shows it.
+func (r *Runtime) PreviousOwnerStopped(by owner.StopEvidence) {
 	select {
 	case <-r.loaded:
-		r.post(r.stateMachine.PreviousOwnerStopped)
+		r.post(func() { r.stateMachine.PreviousOwnerStopped(by) })
 	default: // the state is not loaded; the caller repeats the report
 	}
 }
--- a/internal/site/runtime/writer.go
+++ b/internal/site/runtime/writer.go
@@ -41,6 +41,7 @@
 	complete       func(outcome journal.Outcome) // called after each enqueued append, unless the context has ended
 	pending        chan []journal.Record
 	sequence       int64
+	attempts       int          // attempts of the newest append, those in parallel included
 	typicalLatency clock.Millis // moving average of append latencies
 	lastConfirmed  atomic.Int64 // time at which the newest confirmed append was first sent
 }
@@ -61,13 +62,13 @@
 func (w *writer) confirmedAt() clock.Millis { return clock.Millis(w.lastConfirmed.Load()) }
 
 // fence appends the owner's epoch, after which the store rejects appends of earlier
-// epochs.
-func (w *writer) fence(ctx context.Context) error {
+// epochs. It returns the number of attempts.
+func (w *writer) fence(ctx context.Context) (attempts int, err error) {
 	outcome := w.append(ctx, []journal.Record{{Key: keyEpoch, Value: strconv.AppendInt(nil, w.options.Epoch, 10)}})
 	if outcome != journal.Done {
-		return errors.WithMessage(ErrOwnershipLost, "fence: "+outcome.String())
+		return w.attempts, errors.WithMessage(ErrOwnershipLost, "fence: "+outcome.String())
 	}
-	return ctx.Err()
+	return w.attempts, ctx.Err()
 }
 
 // serve appends queued records until the context ends.
@@ -106,6 +107,7 @@
 // ends.
 func (w *writer) append(ctx context.Context, records []journal.Record) journal.Outcome {
 	w.sequence++
+	w.attempts = 0
 	call := journal.Append{
 		Topic:       w.options.Topic,
 		Writer:      journal.Writer{Name: writerName, Epoch: w.options.Epoch, Sequence: w.sequence},
@@ -143,6 +145,7 @@
 	outstanding := 0
 	for range maxAttempts {
 		outstanding++
+		w.attempts++
 		w.spawn(func() { answers <- w.options.Log.Append(ctx, call) })
 		timer := time.NewTimer(delay.Duration())
 		for outstanding > 0 {
