--- a/internal/schedule/owner/report.go
+++ b/internal/schedule/owner/report.go
@@ -123,7 +123,8 @@
 }
 
 // noteLateEnd logs the completion of a run that an owner had ended before without
-// it. Ends that were applied before, which workers repeat, are not logged.
+// it: the run was done while no owner reached its worker, or was ended too early.
+// Ends that were applied before, which workers repeat, are not logged.
 func (o *Owner) noteLateEnd(w *worker, end fleet.End) {
 	task := o.task(end.Task)
 	if end.Cause != fleet.EndDone || end.Number <= w.endsApplied || task == nil || task.spec().Lasting {
