--- /dev/null
+++ b/internal/schedule/owner/run_end_test.go
@@ -0,0 +1,126 @@
+package owner
+
+import (
+	"testing"
+
+	"github.com/google/go-cmp/cmp"
+
+	"github.com/oriolepier/oriolepier/internal/base/clock"
+	"github.com/oriolepier/oriolepier/internal/schedule/fleet"
+)
+
+// A worker's clock may lose 2 %, so that its leases last longer.
+func TestLapseWaitsForSlowClock(t *testing.T) {
+	m := newManualOwner(t, 1, clock.Hour)
+	run := m.startRun()
+	m.report(1, run)
+	m.advance(100)
+	const lastClock = 3_600_000
+	m.owner.Report("w", fleet.Report{ClockMS: lastClock, Incarnation: 1, Running: []fleet.Run{run}})
+	reported := m.now
+	m.advance(100)
+	left := clock.Millis(m.owner.workers["w"].leaseUntilMS - lastClock)
+	if took := m.timeToEnd(reported); took < left*100/(100-driftPercent) {
+		t.Errorf("run ended %d ms after the report, want at least %d", took, left*100/(100-driftPercent))
+	}
+}
+
+// A list that the directly preceding owner did not write says nothing of that owner.
+func TestPreviousOwnerStoppedNeedsItsList(t *testing.T) {
+	first := newManualOwner(t, 1, clock.Hour)
+	first.startRun()
+	second := first.successor(0)
+	third := second.successor(100)
+	third.owner.PreviousOwnerStopped()
+	if took := third.timeToEnd(third.owner.claimedAt); took < third.owner.previousOwnerLeaseSpan() {
+		t.Errorf("run ended %d ms after the claim, want at least %d", took, third.owner.previousOwnerLeaseSpan())
+	}
+}
+
+// A report to a hold that was sent before the stop was confirmed may be older than the stop.
+func TestStoppedRunMissingFromOlderReport(t *testing.T) {
+	m := newManualOwner(t, 1, clock.Hour)
+	run := m.startRun()
+	m.report(1, run)
+	m.advance(100)
+	m.owner.Cancel(bestEffortJob, func(Verdict) {})
+	m.advance(25)
+	m.acknowledge()
+	if len(m.stops) != 1 {
+		t.Fatalf("%d stops ordered, want one", len(m.stops))
+	}
+	m.owner.Stopped(m.stops[0], fleet.Answer{Outcome: fleet.Accepted})
+	m.report(1)
+	before := m.holdsRun()
+	m.advance(100)
+	m.report(1)
+	if diff := cmp.Diff([]bool{true, false}, []bool{before, m.holdsRun()}); diff != "" {
+		t.Errorf("run held after the older and after the newer report (-want +got):\n%s", diff)
+	}
+}
+
+// startsAfterRecord returns how many starts are ordered if something happens while
+// the record of a run is under way.
+func startsAfterRecord(t *testing.T, meanwhile func(m *manualOwner)) int {
+	t.Helper()
+	m := newManualOwner(t, 1, clock.Hour)
+	m.list(1, "w:1")
+	m.advance(25)
+	m.acknowledge()
+	m.report(1)
+	m.submit()
+	m.advance(25)
+	meanwhile(m)
+	m.acknowledge()
+	return len(m.starts)
+}
+
+// A run that ends while its record is under way is never ordered to start.
+func TestRunThatEndsWhileItIsRecordedIsNotOrdered(t *testing.T) {
+	got := []int{
+		startsAfterRecord(t, func(*manualOwner) {}),
+		startsAfterRecord(t, func(m *manualOwner) { m.owner.SetDomainsOut(map[string]bool{"d": true}) }),
+		startsAfterRecord(t, func(m *manualOwner) { m.list(2, "w:1") }),
+		startsAfterRecord(t, func(m *manualOwner) { m.owner.stopJob(m.owner.jobs[bestEffortJob], "test") }),
+	}
+	if diff := cmp.Diff([]int{1, 0, 0, 0}, got); diff != "" {
+		t.Errorf("starts: undisturbed, domain out, worker restarted, job stopped (-want +got):\n%s", diff)
+	}
+}
+
+// endAfterStarts answers the starts of a run in turn and reports whether the run
+// ended without a stop.
+func endAfterStarts(t *testing.T, outcomes ...fleet.Outcome) bool {
+	t.Helper()
+	m := newManualOwner(t, 1, clock.Hour)
+	m.orderStart()
+	for i, outcome := range outcomes {
+		m.owner.Started(m.starts[i], fleet.Answer{Outcome: outcome})
+		m.now += m.owner.options.Times.OrderRetry
+		m.owner.timers.runDue(m.now)
+	}
+	return !m.holdsRun() && len(m.stops) == 0
+}
+
+// A run is abandoned without a stop only if no start of it may have been executed.
+func TestAbandonedStartIsStoppedIfItMayArrive(t *testing.T) {
+	got := map[string]bool{
+		"never sent":              endAfterStarts(t, fleet.NotSent, fleet.NotSent, fleet.NotSent),
+		"late each time":          endAfterStarts(t, fleet.LeaseExpired, fleet.LeaseExpired, fleet.LeaseExpired),
+		"no room":                 endAfterStarts(t, fleet.NoRoom),
+		"unhealthy":               endAfterStarts(t, fleet.Unhealthy),
+		"malformed":               endAfterStarts(t, fleet.Malformed),
+		"other worker":            endAfterStarts(t, fleet.OtherIncarnation),
+		"unanswered, no room":     endAfterStarts(t, fleet.Unanswered, fleet.NoRoom),
+		"unanswered, never sent":  endAfterStarts(t, fleet.Unanswered, fleet.NotSent, fleet.NotSent),
+		"unanswered, other":       endAfterStarts(t, fleet.Unanswered, fleet.OtherIncarnation),
+		"not sent, then executed": endAfterStarts(t, fleet.NotSent, fleet.RunSuperseded),
+	}
+	want := map[string]bool{
+		"never sent": true, "late each time": true, "no room": true, "unhealthy": true, "malformed": true, "other worker": true,
+		"unanswered, no room": false, "unanswered, never sent": false, "unanswered, other": false, "not sent, then executed": false,
+	}
+	if diff := cmp.Diff(want, got); diff != "" {
+		t.Errorf("ended without a stop (-want +got):\n%s", diff)
+	}
+}
--- /dev/null
+++ b/internal/site/ownership/proof_test.go
@@ -0,0 +1,132 @@
+package ownership
+
+import (
+	"context"
+	"fmt"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/google/go-cmp/cmp"
+	"golang.org/x/sync/errgroup"
+
+	"github.com/oriolepier/oriolepier/internal/base/codec"
+	"github.com/oriolepier/oriolepier/internal/schedule/journal"
+)
+
+// tenure is one ownership as an elector ran it.
+type tenure struct {
+	Epoch           int64
+	Incarnation     string
+	PreviousStopped bool // the elector was told that the previous owner had stopped
+}
+
+// tenures records the ownerships of electors.
+type tenures struct {
+	deployment *deployment
+	acting     map[int64]bool // by epoch: RunOwnership has not returned
+	list       []tenure
+	violations []string
+}
+
+func newTenures() *tenures { return &tenures{deployment: newDeployment(), acting: map[int64]bool{}} }
+
+// addElector returns an elector of an entry whose ownerships are recorded.
+func (r *tenures) addElector(name, incarnation string, rank float64) *Elector {
+	e := r.deployment.addElector(name, rank)
+	e.options.Incarnation = incarnation
+	e.options.RunOwnership = func(ctx context.Context, epoch int64, previous PreviousOwner) error {
+		r.begin(tenure{Epoch: epoch, Incarnation: incarnation, PreviousStopped: previous.Stopped})
+		<-ctx.Done()
+		r.deployment.update(func() { delete(r.acting, epoch) })
+		return nil
+	}
+	return e
+}
+
+// begin records an ownership, and a violation if one that counts as stopped acts
+// at the same time.
+func (r *tenures) begin(begun tenure) {
+	r.deployment.update(func() {
+		r.list = append(r.list, begun)
+		r.acting[begun.Epoch] = true
+		for _, known := range r.list {
+			if known.PreviousStopped && r.acting[known.Epoch-1] {
+				r.violations = append(r.violations, fmt.Sprintf("epoch %d acts and counts as stopped in epoch %d", known.Epoch-1, known.Epoch))
+			}
+		}
+	})
+}
+
+// run serves electors for a time in a bubble of virtual time.
+func (r *tenures) run(t *testing.T, length time.Duration, electors ...*Elector) {
+	t.Helper()
+	ctx, cancel := context.WithCancel(t.Context())
+	group := new(errgroup.Group)
+	for _, e := range electors {
+		group.Go(func() error { return e.Serve(ctx) })
+	}
+	time.Sleep(length)
+	cancel()
+	_ = group.Wait() // ends with the context's error
+}
+
+func appendRecord(t *testing.T, log journal.Log, record Record) {
+	t.Helper()
+	data, err := codec.Marshal(record)
+	if err != nil {
+		t.Fatal(err)
+	}
+	log.Append(t.Context(), journal.Append{
+		Topic: "keyed.owners", ExpectedEnd: -1, Records: []journal.Record{{Key: "0", Value: data}},
+	})
+}
+
+// A claim whose answer was lost is no ownership once a newer record exists.
+func TestLostClaimThatWasSupersededIsNotRun(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		r := newTenures()
+		e := r.addElector("a", "a", 0)
+		log := r.deployment.store.Log()
+		appends := 0
+		e.options.Log.Append = func(ctx context.Context, call journal.Append) journal.Answer {
+			answer := log.Append(ctx, call)
+			if appends++; appends > 1 {
+				return answer
+			}
+			appendRecord(t, log, Record{Epoch: 2, Name: "b", Address: "b", Incarnation: "b", Released: true})
+			return journal.Answer{Outcome: journal.Unknown}
+		}
+		r.run(t, 5*time.Second, e)
+		if diff := cmp.Diff([]tenure{{Epoch: 3, Incarnation: "a", PreviousStopped: true}}, r.list); diff != "" {
+			t.Errorf("ownerships (-want +got):\n%s", diff)
+		}
+	})
+}
+
+// A claim that the store executes after its entry gave it up is never run.
+func TestClaimExecutedLateIsNotRun(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		r := newTenures()
+		e := r.addElector("a", "a", 0.9) // claims again after 135 ms
+		log := r.deployment.store.Log()
+		late := new(errgroup.Group)
+		appends := 0
+		e.options.Log.Append = func(ctx context.Context, call journal.Append) journal.Answer {
+			if appends++; appends > 1 {
+				return log.Append(ctx, call)
+			}
+			late.Go(func() error {
+				time.Sleep(50 * time.Millisecond)
+				log.Append(t.Context(), call)
+				return nil
+			})
+			return journal.Answer{Outcome: journal.Unknown}
+		}
+		r.run(t, 5*time.Second, e)
+		_ = late.Wait() // returns no error
+		if diff := cmp.Diff([]tenure{{Epoch: 2, Incarnation: "a", PreviousStopped: true}}, r.list); diff != "" {
+			t.Errorf("ownerships (-want +got):\n%s", diff)
+		}
+	})
+}
