Test the wait for the owner before a stopped previous owner

The third owner counts from the stop of the second, and the first may renew leases for 6 s after its last append.

--- a/internal/schedule/owner/run_end_test.go
+++ b/internal/schedule/owner/run_end_test.go
@@ -9,6 +9,21 @@
 	"github.com/oriolepier/oriolepier/internal/schedule/fleet"
 )
 
+// The owner before a previous owner that has stopped may still renew leases.
+func TestPreviousOwnerStoppedKeepsWaitForEarlierOwner(t *testing.T) {
+	first := newManualOwner(t, 1, clock.Hour)
+	first.startRun()
+	second := first.successor(0)
+	claimed := second.now
+	second.advance(25)
+	second.acknowledge()
+	third := second.successor(1200)
+	third.owner.PreviousOwnerStopped()
+	if took := third.timeToEnd(claimed); took < third.owner.previousOwnerLeaseSpan() {
+		t.Errorf("run ended %d ms after the second claim, want at least %d", took, third.owner.previousOwnerLeaseSpan())
+	}
+}
+
 // A worker's clock may lose 2 %, so that its leases last longer.
 func TestLapseWaitsForSlowClock(t *testing.T) {
 	m := newManualOwner(t, 1, clock.Hour)
