--- a/internal/schedule/owner/run_end_test.go
+++ b/internal/schedule/owner/run_end_test.go
@@ -40,6 +40,16 @@
 	}
 }
 
+// A start without an answer may still arrive when the list shows a restart.
+func TestStartUnderwayAtRestartIsStoppedFirst(t *testing.T) {
+	m := newManualOwner(t, 1, clock.Hour)
+	m.orderStart()
+	m.list(2, "w:1")
+	if !m.holdsRun() {
+		t.Errorf("the run counts as ended after %d stops, and its start is under way", len(m.stops))
+	}
+}
+
 // A list that the directly preceding owner did not write says nothing of that owner.
 func TestPreviousOwnerStoppedNeedsItsList(t *testing.T) {
 	first := newManualOwner(t, 1, clock.Hour)
