--- a/internal/schedule/owner/run_end_test.go
+++ b/internal/schedule/owner/run_end_test.go
@@ -40,6 +40,17 @@
 	}
 }
 
+// A start that was under way when its worker restarted runs in the new incarnation.
+func TestRunAcceptedByNextIncarnationIsNotEnded(t *testing.T) {
+	m := newManualOwner(t, 1, clock.Hour)
+	run := m.startRun()
+	m.advance(100)
+	m.report(2, run)
+	if !m.holdsRun() {
+		t.Error("the run counts as ended, but the new incarnation reports it as running")
+	}
+}
+
 // A start without an answer may still arrive when the list shows a restart.
 func TestStartUnderwayAtRestartIsStoppedFirst(t *testing.T) {
 	m := newManualOwner(t, 1, clock.Hour)
