--- a/internal/schedule/owner/manual_test.go
+++ b/internal/schedule/owner/manual_test.go
@@ -129,6 +129,18 @@
 	return fleet.Run{Task: manualTask, Run: 1}
 }
 
+// leaseEnd returns the end of the longest lease granted, in the owner's time.
+func (m *manualOwner) leaseEnd() clock.Millis {
+	var end int64
+	for _, order := range m.starts {
+		end = max(end, order.UntilMS)
+	}
+	for _, order := range m.holds {
+		end = max(end, order.UntilMS)
+	}
+	return clock.Millis(end)
+}
+
 // holdsRun reports whether run 1 of manualTask counts as possibly executing.
 func (m *manualOwner) holdsRun() bool { return m.owner.currentRun(manualTask, 1) != nil }
 
--- a/internal/schedule/owner/run_end_test.go
+++ b/internal/schedule/owner/run_end_test.go
@@ -24,6 +24,30 @@
 	}
 }
 
+// Between a claim and its fence the previous owner goes on granting leases.
+func TestRecordedRestCountsFromLoad(t *testing.T) {
+	first := newManualOwner(t, 1, clock.Hour)
+	first.startRun()
+	next := newManualOwner(t, 2, first.now)
+	for range 5 {
+		first.advance(500)
+		first.report(1, fleet.Run{Task: manualTask, Run: 1})
+	}
+	for range missedHoldsToUnresponsive {
+		first.advance(25)
+		first.missHold()
+	}
+	first.advance(25)
+	first.acknowledge() // of the heartbeat
+	first.advance(25)
+	first.acknowledge() // of the list
+	next.now = first.now
+	next.load(first)
+	if early := -next.timeToEnd(first.leaseEnd()); early > 0 {
+		t.Errorf("run ended %d ms before its lease", early)
+	}
+}
+
 // A worker's clock may lose 2 %, so that its leases last longer.
 func TestLapseWaitsForSlowClock(t *testing.T) {
 	m := newManualOwner(t, 1, clock.Hour)
