--- a/internal/schedule/owner/run_end_test.go
+++ b/internal/schedule/owner/run_end_test.go
@@ -48,6 +48,19 @@
 	}
 }
 
+// The renew window of the previous owner begins at the next owner's fence.
+func TestRenewWindowCountsFromLoad(t *testing.T) {
+	first := newManualOwner(t, 1, clock.Hour)
+	first.startRun()
+	next := newManualOwner(t, 2, first.now)
+	next.now += 3000
+	loaded := next.now
+	next.load(first)
+	if took := next.timeToEnd(loaded); took < next.owner.previousOwnerLeaseSpan() {
+		t.Errorf("run ended %d ms after the records were read, want at least %d", took, next.owner.previousOwnerLeaseSpan())
+	}
+}
+
 // A worker's clock may lose 2 %, so that its leases last longer.
 func TestLapseWaitsForSlowClock(t *testing.T) {
 	m := newManualOwner(t, 1, clock.Hour)
