--- a/internal/site/ownership/proof_test.go
+++ b/internal/site/ownership/proof_test.go
@@ -10,6 +10,7 @@
 	"github.com/google/go-cmp/cmp"
 	"golang.org/x/sync/errgroup"
 
+	"github.com/oriolepier/oriolepier/internal/base/clock"
 	"github.com/oriolepier/oriolepier/internal/base/codec"
 	"github.com/oriolepier/oriolepier/internal/schedule/journal"
 )
@@ -71,6 +72,32 @@
 	_ = group.Wait() // ends with the context's error
 }
 
+// delayAnswers delays the answers to an elector's appends, which the store
+// executes at once.
+func delayAnswers(e *Elector, delay clock.Millis) {
+	inner := e.options.Log.Append
+	e.options.Log.Append = func(ctx context.Context, call journal.Append) journal.Answer {
+		answer := inner(ctx, call)
+		if e.options.Clock.Sleep(ctx, delay) != nil {
+			return journal.Answer{Outcome: journal.Unknown}
+		}
+		return answer
+	}
+}
+
+// An entry that does not know yet that its claim succeeded will act as the owner.
+func TestClaimWithoutItsAnswerDoesNotCountAsStopped(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		r := newTenures()
+		slow := r.addElector("a", "a", 0)
+		delayAnswers(slow, 500)
+		r.run(t, 5*time.Second, slow, r.addElector("b", "b", 0.1))
+		if diff := cmp.Diff([]string(nil), r.violations); diff != "" {
+			t.Errorf("(-want +got):\n%s\nownerships: %+v", diff, r.list)
+		}
+	})
+}
+
 func appendRecord(t *testing.T, log journal.Log, record Record) {
 	t.Helper()
 	data, err := codec.Marshal(record)
