--- a/internal/site/ownership/proof_test.go
+++ b/internal/site/ownership/proof_test.go
@@ -13,6 +13,7 @@
 	"github.com/oriolepier/oriolepier/internal/base/clock"
 	"github.com/oriolepier/oriolepier/internal/base/codec"
 	"github.com/oriolepier/oriolepier/internal/schedule/journal"
+	"github.com/oriolepier/oriolepier/internal/site/peer"
 )
 
 // tenure is one ownership as an elector ran it.
@@ -98,6 +99,24 @@
 	})
 }
 
+// An answer from the record's address with another epoch comes from another process.
+func TestAnswerWithOtherEpochIsNoProof(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		r := newTenures()
+		appendRecord(t, r.deployment.store.Log(), Record{Epoch: 4, Name: "a", Address: "a", Incarnation: "a-2"})
+		e := r.addElector("b", "b", 0)
+		e.options.Ping = func(context.Context, string, peer.PingQuery) (peer.PingAnswer, error) {
+			return peer.PingAnswer{Owner: true, Epoch: 3, StateLoaded: true}, nil
+		}
+		r.run(t, 5*time.Second, e)
+		for _, known := range r.list {
+			if known.PreviousStopped {
+				t.Errorf("ownership of epoch %d counts epoch 4 as stopped by an answer of epoch 3", known.Epoch)
+			}
+		}
+	})
+}
+
 func appendRecord(t *testing.T, log journal.Log, record Record) {
 	t.Helper()
 	data, err := codec.Marshal(record)
