--- a/internal/site/ownership/proof_test.go
+++ b/internal/site/ownership/proof_test.go
@@ -99,6 +99,19 @@
 	})
 }
 
+// A second process of an entry does not prove that the first has ended.
+func TestOverlappingProcessOfEntryDoesNotCountAsStopped(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		r := newTenures()
+		first := r.addElector("a", "a-1", 0)
+		second := r.addElector("a", "a-2", 0.1)
+		r.run(t, 5*time.Second, first, second)
+		if diff := cmp.Diff([]string(nil), r.violations); diff != "" {
+			t.Errorf("(-want +got):\n%s\nownerships: %+v", diff, r.list)
+		}
+	})
+}
+
 // An answer from the record's address with another epoch comes from another process.
 func TestAnswerWithOtherEpochIsNoProof(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
