--- /dev/null
+++ b/internal/schedule/owner/lease_grant_test.go
@@ -0,0 +1,45 @@
+package owner
+
+import (
+	"testing"
+
+	"github.com/google/go-cmp/cmp"
+
+	"github.com/oriolepier/oriolepier/internal/base/clock"
+	"github.com/oriolepier/oriolepier/internal/base/codec"
+	"github.com/oriolepier/oriolepier/internal/schedule/fleet"
+)
+
+// listed returns the ids in the acknowledged list of unresponsive workers.
+func (m *manualOwner) listed() []string {
+	m.t.Helper()
+	var list unresponsiveList
+	if err := codec.Unmarshal(m.recorded[keyUnresponsive].Value, &list); err != nil {
+		m.t.Fatal(err)
+	}
+	var ids []string
+	for _, w := range list.Workers {
+		ids = append(ids, w.ID)
+	}
+	return ids
+}
+
+// The next owner ends the runs of a listed worker by the recorded rest of its leases.
+func TestStartGrantsNoLeaseToListedWorker(t *testing.T) {
+	m := newManualOwner(t, 1, clock.Hour)
+	m.startRun()
+	m.missHold()
+	m.missHold()
+	m.advance(25)
+	m.acknowledge()
+	m.owner.Submit(servingSpec(1), func(Verdict) {})
+	m.advance(100)
+	m.acknowledge()
+	m.report(1, fleet.Run{Task: manualTask, Run: 1})
+	m.now += m.owner.options.Times.AppendGap
+	m.owner.Flush()
+	m.acknowledge()
+	if diff := cmp.Diff([]string(nil), m.listed()); diff != "" && len(m.starts) > 1 {
+		t.Errorf("workers listed as unresponsive at a start there (-want +got):\n%s", diff)
+	}
+}
