--- a/internal/schedule/owner/lease_grant_test.go
+++ b/internal/schedule/owner/lease_grant_test.go
@@ -43,3 +43,23 @@
 		t.Errorf("workers listed as unresponsive at a start there (-want +got):\n%s", diff)
 	}
 }
+
+// The list holds the rest of the leases granted before it, so retries must not grant more.
+func TestRetriedStartGrantsNoLeaseToListedWorker(t *testing.T) {
+	m := newManualOwner(t, 1, clock.Hour)
+	start := m.orderStart()
+	m.missHold()
+	m.missHold()
+	m.advance(300)
+	m.acknowledge()
+	if diff := cmp.Diff([]string{"w"}, m.listed()); diff != "" {
+		t.Fatalf("unresponsive workers (-want +got):\n%s", diff)
+	}
+	m.owner.Started(start, fleet.Answer{Outcome: fleet.Unanswered})
+	m.advance(100)
+	for _, retried := range m.starts[1:] {
+		if retried.UntilMS > start.UntilMS {
+			t.Errorf("a retry extends leases by %d ms beyond the recorded rest", retried.UntilMS-start.UntilMS)
+		}
+	}
+}
