--- a/internal/schedule/owner/lease_grant_test.go
+++ b/internal/schedule/owner/lease_grant_test.go
@@ -24,6 +24,22 @@
 	return ids
 }
 
+// An acknowledgement older than the renew window proves no ownership.
+func TestLateAcknowledgementStartsNothing(t *testing.T) {
+	m := newManualOwner(t, 1, clock.Hour)
+	m.list(1, "w:1")
+	m.advance(25)
+	m.acknowledge()
+	m.report(1)
+	m.submit()
+	m.advance(25)
+	m.now += m.owner.options.Times.RenewWindow
+	m.acknowledge()
+	if len(m.starts) != 0 {
+		t.Errorf("a start grants a lease until %d, %d ms after the append", m.starts[0].UntilMS, m.owner.options.Times.RenewWindow)
+	}
+}
+
 // The next owner ends the runs of a listed worker by the recorded rest of its leases.
 func TestStartGrantsNoLeaseToListedWorker(t *testing.T) {
 	m := newManualOwner(t, 1, clock.Hour)
