--- a/internal/schedule/owner/run_end_test.go
+++ b/internal/schedule/owner/run_end_test.go
@@ -98,6 +98,20 @@
 	}
 }
 
+// Another worker at the address of a stale entry says nothing of the newer incarnation.
+func TestOtherWorkerAtStaleAddressEndsNoRuns(t *testing.T) {
+	first := newManualOwner(t, 1, clock.Hour)
+	first.startRun()
+	next := first.successor(0)
+	next.list(0, "stale:1")
+	next.advance(25)
+	next.list(1, "w:1")
+	next.owner.Report("w", fleet.Report{Outcome: fleet.OtherIncarnation})
+	if diff := cmp.Diff("stale:1", next.holds[0].To.Host); diff != "" || !next.holdsRun() {
+		t.Errorf("the run ended by the answer of another worker at %s", next.holds[0].To.Host)
+	}
+}
+
 // A list that the directly preceding owner did not write says nothing of that owner.
 func TestPreviousOwnerStoppedNeedsItsList(t *testing.T) {
 	first := newManualOwner(t, 1, clock.Hour)
