--- a/internal/schedule/owner/run_end_test.go
+++ b/internal/schedule/owner/run_end_test.go
@@ -112,6 +112,27 @@
 	}
 }
 
+// Another worker at the address of a stale entry cannot confirm a stop.
+func TestStopAnsweredByOtherWorkerEndsNoRun(t *testing.T) {
+	first := newManualOwner(t, 1, clock.Hour)
+	first.startRun()
+	next := first.successor(0)
+	next.list(0, "stale:1")
+	next.advance(25)
+	next.acknowledge()
+	next.owner.Cancel(bestEffortJob, func(Verdict) {})
+	next.advance(25)
+	next.acknowledge()
+	if len(next.stops) != 1 {
+		t.Fatalf("%d stops ordered, want one", len(next.stops))
+	}
+	next.list(1, "w:1")
+	next.owner.Stopped(next.stops[0], fleet.Answer{Outcome: fleet.OtherIncarnation})
+	if !next.holdsRun() {
+		t.Errorf("the run ended by the answer of another worker at %s", next.stops[0].To.Host)
+	}
+}
+
 // A list that the directly preceding owner did not write says nothing of that owner.
 func TestPreviousOwnerStoppedNeedsItsList(t *testing.T) {
 	first := newManualOwner(t, 1, clock.Hour)
