--- a/internal/schedule/owner/run_end_test.go
+++ b/internal/schedule/owner/run_end_test.go
@@ -98,6 +98,24 @@
 	}
 }
 
+// A report that an earlier incarnation sent says nothing of the present one.
+func TestLateReportOfEarlierIncarnation(t *testing.T) {
+	m := newManualOwner(t, 1, clock.Hour)
+	m.orderStart()
+	m.list(2, "w:1")
+	m.owner.Report("w", fleet.Report{
+		ClockMS: int64(m.now), Incarnation: 1, Ended: []fleet.End{{Number: 40, Task: manualTask, Run: 1, Cause: fleet.EndDone}},
+	})
+	m.now += m.owner.options.Times.AppendGap
+	m.owner.Flush()
+	m.acknowledge()
+	m.advance(25)
+	got := m.holds[len(m.holds)-1]
+	if diff := cmp.Diff([]int64{0, 0}, []int64{got.UntilMS, got.Acked}); diff != "" {
+		t.Errorf("lease and acknowledged end of the next hold (-want +got):\n%s", diff)
+	}
+}
+
 // Another worker at the address of a stale entry says nothing of the newer incarnation.
 func TestOtherWorkerAtStaleAddressEndsNoRuns(t *testing.T) {
 	first := newManualOwner(t, 1, clock.Hour)
