Grant no lease by a start where a hold may not

What callers saw: tasks ran on two workers at once, several of one worker at the same instant.

Cause: an owner records which workers are unresponsive and the rest of their leases, and its successor ends their runs after that rest without asking them. Holds therefore renew no lease until a list without the worker is recorded. Starts asked nothing: a worker that came back got runs in the append after its report, and the list without it went into a later append. An owner that was replaced between the two had granted leases of 5 s on workers whose recorded rest was 0. The same held for repeated starts after a worker was listed, and for starts after an acknowledgement that was read long after it was sent, as after a pause.

Fix: one check, leaseBlock, stands before every grant, of holds and starts, and before placement. The list is numbered, so that a worker may get leases once a list later than the last one that names it is recorded; before, a list that was encoded while an earlier one was under way could be recorded after the check was lifted. A changed list goes into the next append with what depends on it.

The counter and log line of starts that granted what holds could not are gone with what they counted; in their place TestNoStartGrantsLeaseWhereHoldsMayNot plays the same states and asks that nothing is sent.

--- a/internal/schedule/owner/commit.go
+++ b/internal/schedule/owner/commit.go
@@ -94,6 +94,9 @@
 		o.placementDue = false
 		o.runPlacementPass()
 	}
+	if o.unresponsiveChanged {
+		o.recordUnresponsive() // so that workers back in contact wait for one append only
+	}
 	if o.batch.empty() {
 		return
 	}
--- a/internal/schedule/owner/evidence_test.go
+++ b/internal/schedule/owner/evidence_test.go
@@ -6,7 +6,6 @@
 	"strings"
 	"testing"
 
-	"github.com/google/go-cmp/cmp"
 	"github.com/rs/zerolog"
 	"github.com/sebdah/goldie/v2"
 
@@ -222,34 +221,3 @@
 	b.owner.Report("w", fleet.Report{Outcome: fleet.Fenced})
 	goldie.New(t).Assert(t, "takeover", []byte(linesOf(&log, "cell_fenced", "state_loaded", "previous_owner_stopped", "holds_begun", "ownership_lost")))
 }
-
-// TestLeaseGrantedByStartIsCountedAndLoggedOnce repeats a start on a worker that is
-// listed as unresponsive: each counts, and one line tells of it until holds renew
-// leases again.
-func TestLeaseGrantedByStartIsCountedAndLoggedOnce(t *testing.T) {
-	b := runningHarness()
-	var log bytes.Buffer
-	b.logTo(&log)
-	w := b.owner.workers["w"]
-	r := w.sortedRuns()[0]
-	b.owner.markUnresponsive(w)
-	b.now += 1200
-	b.owner.beginInput()
-	b.owner.sendStart(r)
-	b.owner.sendStart(r)
-	b.owner.markResponsive(w)
-	b.owner.sendStart(r)
-	w.delistingRecorded = true
-	b.owner.sendHold(w)
-	b.owner.ownershipConfirmedAt = b.now - b.owner.options.Times.RenewWindow
-	b.owner.sendStart(r)
-	goldie.New(t).Assert(t, "lease_granted_by_start", []byte(linesOf(&log, "lease_granted_by_start")))
-	counts := map[renewalBlock]uint64{}
-	for _, block := range []renewalBlock{workerListed, delistingUnrecorded, renewWindowOver} {
-		name := `oriolepier_leases_granted_by_start_total{reason="` + block.String() + `"}`
-		counts[block] = b.owner.options.Metrics.set.GetOrCreateCounter(name).Get()
-	}
-	if diff := cmp.Diff(map[renewalBlock]uint64{workerListed: 2, delistingUnrecorded: 1, renewWindowOver: 1}, counts); diff != "" {
-		t.Errorf("leases counted (-want +got):\n%s", diff)
-	}
-}
--- a/internal/schedule/owner/lease.go
+++ b/internal/schedule/owner/lease.go
@@ -28,7 +28,7 @@
 }
 
 // sendHold sends a hold, which requests a worker's report and renews the lease
-// of its runs unless renewalBlock forbids it.
+// of its runs unless leaseBlock forbids it.
 func (o *Owner) sendHold(w *worker) {
 	o.noteFirstHold()
 	order := fleet.Hold{To: w.address(), Token: o.options.Epoch}
@@ -50,8 +50,7 @@
 		order.WaitMS = 0
 		w.skipHoldWait = false
 	}
-	if o.renewalBlock(w) == renewalAllowed {
-		w.unpromisedGrantLogged = false
+	if o.leaseBlock(w) == leaseAllowed {
 		order.UntilMS = o.grantLease(w)
 	}
 	w.holdInFlight = true
@@ -79,24 +78,26 @@
 		Int("workers", len(o.sortedWorkers)).Send()
 }
 
-// renewalBlock is a reason why holds renew no lease on a worker.
-type renewalBlock uint8
+// leaseBlock is a reason why no lease may be granted on a worker.
+type leaseBlock uint8
 
 const (
-	renewalAllowed      renewalBlock = iota
-	clockUnknown                     // the worker's clock is unknown
-	holdsMissed                      // it misses holds
-	workerListed                     // it is unresponsive, so the next owner may end its runs after the recorded time
-	delistingUnrecorded              // its removal from the list of unresponsive workers is not recorded yet
-	renewWindowOver                  // mayRenewLeases is false
+	leaseAllowed        leaseBlock = iota
+	clockUnknown                   // the worker's clock is unknown
+	holdsMissed                    // it misses holds
+	workerListed                   // it is unresponsive, so the next owner may end its runs after the recorded time
+	delistingUnrecorded            // the recorded list of unresponsive workers names it, or one that may be recorded yet
+	renewWindowOver                // the store has not confirmed the ownership for RenewWindow, after which a later owner may count the leases as expired
 )
 
-func (b renewalBlock) String() string {
+func (b leaseBlock) String() string {
 	return [...]string{"none", "clock_unknown", "holds_missed", "worker_listed", "delisting_unrecorded", "renew_window_over"}[b]
 }
 
-// renewalBlock returns the first reason why holds renew no lease on a worker.
-func (o *Owner) renewalBlock(w *worker) renewalBlock {
+// leaseBlock returns the first reason why no lease may be granted on a worker, by a
+// hold or by a start: a lease must not outlive what the records and the renew window
+// promise to the next owner.
+func (o *Owner) leaseBlock(w *worker) leaseBlock {
 	switch {
 	case w.clockReadAt == 0:
 		return clockUnknown
@@ -104,37 +105,16 @@
 		return holdsMissed
 	case w.unresponsive:
 		return workerListed
-	case !w.delistingRecorded:
+	case !o.isDelistingRecorded(w):
 		return delistingUnrecorded
-	case !o.mayRenewLeases():
+	case o.now-o.ownershipConfirmedAt >= o.options.Times.RenewWindow:
 		return renewWindowOver
 	}
-	return renewalAllowed
-}
-
-// noteUnpromisedGrant counts a start order whose lease a hold could not have
-// renewed, so that a later owner may count on an earlier end of the worker's
-// leases. It logs the first one since the last renewal.
-func (o *Owner) noteUnpromisedGrant(r *run) {
-	w := r.worker
-	block := o.renewalBlock(w)
-	if block == renewalAllowed {
-		return
-	}
-	o.options.Metrics.UnpromisedGrant(block)
-	if w.unpromisedGrantLogged {
-		return
-	}
-	w.unpromisedGrantLogged = true
-	extended := w.clockLowerBound(o.now) + int64(o.options.Times.Lease) - w.leaseUntilMS
-	o.logRun("lease_granted_by_start", r).Str("reason", block.String()).Int("tries", r.startsSent).
-		Int64("extended_ms", max(extended, 0)).Int64("store_age_ms", int64(o.now-o.ownershipConfirmedAt)).
-		Int64("list_age_ms", int64(age(o.unresponsiveEncodedAt, o.now))).Int("misses", w.missedHolds).
-		Int64("contact_age_ms", int64(o.contactAge(w))).Int("runs", len(w.runs)).Send()
+	return leaseAllowed
 }
 
 // grantLease returns the end of a lease granted now, on the worker's clock, and
-// records it in the worker's state.
+// records it in the worker's state. leaseBlock must allow it.
 func (o *Owner) grantLease(w *worker) int64 {
 	o.leaseGrantedAt = o.now
 	until := w.clockLowerBound(o.now) + int64(o.options.Times.Lease)
@@ -142,14 +122,6 @@
 	return until
 }
 
-// mayRenewLeases reports whether the store confirmed the ownership recently
-// enough to grant leases. A later owner waits longer than that before it ends
-// the runs of a worker that it cannot reach, unless the previous owner has
-// stopped or has listed the worker as unresponsive.
-func (o *Owner) mayRenewLeases() bool {
-	return o.now-o.ownershipConfirmedAt < o.options.Times.RenewWindow
-}
-
 // leasesExpired reports whether every lease that was granted on a worker has
 // certainly expired.
 func (o *Owner) leasesExpired(w *worker) bool {
--- a/internal/schedule/owner/metrics.go
+++ b/internal/schedule/owner/metrics.go
@@ -74,12 +74,6 @@
 	c.set.GetOrCreateCounter(`oriolepier_placement_blocked_total{reason="` + reason.String() + `"}`).Add(steps)
 }
 
-// UnpromisedGrant counts a start order whose lease a hold could not have renewed, by
-// the reason.
-func (c *Metrics) UnpromisedGrant(reason renewalBlock) {
-	c.set.GetOrCreateCounter(`oriolepier_leases_granted_by_start_total{reason="` + reason.String() + `"}`).Inc()
-}
-
 // Answered counts an answer to an order or hold, by kind and outcome.
 func (c *Metrics) Answered(order, outcome string) {
 	c.set.GetOrCreateCounter(`oriolepier_orders_total{order="` + order + `",outcome="` + outcome + `"}`).Inc()
--- a/internal/schedule/owner/orders.go
+++ b/internal/schedule/owner/orders.go
@@ -35,7 +35,7 @@
 }
 
 // startBlockedReason returns why a recorded run must not be started any more,
-// or "".
+// or "". A start grants a lease.
 func (o *Owner) startBlockedReason(r *run) string {
 	w := r.worker
 	switch {
@@ -45,8 +45,9 @@
 		return "worker is draining"
 	case o.domainsOut[w.entry.Domain]:
 		return "failure domain out of service"
-	case w.clockReadAt == 0:
-		return "worker restarted"
+	}
+	if block := o.leaseBlock(w); block != leaseAllowed {
+		return "no lease may be granted: " + block.String()
 	}
 	return ""
 }
@@ -55,7 +56,6 @@
 	w := r.worker
 	r.startsSent++
 	r.orderSentAt = o.now
-	o.noteUnpromisedGrant(r)
 	o.options.Effects.Start(fleet.Start{
 		To: w.address(), Task: r.task.key(), Run: r.runNumber, Text: r.task.job.spec.Text,
 		Checkpoint: r.task.checkpoint, UntilMS: o.grantLease(w), Token: o.options.Epoch,
@@ -136,14 +136,19 @@
 	o.logRun("run_started", r).Int("tries", r.startsSent).Send()
 }
 
-// retryStart repeats a start order, which workers treat as idempotent.
+// retryStart repeats a start order, which workers treat as idempotent, unless it
+// was sent too often or no lease may be granted on the worker any more.
 func (o *Owner) retryStart(r *run, outcome fleet.Outcome) {
 	if r.startsSent >= maxStartsSent {
 		o.abandonStart(r, outcome)
 		return
 	}
 	o.timers.add(o.now+o.options.Times.OrderRetry, func() {
-		if r.stage == stageOrdered && r.task.run == r {
+		switch {
+		case r.stage != stageOrdered || r.task.run != r:
+		case o.leaseBlock(r.worker) != leaseAllowed:
+			o.abandonStart(r, outcome)
+		default:
 			o.sendStart(r)
 		}
 	})
--- a/internal/schedule/owner/owner.go
+++ b/internal/schedule/owner/owner.go
@@ -98,7 +98,8 @@
 	unresponsiveEncodedAt   clock.Millis         // when the list of unresponsive workers was last encoded; its append may be pending
 	encodedUnresponsive     []unresponsiveWorker // the list as last encoded
 	unresponsiveChanged     bool                 // the list must be recorded again
-	responsiveAgain         []*worker            // workers whose leases may be renewed once the next list is recorded
+	listsEncoded            int                  // number of the newest encoded list of unresponsive workers; 0: the loaded one
+	listsRecorded           int                  // number of the newest acknowledged one
 
 	timers                   timers
 	interference             *interference.Estimator
--- a/internal/schedule/owner/place.go
+++ b/internal/schedule/owner/place.go
@@ -189,10 +189,10 @@
 }
 
 // isUsable reports whether a worker may get new runs: it is listed, not
-// draining, in service, in contact and not backing off.
+// draining, in service, in contact, not backing off, and leases may be granted there.
 func (o *Owner) isUsable(w *worker) bool {
 	return w.listed && !w.entry.Draining && !o.domainsOut[w.entry.Domain] &&
-		w.clockReadAt != 0 && w.missedHolds == 0 && !w.leasesLapsed && o.now-w.lastReportAt < maxContactAge && o.now >= w.backoffUntil
+		w.missedHolds == 0 && o.leaseBlock(w) == leaseAllowed && !w.leasesLapsed && o.now-w.lastReportAt < maxContactAge && o.now >= w.backoffUntil
 }
 
 // constraintsAllow reports whether the label and the per-worker limit of a step
--- a/internal/schedule/owner/unresponsive.go
+++ b/internal/schedule/owner/unresponsive.go
@@ -9,9 +9,10 @@
 )
 
 // An owner records which workers are unresponsive and how long their leases can
-// still last, and renews no lease there until a later record removes them from
-// the list. The next owner therefore need not wait for the longest lease that
-// might have been granted.
+// still last, and grants no lease there, by a hold or by a start, until a later list
+// without them is recorded. The next owner therefore need not wait for the longest
+// lease that might have been granted. Lists are numbered as they are encoded, which
+// is also the sequence in which they are recorded.
 
 // unresponsiveList is the durable list of unresponsive workers.
 type unresponsiveList struct {
@@ -55,6 +56,15 @@
 // worker is unresponsive, as the remaining time of its leases decreases.
 const unresponsiveRecordPeriod clock.Millis = 500
 
+// unnamed is the number of the list that names a worker if none does.
+const unnamed = -1
+
+// isDelistingRecorded reports whether the newest recorded list does not name a
+// worker, and none that may be recorded later does.
+func (o *Owner) isDelistingRecorded(w *worker) bool {
+	return w.namedInList == unnamed || w.namedInList < o.listsRecorded
+}
+
 // previousOwnerLeaseSpan is how long a run may continue under leases of a
 // previous owner that may still be renewing them.
 func (o *Owner) previousOwnerLeaseSpan() clock.Millis {
@@ -80,6 +90,7 @@
 	for _, recorded := range list.Workers {
 		w := o.inheritedWorker(recorded.ID, 0)
 		w.unresponsive = true
+		w.namedInList = o.listsEncoded
 		w.recordedRest = recorded.Remaining
 		w.limitRunsEnd(proof{evidence: evidenceRecordedRest, at: o.claimedAt}, recorded.Remaining)
 	}
@@ -116,7 +127,7 @@
 	}
 }
 
-// markUnresponsive puts a worker on the list, which stops renewing its leases.
+// markUnresponsive puts a worker on the next list, and stops granting leases there.
 func (o *Owner) markUnresponsive(w *worker) {
 	if w.unresponsive {
 		return
@@ -125,16 +136,13 @@
 	o.unresponsiveChanged = true
 }
 
-// markResponsive takes a worker off the list. Its leases may be renewed again
-// once that is recorded.
+// markResponsive takes a worker off the next list.
 func (o *Owner) markResponsive(w *worker) {
 	if !w.unresponsive {
 		return
 	}
 	w.unresponsive = false
-	w.delistingRecorded = false
 	o.unresponsiveChanged = true
-	o.responsiveAgain = append(o.responsiveAgain, w)
 }
 
 // recordUnresponsive adds the list to the next append if it has changed, or
@@ -146,18 +154,17 @@
 	}
 	o.unresponsiveChanged = false
 	o.unresponsiveEncodedAt = o.now
+	o.listsEncoded++
+	number := o.listsEncoded
 	data, err := codec.Marshal(o.unresponsiveList())
 	if err != nil {
 		o.options.Log.Error().Err(err).Msg("cannot encode the list of unresponsive workers")
 		return
 	}
 	o.batch.otherRecords = append(o.batch.otherRecords, journal.Record{Key: keyUnresponsive, Value: data})
-	responsiveAgain := o.responsiveAgain
-	o.responsiveAgain = nil
 	o.batch.onAck = append(o.batch.onAck, func() {
-		for _, w := range responsiveAgain {
-			w.delistingRecorded = w.delistingRecorded || !w.unresponsive
-		}
+		o.listsRecorded = number
+		o.placementDue = true // workers that it does not name any more may get new runs
 	})
 }
 
@@ -171,10 +178,12 @@
 		switch {
 		case w.lastReportAt == 0 && len(w.runs) > 0:
 			w.unresponsive = true
+			w.namedInList = o.listsEncoded
 			list.Workers = append(list.Workers, unresponsiveWorker{ID: w.id, Remaining: max(w.runsEndBy-o.now, 0)})
 		case w.unresponsive && w.lastReportAt != 0:
 			remaining := clock.Millis(w.leaseUntilMS - w.clockLowerBound(o.now))
 			remaining += max(remaining, 0)*driftPercent/100 + o.options.Times.ClockSlack
+			w.namedInList = o.listsEncoded
 			list.Workers = append(list.Workers, unresponsiveWorker{ID: w.id, Remaining: max(remaining, 0)})
 		}
 	}
--- a/internal/schedule/owner/unresponsive_test.go
+++ b/internal/schedule/owner/unresponsive_test.go
@@ -6,6 +6,7 @@
 	"github.com/google/go-cmp/cmp"
 
 	"github.com/oriolepier/oriolepier/internal/base/clock"
+	"github.com/oriolepier/oriolepier/internal/schedule/journal"
 )
 
 // TestTakeoverEndsUnreachableRunsBeforeLongestLease cuts off all workers but
@@ -79,3 +80,35 @@
 		t.Errorf("invariants violated (-want +got):\n%s", diff)
 	}
 }
+
+// TestNoStartGrantsLeaseWhereHoldsMayNot tries to start a run in each state in which
+// the next owner may count on an earlier end of the leases.
+func TestNoStartGrantsLeaseWhereHoldsMayNot(t *testing.T) {
+	states := map[leaseBlock]func(o *Owner, w *worker){
+		leaseAllowed:        func(*Owner, *worker) {},
+		clockUnknown:        func(_ *Owner, w *worker) { w.clockReadAt = 0 },
+		holdsMissed:         func(_ *Owner, w *worker) { w.missedHolds = missedHoldsToUnresponsive },
+		workerListed:        func(o *Owner, w *worker) { o.markUnresponsive(w) },
+		delistingUnrecorded: func(o *Owner, w *worker) { w.namedInList = o.listsRecorded },
+		renewWindowOver: func(o *Owner, _ *worker) {
+			o.options.Times.RenewWindow = 1 // ms, which the append exceeds
+		},
+	}
+	for want, enter := range states {
+		t.Run(want.String(), func(t *testing.T) {
+			b := newHarness(testEntry("w"))
+			b.reportAndDeliver()
+			b.owner.Submit(bestEffortSpec(1), func(Verdict) {})
+			b.owner.Flush()
+			enter(b.owner, b.owner.workers["w"])
+			if got := b.owner.leaseBlock(b.owner.workers["w"]); got != want && want != renewWindowOver {
+				t.Fatalf("the state blocks leases by %s", got)
+			}
+			b.now += 10
+			b.owner.Appended(journal.Done)
+			if started := len(b.runs["w"]) > 0; started != (want == leaseAllowed) {
+				t.Errorf("start order sent: %t", started)
+			}
+		})
+	}
+}
--- a/internal/schedule/owner/workers.go
+++ b/internal/schedule/owner/workers.go
@@ -33,9 +33,8 @@
 	incarnationFrom        evidence     // what showed its present incarnation
 	incarnationKnownAt     clock.Millis // when that was seen first
 	unresponsive           bool         // belongs in the next list of unresponsive workers; leases are not renewed
-	delistingRecorded      bool         // false from the removal from the list until a list without it is recorded
+	namedInList            int          // number of the newest encoded list of unresponsive workers that names it; unnamed: none
 	leasesLapsed           bool         // its leases have expired since its last report
-	unpromisedGrantLogged  bool         // noteUnpromisedGrant has logged it since its last renewal
 	missedHolds            int          // consecutive unanswered holds
 	holdInFlight           bool         // a hold is in flight
 	holdSentAt             clock.Millis // when the newest hold was sent
@@ -120,7 +119,7 @@
 		o.updateWorker(entry)
 	}
 	for id, w := range o.workers {
-		if !w.listed && len(w.runs) == 0 && !w.holdInFlight && !w.unresponsive && w.delistingRecorded {
+		if !w.listed && len(w.runs) == 0 && !w.holdInFlight && !w.unresponsive && o.isDelistingRecorded(w) {
 			o.options.Log.Info().Str("event", "worker_gone").Str("worker", id).Send()
 			o.releaseReservation(w)
 			delete(o.workers, id)
@@ -149,7 +148,7 @@
 
 func (o *Owner) newWorker(id string) *worker {
 	w := &worker{
-		id: id, runs: map[*run]struct{}{}, delistingRecorded: true, pace: fullPace, recordedRest: notListed,
+		id: id, runs: map[*run]struct{}{}, namedInList: unnamed, pace: fullPace, recordedRest: notListed,
 		runsEndBy: o.claimedAt + o.previousOwnerLeaseSpan(), runsEndProof: proof{evidence: evidenceRenewWindow, at: o.claimedAt},
 	}
 	o.workers[id] = w
