Count what a previous owner's records promise from the fence

Cause: claim and fence are two appends. Between them the previous owner goes on: its appends are confirmed, it renews leases and records the rest of those of unresponsive workers. The next owner counted that rest, and the renew window, from its claim, and recorded its own wrong bound in its list for the one after it.

Fix: both count from the confirmation of the fence, before which whatever the previous owner recorded was encoded, and its last confirmed append sent. Load without a fence is an error.

--- a/internal/schedule/owner/bench_test.go
+++ b/internal/schedule/owner/bench_test.go
@@ -83,6 +83,7 @@
 	records := sim.records()
 	for b.Loop() {
 		next := New(first.owner.options)
+		next.Fenced(1)
 		if err := next.Load(records); err != nil {
 			b.Fatal(err)
 		}
--- a/internal/schedule/owner/evidence_test.go
+++ b/internal/schedule/owner/evidence_test.go
@@ -83,9 +83,7 @@
 		{evidenceRecordedRest, func(log *bytes.Buffer) {
 			b := takenOverHarness(t, unresponsiveWorker{ID: "v", Remaining: 90}, unresponsiveWorker{ID: "w", Remaining: 1500})
 			b.logTo(log)
-			b.tickAfter(400)
-			b.owner.Fenced(1)
-			b.tickAfter(2000)
+			b.tickAfter(2400)
 		}},
 		{evidenceRenewWindow, func(log *bytes.Buffer) {
 			b := takenOverHarness(t)
--- a/internal/schedule/owner/load.go
+++ b/internal/schedule/owner/load.go
@@ -10,25 +10,29 @@
 	"github.com/oriolepier/oriolepier/internal/schedule/journal"
 )
 
-// Fenced logs that the store has confirmed the record that fences earlier owners,
-// after a number of attempts. Call it before the records are read.
+// Fenced records that the store has confirmed the record that fences earlier owners,
+// after a number of attempts. Until then the previous owner may have renewed leases
+// and recorded what is left of them, so both count from now. Call it before the
+// records are read.
 func (o *Owner) Fenced(attempts int) {
 	if !o.beginInput() {
 		return
 	}
-	o.fencedAt = o.now
+	o.fenced, o.fencedAt = true, o.now
 	o.options.Metrics.FenceTime.Observe(o.now - o.claimedAt)
 	o.options.Log.Info().Str("event", "cell_fenced").Int64("epoch", o.options.Epoch).
 		Int64("since_claim_ms", int64(o.now-o.claimedAt)).Int("attempts", attempts).Send()
 }
 
-// Load restores the state that previous owners recorded. Call it once, after the
-// ownership was won and before any other input but Fenced: no other owner can
-// append from then on, so the records are consistent.
+// Load restores the state that previous owners recorded. Call it once, after Fenced
+// and before any other input: no other owner can append from then on, so the records
+// are consistent.
 //
 // Recorded runs may be executing until their workers have answered.
 func (o *Owner) Load(records []journal.Stored) error {
-	o.beginInput()
+	if o.beginInput(); !o.fenced {
+		return errors.New("load before the fence")
+	}
 	progress := map[string]job.Progress{}
 	for _, record := range records {
 		if err := o.loadRecord(record.Record, progress); err != nil {
--- a/internal/schedule/owner/manual_test.go
+++ b/internal/schedule/owner/manual_test.go
@@ -65,6 +65,7 @@
 		m.recorded[key] = record
 		stored = append(stored, journal.Stored{Record: record})
 	}
+	m.owner.Fenced(1)
 	if err := m.owner.Load(stored); err != nil {
 		m.t.Fatal(err)
 	}
--- a/internal/schedule/owner/owner.go
+++ b/internal/schedule/owner/owner.go
@@ -24,6 +24,7 @@
 // # Usage
 //
 //	own := owner.New(options)
+//	own.Fenced(attempts)
 //	err := own.Load(records)
 //	own.SetManifest(tables)
 //	own.SetWorkers(entries)
@@ -73,7 +74,8 @@
 	claimedAt clock.Millis // when the ownership was won
 
 	// For log lines only; 0: not yet, or unknown.
-	fencedAt       clock.Millis // when the store confirmed that earlier owners are fenced
+	fenced         bool
+	fencedAt       clock.Millis // when the store confirmed that earlier owners are fenced; claimedAt before
 	firstHoldAt    clock.Millis // when the first hold was sent
 	leaseGrantedAt clock.Millis // when a lease was last granted, on any worker
 
@@ -129,6 +131,7 @@
 		options:              options,
 		now:                  now,
 		claimedAt:            now,
+		fencedAt:             now,
 		loadedList:           unresponsiveList{}.summary(),
 		ownershipConfirmedAt: now,
 		domainsOut:           map[string]bool{},
--- a/internal/schedule/owner/simulation_test.go
+++ b/internal/schedule/owner/simulation_test.go
@@ -162,6 +162,7 @@
 			Resign: func(string) { s.resigned = true },
 		},
 	})
+	s.owner.Fenced(1)
 	if err := s.owner.Load(sim.records()); err != nil {
 		sim.t.Fatal(err)
 	}
--- a/internal/schedule/owner/takeover_test.go
+++ b/internal/schedule/owner/takeover_test.go
@@ -13,8 +13,8 @@
 )
 
 // ownerAfterTakeover returns an owner that has loaded the records of a job that
-// runs on worker w.
-func ownerAfterTakeover(t *testing.T, spec job.Spec) *ownerHarness {
+// runs on worker w, and other records.
+func ownerAfterTakeover(t *testing.T, spec job.Spec, others ...journal.Record) *ownerHarness {
 	t.Helper()
 	first := newHarness(testEntry("w"))
 	first.reportAndDeliver()
@@ -23,14 +23,16 @@
 	j := first.owner.jobs[spec.ID]
 	j.specUnsent = true
 	var records []journal.Stored
-	for _, record := range first.owner.jobRecords(j) {
+	for _, record := range append(first.owner.jobRecords(j), others...) {
 		records = append(records, journal.Stored{Record: record})
 	}
-	next := newHarness(testEntry("w"))
+	next := newHarness()
 	next.now = first.now
+	next.owner.Fenced(1)
 	if err := next.owner.Load(records); err != nil {
 		t.Fatal(err)
 	}
+	next.owner.SetWorkers([]fleet.Entry{testEntry("w")})
 	next.runs["w"] = first.runs["w"]
 	return next
 }
--- a/internal/schedule/owner/unresponsive.go
+++ b/internal/schedule/owner/unresponsive.go
@@ -22,7 +22,8 @@
 }
 
 // unresponsiveWorker is a worker on the list. Remaining is the time from the
-// encoding of the record until every lease on the worker has expired.
+// encoding of the record until every lease on the worker has expired. A later owner
+// counts it from its fence, before which the record was encoded.
 type unresponsiveWorker struct {
 	_         struct{} `cbor:",toarray"`
 	ID        string
@@ -92,7 +93,7 @@
 		w.unresponsive = true
 		w.namedInList = o.listsEncoded
 		w.recordedRest = recorded.Remaining
-		w.limitRunsEnd(proof{evidence: evidenceRecordedRest, at: o.claimedAt}, recorded.Remaining)
+		w.limitRunsEnd(proof{evidence: evidenceRecordedRest, at: o.fencedAt}, recorded.Remaining)
 	}
 	return nil
 }
--- a/internal/schedule/owner/workers.go
+++ b/internal/schedule/owner/workers.go
@@ -149,7 +149,7 @@
 func (o *Owner) newWorker(id string) *worker {
 	w := &worker{
 		id: id, runs: map[*run]struct{}{}, namedInList: unnamed, pace: fullPace, recordedRest: notListed,
-		runsEndBy: o.claimedAt + o.previousOwnerLeaseSpan(), runsEndProof: proof{evidence: evidenceRenewWindow, at: o.claimedAt},
+		runsEndBy: o.fencedAt + o.previousOwnerLeaseSpan(), runsEndProof: proof{evidence: evidenceRenewWindow, at: o.fencedAt},
 	}
 	o.workers[id] = w
 	return w
