Ask a worker before ending its runs by what a previous owner recorded

A recorded rest of 0 ended all runs of a worker in the first tick of the next owner, before its first hold was answered. With records that are right that only saves a wait; with records that are wrong, as those of owners of earlier versions during an update, it starts running tasks a second time. Now such a lapse counts only once the worker has left a hold of this owner unanswered, or is not listed. A worker that answers is taken over as any other.

TestTakeoverAsksWorkerBeforeEndingItsRuns failed before: the task was started as run 2 although its worker answered the first hold. TestTakeoverEndsUnreachableRunsBeforeLongestLease, which bounds how long a takeover may wait, passes as before.

--- a/internal/schedule/owner/evidence_test.go
+++ b/internal/schedule/owner/evidence_test.go
@@ -51,6 +51,7 @@
 	if err := b.owner.loadUnresponsive(data); err != nil {
 		t.Fatal(err)
 	}
+	b.missHold("w")
 	return b
 }
 
--- a/internal/schedule/owner/lease.go
+++ b/internal/schedule/owner/lease.go
@@ -123,12 +123,20 @@
 }
 
 // leasesExpired reports whether every lease that was granted on a worker has
-// certainly expired.
+// certainly expired. What the records say of a worker that has not reported to this
+// owner counts only once it was asked: its report is better evidence, and a
+// previous owner of an older version may have granted leases that it did not record.
 func (o *Owner) leasesExpired(w *worker) bool {
 	if w.lastReportAt != 0 {
 		return w.clockLowerBound(o.now) > w.leaseUntilMS+int64(o.options.Times.ClockSlack)
 	}
-	return o.now > w.runsEndBy
+	return o.now > w.runsEndBy && o.wasAsked(w)
+}
+
+// wasAsked reports whether a worker has left a hold of this owner unanswered, or
+// is not listed and cannot be asked.
+func (o *Owner) wasAsked(w *worker) bool {
+	return w.missedHolds > 0 || o.workersKnown && !w.listed
 }
 
 // endLapsedRuns ends all runs of a worker whose leases have expired.
--- a/internal/schedule/owner/manual_test.go
+++ b/internal/schedule/owner/manual_test.go
@@ -145,11 +145,12 @@
 // holdsRun reports whether run 1 of manualTask counts as possibly executing.
 func (m *manualOwner) holdsRun() bool { return m.owner.currentRun(manualTask, 1) != nil }
 
-// timeToEnd ticks until run 1 of manualTask has ended, and returns the time since
-// an earlier moment.
+// timeToEnd cuts the worker off, ticks until run 1 of manualTask has ended, and
+// returns the time since an earlier moment.
 func (m *manualOwner) timeToEnd(since clock.Millis) clock.Millis {
 	m.t.Helper()
 	const limit = 30 * clock.Second
+	m.missHold()
 	for begun := m.now; m.holdsRun(); m.advance(25) {
 		if m.now-begun > limit {
 			m.t.Fatalf("the run has not ended after %d ms", limit)
--- a/internal/schedule/owner/owner.go
+++ b/internal/schedule/owner/owner.go
@@ -84,6 +84,7 @@
 	jobs          map[job.ID]*jobState
 	workers       map[string]*worker // by id
 	sortedWorkers []*worker          // sorted by id, so that decisions are deterministic
+	workersKnown  bool               // a list of workers was received
 
 	batch                batch  // changes for the next append
 	inFlight             *batch // changes in the append under way; nil: none
--- a/internal/schedule/owner/takeover_test.go
+++ b/internal/schedule/owner/takeover_test.go
@@ -5,8 +5,10 @@
 	"strings"
 	"testing"
 
+	"github.com/google/go-cmp/cmp"
 	"github.com/rs/zerolog"
 
+	"github.com/oriolepier/oriolepier/internal/base/codec"
 	"github.com/oriolepier/oriolepier/internal/schedule/fleet"
 	"github.com/oriolepier/oriolepier/internal/schedule/job"
 	"github.com/oriolepier/oriolepier/internal/schedule/journal"
@@ -37,6 +39,11 @@
 	return next
 }
 
+// missHold leaves a hold of a worker unanswered.
+func (b *ownerHarness) missHold(id string) {
+	b.owner.Report(id, fleet.Report{Outcome: fleet.Unanswered})
+}
+
 // TestTakeoverOrdersFullPaceForInheritedBestEffortTask checks that a new owner
 // orders the pace of inherited best-effort tasks. The previous owner may have
 // paused them, which is not recorded, so they would stay paused forever.
@@ -72,3 +79,19 @@
 		t.Errorf("no log line with %s:\n%s", want, log.String())
 	}
 }
+
+// TestTakeoverAsksWorkerBeforeEndingItsRuns loads a list that says falsely that the
+// leases of a worker have expired.
+func TestTakeoverAsksWorkerBeforeEndingItsRuns(t *testing.T) {
+	list, err := codec.Marshal(unresponsiveList{Workers: []unresponsiveWorker{{ID: "w"}}})
+	if err != nil {
+		t.Fatal(err)
+	}
+	b := ownerAfterTakeover(t, bestEffortSpec(1), journal.Record{Key: keyUnresponsive, Value: list})
+	b.now += 500
+	b.owner.Tick()
+	b.advance(1000)
+	if diff := cmp.Diff(map[job.Task]int{{Job: bestEffortJob}: 1}, b.runs["w"]); diff != "" {
+		t.Errorf("runs on the worker after the takeover (-want +got):\n%s", diff)
+	}
+}
--- a/internal/schedule/owner/workers.go
+++ b/internal/schedule/owner/workers.go
@@ -112,6 +112,7 @@
 	if !o.beginInput() {
 		return
 	}
+	o.workersKnown = true
 	for _, w := range o.workers {
 		w.listed = false
 	}
