Take for a proof that the previous owner has stopped only what proves it

Four things were taken for it that do not prove it:

- A ping answer of an entry that had claimed the cell and did not know yet that it had won: others read the record and ping it before its answer is back.
The entry now answers as the owner of the epoch that it claims.
- A ping answer with another epoch, which comes from another process.
- A ping from an entry of that name, whenever it was sent and by whichever process.
A ping now names the process and the epoch whose owner it pings.
- That an earlier process of the claiming entry owned the cell; it may be ending still.

Entries of older versions send no process and no epoch with their pings, so they prove nothing, and takeovers beside them wait longer.

--- a/internal/schedule/owner/unresponsive.go
+++ b/internal/schedule/owner/unresponsive.go
@@ -103,12 +103,11 @@
 
 // The evidence that the previous owner has stopped.
 const (
-	NotStopped      StopEvidence = ""                 // nothing shows it
-	NeverOwned      StopEvidence = "none"             // there was no previous owner
-	StopReleased    StopEvidence = "released"         // it released the cell
-	StopNewProcess  StopEvidence = "previous_process" // it was an earlier process of this entry
-	StopNotOwning   StopEvidence = "not_owning"       // it answered a ping, and not as the owner of its epoch
-	StopPingedOwner StopEvidence = "ping"             // it pinged this entry, as only an entry that is not the owner does
+	NotStopped      StopEvidence = ""           // nothing shows it
+	NeverOwned      StopEvidence = "none"       // there was no previous owner
+	StopReleased    StopEvidence = "released"   // it released the cell
+	StopNotOwning   StopEvidence = "not_owning" // it answered a ping: it knows its epoch, and neither owns nor claims the cell
+	StopPingedOwner StopEvidence = "ping"       // it pinged this entry as the owner of the present epoch
 )
 
 // PreviousOwnerStopped records that the previous owner no longer renews leases: its
--- a/internal/site/daemon/daemon.go
+++ b/internal/site/daemon/daemon.go
@@ -100,7 +100,7 @@
 	proxy         *proxy.Proxy                    // proxies requests to backend servers; nil without Options.Standalone
 	localOwner    atomic.Pointer[runtime.Runtime] // nil unless this entry is the owner
 	pool          atomic.Pointer[linkshard.Pool]  // nil unless this entry is the owner
-	previousOwner atomic.Pointer[string]          // name of the entry that owned the cell before this one
+	previousOwner atomic.Pointer[ownership.PreviousOwner]
 	recentPeers   peerPings
 	leaving       atomic.Bool
 	tablesBehind  atomic.Bool // the owner's last ping answer had a higher TablesEnd than this entry's
@@ -174,7 +174,7 @@
 		Logger:     d.logger, Metrics: d.ownerMetrics, Tables: d.tables.Since, Workers: d.listWorkers(pool),
 		PreviousOwner: previousOwner.Name, PreviousOwnerStopped: previousOwner.Stopped,
 	})
-	d.previousOwner.Store(&previousOwner.Name)
+	d.previousOwner.Store(&previousOwner)
 	d.localOwner.Store(run)
 	defer d.localOwner.Store(nil)
 	d.pool.Store(pool)
--- a/internal/site/daemon/leave.go
+++ b/internal/site/daemon/leave.go
@@ -39,7 +39,7 @@
 // announceLeaving releases the cell, reports this entry as not ready, and waits
 // for the load balancer to take it out of rotation. It serves requests meanwhile.
 func (d *Daemon) announceLeaving() {
-	d.logger.Info().Str("event", "entry_leaving").Bool("owner", d.elector.Owning()).Send()
+	d.logger.Info().Str("event", "entry_leaving").Bool("owner", d.elector.ClaimedEpoch() != 0).Send()
 	d.leaving.Store(true)
 	if d.proxy != nil {
 		d.proxy.Drain(true)
--- a/internal/site/daemon/ping_test.go
+++ b/internal/site/daemon/ping_test.go
@@ -10,6 +10,7 @@
 	"time"
 
 	"github.com/VictoriaMetrics/metrics"
+	"github.com/google/go-cmp/cmp"
 	"github.com/rs/zerolog"
 	"golang.org/x/sync/errgroup"
 
@@ -61,8 +62,10 @@
 	})
 }
 
-// A ping may be older than the ownership of its sender, and come from another process.
-func TestPingOfPreviousOwnersEntryIsNoProof(t *testing.T) {
+// stoppedByPing reports whether an owner of epoch 2 takes a ping for a proof that the
+// previous owner, process b1 of entry b, has stopped.
+func stoppedByPing(t *testing.T, query peer.PingQuery) (stopped bool) {
+	t.Helper()
 	synctest.Test(t, func(t *testing.T) {
 		ctx, cancel := context.WithCancel(t.Context())
 		log := &lockedBuffer{}
@@ -71,17 +74,33 @@
 		group.Go(func() error { return run.Serve(ctx) })
 		time.Sleep(time.Second)
 		d := &Daemon{clock: clock.New(), elector: ownership.New(ownership.Options{}), tables: tables.New(tables.Options{})}
-		previous := "b"
-		d.previousOwner.Store(&previous)
+		d.previousOwner.Store(&ownership.PreviousOwner{Name: "b", Incarnation: "b1"})
 		d.localOwner.Store(run)
-		d.handlePing(ctx, peer.PingQuery{Name: "b", Address: "b"})
+		d.handlePing(ctx, query)
 		time.Sleep(time.Second)
 		cancel()
 		if err := group.Wait(); err != nil {
 			t.Error(err)
 		}
-		if strings.Contains(log.text(), "previous_owner_stopped") {
-			t.Error("a ping that names no ownership proves that the previous one has ended")
-		}
+		stopped = strings.Contains(log.text(), "previous_owner_stopped")
 	})
+	return stopped
+}
+
+// A ping may be older than the ownership of its sender, and come from another process.
+func TestPingOfPreviousOwnersEntryIsNoProof(t *testing.T) {
+	queries := map[string]peer.PingQuery{
+		"an older version":        {Name: "b", Address: "b"},
+		"a ping of another epoch": {Name: "b", Address: "b", Incarnation: "b1", Epoch: 1},
+		"another process":         {Name: "b", Address: "b", Incarnation: "b2", Epoch: 2},
+		"the previous owner":      {Name: "b", Address: "b", Incarnation: "b1", Epoch: 2},
+	}
+	got := map[string]bool{}
+	for name, query := range queries {
+		got[name] = stoppedByPing(t, query)
+	}
+	want := map[string]bool{"an older version": false, "a ping of another epoch": false, "another process": false, "the previous owner": true}
+	if diff := cmp.Diff(want, got); diff != "" {
+		t.Errorf("taken for a proof (-want +got):\n%s", diff)
+	}
 }
--- a/internal/site/daemon/serve.go
+++ b/internal/site/daemon/serve.go
@@ -243,19 +243,27 @@
 	if query.KnownPeersHash == hash {
 		peers = nil
 	}
+	claimed := d.elector.ClaimedEpoch()
 	answer := peer.PingAnswer{
-		Owner: d.elector.Owning(), Epoch: d.elector.Current().Epoch, Peers: peers, PeersHash: hash,
+		Owner: claimed != 0, Epoch: max(claimed, d.elector.Current().Epoch), Peers: peers, PeersHash: hash,
 		TablesEnd: d.tables.End(), Cores: d.settings.Limits.Cores,
 	}
 	if run := d.localOwner.Load(); run != nil {
-		if previousOwner := d.previousOwner.Load(); previousOwner != nil && *previousOwner == query.Name {
-			run.PreviousOwnerStopped(owner.StopPingedOwner) // it pings this entry as the owner, so its own ownership has ended
+		if d.isPreviousOwner(query) && query.Epoch == run.Epoch() {
+			run.PreviousOwnerStopped(owner.StopPingedOwner) // an elector does not ping during an ownership of its own
 		}
 		answer.StoreAge, answer.StateLoaded = run.StoreAge()
 	}
 	return answer
 }
 
+// isPreviousOwner reports whether a ping comes from the process that owned the cell
+// before this one.
+func (d *Daemon) isPreviousOwner(query peer.PingQuery) bool {
+	previous := d.previousOwner.Load()
+	return previous != nil && query.Incarnation != "" && previous.Incarnation == query.Incarnation
+}
+
 // tablesTimeout bounds the wait for the owner's copy of the tables.
 const tablesTimeout clock.Millis = 300
 
--- a/internal/site/ownership/evidence_test.go
+++ b/internal/site/ownership/evidence_test.go
@@ -15,7 +15,8 @@
 // stopped.
 func TestStopEvidence(t *testing.T) {
 	want := map[claimReason]owner.StopEvidence{
-		neverOwned: owner.NeverOwned, released: owner.StopReleased, previousProcess: owner.StopNewProcess, notOwning: owner.StopNotOwning,
+		neverOwned: owner.NeverOwned, released: owner.StopReleased, notOwning: owner.StopNotOwning,
+		previousProcess: owner.NotStopped, otherEpoch: owner.NotStopped,
 		refusesConnections: owner.NotStopped, unresponsive: owner.NotStopped, notLoaded: owner.NotStopped, storeless: owner.NotStopped,
 	}
 	got := map[claimReason]owner.StopEvidence{}
--- a/internal/site/ownership/ownership.go
+++ b/internal/site/ownership/ownership.go
@@ -49,8 +49,9 @@
 
 // PreviousOwner describes the previous owner of a cell to the entry that took over.
 type PreviousOwner struct {
-	Name    string             // entry name
-	Stopped owner.StopEvidence // what makes it certain that it sends no more orders; NotStopped if nothing does
+	Name        string // entry name
+	Incarnation string
+	Stopped     owner.StopEvidence // what makes it certain that it sends no more orders; NotStopped if nothing does
 }
 
 // Options configures an Elector.
@@ -89,12 +90,12 @@
 	current        atomic.Pointer[Record]
 	ownerContactAt atomic.Int64 // time of the current owner's last ping answer; 0: none
 	peers          atomic.Pointer[[]peer.Entry]
-	peersHash      uint64       // hash of peers, as sent by the owner
-	refusedAt      clock.Millis // time of the last refused connection to the owner
-	storelessSince clock.Millis // start of the time in which the store answers this entry but not the owner; 0: not the case
-	timeoutFactor  float64      // scales timeouts of the owner by its cores; by this entry's until its first answer
-	storeContactAt atomic.Int64 // time of the store's last answer to this entry
-	owning         atomic.Bool
+	peersHash      uint64        // hash of peers, as sent by the owner
+	refusedAt      clock.Millis  // time of the last refused connection to the owner
+	storelessSince clock.Millis  // start of the time in which the store answers this entry but not the owner; 0: not the case
+	timeoutFactor  float64       // scales timeouts of the owner by its cores; by this entry's until its first answer
+	storeContactAt atomic.Int64  // time of the store's last answer to this entry
+	claimedEpoch   atomic.Int64  // epoch that this process owns or is claiming; 0: none
 	retired        chan struct{} // closed by Retire
 	retire         sync.Once
 }
@@ -113,8 +114,9 @@
 // Peers lists the entries that the owner reported in its last ping answer.
 func (e *Elector) Peers() []peer.Entry { return *e.peers.Load() }
 
-// Owning reports whether this process owns the cell.
-func (e *Elector) Owning() bool { return e.owning.Load() }
+// ClaimedEpoch returns the epoch that this process owns, or is claiming and may own
+// without knowing it yet; 0 if there is none.
+func (e *Elector) ClaimedEpoch() int64 { return e.claimedEpoch.Load() }
 
 // StoreAge returns how long ago the store last answered this entry.
 func (e *Elector) StoreAge() clock.Millis {
@@ -211,6 +213,9 @@
 	record := Record{
 		Epoch: previous.Epoch + 1, Name: e.options.Name, Address: e.options.Address, Incarnation: e.options.Incarnation,
 	}
+	// Other entries may read the record before its answer arrives here, and ping.
+	e.claimedEpoch.Store(record.Epoch)
+	defer e.claimedEpoch.Store(0)
 	started := e.options.Clock.Now()
 	answer := e.appendRecord(ctx, record, end)
 	e.options.Logger.Info().Str("event", "cell_claimed").Str("cell", e.options.Cell).Int64("epoch", record.Epoch).
@@ -220,13 +225,12 @@
 		return
 	}
 	e.recordOwner(record)
-	e.runOwnership(ctx, record, answer.End, PreviousOwner{Name: previous.Name, Stopped: reason.stopEvidence()}, e.tenureFor(reason))
+	e.runOwnership(ctx, record, answer.End, PreviousOwner{Name: previous.Name, Incarnation: previous.Incarnation, Stopped: reason.stopEvidence()}, e.tenureFor(reason))
 }
 
 // runOwnership runs an ownership until it ends, and then appends its release. It
 // does not hand over to a stronger entry before the tenure is over.
 func (e *Elector) runOwnership(ctx context.Context, record Record, end int64, previous PreviousOwner, tenure clock.Millis) {
-	e.owning.Store(true)
 	owning, stop := context.WithCancel(ctx)
 	group := new(errgroup.Group)
 	group.Go(func() error {
@@ -237,7 +241,7 @@
 	err := e.options.RunOwnership(owning, record.Epoch, previous)
 	stop()
 	_ = group.Wait() // the goroutine returns no error
-	e.owning.Store(false)
+	e.claimedEpoch.Store(0)
 	e.options.Logger.Info().Str("event", "ownership_ended").Str("cell", e.options.Cell).
 		Int64("epoch", record.Epoch).AnErr("cause", err).Send()
 	releaseCtx, cancel := context.WithTimeout(context.WithoutCancel(ctx), releaseTimeout.Duration())
--- a/internal/site/ownership/ownership_test.go
+++ b/internal/site/ownership/ownership_test.go
@@ -89,7 +89,7 @@
 	r.mu.Lock()
 	e := r.electors[to]
 	r.mu.Unlock()
-	answer := peer.PingAnswer{Owner: e.Owning(), Epoch: e.Current().Epoch, StateLoaded: true, Peers: r.entries()}
+	answer := peer.PingAnswer{Owner: e.ClaimedEpoch() != 0, Epoch: max(e.ClaimedEpoch(), e.Current().Epoch), StateLoaded: true, Peers: r.entries()}
 	if to == "a" {
 		answer.StoreAge = age
 	}
--- a/internal/site/ownership/watch.go
+++ b/internal/site/ownership/watch.go
@@ -47,21 +47,21 @@
 	previousProcess    claimReason = "owned by a previous process of this entry"
 	refusesConnections claimReason = "the owner cannot be reached"
 	notOwning          claimReason = "the owner has restarted"
+	otherEpoch         claimReason = "the owner's entry knows another owner"
 	unresponsive       claimReason = "the owner is unresponsive to all entries queried"
 	notLoaded          claimReason = "the owner has not loaded its state"
 	storeless          claimReason = "the owner is cut off from the store"
 )
 
 // stopEvidence returns how a reason shows that the previous owner sends no more
-// orders, or NotStopped.
+// orders, or NotStopped. That an earlier process of this entry owned the cell shows
+// nothing: it may be ending still.
 func (r claimReason) stopEvidence() owner.StopEvidence {
 	switch r {
 	case neverOwned:
 		return owner.NeverOwned
 	case released:
 		return owner.StopReleased
-	case previousProcess:
-		return owner.StopNewProcess
 	case notOwning:
 		return owner.StopNotOwning
 	default:
@@ -164,6 +164,9 @@
 			return refusesConnections
 		case err == nil && (!answer.Owner || answer.Epoch != record.Epoch):
 			e.logNotOwning(record, answer, now-started)
+			if answer.Epoch != record.Epoch {
+				return otherEpoch
+			}
 			return notOwning
 		case err == nil:
 			lastAnswer = now
@@ -184,8 +187,7 @@
 }
 
 // logNotOwning logs the answer by which the entry of the newest record is taken to
-// be no owner. An answer with an earlier epoch may come from an entry whose claim
-// has succeeded and which has not read that yet.
+// be no owner. An answer with another epoch may come from another process.
 func (e *Elector) logNotOwning(record Record, answer peer.PingAnswer, watched clock.Millis) {
 	e.options.Logger.Warn().Str("event", "owner_not_owning").Str("cell", e.options.Cell).Int64("epoch", record.Epoch).
 		Str("owner", record.Name).Bool("answered_owner", answer.Owner).Int64("answered_epoch", answer.Epoch).
@@ -214,7 +216,7 @@
 	ctx, cancel := context.WithTimeout(ctx, pingTimeout.Scale(e.timeoutFactor).Duration())
 	defer cancel()
 	return e.options.Ping(ctx, record.Address, peer.PingQuery{
-		Name: e.options.Name, Address: e.options.Address, Cores: e.options.Cores, KnownPeersHash: e.peersHash,
+		Name: e.options.Name, Incarnation: e.options.Incarnation, Address: e.options.Address, Epoch: record.Epoch, Cores: e.options.Cores, KnownPeersHash: e.peersHash,
 	})
 }
 
--- a/internal/site/peer/peer.go
+++ b/internal/site/peer/peer.go
@@ -63,12 +63,14 @@
 
 // PingQuery queries whether an entry owns the cell, and describes the sender.
 type PingQuery struct {
-	Name           string  `json:"name"`    // name of the sender
-	Address        string  `json:"address"` // listen address for peers
-	Cores          float64 `json:"cores"`   // processor cores available to it
-	Domain         string  `json:"domain"`  // failure domain
-	Links          bool    `json:"links"`   // serves as a link and is not leaving
-	KnownPeersHash uint64  `json:"known"`   // PeersHash of the sender's list of entries; 0 if it has none
+	Name           string  `json:"name"`        // name of the sender
+	Incarnation    string  `json:"incarnation"` // unique for each process of the sender; empty from an older version
+	Address        string  `json:"address"`     // listen address for peers
+	Epoch          int64   `json:"epoch"`       // epoch whose owner it pings; 0 from an older version
+	Cores          float64 `json:"cores"`       // processor cores available to it
+	Domain         string  `json:"domain"`      // failure domain
+	Links          bool    `json:"links"`       // serves as a link and is not leaving
+	KnownPeersHash uint64  `json:"known"`       // PeersHash of the sender's list of entries; 0 if it has none
 }
 
 // Entry describes another entry to an owner.
--- a/internal/site/runtime/runtime.go
+++ b/internal/site/runtime/runtime.go
@@ -261,6 +261,9 @@
 	return dump, dump.Epoch != 0
 }
 
+// Epoch returns the epoch of the ownership.
+func (r *Runtime) Epoch() int64 { return r.options.Epoch }
+
 // StoreAge returns the time since the newest confirmed append was sent, or false
 // if the state is not loaded.
 func (r *Runtime) StoreAge() (clock.Millis, bool) {
