Keep the wait for earlier owners when the previous one has stopped

Cause: that the previous owner has stopped shortened the wait for all unreachable workers to one lease, though it says nothing of the owner before it. An owner that is cut off with its failure domain renews leases there for 6 s; meanwhile a weak entry takes over and hands over to a stronger one after its first second. The third owner counted one lease from that hand-over.

Evidence: TestHandoverEndsNoRunOfCutOffOwner: the run went on for 2,950 ms after it had ended for the third owner; TestPreviousOwnerStoppedKeepsWaitForEarlierOwner: ended 6,650 ms after the second claim, 11,400 are promised.

Fix: the list of the previous owner names the workers with runs that it never reached, with the time to wait. Its stop shortens the wait of the others only.

--- a/internal/schedule/owner/unresponsive.go
+++ b/internal/schedule/owner/unresponsive.go
@@ -110,8 +110,9 @@
 	StopPingedOwner StopEvidence = "ping"       // it pinged this entry as the owner of the present epoch
 )
 
-// PreviousOwnerStopped records that the previous owner no longer renews leases: its
-// process has ended, or has acknowledged this owner.
+// PreviousOwnerStopped records that the previous owner no longer grants leases. That
+// says nothing of the owner before it, which may still renew leases on workers that
+// the previous owner never reached; its list names these, with the time to wait.
 func (o *Owner) PreviousOwnerStopped(by StopEvidence) {
 	if !o.beginInput() || !o.unresponsiveListCurrent || o.previousOwnerStopped {
 		return
@@ -121,7 +122,7 @@
 		Int64("after_ms", int64(o.now-o.claimedAt)).Int64("since_fence_ms", int64(age(o.fencedAt, o.now))).
 		Str("by", string(by)).Str("name", o.options.PreviousOwner).Send()
 	for _, w := range o.sortedWorkers {
-		if w.lastReportAt == 0 {
+		if w.lastReportAt == 0 && w.recordedRest == notListed {
 			w.limitRunsEnd(proof{evidence: evidencePreviousOwnerStopped, at: o.now}, o.maxLeaseSpan())
 		}
 	}
