Stop runs whose start may have reached the next incarnation of their worker

Cause: a worker starts again under its id, and an order goes to the id. A start that was under way, or repeated, during the restart is executed by the new incarnation. The owner ended all runs that it had placed on the earlier one, but for those with an unanswered start, and started them elsewhere.

Fix: a run with a start under way is stopped before it is ended, and so is one whose start was answered by a clock behind the last reading. A run that the new incarnation's report lists, as running or ended, belongs to it.

--- a/internal/schedule/owner/orders.go
+++ b/internal/schedule/owner/orders.go
@@ -55,6 +55,7 @@
 func (o *Owner) sendStart(r *run) {
 	w := r.worker
 	r.startsSent++
+	r.startsOpen++
 	r.orderSentAt = o.now
 	o.options.Effects.Start(fleet.Start{
 		To: w.address(), Task: r.task.key(), Run: r.runNumber, Text: r.task.job.spec.Text,
@@ -82,6 +83,7 @@
 	if answer.Outcome == fleet.Unanswered {
 		o.addUncertainStart(order, r)
 	}
+	o.noteStartAnswer(r, answer)
 	if r == nil || r.stage != stageOrdered || r.worker.id != order.To.ID {
 		return
 	}
@@ -99,6 +101,18 @@
 	}
 }
 
+// noteStartAnswer counts an answered start. A clock behind the worker's last reading
+// comes from a later incarnation, which may have started the run as well.
+func (o *Owner) noteStartAnswer(r *run, answer fleet.Answer) {
+	if r == nil {
+		return
+	}
+	r.startsOpen--
+	if answer.Outcome == fleet.Accepted && answer.ClockMS != 0 && answer.ClockMS < r.worker.clockMS {
+		r.startUnanswered = true
+	}
+}
+
 // addUncertainStart adds an unanswered start, which may still be executed, to
 // its worker's state. If its run is no longer current, the incarnation stays 0, so that
 // it is stopped in any incarnation: no current run can be affected.
--- a/internal/schedule/owner/report.go
+++ b/internal/schedule/owner/report.go
@@ -58,8 +58,25 @@
 	w.nextHoldAt = o.now + clock.Second
 }
 
+// adoptRuns moves runs that were placed on an earlier incarnation to the reporting
+// one if it lists them: their start reached it.
+func (o *Owner) adoptRuns(w *worker, report fleet.Report) {
+	adopt := func(task job.Task, number int) {
+		if r := o.currentRun(task, number); r != nil && r.worker == w {
+			r.incarnation = max(r.incarnation, report.Incarnation)
+		}
+	}
+	for _, row := range report.Running {
+		adopt(row.Task, row.Run)
+	}
+	for _, end := range report.Ended {
+		adopt(end.Task, end.Run)
+	}
+}
+
 // handleReport applies a worker's report.
 func (o *Owner) handleReport(w *worker, report fleet.Report) {
+	o.adoptRuns(w, report)
 	if report.Incarnation > w.incarnation {
 		o.workerRestarted(w, report.Incarnation, evidenceWorkerRestartedReported)
 	}
--- a/internal/schedule/owner/state.go
+++ b/internal/schedule/owner/state.go
@@ -78,6 +78,7 @@
 	stage           stage
 	startUnanswered bool         // a start order got no answer, so the run may begin late
 	startsSent      int          // start orders sent
+	startsOpen      int          // start orders sent and not answered yet
 	orderSentAt     clock.Millis // when the newest start or stop order was sent; 0: never
 	confirmedAt     clock.Millis // when the start, or in stageStopped the stop, was confirmed
 	startedAt       clock.Millis // when the first start order was sent; inherited runs: when confirmed
--- a/internal/schedule/owner/workers.go
+++ b/internal/schedule/owner/workers.go
@@ -197,13 +197,12 @@
 }
 
 // endRunsOfOldIncarnations ends the runs of a worker's earlier incarnations.
-// Runs with an unanswered start order are stopped, so that they cannot begin in
-// the new incarnation.
+// Runs with a start order that may reach the new incarnation are stopped there.
 func (o *Owner) endRunsOfOldIncarnations(w *worker) {
 	for _, r := range w.sortedRuns() {
 		switch {
 		case r.incarnation >= w.incarnation:
-		case r.startUnanswered:
+		case r.startUnanswered || r.startsOpen > 0:
 			o.stopRun(r, "worker restarted")
 		default:
 			o.endRun(r, endWorkerRestarted, w.restartProof(), "")
