Judge a worker by no answer of another one, or of an earlier incarnation

A 421 ended all runs of a worker, and one to a stop its run, also if the order had gone to an address that the worker had left: another worker answers there. And a late report of an earlier incarnation set the clock, the leases and the number of ends of the present one. Both are misses now, and the stop is repeated at the present address.

--- a/internal/schedule/owner/orders.go
+++ b/internal/schedule/owner/orders.go
@@ -229,12 +229,12 @@
 	if r == nil || r.stage != stageStopping || r.worker.id != order.To.ID {
 		return
 	}
-	switch answer.Outcome {
-	case fleet.Accepted, fleet.RunSuperseded:
+	switch {
+	case answer.Outcome == fleet.Accepted || answer.Outcome == fleet.RunSuperseded:
 		r.stage = stageStopped
 		r.confirmedAt = o.now
 		r.worker.skipHoldWait = true
-	case fleet.OtherIncarnation:
+	case answer.Outcome == fleet.OtherIncarnation && order.To == r.worker.address():
 		o.endRun(r, endWorkerRestarted, proof{evidence: evidenceOtherIncarnation, at: r.orderSentAt}, "")
 	default:
 		o.timers.add(o.now+o.options.Times.OrderRetry, func() {
--- a/internal/schedule/owner/report.go
+++ b/internal/schedule/owner/report.go
@@ -16,12 +16,14 @@
 	if o.resignIfFenced("hold", id, report.Outcome) {
 		return
 	}
-	switch report.Outcome {
-	case fleet.Accepted:
+	switch {
+	case report.Outcome == fleet.Accepted && report.Incarnation != 0 && report.Incarnation < w.incarnation:
+		o.holdMissed(w, fleet.Unanswered) // a late report of an incarnation that has ended
+	case report.Outcome == fleet.Accepted:
 		o.handleReport(w, report)
-	case fleet.OtherIncarnation:
+	case report.Outcome == fleet.OtherIncarnation && w.holdAddress == w.entry.Address:
 		o.incarnationReplaced(w)
-	default:
+	default: // another worker at an address that this one has left is no evidence on it
 		o.holdMissed(w, report.Outcome)
 	}
 }
