Forget the list of workers when its reader ends

An entry that owned the cell before used the list of that time until the store answered again: addresses in it may belong to other workers by then.

--- a/internal/site/roster/roster.go
+++ b/internal/site/roster/roster.go
@@ -57,14 +57,16 @@
 	return f
 }
 
-// Since returns the list if it is newer than the version given.
+// Since returns the list if one is known and newer than the version given.
 func (w *Watcher) Since(version int64) (runtime.Workers, bool) {
 	current := *w.current.Load()
-	return current, current.Version > version
+	return current, current.Entries != nil && current.Version > version
 }
 
-// Serve follows the topic until the context ends.
+// Serve follows the topic until the context ends. The list is unknown from then on:
+// addresses in it may belong to other workers when it is used next.
 func (w *Watcher) Serve(ctx context.Context) error {
+	defer func() { w.current.Store(&runtime.Workers{Version: w.current.Load().Version}) }()
 	from, initialized := int64(0), false
 	for ctx.Err() == nil {
 		page := w.read(ctx, from, initialized)
