Simulate the steps of a takeover apart in time

Claim, fence, load and first hold are apart by drawn delays in hostile plays. The store accepts the previous owner's appends until the fence, and answers may arrive long after it. The present plays keep their one instant.

--- a/internal/schedule/owner/simulation_test.go
+++ b/internal/schedule/owner/simulation_test.go
@@ -35,9 +35,14 @@
 
 	// store
 	stored    map[string]journal.Record
-	epoch     int64
+	claims    int64 // owners that have claimed the cell
+	epoch     int64 // of the newest owner that has fenced the earlier ones
 	storeDown bool
 
+	// times between steps that are one instant by default
+	drawTakeover func() takeoverSteps // steps of a takeover; nil: at one instant
+	drawAppend   func() appendTimes   // nil: defaultAppendTimes
+
 	// fault injection, as probabilities
 	lostAnswers       float64 // orders that are executed, but whose answer is lost
 	lateOrders        float64 // orders that get no answer and are executed 2 to 12 s later
@@ -79,8 +84,11 @@
 	frozen           bool
 	down             bool
 	resigned         bool
-	delayedInputs    []func() // inputs that arrived while frozen
-	storeUnreachable bool     // its appends do not reach the store
+	loaded           bool         // the recorded state is loaded
+	claimedAt        clock.Millis // when it claimed the cell
+	fencedAt         clock.Millis // when the store accepted its fence; 0: not yet
+	delayedInputs    []func()     // inputs that arrived while frozen or before the state was loaded
+	storeUnreachable bool         // its appends do not reach the store
 }
 
 var testQueue = manifest.Queue{
@@ -137,54 +145,38 @@
 	sim.now = end
 }
 
-// simOwner starts a new owner, which claims the cell, loads its state, and
-// ticks until it is down.
+// simOwner starts a new owner, which claims the cell, fences the previous owners,
+// loads its state, and ticks until it is down.
 func (sim *simulation) simOwner() *simOwner {
-	s := &simOwner{epoch: sim.epoch + 1}
-	sim.epoch = s.epoch
+	sim.claims++
+	s := &simOwner{epoch: sim.claims, claimedAt: sim.now}
 	sim.owners = append(sim.owners, s)
 	s.owner = New(Options{
 		Epoch: s.epoch, Now: func() clock.Millis { return sim.now }, WallClock: func() int64 { return 1_700_000_000_000 + int64(sim.now) },
 		Times: sim.times, Log: sim.log.With().Int64("epoch", s.epoch).Logger(), Metrics: NewMetrics(metrics.NewSet()),
-		Effects: Effects{
-			Append: func(records []journal.Record) { sim.append(s, records) },
-			Start: func(order fleet.Start) {
-				sim.order(s, order.To, func(m *simWorker) func() { return sim.executeStart(s, m, order) }, func() { s.owner.Started(order, fleet.Answer{Outcome: fleet.Unanswered}) })
-			},
-			Stop: func(order fleet.Stop) {
-				sim.order(s, order.To, func(m *simWorker) func() {
-					answer := m.Stop(order, sim.now)
-					return func() { s.owner.Stopped(order, answer) }
-				}, func() { s.owner.Stopped(order, fleet.Answer{Outcome: fleet.Unanswered}) })
-			},
-			Pace:   func(fleet.Pace) {},
-			Hold:   func(order fleet.Hold) { sim.deliverHold(s, order) },
-			Resign: func(string) { s.resigned = true },
-		},
+		Effects: sim.effects(s),
 	})
-	if err := s.owner.Load(sim.records()); err != nil {
-		sim.t.Fatal(err)
-	}
-	s.owner.SetManifest(sim.tables)
-	if len(sim.owners) > 1 && sim.owners[len(sim.owners)-2].down {
-		s.owner.PreviousOwnerStopped()
-	}
-	const loadTime = 40 // ms between a claim and the first tick
-	sim.at(loadTime, func() { sim.tick(s) })
+	sim.takeOver(s)
 	return s
 }
 
-func (sim *simulation) records() []journal.Stored {
-	keys := make([]string, 0, len(sim.stored))
-	for key := range sim.stored {
-		keys = append(keys, key)
-	}
-	slices.Sort(keys)
-	var records []journal.Stored
-	for _, key := range keys {
-		records = append(records, journal.Stored{Record: sim.stored[key]})
+// effects are the outputs of an owner.
+func (sim *simulation) effects(s *simOwner) Effects {
+	return Effects{
+		Append: func(records []journal.Record) { sim.append(s, records) },
+		Start: func(order fleet.Start) {
+			sim.order(s, order.To, func(m *simWorker) func() { return sim.executeStart(s, m, order) }, func() { s.owner.Started(order, fleet.Answer{Outcome: fleet.Unanswered}) })
+		},
+		Stop: func(order fleet.Stop) {
+			sim.order(s, order.To, func(m *simWorker) func() {
+				answer := m.Stop(order, sim.now)
+				return func() { s.owner.Stopped(order, answer) }
+			}, func() { s.owner.Stopped(order, fleet.Answer{Outcome: fleet.Unanswered}) })
+		},
+		Pace:   func(fleet.Pace) {},
+		Hold:   func(order fleet.Hold) { sim.deliverHold(s, order) },
+		Resign: func(string) { s.resigned = true },
 	}
-	return records
 }
 
 // tick delivers an owner's periodic inputs.
@@ -194,6 +186,9 @@
 	}
 	sim.deliver(s, func() {
 		s.owner.SetWorkers(sim.liveEntries())
+		if sim.drawTakeover != nil && sim.previousOwnerStopped(s) {
+			s.owner.PreviousOwnerStopped()
+		}
 		s.owner.Tick()
 	})
 	sim.at(25, func() { sim.tick(s) })
@@ -224,11 +219,12 @@
 	return workerIDs
 }
 
-// deliver passes an input to an owner, or queues it while the owner is frozen.
+// deliver passes an input to an owner, or queues it while the owner is frozen or
+// has not loaded its state.
 func (sim *simulation) deliver(s *simOwner, input func()) {
 	switch {
 	case s.down:
-	case s.frozen:
+	case s.frozen || !s.loaded:
 		if len(s.delayedInputs) < 2000 {
 			s.delayedInputs = append(s.delayedInputs, input)
 		}
@@ -241,6 +237,11 @@
 // unfreeze resumes a frozen owner, which then handles the queued inputs.
 func (sim *simulation) unfreeze(s *simOwner) {
 	s.frozen = false
+	sim.deliverDelayed(s)
+}
+
+// deliverDelayed passes the queued inputs to an owner.
+func (sim *simulation) deliverDelayed(s *simOwner) {
 	delayedInputs := s.delayedInputs
 	s.delayedInputs = nil
 	for _, action := range delayedInputs {
@@ -248,42 +249,6 @@
 	}
 }
 
-// append stores records if the owner's epoch is the newest.
-func (sim *simulation) append(s *simOwner, records []journal.Record) {
-	if sim.storeDown || s.storeUnreachable {
-		sim.at(100, func() { sim.retryAppend(s, records) })
-		return
-	}
-	sim.at(4, func() {
-		if s.epoch < sim.epoch {
-			sim.at(4, func() { sim.deliver(s, func() { s.owner.Appended(journal.Superseded) }) })
-			return
-		}
-		sim.storeRecords(records)
-		delay := clock.Millis(4)
-		if sim.rng.Float64() < sim.lostAppendAnswers {
-			delay = 400 // the retry is answered like the first append
-		}
-		sim.at(delay, func() { sim.deliver(s, func() { s.owner.Appended(journal.Done) }) })
-	})
-}
-
-func (sim *simulation) retryAppend(s *simOwner, records []journal.Record) {
-	if !s.down {
-		sim.append(s, records)
-	}
-}
-
-func (sim *simulation) storeRecords(records []journal.Record) {
-	for _, record := range records {
-		if record.Value == nil {
-			delete(sim.stored, record.Key)
-			continue
-		}
-		sim.stored[record.Key] = record
-	}
-}
-
 // order delivers an order to a worker, subject to the injected faults. execute
 // carries the order out and returns a function that delivers its answer.
 func (sim *simulation) order(s *simOwner, to fleet.Address, execute func(*simWorker) func(), unanswered func()) {
