Simulate runs that are longer than leases

Hostile plays draw runs of up to 12 s and long-running tasks that run until they are cancelled or end by themselves. Duplicate runs are looked for at each start and each hold. A violation that is seen again at a later moment is recorded once, so that others fit into the list.

--- a/internal/schedule/owner/hostile_test.go
+++ b/internal/schedule/owner/hostile_test.go
@@ -2,18 +2,31 @@
 
 import (
 	"flag"
+	"fmt"
+	"maps"
+	"slices"
 	"testing"
 
 	"github.com/google/go-cmp/cmp"
 
 	"github.com/oriolepier/oriolepier/internal/base/clock"
+	"github.com/oriolepier/oriolepier/internal/schedule/fleet"
+	"github.com/oriolepier/oriolepier/internal/schedule/job"
+	standin "github.com/oriolepier/oriolepier/internal/standin/worker"
 )
 
 // hostileSeeds is the number of seeds of each hostile play.
 var hostileSeeds = flag.Int("seeds", 1, "seeds of each hostile play")
 
-// hostileFaultWindow is the time in which the faults of a hostile play begin.
-const hostileFaultWindow = 12 * clock.Second
+// Times of a hostile play.
+const (
+	hostileJobs                     = 48
+	hostileJobPeriod   clock.Millis = 350                // between submissions
+	hostileFaultWindow clock.Millis = 14 * clock.Second  // in which faults begin
+	hostileCancelAt    clock.Millis = 60 * clock.Second  // when long-running jobs are cancelled
+	hostileLength      clock.Millis = 110 * clock.Second // when all jobs must be final
+	hostileCheckPeriod clock.Millis = 150                // between checks for duplicate runs beside those at each event
+)
 
 // newHostileSimulation returns a simulation in which the steps of a takeover are
 // apart in time.
@@ -22,22 +35,76 @@
 	sim := newSimulation(t, seed, workers)
 	sim.drawTakeover = sim.drawSteps
 	sim.drawAppend = sim.drawAppendTimes
+	sim.drawWork = sim.drawLongWork
 	return sim
 }
 
+// drawLongWork draws a run of up to 12 s, which is longer than two leases. Half of
+// the long-running tasks run until they are stopped, and half of them end by
+// themselves.
+func (sim *simulation) drawLongWork(task job.Task) standin.Work {
+	const minLength, maxLength, maxLasting = 200, 12_000, 25_000
+	lasting := sim.specs[task.Job].Steps[task.Step].Lasting
+	switch {
+	case lasting && sim.rng.IntN(2) == 0:
+		return standin.Work{Room: fleet.Room{MilliCPU: 1000, MemoryMB: 1000}}
+	case lasting:
+		return sim.work(clock.Millis(minLength + sim.rng.IntN(maxLasting)))
+	case sim.rng.IntN(3) > 0:
+		return sim.drawShortWork(task)
+	default:
+		return sim.work(clock.Millis(minLength + sim.rng.IntN(maxLength-minLength)))
+	}
+}
+
+// lastingJob draws a job of long-running tasks.
+func (sim *simulation) lastingJob(number int) job.Spec {
+	return job.Spec{ID: job.ID(fmt.Sprintf("%016x", number)), Queue: "q", Text: "x", Steps: []job.Step{{
+		Count: 1 + sim.rng.IntN(4), MilliCPU: 1000, MemoryMB: 1000, Lasting: true,
+	}}}
+}
+
+// submitHostile submits the jobs of a hostile play, one in six of them long-running,
+// and cancels those before the end.
+func (sim *simulation) submitHostile() {
+	for i := range hostileJobs {
+		number := i + 1
+		sim.at(clock.Millis(i)*hostileJobPeriod, func() {
+			if number%6 == 0 {
+				sim.submit(sim.currentOwner(), sim.lastingJob(number))
+				return
+			}
+			sim.submit(sim.currentOwner(), sim.randomJob(number))
+		})
+	}
+	sim.at(hostileCancelAt, sim.cancelLasting)
+}
+
+// cancelLasting cancels the long-running jobs, again while that is not confirmed.
+func (sim *simulation) cancelLasting() {
+	pending := false
+	for _, id := range slices.Sorted(maps.Keys(sim.accepted)) {
+		if _, cancelled := sim.cancelled[id]; !cancelled && sim.specs[id].Steps[0].Lasting {
+			pending = true
+			sim.cancel(sim.currentOwner(), id)
+		}
+	}
+	if pending {
+		sim.at(clock.Second, sim.cancelLasting)
+	}
+}
+
 // simulateHostile plays faults as simulateFaults does, in a hostile simulation.
 func simulateHostile(t *testing.T, seed uint64, injections ...fault) *simulation {
 	t.Helper()
 	sim := newHostileSimulation(t, seed, 9)
 	sim.simOwner()
-	for i := range 48 {
-		sim.at(clock.Millis(i)*250, func() { sim.submit(sim.currentOwner(), sim.randomJob(i+1)) })
-	}
+	sim.submitHostile()
 	sim.injectWithin(hostileFaultWindow, injections)
-	for i := range 400 {
-		sim.at(clock.Millis(i)*150, sim.checkDuplicateRuns)
+	for at := clock.Millis(0); at < hostileLength; at += hostileCheckPeriod {
+		sim.at(at, sim.checkDuplicateRuns)
 	}
-	sim.run(60 * clock.Second)
+	sim.run(hostileLength)
 	sim.checkFinalStates(sim.currentOwner())
 	return sim
 }
--- a/internal/schedule/owner/invariants_test.go
+++ b/internal/schedule/owner/invariants_test.go
@@ -7,10 +7,12 @@
 	"github.com/oriolepier/oriolepier/internal/schedule/job"
 )
 
-// violationf records a violated invariant, up to 20 of them.
+// violationf records a violated invariant when it is first seen, up to 20 of them.
 func (sim *simulation) violationf(format string, values ...any) {
-	if len(sim.faults) < 20 {
-		sim.faults = append(sim.faults, fmt.Sprintf("%6d ", sim.now)+fmt.Sprintf(format, values...))
+	text := fmt.Sprintf(format, values...)
+	if len(sim.faults) < 20 && !sim.seenFaults[text] {
+		sim.seenFaults[text] = true
+		sim.faults = append(sim.faults, fmt.Sprintf("%6d ", sim.now)+text)
 	}
 }
 
--- a/internal/schedule/owner/simulation_test.go
+++ b/internal/schedule/owner/simulation_test.go
@@ -49,6 +49,7 @@
 	lostAppendAnswers float64 // appends that are stored, but whose first answer is lost
 	failingRuns       float64 // runs that fail
 	orderLatency      clock.Millis
+	drawWork          func(task job.Task) standin.Work // work of a run
 
 	// observations
 	accepted           map[job.ID]bool
@@ -58,6 +59,7 @@
 	completionRecorded map[job.Task]bool // a worker knows that the completion of a run of it is recorded
 	specs              map[job.ID]job.Spec
 	faults             []string
+	seenFaults         map[string]bool // faults without their time
 }
 
 // simWorker is a worker with the faults of its connection to the owner.
@@ -100,10 +102,11 @@
 	sim := &simulation{
 		t: t, rng: rand.New(rand.NewPCG(seed, 17)), now: clock.Hour, workers: map[string]*simWorker{},
 		stored: map[string]journal.Record{}, accepted: map[job.ID]bool{}, refused: map[job.ID]bool{},
-		cancelled: map[job.ID]clock.Millis{}, done: map[job.Task]bool{}, completionRecorded: map[job.Task]bool{}, specs: map[job.ID]job.Spec{},
+		cancelled: map[job.ID]clock.Millis{}, done: map[job.Task]bool{}, completionRecorded: map[job.Task]bool{}, specs: map[job.ID]job.Spec{}, seenFaults: map[string]bool{},
 		orderLatency: 5, times: DefaultTimes(standin.MaxLease, 120*clock.Second),
 		log: zerolog.Nop(),
 	}
+	sim.drawWork = sim.drawShortWork
 	sim.tables = manifest.New(1, []manifest.Queue{testQueue}, []manifest.Pool{{Name: "pool", RefusesOvercommit: true}}, manifest.Limits{})
 	for i := range workers {
 		id := fmt.Sprintf("w%02d-%c", i, 'a'+byte(i%3))
@@ -112,7 +115,7 @@
 			Room: fleet.Room{MilliCPU: 8000, MemoryMB: 16000}, Labels: []string{"a"},
 		}, sim.now)}
 		simulated.SlowClock = i%2 == 0
-		simulated.DrawWork = sim.drawWork
+		simulated.DrawWork = func(task job.Task) standin.Work { return sim.drawWork(task) }
 		simulated.OnEnd = func(task job.Task, cause fleet.EndCause) { sim.done[task] = sim.done[task] || cause == fleet.EndDone }
 		simulated.OnAcknowledged = func(task job.Task) { sim.completionRecorded[task] = true }
 		sim.workers[id] = simulated
@@ -120,10 +123,15 @@
 	return sim
 }
 
-// drawWork draws the length of a run and whether it fails.
-func (sim *simulation) drawWork(job.Task) standin.Work {
+// drawShortWork draws a run shorter than a lease, and whether it fails.
+func (sim *simulation) drawShortWork(job.Task) standin.Work {
+	return sim.work(200 + clock.Millis(sim.rng.IntN(1500)))
+}
+
+// work returns the work of a run of a length, and draws whether it fails.
+func (sim *simulation) work(length clock.Millis) standin.Work {
 	return standin.Work{
-		Length: 200 + clock.Millis(sim.rng.IntN(1500)), Fails: sim.rng.Float64() < sim.failingRuns,
+		Length: length, Fails: sim.rng.Float64() < sim.failingRuns,
 		Room: fleet.Room{MilliCPU: 1000, MemoryMB: 1000},
 	}
 }
@@ -322,6 +330,7 @@
 		}
 		m.Advance(sim.now)
 		first := m.Hold(order, sim.now)
+		sim.checkDuplicateRuns()
 		wait := min(clock.Millis(order.WaitMS), 100)
 		if len(first.Ended) > 0 || first.Outcome != fleet.Accepted {
 			wait = 0
