Simulate pauses of the owner between any two of its outputs

What the owner had decided before a pause is delivered after it, with what it carried; inputs queue up, and a tick may come before them. The freeze of owner_frozen is now one of several that may overlap.

--- a/internal/schedule/owner/faults_test.go
+++ b/internal/schedule/owner/faults_test.go
@@ -99,9 +99,8 @@
 		sim.startOwnerAfter(1200)
 	}},
 	{name: "owner_frozen", description: "the owner stands still for 4 s and goes on with what it was doing; another claims after 1.5 s", begin: func(sim *simulation, s *simOwner) {
-		s.frozen = true
 		sim.startOwnerAfter(1500)
-		sim.at(4000, func() { sim.unfreeze(s) })
+		sim.freeze(s, 4000)
 	}},
 	{name: "owner_cut_from_store", description: "the owner reaches workers and not the store; another claims after 1.8 s", begin: func(sim *simulation, s *simOwner) {
 		s.storeUnreachable = true
--- a/internal/schedule/owner/hostile_test.go
+++ b/internal/schedule/owner/hostile_test.go
@@ -123,11 +123,14 @@
 	}
 }
 
+// hostileFaults are the faults of hostile plays beside those of all plays.
+var hostileFaults = []fault{ownerPaused}
+
 // TestHostileFaults plays each fault, and a takeover from a live owner, in a hostile
 // simulation.
 func TestHostileFaults(t *testing.T) {
 	takeover := fault{name: "takeover", begin: func(sim *simulation, _ *simOwner) { sim.startOwnerAfter(0) }}
-	for _, injected := range faults {
+	for _, injected := range slices.Concat(faults, hostileFaults) {
 		t.Run(injected.name, func(t *testing.T) {
 			t.Parallel()
 			for seed := range uint64(*hostileSeeds) {
--- a/internal/schedule/owner/simulation_test.go
+++ b/internal/schedule/owner/simulation_test.go
@@ -83,13 +83,17 @@
 type simOwner struct {
 	owner            *Owner
 	epoch            int64
-	frozen           bool
+	frozen           bool // it stands still
+	freezes          int  // freezes that have not ended
+	effectsToPause   int  // effects until it is paused; 0: no pause is planned
+	pauseLength      clock.Millis
 	down             bool
 	resigned         bool
 	loaded           bool         // the recorded state is loaded
 	claimedAt        clock.Millis // when it claimed the cell
 	fencedAt         clock.Millis // when the store accepted its fence; 0: not yet
 	delayedInputs    []func()     // inputs that arrived while frozen or before the state was loaded
+	delayedEffects   []func()     // outputs that it had not delivered when it was paused
 	storeUnreachable bool         // its appends do not reach the store
 }
 
@@ -168,22 +172,15 @@
 	return s
 }
 
-// effects are the outputs of an owner.
+// effects are the outputs of an owner, which a pause may delay.
 func (sim *simulation) effects(s *simOwner) Effects {
 	return Effects{
-		Append: func(records []journal.Record) { sim.append(s, records) },
-		Start: func(order fleet.Start) {
-			sim.order(s, order.To, func(m *simWorker) func() { return sim.executeStart(s, m, order) }, func() { s.owner.Started(order, fleet.Answer{Outcome: fleet.Unanswered}) })
-		},
-		Stop: func(order fleet.Stop) {
-			sim.order(s, order.To, func(m *simWorker) func() {
-				answer := m.Stop(order, sim.now)
-				return func() { s.owner.Stopped(order, answer) }
-			}, func() { s.owner.Stopped(order, fleet.Answer{Outcome: fleet.Unanswered}) })
-		},
+		Append: func(records []journal.Record) { sim.emit(s, func() { sim.append(s, records) }) },
+		Start:  func(order fleet.Start) { sim.emit(s, func() { sim.deliverStart(s, order) }) },
+		Stop:   func(order fleet.Stop) { sim.emit(s, func() { sim.deliverStop(s, order) }) },
 		Pace:   func(fleet.Pace) {},
-		Hold:   func(order fleet.Hold) { sim.deliverHold(s, order) },
-		Resign: func(string) { s.resigned = true },
+		Hold:   func(order fleet.Hold) { sim.emit(s, func() { sim.deliverHold(s, order) }) },
+		Resign: func(string) { sim.emit(s, func() { s.resigned = true }) },
 	}
 }
 
@@ -192,16 +189,18 @@
 	if s.down {
 		return
 	}
-	sim.deliver(s, func() {
-		s.owner.SetWorkers(sim.liveEntries())
-		if sim.drawTakeover != nil && sim.previousOwnerStopped(s) {
-			s.owner.PreviousOwnerStopped()
-		}
-		s.owner.Tick()
-	})
+	sim.deliver(s, func() { sim.periodicInputs(s) })
 	sim.at(25, func() { sim.tick(s) })
 }
 
+func (sim *simulation) periodicInputs(s *simOwner) {
+	s.owner.SetWorkers(sim.liveEntries())
+	if sim.drawTakeover != nil && sim.previousOwnerStopped(s) {
+		s.owner.PreviousOwnerStopped()
+	}
+	s.owner.Tick()
+}
+
 // entryPeriod is the time between writes of a worker's entry.
 const entryPeriod clock.Millis = 1100
 
@@ -238,25 +237,14 @@
 		}
 	default:
 		input()
+		if s.frozen { // paused within the input
+			s.delayedInputs = slices.Insert(s.delayedInputs, 0, s.owner.Flush)
+			return
+		}
 		s.owner.Flush()
 	}
 }
 
-// unfreeze resumes a frozen owner, which then handles the queued inputs.
-func (sim *simulation) unfreeze(s *simOwner) {
-	s.frozen = false
-	sim.deliverDelayed(s)
-}
-
-// deliverDelayed passes the queued inputs to an owner.
-func (sim *simulation) deliverDelayed(s *simOwner) {
-	delayedInputs := s.delayedInputs
-	s.delayedInputs = nil
-	for _, action := range delayedInputs {
-		sim.deliver(s, action)
-	}
-}
-
 // order delivers an order to a worker, subject to the injected faults. execute
 // carries the order out and returns a function that delivers its answer.
 func (sim *simulation) order(s *simOwner, to fleet.Address, execute func(*simWorker) func(), unanswered func()) {
@@ -298,6 +286,21 @@
 	})
 }
 
+// deliverStart delivers a start order to a worker.
+func (sim *simulation) deliverStart(s *simOwner, order fleet.Start) {
+	sim.order(s, order.To, func(m *simWorker) func() { return sim.executeStart(s, m, order) }, func() {
+		s.owner.Started(order, fleet.Answer{Outcome: fleet.Unanswered})
+	})
+}
+
+// deliverStop delivers a stop order to a worker.
+func (sim *simulation) deliverStop(s *simOwner, order fleet.Stop) {
+	sim.order(s, order.To, func(m *simWorker) func() {
+		answer := m.Stop(order, sim.now)
+		return func() { s.owner.Stopped(order, answer) }
+	}, func() { s.owner.Stopped(order, fleet.Answer{Outcome: fleet.Unanswered}) })
+}
+
 // executeStart executes a start order and checks the invariants for the new
 // run.
 func (sim *simulation) executeStart(s *simOwner, m *simWorker, order fleet.Start) func() {
