Simulate entries that carry orders, in the same play as the owner

Hostile plays have five entries; three carry an owner's orders. Each has its own reach of the workers, pauses, delays, and cuts towards the owner in either direction. Orders overtake each other, an earlier owner's link goes on until a newer owner's first order, and an owner calls workers itself when a link fails.

--- a/internal/schedule/owner/hostile_test.go
+++ b/internal/schedule/owner/hostile_test.go
@@ -36,6 +36,7 @@
 	sim.drawTakeover = sim.drawSteps
 	sim.drawAppend = sim.drawAppendTimes
 	sim.drawWork = sim.drawLongWork
+	sim.addEntries()
 	return sim
 }
 
@@ -124,7 +125,7 @@
 }
 
 // hostileFaults are the faults of hostile plays beside those of all plays.
-var hostileFaults = []fault{ownerPaused}
+var hostileFaults = slices.Concat([]fault{ownerPaused}, linkFaults)
 
 // TestHostileFaults plays each fault, and a takeover from a live owner, in a hostile
 // simulation.
--- a/internal/schedule/owner/simulation_pause_test.go
+++ b/internal/schedule/owner/simulation_pause_test.go
@@ -71,7 +71,17 @@
 	if sim.rng.IntN(2) == 0 {
 		s.delayedInputs = append(s.delayedInputs, func() { sim.periodicInputs(s) })
 	}
-	sim.freeze(s, s.pauseLength)
+	if entry := sim.entryOf(s); entry != nil {
+		sim.pauseEntry(entry, s.pauseLength)
+		return
+	}
+	sim.freezeUntilNoticed(s, s.pauseLength)
+}
+
+// freezeUntilNoticed freezes an owner. Another one claims if that lasts long enough
+// to be noticed.
+func (sim *simulation) freezeUntilNoticed(s *simOwner, length clock.Millis) {
+	sim.freeze(s, length)
 	sim.at(noticeDelay+clock.Millis(sim.rng.IntN(600)), func() {
 		if s.frozen && s == sim.currentOwner() {
 			sim.simOwner()
--- a/internal/schedule/owner/simulation_test.go
+++ b/internal/schedule/owner/simulation_test.go
@@ -28,6 +28,7 @@
 	events     timerHeap
 	eventCount int
 	workers    map[string]*simWorker
+	entries    []*simEntry // through which orders travel; none: owners reach the workers themselves
 	tables     manifest.Manifest
 	owners     []*simOwner
 	log        zerolog.Logger
@@ -89,12 +90,13 @@
 	pauseLength      clock.Millis
 	down             bool
 	resigned         bool
-	loaded           bool         // the recorded state is loaded
-	claimedAt        clock.Millis // when it claimed the cell
-	fencedAt         clock.Millis // when the store accepted its fence; 0: not yet
-	delayedInputs    []func()     // inputs that arrived while frozen or before the state was loaded
-	delayedEffects   []func()     // outputs that it had not delivered when it was paused
-	storeUnreachable bool         // its appends do not reach the store
+	loaded           bool                    // the recorded state is loaded
+	claimedAt        clock.Millis            // when it claimed the cell
+	fencedAt         clock.Millis            // when the store accepted its fence; 0: not yet
+	delayedInputs    []func()                // inputs that arrived while frozen or before the state was loaded
+	delayedEffects   []func()                // outputs that it had not delivered when it was paused
+	storeUnreachable bool                    // its appends do not reach the store
+	directUntil      map[string]clock.Millis // until when it calls a worker itself, by the worker's id
 }
 
 var testQueue = manifest.Queue{
@@ -161,7 +163,7 @@
 // loads its state, and ticks until it is down.
 func (sim *simulation) simOwner() *simOwner {
 	sim.claims++
-	s := &simOwner{epoch: sim.claims, claimedAt: sim.now}
+	s := &simOwner{epoch: sim.claims, claimedAt: sim.now, directUntil: map[string]clock.Millis{}}
 	sim.owners = append(sim.owners, s)
 	s.owner = New(Options{
 		Epoch: s.epoch, Now: func() clock.Millis { return sim.now }, WallClock: func() int64 { return 1_700_000_000_000 + int64(sim.now) },
@@ -247,7 +249,11 @@
 
 // order delivers an order to a worker, subject to the injected faults. execute
 // carries the order out and returns a function that delivers its answer.
-func (sim *simulation) order(s *simOwner, to fleet.Address, execute func(*simWorker) func(), unanswered func()) {
+func (sim *simulation) order(s *simOwner, to fleet.Address, execute func(*simWorker) func(), unanswered, notSent func()) {
+	if len(sim.entries) > 0 {
+		sim.orderByEntries(s, to, execute, unanswered, notSent)
+		return
+	}
 	m := sim.workers[to.ID]
 	if m == nil || m.down || !m.reachable {
 		sim.at(400, func() { sim.deliver(s, unanswered) })
@@ -288,17 +294,23 @@
 
 // deliverStart delivers a start order to a worker.
 func (sim *simulation) deliverStart(s *simOwner, order fleet.Start) {
-	sim.order(s, order.To, func(m *simWorker) func() { return sim.executeStart(s, m, order) }, func() {
-		s.owner.Started(order, fleet.Answer{Outcome: fleet.Unanswered})
-	})
+	failed := func(outcome fleet.Outcome) func() {
+		return func() { s.owner.Started(order, fleet.Answer{Outcome: outcome}) }
+	}
+	execute := func(m *simWorker) func() { return sim.executeStart(s, m, order) }
+	sim.order(s, order.To, execute, failed(fleet.Unanswered), failed(fleet.NotSent))
 }
 
 // deliverStop delivers a stop order to a worker.
 func (sim *simulation) deliverStop(s *simOwner, order fleet.Stop) {
-	sim.order(s, order.To, func(m *simWorker) func() {
+	failed := func(outcome fleet.Outcome) func() {
+		return func() { s.owner.Stopped(order, fleet.Answer{Outcome: outcome}) }
+	}
+	execute := func(m *simWorker) func() {
 		answer := m.Stop(order, sim.now)
 		return func() { s.owner.Stopped(order, answer) }
-	}, func() { s.owner.Stopped(order, fleet.Answer{Outcome: fleet.Unanswered}) })
+	}
+	sim.order(s, order.To, execute, failed(fleet.Unanswered), failed(fleet.NotSent))
 }
 
 // executeStart executes a start order and checks the invariants for the new
@@ -314,6 +326,10 @@
 
 // deliverHold delivers a hold to a worker, which reports after its wait.
 func (sim *simulation) deliverHold(s *simOwner, order fleet.Hold) {
+	if len(sim.entries) > 0 {
+		sim.holdByEntries(s, order)
+		return
+	}
 	m := sim.workers[order.To.ID]
 	noAnswer := func() { s.owner.Report(order.To.ID, fleet.Report{Outcome: fleet.Unanswered}) }
 	if m == nil || m.down || !m.reachable {
