Check leases from outside of the owners in hostile plays

At each grant, each durable list of unresponsive workers and each lapse, the simulation compares the worker's real lease with what the records and the fence promise to the next owner, and names the evidence that was wrong. No run may be called over while it executes, nor begin after that.

--- a/internal/schedule/owner/hostile_test.go
+++ b/internal/schedule/owner/hostile_test.go
@@ -5,18 +5,20 @@
 	"fmt"
 	"maps"
 	"slices"
+	"strings"
 	"testing"
 
-	"github.com/google/go-cmp/cmp"
-
 	"github.com/oriolepier/oriolepier/internal/base/clock"
 	"github.com/oriolepier/oriolepier/internal/schedule/fleet"
 	"github.com/oriolepier/oriolepier/internal/schedule/job"
 	standin "github.com/oriolepier/oriolepier/internal/standin/worker"
 )
 
-// hostileSeeds is the number of seeds of each hostile play.
-var hostileSeeds = flag.Int("seeds", 1, "seeds of each hostile play")
+// Flags for runs by hand.
+var (
+	hostileSeeds = flag.Int("seeds", 1, "seeds of each hostile play")
+	traceHostile = flag.Bool("trace", false, "print the logs of the owners of a hostile play that breaks a rule")
+)
 
 // Times of a hostile play.
 const (
@@ -37,6 +39,7 @@
 	sim.drawAppend = sim.drawAppendTimes
 	sim.drawWork = sim.drawLongWork
 	sim.addEntries()
+	sim.audit.enabled = true
 	return sim
 }
 
@@ -116,7 +119,10 @@
 	for _, injected := range injections {
 		begin := 1500 + clock.Millis(sim.rng.IntN(int(window)))
 		if injected.begin != nil {
-			sim.at(begin, func() { injected.begin(sim, sim.currentOwner()) })
+			sim.at(begin, func() {
+				sim.tracef("fault %s begins", injected.name)
+				injected.begin(sim, sim.currentOwner())
+			})
 		}
 		if injected.end != nil {
 			sim.at(begin+1000+clock.Millis(sim.rng.IntN(6000)), func() { injected.end(sim) })
@@ -124,6 +130,14 @@
 	}
 }
 
+// report fails the test of a play that broke a rule.
+func (sim *simulation) report(seed uint64) {
+	sim.t.Helper()
+	if len(sim.faults) > 0 {
+		sim.t.Errorf("seed %d: invariants violated:\n%s\n%s", seed, strings.Join(sim.faults, "\n"), strings.Join(sim.trace, "\n"))
+	}
+}
+
 // hostileFaults are the faults of hostile plays beside those of all plays.
 var hostileFaults = slices.Concat([]fault{ownerPaused}, linkFaults)
 
@@ -135,10 +149,7 @@
 		t.Run(injected.name, func(t *testing.T) {
 			t.Parallel()
 			for seed := range uint64(*hostileSeeds) {
-				sim := simulateHostile(t, seed, injected, takeover)
-				if diff := cmp.Diff([]string(nil), sim.faults); diff != "" {
-					t.Errorf("seed %d: invariants violated (-want +got):\n%s", seed, diff)
-				}
+				simulateHostile(t, seed, injected, takeover).report(seed)
 			}
 		})
 	}
--- a/internal/schedule/owner/simulation_entries_test.go
+++ b/internal/schedule/owner/simulation_entries_test.go
@@ -230,7 +230,7 @@
 
 func (sim *simulation) newHoldCall(s *simOwner, order fleet.Hold) *simCall {
 	return sim.newCall(s, order.To, func(m *simWorker, answer func(func())) {
-		first := m.Hold(order, sim.now)
+		first := sim.executeHold(m, order)
 		sim.waitAndReport(s, m, order, first, sim.now+clock.Millis(order.WaitMS), answer)
 	})
 }
@@ -247,7 +247,7 @@
 			return
 		}
 		m.Advance(sim.now)
-		sim.waitAndReport(s, m, order, m.Hold(order, sim.now), until, answer)
+		sim.waitAndReport(s, m, order, sim.executeHold(m, order), until, answer)
 	})
 }
 
--- a/internal/schedule/owner/simulation_store_test.go
+++ b/internal/schedule/owner/simulation_store_test.go
@@ -31,6 +31,7 @@
 			return
 		}
 		sim.storeRecords(records)
+		sim.auditRecords(records)
 		delay := times.answer
 		if sim.rng.Float64() < sim.lostAppendAnswers {
 			delay = 400 // the retry is answered like the first append
--- a/internal/schedule/owner/simulation_takeover_test.go
+++ b/internal/schedule/owner/simulation_takeover_test.go
@@ -73,6 +73,7 @@
 		sim.t.Fatal(err)
 	}
 	s.loaded = true
+	sim.auditLoad(s)
 	s.owner.SetManifest(sim.tables)
 	if sim.previousOwnerStopped(s) {
 		s.owner.PreviousOwnerStopped()
--- a/internal/schedule/owner/simulation_test.go
+++ b/internal/schedule/owner/simulation_test.go
@@ -31,8 +31,9 @@
 	entries    []*simEntry // through which orders travel; none: owners reach the workers themselves
 	tables     manifest.Manifest
 	owners     []*simOwner
-	log        zerolog.Logger
 	times      Times
+	audit      *leaseAudit
+	trace      []string
 
 	// store
 	stored    map[string]journal.Record
@@ -71,12 +72,16 @@
 	unlisted       bool         // its entry has expired
 	lastEntry      fleet.Entry  // entry as last written
 	entryWrittenAt clock.Millis // when it was written
+	leaseUntil     int64        // end of the longest lease that it accepted, on its clock
+	audit          *leaseAudit
 }
 
 // restart begins a new incarnation, whose entry is written entryPeriod later.
 func (m *simWorker) restart(now clock.Millis) {
 	m.down = false
 	m.Restart(now)
+	m.leaseUntil = 0
+	delete(m.audit.grants, m.Entry.ID)
 	m.entryWrittenAt = now
 }
 
@@ -110,13 +115,13 @@
 		stored: map[string]journal.Record{}, accepted: map[job.ID]bool{}, refused: map[job.ID]bool{},
 		cancelled: map[job.ID]clock.Millis{}, done: map[job.Task]bool{}, completionRecorded: map[job.Task]bool{}, specs: map[job.ID]job.Spec{}, seenFaults: map[string]bool{},
 		orderLatency: 5, times: DefaultTimes(standin.MaxLease, 120*clock.Second),
-		log: zerolog.Nop(),
+		audit: newLeaseAudit(),
 	}
 	sim.drawWork = sim.drawShortWork
 	sim.tables = manifest.New(1, []manifest.Queue{testQueue}, []manifest.Pool{{Name: "pool", RefusesOvercommit: true}}, manifest.Limits{})
 	for i := range workers {
 		id := fmt.Sprintf("w%02d-%c", i, 'a'+byte(i%3))
-		simulated := &simWorker{reachable: true, Worker: standin.New(fleet.Entry{
+		simulated := &simWorker{reachable: true, audit: sim.audit, Worker: standin.New(fleet.Entry{
 			ID: id, Service: "pool", Address: id + ":1", Domain: "d-" + id[len(id)-1:],
 			Room: fleet.Room{MilliCPU: 8000, MemoryMB: 16000}, Labels: []string{"a"},
 		}, sim.now)}
@@ -167,7 +172,7 @@
 	sim.owners = append(sim.owners, s)
 	s.owner = New(Options{
 		Epoch: s.epoch, Now: func() clock.Millis { return sim.now }, WallClock: func() int64 { return 1_700_000_000_000 + int64(sim.now) },
-		Times: sim.times, Log: sim.log.With().Int64("epoch", s.epoch).Logger(), Metrics: NewMetrics(metrics.NewSet()),
+		Times: sim.times, Log: zerolog.New(&ownerLog{sim: sim, owner: s}).With().Int64("epoch", s.epoch).Logger(), Metrics: NewMetrics(metrics.NewSet()),
 		Effects: sim.effects(s),
 	})
 	sim.takeOver(s)
@@ -178,10 +183,16 @@
 func (sim *simulation) effects(s *simOwner) Effects {
 	return Effects{
 		Append: func(records []journal.Record) { sim.emit(s, func() { sim.append(s, records) }) },
-		Start:  func(order fleet.Start) { sim.emit(s, func() { sim.deliverStart(s, order) }) },
-		Stop:   func(order fleet.Stop) { sim.emit(s, func() { sim.deliverStop(s, order) }) },
-		Pace:   func(fleet.Pace) {},
-		Hold:   func(order fleet.Hold) { sim.emit(s, func() { sim.deliverHold(s, order) }) },
+		Start: func(order fleet.Start) {
+			sim.checkGrant(s, order.To, order.UntilMS, "start")
+			sim.emit(s, func() { sim.deliverStart(s, order) })
+		},
+		Stop: func(order fleet.Stop) { sim.emit(s, func() { sim.deliverStop(s, order) }) },
+		Pace: func(fleet.Pace) {},
+		Hold: func(order fleet.Hold) {
+			sim.checkGrant(s, order.To, order.UntilMS, "hold")
+			sim.emit(s, func() { sim.deliverHold(s, order) })
+		},
 		Resign: func(string) { sim.emit(s, func() { s.resigned = true }) },
 	}
 }
@@ -318,12 +329,25 @@
 func (sim *simulation) executeStart(s *simOwner, m *simWorker, order fleet.Start) func() {
 	before := m.Running(order.Task)
 	answer := m.Start(order, sim.now)
+	if answer.Outcome != fleet.Fenced && answer.Outcome != fleet.LeaseExpired {
+		m.extendLease(sim.now, order.UntilMS)
+	}
 	if number := m.Running(order.Task); number != 0 && number != before {
 		sim.checkStart(m, order)
+		sim.checkBeginsInTime(m, order)
 	}
 	return func() { s.owner.Started(order, answer) }
 }
 
+// executeHold executes a hold.
+func (sim *simulation) executeHold(m *simWorker, order fleet.Hold) fleet.Report {
+	report := m.Hold(order, sim.now)
+	if report.Outcome == fleet.Accepted && order.UntilMS > 0 {
+		m.extendLease(sim.now, order.UntilMS)
+	}
+	return report
+}
+
 // deliverHold delivers a hold to a worker, which reports after its wait.
 func (sim *simulation) deliverHold(s *simOwner, order fleet.Hold) {
 	if len(sim.entries) > 0 {
@@ -348,7 +372,7 @@
 			return
 		}
 		m.Advance(sim.now)
-		first := m.Hold(order, sim.now)
+		first := sim.executeHold(m, order)
 		sim.checkDuplicateRuns()
 		wait := min(clock.Millis(order.WaitMS), 100)
 		if len(first.Ended) > 0 || first.Outcome != fleet.Accepted {
@@ -356,7 +380,7 @@
 		}
 		sim.at(wait, func() {
 			m.Advance(sim.now)
-			report := m.Hold(order, sim.now)
+			report := sim.executeHold(m, order)
 			sim.at(sim.orderLatency, func() {
 				if !m.reachable {
 					noAnswer := noAnswer
