--- a/internal/schedule/owner/lease_invariants_test.go
+++ b/internal/schedule/owner/lease_invariants_test.go
@@ -5,6 +5,8 @@
 	"encoding/json"
 	"fmt"
 
+	"github.com/rs/zerolog"
+
 	"github.com/oriolepier/oriolepier/internal/base/clock"
 	"github.com/oriolepier/oriolepier/internal/base/codec"
 	"github.com/oriolepier/oriolepier/internal/schedule/fleet"
@@ -182,6 +184,15 @@
 	owner *simOwner
 }
 
+// logOf returns the log of an owner, which is read in plays that check its
+// conclusions.
+func (sim *simulation) logOf(s *simOwner) zerolog.Logger {
+	if !sim.audit.enabled {
+		return zerolog.Nop()
+	}
+	return zerolog.New(&ownerLog{sim: sim, owner: s})
+}
+
 // Write implements io.Writer.
 func (l *ownerLog) Write(line []byte) (int, error) {
 	l.sim.tracef("owner %d: %s", l.owner.epoch, bytes.TrimSpace(line))
