--- a/internal/schedule/owner/simulation_pause_test.go
+++ b/internal/schedule/owner/simulation_pause_test.go
@@ -64,13 +64,8 @@
 // claims the cell of an owner that does not answer.
 const noticeDelay clock.Millis = 900
 
-// pause freezes an owner between two of its outputs. Another owner claims if that
-// lasts long enough to be noticed. Half of the time, a tick is the first input that
-// the owner handles afterwards.
+// pause freezes an owner between two of its outputs.
 func (sim *simulation) pause(s *simOwner) {
-	if sim.rng.IntN(2) == 0 {
-		s.delayedInputs = append(s.delayedInputs, func() { sim.periodicInputs(s) })
-	}
 	if entry := sim.entryOf(s); entry != nil {
 		sim.pauseEntry(entry, s.pauseLength)
 		return
@@ -79,8 +74,12 @@
 }
 
 // freezeUntilNoticed freezes an owner. Another one claims if that lasts long enough
-// to be noticed.
+// to be noticed. Half of the time, a tick is the first input that the owner handles
+// afterwards.
 func (sim *simulation) freezeUntilNoticed(s *simOwner, length clock.Millis) {
+	if sim.rng.IntN(2) == 0 {
+		s.delayedInputs = append(s.delayedInputs, func() { sim.periodicInputs(s) })
+	}
 	sim.freeze(s, length)
 	sim.at(noticeDelay+clock.Millis(sim.rng.IntN(600)), func() {
 		if s.frozen && s == sim.currentOwner() {
--- a/internal/schedule/owner/simulation_test.go
+++ b/internal/schedule/owner/simulation_test.go
@@ -205,7 +205,9 @@
 	if s.down {
 		return
 	}
-	sim.deliver(s, func() { sim.periodicInputs(s) })
+	if !s.frozen || sim.drawTakeover == nil { // a real ticker drops ticks that nobody takes
+		sim.deliver(s, func() { sim.periodicInputs(s) })
+	}
 	sim.at(25, func() { sim.tick(s) })
 }
 
