--- /dev/null
+++ b/internal/schedule/owner/lease_regressions_test.go
@@ -0,0 +1,88 @@
+package owner
+
+import (
+	"testing"
+
+	"github.com/oriolepier/oriolepier/internal/base/clock"
+	"github.com/oriolepier/oriolepier/internal/schedule/fleet"
+	"github.com/oriolepier/oriolepier/internal/schedule/job"
+	standin "github.com/oriolepier/oriolepier/internal/standin/worker"
+)
+
+// noLimit is a time after the end of a play.
+const noLimit = clock.Hour
+
+// newLeaseSimulation returns a simulation of three workers whose tasks run until they
+// are stopped, with an owner that has loaded its state, and starts fifteen of them.
+func newLeaseSimulation(t *testing.T) (*simulation, *simOwner) {
+	t.Helper()
+	sim := newSimulation(t, 1, 3)
+	sim.addEntries()
+	sim.audit.enabled = true
+	sim.drawWork = func(job.Task) standin.Work { return standin.Work{Room: fleet.Room{MilliCPU: 1000, MemoryMB: 1000}} }
+	owner := sim.simOwner()
+	sim.callsDirectly(owner)
+	sim.drawTakeover = func() takeoverSteps { return takeoverSteps{fence: 10, load: 10, firstTick: 10} }
+	for i := range 5 {
+		sim.at(clock.Millis(200+100*i), func() { sim.submit(owner, sim.leaseJob(i+1)) })
+	}
+	return sim, owner
+}
+
+// callsDirectly makes an owner call all workers without links.
+func (sim *simulation) callsDirectly(s *simOwner) {
+	for _, id := range sim.workerIDs() {
+		sim.callDirectly(s, id, noLimit)
+	}
+}
+
+// leaseJob returns a job of three long-running tasks.
+func (sim *simulation) leaseJob(number int) job.Spec {
+	spec := sim.lastingJob(number)
+	spec.Steps[0].Count = 3
+	return spec
+}
+
+// spreadJob returns a long-running job with one task on each worker.
+func (sim *simulation) spreadJob(number int) job.Spec {
+	spec := sim.leaseJob(number)
+	spec.Steps[0].PerWorker = 1
+	return spec
+}
+
+// isolate cuts an owner and a worker off from the store, the other workers and the
+// other entries. They still reach each other.
+func (sim *simulation) isolate(s *simOwner, worker string) {
+	s.storeUnreachable = true
+	sim.cutOff(worker, sim.entryOf(s))
+	sim.callsDirectly(s)
+	for _, id := range sim.workerIDs() {
+		sim.entryOf(s).unreachable[id] = id != worker
+	}
+}
+
+// cutOff makes a worker unreachable from all entries but one.
+func (sim *simulation) cutOff(worker string, except *simEntry) {
+	for _, entry := range sim.entries {
+		entry.unreachable[worker] = entry != except
+	}
+}
+
+// playLeases runs a play of leases and fails its test if a rule is broken.
+func (sim *simulation) playLeases(length clock.Millis) {
+	sim.t.Helper()
+	for at := clock.Millis(0); at < length; at += 50 {
+		sim.at(at, sim.checkDuplicateRuns)
+	}
+	sim.run(length)
+	sim.report(1)
+}
+
+// The list that the previous owner records after the claim counts from its record.
+func TestRecordedRestOutlivesFenceDelay(t *testing.T) {
+	sim, _ := newLeaseSimulation(t)
+	sim.drawTakeover = func() takeoverSteps { return takeoverSteps{fence: 3000, load: 10, firstTick: 10} }
+	sim.at(3000, func() { sim.simOwner() })
+	sim.at(3400, func() { sim.workers["w01-b"].reachable = false })
+	sim.playLeases(20 * clock.Second)
+}
