--- a/internal/schedule/owner/lease_regressions_test.go
+++ b/internal/schedule/owner/lease_regressions_test.go
@@ -86,3 +86,12 @@
 	sim.at(3400, func() { sim.workers["w01-b"].reachable = false })
 	sim.playLeases(20 * clock.Second)
 }
+
+// The previous owner renews leases for the renew window from its last append before the fence.
+func TestRenewWindowOutlivesFenceDelay(t *testing.T) {
+	sim, first := newLeaseSimulation(t)
+	sim.drawTakeover = func() takeoverSteps { return takeoverSteps{fence: 3000, load: 10, firstTick: 10} }
+	sim.at(3000, func() { sim.simOwner() })
+	sim.at(5900, func() { sim.isolate(first, "w01-b") })
+	sim.playLeases(25 * clock.Second)
+}
