--- a/internal/schedule/owner/lease_regressions_test.go
+++ b/internal/schedule/owner/lease_regressions_test.go
@@ -95,3 +95,12 @@
 	sim.at(5900, func() { sim.isolate(first, "w01-b") })
 	sim.playLeases(25 * clock.Second)
 }
+
+// That the directly preceding owner has stopped says nothing of the one before it.
+func TestLeaseOfOwnerBeforeTheReleasedOne(t *testing.T) {
+	sim, first := newLeaseSimulation(t)
+	sim.at(3000, func() { sim.isolate(first, "w01-b") })
+	sim.at(4000, func() { sim.simOwner() })
+	sim.at(5200, func() { sim.releaseOnceListed(sim.currentOwner()) })
+	sim.playLeases(25 * clock.Second)
+}
