--- a/internal/schedule/owner/lease_regressions_test.go
+++ b/internal/schedule/owner/lease_regressions_test.go
@@ -104,3 +104,36 @@
 	sim.at(5200, func() { sim.releaseOnceListed(sim.currentOwner()) })
 	sim.playLeases(25 * clock.Second)
 }
+
+// A start between a worker's report and the record of its delisting grants a lease.
+func TestStartBeforeDelistingIsRecorded(t *testing.T) {
+	sim, first := newLeaseSimulation(t)
+	m := sim.workers["w01-b"]
+	started := job.Task{Job: "0000000000000009", Index: 1}
+	sim.drawAppend = func() appendTimes {
+		if w := first.owner.workers[m.Entry.ID]; w != nil && !w.unresponsive && !w.delistingRecorded {
+			return appendTimes{request: 300, answer: 300}
+		}
+		return defaultAppendTimes
+	}
+	sim.at(3000, func() { m.reachable = false })
+	sim.at(5900, func() {
+		sim.submit(first, sim.spreadJob(9))
+		m.reachable = true
+	})
+	sim.whenTrue(func() bool { return m.Running(started) != 0 }, func() {
+		first.down = true
+		sim.cutOff(m.Entry.ID, nil)
+		sim.simOwner()
+	})
+	sim.playLeases(25 * clock.Second)
+}
+
+// whenTrue carries out an action at the first millisecond at which a condition holds.
+func (sim *simulation) whenTrue(holds func() bool, action func()) {
+	if holds() {
+		action()
+		return
+	}
+	sim.at(1, func() { sim.whenTrue(holds, action) })
+}
