--- a/internal/schedule/owner/lease_regressions_test.go
+++ b/internal/schedule/owner/lease_regressions_test.go
@@ -137,3 +137,24 @@
 	}
 	sim.at(1, func() { sim.whenTrue(holds, action) })
 }
+
+// A start that is repeated after its worker is listed extends the lease there.
+func TestRepeatedStartOnListedWorker(t *testing.T) {
+	sim, first := newLeaseSimulation(t)
+	m := sim.workers["w01-b"]
+	const untilMiss = 1150 // from a hold whose answer is lost until shortly before it counts as missed
+	sim.at(3000, func() {
+		m.losesAnswers = true
+		holdSentAt := first.owner.workers[m.Entry.ID].holdSentAt
+		sim.at(holdSentAt+untilMiss-sim.now, func() { sim.submit(first, sim.spreadJob(9)) })
+	})
+	listed := func() bool { return sim.audit.rest[m.Entry.ID] != 0 && sim.now > clock.Hour+3000 }
+	sim.whenTrue(listed, func() {
+		sim.freeze(first, 3*clock.Second)
+		sim.at(900, func() {
+			sim.cutOff(m.Entry.ID, sim.entryOf(first))
+			sim.simOwner()
+		})
+	})
+	sim.playLeases(25 * clock.Second)
+}
