--- a/internal/schedule/owner/lease_regressions_test.go
+++ b/internal/schedule/owner/lease_regressions_test.go
@@ -158,3 +158,18 @@
 	})
 	sim.playLeases(25 * clock.Second)
 }
+
+// A start after a late acknowledgement grants a lease beyond the renew window.
+func TestStartAfterThawOutlivesRenewWindow(t *testing.T) {
+	sim, first := newLeaseSimulation(t)
+	sim.at(2980, func() {
+		sim.drawAppend = func() appendTimes { return appendTimes{request: 4, answer: 100} }
+		sim.submit(first, sim.spreadJob(9))
+	})
+	sim.at(3000, func() {
+		sim.freeze(first, 9*clock.Second)
+		sim.isolate(first, "w01-b")
+		sim.simOwner()
+	})
+	sim.playLeases(25 * clock.Second)
+}
