--- a/internal/schedule/owner/lease_regressions_test.go
+++ b/internal/schedule/owner/lease_regressions_test.go
@@ -173,3 +173,18 @@
 	})
 	sim.playLeases(25 * clock.Second)
 }
+
+// A start that reaches a newer incarnation than the owner knows begins a run there.
+func TestStartReachesUnknownIncarnation(t *testing.T) {
+	sim, first := newLeaseSimulation(t)
+	m := sim.workers["w01-b"]
+	sim.at(1500, func() { sim.cancel(first, "0000000000000001") })
+	sim.at(3000, func() { m.down = true })
+	sim.at(3300, func() {
+		m.restart(sim.now)
+		batch := sim.leaseJob(9)
+		batch.Steps[0].Count, batch.Steps[0].PerWorker, batch.Steps[0].Lasting = 5, 2, false
+		sim.submit(first, batch)
+	})
+	sim.playLeases(20 * clock.Second)
+}
