--- a/internal/site/linkshard/harness_test.go
+++ b/internal/site/linkshard/harness_test.go
@@ -41,6 +41,7 @@
 	unresponsive map[string]bool                 // the worker answers no calls
 	answerDelay  map[string]clock.Millis         // delay of the worker's answers
 	calls        []string                        // "entry worker kind"
+	acked        []string                        // "entry worker number" of the ends that holds acknowledge
 }
 
 // runWithLinks runs a scenario with the given number of links in each of two failure
@@ -101,6 +102,7 @@
 		Stop:  func(ctx context.Context, o fleet.Stop) fleet.Answer { return answer(ctx, o.To, "stop") },
 		Pace:  func(ctx context.Context, o fleet.Pace) fleet.Answer { return answer(ctx, o.To, "pace") },
 		Hold: func(ctx context.Context, o fleet.Hold) fleet.Report {
+			r.setFaults(func() { r.acked = append(r.acked, fmt.Sprint(address, " ", o.To.ID, " ", o.Acked)) })
 			return fleet.Report{Outcome: r.answerCall(ctx, address, o.To.ID, "hold")}
 		},
 	}})
@@ -227,7 +229,7 @@
 }
 
 // resetCalls deletes the recorded calls.
-func (r *harness) resetCalls() { r.setFaults(func() { r.calls = nil }) }
+func (r *harness) resetCalls() { r.setFaults(func() { r.calls, r.acked = nil, nil }) }
 
 // countCalls returns how often a call was recorded.
 func (r *harness) countCalls(call string) int {
@@ -244,9 +246,14 @@
 
 // hold sends a hold and returns the outcome and the time until the report.
 func (r *harness) hold(worker string) (fleet.Outcome, clock.Millis) {
+	return r.holdWith(fleet.Hold{To: fleet.Address{ID: worker}, WaitMS: 0})
+}
+
+// holdWith sends a hold and returns the outcome and how long that took.
+func (r *harness) holdWith(order fleet.Hold) (fleet.Outcome, clock.Millis) {
 	started := time.Now()
 	reports := make(chan fleet.Report, 2)
-	r.pool.Dispatch().Hold(fleet.Hold{To: fleet.Address{ID: worker}, WaitMS: 0}, func(report fleet.Report) { reports <- report })
+	r.pool.Dispatch().Hold(order, func(report fleet.Report) { reports <- report })
 	return (<-reports).Outcome, clock.FromDuration(time.Since(started))
 }
 
--- a/internal/site/linkshard/linkshard_test.go
+++ b/internal/site/linkshard/linkshard_test.go
@@ -152,6 +152,18 @@
 	})
 }
 
+// A worker may have restarted since the hold that its link left unanswered, and number
+// its ends anew.
+func TestHoldSentAgainAcknowledgesNoEnds(t *testing.T) {
+	runWithLinks(t, 1, func(r *harness) {
+		r.setFaults(func() { r.cutOff["a0"] = true })
+		r.holdWith(fleet.Hold{To: fleet.Address{ID: "w00"}, Acked: 7})
+		if diff := cmp.Diff([]string{"a0 w00 7", "owner w00 0"}, r.acked); diff != "" {
+			t.Errorf("acknowledged ends (-want +got):\n%s", diff)
+		}
+	})
+}
+
 // A retry of a start that a link left unanswered is sent from the owner's entry.
 func TestStartUnansweredByLinkIsRetriedDirectly(t *testing.T) {
 	runWithLinks(t, 1, func(r *harness) {
