Acknowledge no ends by a hold that is sent again

Cause: a hold whose link fails, or does not answer, is sent again from elsewhere with the number of the last end that is recorded. If the worker restarted meanwhile, it numbers its ends from the start again, and drops as many unread: their tasks, which are done, run a second time. The owner itself acknowledges nothing after a miss for this reason; links repeated it.

The simulated links of the hostile plays repeat holds as the product does.

--- a/internal/schedule/owner/simulation_entries_test.go
+++ b/internal/schedule/owner/simulation_entries_test.go
@@ -217,7 +217,7 @@
 			}
 			call.answered = true
 			recheck := order
-			recheck.WaitMS = 0
+			recheck.WaitMS, recheck.Acked = 0, 0
 			direct := sim.newHoldCall(s, recheck)
 			sim.at(entryCallTimeout, func() { direct.answer(missed) })
 			direct.callWorker(own, func(input func()) {
--- a/internal/site/linkshard/dispatch.go
+++ b/internal/site/linkshard/dispatch.go
@@ -66,10 +66,11 @@
 }
 
 // finishHold reports a hold that a link has answered or left unanswered. A hold whose
-// session was lost is dispatched again.
+// session was lost is dispatched again. A repeated hold acknowledges no ends: the
+// worker may have restarted since, and number its ends from the start again.
 func (p *Pool) finishHold(o fleet.Hold, end completion, report func(fleet.Report)) {
 	recheck := o
-	recheck.WaitMS = 0
+	recheck.WaitMS, recheck.Acked = 0, 0
 	switch {
 	case end.sessionLost:
 		p.hold(recheck, report)
