Add a soak of real processes that judges what workers executed

oriolepier soak runs entries (by the platform's settings file), the stand-in of the store and stand-ins of workers as separate processes. Proxies in front of the store (one for each entry), the workers (one for each worker and view of entries) and the owner's peer port delay, cut, lose and refuse; signals pause, kill and restart. The judge reads what workers executed and what callers were answered.

The stand-in of a worker ends runs and leases at their own times however late it is called, answers 421 for another id, lists at most 500 ends, and reports events.

--- a/internal/base/clock/boot.go
+++ b/internal/base/clock/boot.go
@@ -1,6 +1,8 @@
 package clock
 
 import (
+	"time"
+
 	"golang.org/x/sys/unix"
 )
 
@@ -16,6 +18,16 @@
 	}
 }
 
+// NewShared returns a clock like NewBoot whose readings can be compared between
+// the processes of one VM: the time since the VM booted.
+func NewShared() Clock {
+	return Clock{Now: bootMillis, Sleep: sleep, Pause: pause}
+}
+
+// UnixOffset returns what must be added to a reading of a clock to get Unix time in
+// milliseconds.
+func UnixOffset(c Clock) int64 { return time.Now().UnixMilli() - int64(c.Now()) }
+
 // bootMillis reads CLOCK_BOOTTIME, which does not fail on supported systems.
 func bootMillis() Millis {
 	var now unix.Timespec
--- a/internal/operator/command/command.go
+++ b/internal/operator/command/command.go
@@ -3,7 +3,7 @@
 //	args ──option.Parse──> command ──> files              check, explain
 //	                          ├──────> platform's store   publish, out, back, show
 //	                          ├──────> an entry           submit, status, cancel, dump
-//	                          └──────> Runners            serve, entry, demo, standin
+//	                          └──────> Runners            serve, entry, demo, soak, standin
 //
 // # Usage
 //
@@ -31,6 +31,7 @@
 	Entry   func(ctx context.Context, opts option.Options) error
 	Demo    func(ctx context.Context, opts option.Options) error
 	Standin func(ctx context.Context, opts option.Options) error
+	Soak    func(ctx context.Context, opts option.Options) error
 	// Store returns a client of the platform's store at the address.
 	Store func(address string) journal.Log
 }
@@ -78,7 +79,9 @@
 		return ses.runners.Entry(ctx, ses.opts)
 	case "demo":
 		return ses.runners.Demo(ctx, ses.opts)
-	case "standin store", "standin worker":
+	case "soak":
+		return ses.runners.Soak(ctx, ses.opts)
+	case "standin store", "standin worker", "standin workers":
 		return ses.runners.Standin(ctx, ses.opts)
 	case "check":
 		return ses.check()
--- a/internal/operator/option/option.go
+++ b/internal/operator/option/option.go
@@ -14,6 +14,7 @@
 	"net/netip"
 	"net/url"
 	"strings"
+	"time"
 
 	"github.com/jessevdk/go-flags"
 	"github.com/pkg/errors"
@@ -45,6 +46,7 @@
 	Dump    Dump       `command:"dump" description:"Print the state of an entry as JSON"`
 	Explain Explain    `command:"explain" description:"Print a job's life from log lines" long-description:"Reads log lines of all entries, from files or standard input, and prints in order what was decided about one job, by whom, and on what."`
 	Demo    Demo       `command:"demo" description:"Show the whole system in one process" long-description:"Runs entries in three failure domains with stand-ins for the platform, sends jobs and requests, takes a failure domain out and back, stops an entry, and prints what callers and workers saw as one JSON object on the last line."`
+	Soak    Soak       `command:"soak" description:"Run real processes under faults" long-description:"Runs entries and stand-ins of the platform as separate processes, injects faults from outside, and checks what workers executed and callers were answered. Prints one JSON object for each seed; the exit code is 1 if a promise was broken."`
 	Standin Standin    `command:"standin" description:"Run a stand-in of the platform, to try things out"`
 	Version Version    `command:"version" description:"Print the version"`
 }
@@ -130,15 +132,34 @@
 	Seed uint64 `long:"seed" value-name:"N" default:"1" description:"Seed of the work that is sent"`
 }
 
+// Soak are the flags of the command soak.
+type Soak struct {
+	Seed    uint64        `long:"seed" value-name:"N" default:"1" description:"First seed"`
+	Seeds   int           `long:"seeds" value-name:"M" default:"1" description:"Number of seeds, one after the other"`
+	For     time.Duration `long:"for" value-name:"D" default:"40s" description:"How long faults are injected for each seed"`
+	Entries int           `long:"entries" value-name:"E" default:"5" description:"Number of entries"`
+	Workers int           `long:"workers" value-name:"W" default:"24" description:"Number of workers"`
+	Links   string        `long:"links" value-name:"MODE" default:"seed" choice:"seed" choice:"on" choice:"off" description:"Whether the owner calls workers by way of other entries; seed: by the seed"`
+	Keep    string        `long:"keep" value-name:"DIR" description:"Directory for what is kept of broken seeds; a new temporary one if not given"`
+}
+
 // Standin are the subcommands of the command standin.
 type Standin struct {
 	Store  StandinStore  `command:"store" description:"Run the stand-in of the platform's store"`
 	Worker StandinWorker `command:"worker" description:"Run the stand-in of a worker"`
+	// Workers runs the workers of a soak.
+	Workers StandinWorkers `command:"workers" hidden:"true" description:"Run stand-ins of several workers"`
 }
 
 // StandinStore are the flags of the command standin store.
 type StandinStore struct {
-	Listen string `long:"listen" value-name:"IP:PORT" default:"127.0.0.1:0" description:"Where to answer"`
+	Listen   string       `long:"listen" value-name:"IP:PORT" default:"127.0.0.1:0" description:"Where to answer"`
+	ExpireMS clock.Millis `long:"expire-ms" value-name:"MS" default:"0" description:"Remove a worker's entry that has not been renewed for this long; 0: never"`
+}
+
+// StandinWorkers are the flags of the command standin workers.
+type StandinWorkers struct {
+	File string `long:"file" value-name:"FILE" required:"true" description:"JSON file that lists the workers"`
 }
 
 // StandinWorker are the flags of the command standin worker.
@@ -212,6 +233,8 @@
 		return opts.Status.EntryTarget.validate()
 	case "cancel":
 		return opts.Cancel.EntryTarget.validate()
+	case "soak":
+		return opts.Soak.validate()
 	case "dump":
 		return opts.Dump.EntryTarget.validate()
 	}
@@ -242,6 +265,13 @@
 	return nil
 }
 
+func (opts Soak) validate() error {
+	if opts.Seeds < 1 || opts.Entries < 2 || opts.Workers < 1 || opts.For <= 0 {
+		return errors.New("--seeds and --workers must be at least 1, --entries at least 2, and --for above 0")
+	}
+	return nil
+}
+
 func (opts Submit) validate() error {
 	if opts.Tasks < 1 || opts.MilliCores < 0 || opts.MemoryMB < 0 || opts.RunMS < 0 {
 		return errors.New("--tasks must be at least 1; --milli-cores, --memory-mb and --run-ms must not be negative")
--- /dev/null
+++ b/internal/operator/soak/deployment.go
@@ -0,0 +1,306 @@
+package soak
+
+import (
+	"context"
+	"encoding/json"
+	"fmt"
+	"net"
+	"net/http"
+	"os"
+	"path/filepath"
+	"strconv"
+	"syscall"
+	"time"
+
+	"github.com/pkg/errors"
+	"golang.org/x/sync/errgroup"
+
+	"github.com/oriolepier/oriolepier/internal/base/clock"
+	"github.com/oriolepier/oriolepier/internal/schedule/journal"
+	"github.com/oriolepier/oriolepier/internal/schedule/manifest"
+	"github.com/oriolepier/oriolepier/platform"
+)
+
+// Times of a deployment.
+const (
+	readyTimeout    clock.Millis = 60 * clock.Second
+	readyPoll       clock.Millis = 100
+	workerExpiry    clock.Millis = 1500 // three heartbeats of a stand-in
+	workerHeartbeat clock.Millis = 500
+	maxLease        clock.Millis = 6 * clock.Second
+	stopLimit       clock.Millis = 900
+	cancelLimit     clock.Millis = 3 * clock.Second
+	statusKept      clock.Millis = 10 * clock.Minute // final states are read at the end
+	gracePeriod     clock.Millis = 6 * clock.Second
+)
+
+// Parts of loopback addresses: 127.<base of the process>.<part>.<number>.
+const (
+	storePart  = 1
+	entryPart  = 2 // and following ones, each for addressesPerPart entries
+	groupPart  = 20
+	proxyPart  = 30 // and following ones, one for each view
+	firstBase  = 64
+	baseCount  = 150
+	perAddress = 200
+)
+
+// Names of the job API.
+const (
+	queueHost   = "soak.example"
+	queuePrefix = "/soak/"
+)
+
+// entry is the process of an entry with the proxies beside it.
+type entry struct {
+	*process
+	number  int
+	callers string // address for callers
+	control string // address for operators
+	store   *storeProxy
+	peers   *linkProxy // by which other entries reach it when they look for the owner
+}
+
+// workerGroup is a process that runs workers, with the proxies in front of it.
+type workerGroup struct {
+	*process
+	file    string
+	set     workerSet
+	store   *storeProxy
+	proxies [][]*linkProxy // by view, then by worker
+}
+
+// deployment is a running deployment.
+type deployment struct {
+	plan     plan
+	program  string
+	env      []string
+	dir      string
+	base     int
+	clock    clock.Clock
+	group    *errgroup.Group
+	store    *process
+	storeAt  string
+	log      journal.Log // of the store, without a proxy
+	entries  []*entry
+	groups   []*workerGroup
+	owners   *ownerWatch
+	schedule *schedule
+}
+
+// ip returns a loopback address of this soak.
+func (d *deployment) ip(part, number int) string {
+	return fmt.Sprintf("127.%d.%d.%d", d.base, part+number/perAddress, number%perAddress+1)
+}
+
+// freeAddress returns an address of an IP with a port that is not in use. Nothing
+// else binds ports of these addresses, so the port stays free.
+func freeAddress(ctx context.Context, ip string) (string, error) {
+	listener, err := new(net.ListenConfig).Listen(ctx, "tcp", net.JoinHostPort(ip, "0"))
+	if err != nil {
+		return "", errors.Wrap(err, "find a port")
+	}
+	defer func() { _ = listener.Close() }()
+	return listener.Addr().String(), nil
+}
+
+// newProcess returns a process of this program that is not started yet.
+func (d *deployment) newProcess(name string, args, env []string) *process {
+	return &process{
+		name: name, program: d.program, args: args, env: append(env, d.env...), output: filepath.Join(d.dir, name+".log"), clock: d.clock, group: d.group,
+	}
+}
+
+// start starts the stand-ins and the entries, and waits until the entries are ready.
+func (d *deployment) start(ctx context.Context) error {
+	if err := d.startStore(ctx); err != nil {
+		return err
+	}
+	rng := d.plan.newRand(1)
+	for number, workers := range d.plan.workerGroups(rng) {
+		if err := d.startGroup(ctx, number, workers); err != nil {
+			return err
+		}
+	}
+	d.owners = &ownerWatch{log: d.log, clock: d.clock}
+	d.group.Go(func() error { d.owners.serve(ctx); return nil })
+	for number := range d.plan.entries {
+		if err := d.addEntry(ctx, number); err != nil {
+			return err
+		}
+	}
+	views := d.workerViews()
+	peers := d.peerViews()
+	for _, e := range d.entries {
+		e.store.rewrite = d.rewriteFor(e, views, peers)
+		if err := e.start(); err != nil {
+			return err
+		}
+	}
+	return d.awaitReady(ctx)
+}
+
+func (d *deployment) startStore(ctx context.Context) error {
+	var err error
+	if d.storeAt, err = freeAddress(ctx, d.ip(storePart, 0)); err != nil {
+		return err
+	}
+	args := []string{"standin", "store", "--listen", d.storeAt, "--expire-ms", strconv.Itoa(int(workerExpiry))}
+	d.store = d.newProcess("store", args, nil)
+	if err := d.store.start(); err != nil {
+		return err
+	}
+	d.log = platform.NewStore(d.storeAt).Log()
+	record, err := platform.ManifestRecord(1, []manifest.Queue{{
+		Name: "soak", Host: queueHost, PathPrefix: queuePrefix, Pools: []string{poolName}, MaxFailures: 5,
+		ObjectiveFactor: 3, ObjectiveAllowance: 5 * clock.Second, Timeout: 3 * clock.Second,
+	}}, []manifest.Pool{{Name: poolName}})
+	if err != nil {
+		return err
+	}
+	for deadline := d.clock.Now() + readyTimeout; d.clock.Now() < deadline; {
+		answer := d.log.Append(ctx, journal.Append{Topic: platform.TopicOperator, ExpectedEnd: 0, Records: []journal.Record{record}})
+		if answer.Outcome == journal.Done || answer.Outcome == journal.EndMismatch {
+			return nil
+		}
+		if err := d.clock.Sleep(ctx, readyPoll); err != nil {
+			return err
+		}
+	}
+	return errors.New("the store does not answer")
+}
+
+func (d *deployment) startGroup(ctx context.Context, number int, workers []workerSetting) error {
+	name := fmt.Sprintf("workers-%02d", number)
+	g := &workerGroup{file: filepath.Join(d.dir, name+".json")}
+	var err error
+	if g.store, err = serveStoreProxy(ctx, d.ip(groupPart, number), d.storeAt, d.plan.seed+uint64(number), d.group); err != nil {
+		return err
+	}
+	g.set = workerSet{Store: g.store.address, Events: filepath.Join(d.dir, name+".events"), Workers: workers}
+	g.proxies = make([][]*linkProxy, d.plan.views())
+	for i := range workers {
+		if g.set.Workers[i].Listen, err = freeAddress(ctx, d.ip(groupPart, number)); err != nil {
+			return err
+		}
+		for view := range g.proxies {
+			proxy, err := newLinkProxy(ctx, d.ip(proxyPart+view, number), g.set.Workers[i].Listen, d.clock, d.group)
+			if err != nil {
+				return err
+			}
+			g.proxies[view] = append(g.proxies[view], proxy)
+		}
+	}
+	d.groups = append(d.groups, g)
+	g.process = d.newProcess(name, []string{"standin", "workers", "--file", g.file}, nil)
+	return g.launch()
+}
+
+// launch writes the file of a group and starts its process.
+func (g *workerGroup) launch() error {
+	data, err := json.Marshal(g.set)
+	if err != nil {
+		return errors.Wrap(err, "encode workers")
+	}
+	if err := os.WriteFile(g.file, data, 0o600); err != nil {
+		return errors.Wrap(err, "write workers")
+	}
+	return g.start()
+}
+
+// addEntry writes the settings of an entry and prepares its process.
+func (d *deployment) addEntry(ctx context.Context, number int) error {
+	name := fmt.Sprintf("entry-%03d", number)
+	ip := d.ip(entryPart, number)
+	e := &entry{number: number}
+	addresses := make([]string, 4)
+	var err error
+	for i := range addresses {
+		if addresses[i], err = freeAddress(ctx, ip); err != nil {
+			return err
+		}
+	}
+	if e.store, err = serveStoreProxy(ctx, ip, d.storeAt, d.plan.seed+uint64(number)<<8, d.group); err != nil {
+		return err
+	}
+	if e.peers, err = newLinkProxy(ctx, ip, addresses[3], d.clock, d.group); err != nil {
+		return err
+	}
+	e.callers, e.control = addresses[0], addresses[2]
+	_, port, err := net.SplitHostPort(addresses[3])
+	if err != nil {
+		return errors.Wrap(err, "split address")
+	}
+	peerPort, err := strconv.Atoi(port)
+	if err != nil {
+		return errors.Wrap(err, "parse port")
+	}
+	data, err := platform.EncodeSettings(platform.Settings{
+		Name: name, Role: "entry", Domain: domain(number), Domains: d.plan.domains(), IP: ip,
+		Consumer: e.callers, Ready: addresses[1], Control: e.control, Ports: platform.PortSpan{First: peerPort, Last: peerPort},
+		Store: platform.StoreSettings{Address: e.store.address}, Limits: platform.Limits{Cores: d.plan.cores},
+		Heartbeat: workerHeartbeat,
+		Bounds:    platform.Bounds{MaxLease: maxLease, Stop: stopLimit, Cancel: cancelLimit, StatusKept: statusKept, Grace: gracePeriod},
+	})
+	if err != nil {
+		return err
+	}
+	file := filepath.Join(d.dir, name+".yaml")
+	if err := os.WriteFile(file, data, 0o600); err != nil {
+		return errors.Wrap(err, "write settings")
+	}
+	e.process = d.newProcess(name, []string{"serve"}, []string{platform.SettingsEnvironment(file)})
+	d.entries = append(d.entries, e)
+	return nil
+}
+
+// awaitReady waits until all entries are ready.
+func (d *deployment) awaitReady(ctx context.Context) error {
+	client := &http.Client{Timeout: time.Second}
+	deadline := d.clock.Now() + readyTimeout
+	for _, e := range d.entries {
+		for !isReady(ctx, client, e.control) {
+			if d.clock.Now() > deadline {
+				return errors.Errorf("%s is not ready", e.name)
+			}
+			if err := d.clock.Sleep(ctx, readyPoll); err != nil {
+				return err
+			}
+		}
+	}
+	return nil
+}
+
+func isReady(ctx context.Context, client *http.Client, address string) bool {
+	request, err := http.NewRequestWithContext(ctx, http.MethodGet, "http://"+address+"/ready", nil)
+	if err != nil {
+		return false
+	}
+	response, err := client.Do(request)
+	if err != nil {
+		return false
+	}
+	defer func() { _ = response.Body.Close() }()
+	return response.StatusCode == http.StatusOK
+}
+
+// stop kills all processes, and ends the proxies.
+func (d *deployment) stop() {
+	for _, e := range d.entries {
+		e.process.stop(syscall.SIGKILL)
+		e.peers.close()
+	}
+	for _, g := range d.groups {
+		if g.process != nil {
+			g.process.stop(syscall.SIGKILL)
+		}
+		for _, view := range g.proxies {
+			for _, proxy := range view {
+				proxy.close()
+			}
+		}
+	}
+	if d.store != nil {
+		d.store.stop(syscall.SIGKILL)
+	}
+}
--- /dev/null
+++ b/internal/operator/soak/fault_owner.go
@@ -0,0 +1,165 @@
+package soak
+
+import (
+	"context"
+	"slices"
+	"syscall"
+
+	"golang.org/x/sync/errgroup"
+
+	"github.com/oriolepier/oriolepier/internal/base/clock"
+)
+
+// Times of a change of the owner.
+const (
+	ownerChangeTimeout clock.Millis = 9 * clock.Second // until another entry must have claimed
+	ownerChangePoll    clock.Millis = 20
+	fenceDelayed       clock.Millis = 6 * clock.Second // how long a new owner's calls are delayed
+)
+
+// changeOwner makes the owner lose the cell, dead or alive, and at times cuts
+// workers off around that moment and delays the new owner between its claim and its
+// first append.
+func (c *chaos) changeOwner(ctx context.Context) error {
+	owner := c.findOwner()
+	if owner == nil {
+		return nil
+	}
+	var parts errgroup.Group
+	lead := clock.Millis(0)
+	if c.chance(c.plan.aimed) {
+		x, before := c.drawAimedCut(owner)
+		lead = max(before, 0)
+		parts.Go(func() error {
+			c.wait(ctx, max(-before, 0))
+			c.apply(ctx, x)
+			return nil
+		})
+	}
+	slowSuccessor := c.chance(60)
+	fault := storeFault{topic: cellTopic, before: c.between(200, 3000)}
+	if c.chance(30) {
+		fault = storeFault{topic: cellTopic, after: c.between(200, 3000)}
+	}
+	action := c.rng.IntN(7)
+	killSuccessor := c.chance(15)
+	c.wait(ctx, lead)
+	if slowSuccessor {
+		c.slowOthers(owner, fault)
+	}
+	parts.Go(func() error { return c.depose(ctx, owner, action) })
+	c.awaitOtherOwner(ctx, owner)
+	if successor := c.findOwner(); killSuccessor && successor != nil && successor != owner {
+		c.wait(ctx, 150)
+		parts.Go(func() error { return c.restartEntry(ctx, successor, syscall.SIGKILL, 500) })
+	}
+	if slowSuccessor {
+		c.wait(ctx, fenceDelayed)
+		c.slowOthers(owner, storeFault{})
+	}
+	return parts.Wait()
+}
+
+// findOwner returns the entry that owns the cell, or nil.
+func (c *chaos) findOwner() *entry {
+	current := c.owners.current()
+	index := slices.IndexFunc(c.entries, func(e *entry) bool { return e.name == current.Entry })
+	if index < 0 || current.Released {
+		return nil
+	}
+	return c.entries[index]
+}
+
+// drawAimedCut draws a cut and how long before the change of the owner it begins; a
+// negative time is after it. At times only the old owner still reaches the workers.
+func (c *chaos) drawAimedCut(owner *entry) (x cut, before clock.Millis) {
+	x = c.drawCut()
+	if c.chance(60) {
+		x.state = linkState{holdRequests: true, holdAnswers: true, dropHeld: c.chance(60)}
+	}
+	if c.chance(40) {
+		view := c.plan.view(owner.number)
+		x.views = slices.DeleteFunc(x.views, func(v int) bool { return v == view })
+	}
+	return x, c.between(-1000, 4000)
+}
+
+// slowOthers sets the fault of the store for all entries but one.
+func (c *chaos) slowOthers(owner *entry, fault storeFault) {
+	c.schedule.addf("store", "all but "+owner.name, "%+v", fault)
+	for _, e := range c.entries {
+		if e != owner {
+			e.store.set(fault)
+		}
+	}
+}
+
+// depose makes others claim the cell of an owner.
+func (c *chaos) depose(ctx context.Context, owner *entry, action int) error {
+	switch action {
+	case 0, 1:
+		c.pause(ctx, owner.process, c.between(1000, 8000))
+	case 2, 3: // it runs on, reaches the store and the workers, and no entry reaches it
+		length := c.between(1500, 6000)
+		c.schedule.addf("cut from peers", owner.name, "%d ms", length)
+		owner.peers.set(linkState{holdRequests: true, holdAnswers: true, dropHeld: true})
+		c.wait(ctx, length)
+		owner.peers.set(linkState{})
+		c.schedule.addf("heal", owner.name, "")
+	case 4:
+		length := c.between(1500, 6000)
+		fault := storeFault{after: c.between(800, 3000)}
+		if c.chance(50) {
+			fault = storeFault{silent: true}
+		}
+		c.schedule.addf("store", owner.name, "%+v, %d ms", fault, length)
+		owner.store.set(fault)
+		c.wait(ctx, length)
+		owner.store.set(storeFault{})
+	case 5:
+		return c.restartEntry(ctx, owner, syscall.SIGKILL, c.between(100, 4000))
+	case 6:
+		return c.restartEntry(ctx, owner, syscall.SIGTERM, c.between(100, 4000))
+	}
+	return nil
+}
+
+// awaitOtherOwner waits until another entry has claimed the cell.
+func (c *chaos) awaitOtherOwner(ctx context.Context, former *entry) {
+	for deadline := c.clock.Now() + ownerChangeTimeout; c.clock.Now() < deadline && ctx.Err() == nil; {
+		if current := c.owners.current(); current.Entry != former.name {
+			return
+		}
+		c.wait(ctx, ownerChangePoll)
+	}
+}
+
+// healAll ends all faults and starts what was stopped.
+func (d *deployment) healAll() error {
+	for _, e := range d.entries {
+		e.store.set(storeFault{})
+		e.peers.set(linkState{})
+		e.signal(syscall.SIGCONT)
+		if !e.running() {
+			if err := e.start(); err != nil {
+				return err
+			}
+		}
+	}
+	for _, g := range d.groups {
+		g.store.set(storeFault{})
+		for _, view := range g.proxies {
+			for _, proxy := range view {
+				proxy.set(linkState{})
+			}
+		}
+		g.signal(syscall.SIGCONT)
+		if !g.running() {
+			if err := g.launch(); err != nil {
+				return err
+			}
+		}
+	}
+	d.schedule.addf("heal all", "", "")
+	return nil
+}
--- /dev/null
+++ b/internal/operator/soak/plan.go
@@ -0,0 +1,85 @@
+package soak
+
+import (
+	"fmt"
+	"math/rand/v2"
+
+	"github.com/oriolepier/oriolepier/internal/base/clock"
+	"github.com/oriolepier/oriolepier/internal/operator/option"
+)
+
+// Sizes of a deployment.
+const (
+	domainCount         = 3
+	maxViews            = 6  // up to this number of entries, each has proxies of its own to the workers
+	workerProcesses     = 12 // at most
+	directWorkerCores   = 2  // processor share with which an owner calls all workers itself
+	linkedWorkerPerCore = 300
+)
+
+// plan is what is drawn for a seed before it is run.
+type plan struct {
+	seed    uint64
+	entries int
+	workers int
+	length  clock.Millis // of the faults
+	links   bool
+	cores   float64 // processor share in the settings of each entry
+	slow    int     // percent of workers with a slow clock
+	aimed   int     // percent of changes of the owner that are aimed at cut workers
+	lanes   [laneCount]bool
+}
+
+// newPlan draws the plan of a seed.
+func newPlan(options option.Soak, seed uint64) plan {
+	rng := rand.New(rand.NewPCG(seed, 0))
+	p := plan{
+		seed: seed, entries: options.Entries, workers: options.Workers, length: clock.FromDuration(options.For),
+		links: seed%2 == 0, cores: directWorkerCores, slow: 20 * rng.IntN(3), aimed: 40 + rng.IntN(61),
+	}
+	if options.Links != "seed" {
+		p.links = options.Links == "on"
+	}
+	if p.links {
+		p.cores = min(float64(p.workers)/linkedWorkerPerCore, 1)
+	}
+	p.lanes[ownerLane] = true
+	for lane := range p.lanes {
+		p.lanes[lane] = p.lanes[lane] || rng.IntN(3) > 0
+	}
+	return p
+}
+
+// view returns the number of the view of an entry. Workers have an address, and a
+// proxy, for each view.
+func (p plan) view(entry int) int { return entry % p.views() }
+
+func (p plan) views() int {
+	if p.entries <= maxViews {
+		return p.entries
+	}
+	return domainCount
+}
+
+func domain(number int) string { return string(rune('a' + number%domainCount)) }
+
+func (p plan) domains() []string {
+	domains := make([]string, domainCount)
+	for i := range domains {
+		domains[i] = domain(i)
+	}
+	return domains
+}
+
+// workerGroups divides the workers among processes. Workers of a group are in one
+// failure domain.
+func (p plan) workerGroups(rng *rand.Rand) [][]workerSetting {
+	groups := make([][]workerSetting, min(workerProcesses, p.workers))
+	for i := range p.workers {
+		group := i % len(groups)
+		groups[group] = append(groups[group], workerSetting{
+			ID: fmt.Sprintf("w%03d", i), Domain: domain(group), SlowClock: rng.IntN(100) < p.slow,
+		})
+	}
+	return groups
+}
--- a/internal/operator/standin/standin.go
+++ b/internal/operator/standin/standin.go
@@ -34,8 +34,14 @@
 	if err != nil {
 		return err
 	}
-	server := &http.Server{Handler: platform.ServeStore(store.New().Log()), ReadHeaderTimeout: time.Second}
+	log := store.New().Log()
 	group, ctx := errgroup.WithContext(ctx)
+	if flags.ExpireMS > 0 {
+		workers := &expirer{log: log, clock: clock.New(), age: flags.ExpireMS, renewed: map[string]clock.Millis{}}
+		log = workers.expiring()
+		group.Go(func() error { return workers.serve(ctx) })
+	}
+	server := &http.Server{Handler: platform.ServeStore(log), ReadHeaderTimeout: time.Second}
 	group.Go(func() error { return server.Serve(listener) })
 	group.Go(func() error {
 		<-ctx.Done()
--- a/internal/standin/worker/serve.go
+++ b/internal/standin/worker/serve.go
@@ -20,6 +20,7 @@
 const (
 	heartbeatInterval = 500 * time.Millisecond // period of renewing the entry in the list of workers
 	holdPollInterval  = 10 * time.Millisecond  // period of checking for ends while a hold waits
+	advanceInterval   = 20 * time.Millisecond  // period of ending what is due
 )
 
 // Host serves a worker by the real clock and renews its entry in the list of
@@ -51,6 +52,7 @@
 	group, ctx := errgroup.WithContext(ctx)
 	group.Go(func() error { return server.Serve(listener) })
 	group.Go(func() error { return h.sendHeartbeats(ctx) })
+	group.Go(func() error { return h.advance(ctx) })
 	group.Go(func() error {
 		<-ctx.Done()
 		return server.Close()
@@ -84,19 +86,38 @@
 	}
 }
 
+// advance ends leases and runs that are due while nobody calls the worker.
+func (h *Host) advance(ctx context.Context) error {
+	for {
+		h.With(func(w *Worker, now clock.Millis) { w.Advance(now) })
+		if err := h.Clock.Sleep(ctx, clock.FromDuration(advanceInterval)); err != nil {
+			return err
+		}
+	}
+}
+
+// accept calls handle if an order is addressed to this worker. An order for a
+// worker that had the address before is refused.
+func (h *Host) accept(to fleet.Address, handle func(w *Worker, now clock.Millis) fleet.Answer) (answer fleet.Answer) {
+	h.With(func(w *Worker, now clock.Millis) {
+		answer.Outcome = fleet.OtherIncarnation
+		if to.ID == w.Entry.ID {
+			answer = handle(w, now)
+		}
+	})
+	return answer
+}
+
 func (h *Host) handler() http.Handler {
 	return platform.ServeWorker(platform.WorkerCalls{
-		Start: func(_ context.Context, order fleet.Start) (answer fleet.Answer) {
-			h.With(func(w *Worker, now clock.Millis) { answer = w.Start(order, now) })
-			return answer
+		Start: func(_ context.Context, order fleet.Start) fleet.Answer {
+			return h.accept(order.To, func(w *Worker, now clock.Millis) fleet.Answer { return w.Start(order, now) })
 		},
-		Stop: func(_ context.Context, order fleet.Stop) (answer fleet.Answer) {
-			h.With(func(w *Worker, now clock.Millis) { answer = w.Stop(order, now) })
-			return answer
+		Stop: func(_ context.Context, order fleet.Stop) fleet.Answer {
+			return h.accept(order.To, func(w *Worker, now clock.Millis) fleet.Answer { return w.Stop(order, now) })
 		},
-		Pace: func(_ context.Context, order fleet.Pace) (answer fleet.Answer) {
-			h.With(func(w *Worker, now clock.Millis) { answer = w.Pace(order, now) })
-			return answer
+		Pace: func(_ context.Context, order fleet.Pace) fleet.Answer {
+			return h.accept(order.To, func(w *Worker, now clock.Millis) fleet.Answer { return w.Pace(order, now) })
 		},
 		Hold: h.hold,
 	})
@@ -108,6 +129,10 @@
 	for {
 		done := false
 		h.With(func(w *Worker, now clock.Millis) {
+			if order.To.ID != w.Entry.ID {
+				report, done = fleet.Report{Outcome: fleet.OtherIncarnation}, true
+				return
+			}
 			report = w.Hold(order, now)
 			done = len(report.Ended) > 0 || report.Outcome != fleet.Accepted || now >= deadline
 		})
--- a/internal/standin/worker/worker.go
+++ b/internal/standin/worker/worker.go
@@ -51,6 +51,7 @@
 	DrawWork       func(task job.Task) Work              // draws the work of a run of the task
 	OnEnd          func(task job.Task, c fleet.EndCause) // called at each end of a run
 	OnAcknowledged func(task job.Task)                   // called when a successful end is acknowledged, unless the lease lapsed between the end and the acknowledgement
+	OnEvent        func(event Event)                     // called for each start, end, acknowledged end and extended lease
 
 	stalledSince  clock.Millis // since when all runs are stalled; 0 if they are not
 	bootedAt      clock.Millis // when the clock of the worker read 0
@@ -64,6 +65,32 @@
 	ackedThrough  int64 // ends up to this number are not reported any more
 }
 
+// maxEndsPerReport is the number of ends that a report lists at most.
+const maxEndsPerReport = 500
+
+// EventKind is what happened on a worker.
+type EventKind string
+
+// The kinds of events.
+const (
+	RunStarted    EventKind = "started"
+	RunEnded      EventKind = "ended"
+	RunAcked      EventKind = "acknowledged" // a successful end was acknowledged before the lease lapsed
+	LeaseExtended EventKind = "lease"
+)
+
+// Event is something that happened on a worker. Times are those of the clock that
+// the worker is run by, not of its own clock.
+type Event struct {
+	Kind  EventKind
+	At    clock.Millis // of an end, the time at which it took effect
+	Task  job.Task
+	Run   int
+	Cause fleet.EndCause // of an end
+	Token int64          // fencing token of the order that caused the event; 0 if none did
+	Until clock.Millis   // of a lease: when it lapses
+}
+
 // run is one run of a task.
 type run struct {
 	number    int
@@ -79,6 +106,7 @@
 		DrawWork:       func(job.Task) Work { return Work{Length: clock.Second} },
 		OnEnd:          func(job.Task, fleet.EndCause) {},
 		OnAcknowledged: func(job.Task) {},
+		OnEvent:        func(Event) {},
 	}
 	w.Restart(now)
 	return w
@@ -160,39 +188,86 @@
 }
 
 // Advance advances the worker to the time now: leases lapse, runs end, stops complete.
+// Each end takes effect at its own time, however late Advance is called.
 func (w *Worker) Advance(now clock.Millis) {
-	lapsed := w.Clock(now) > w.leaseUntil
-	if lapsed {
-		w.lapsedThrough = w.endCount
+	lapsesAt := w.lapsesAt()
+	lapsed := now >= lapsesAt
+	due := w.dueEnds(now)
+	for _, end := range due {
+		if end.at < lapsesAt {
+			w.endRun(end)
+		}
+	}
+	if !lapsed {
+		return
+	}
+	w.lapsedThrough = w.endCount
+	for _, task := range w.Tasks() {
+		w.endRun(dueEnd{task: task, cause: fleet.EndLeaseLapsed, at: lapsesAt})
 	}
+}
+
+// lapsesAt returns the first time at which the clock of the worker is past the end
+// of the lease.
+func (w *Worker) lapsesAt() clock.Millis {
+	at := w.bootedAt + clock.Millis(w.leaseUntil+1)
+	if w.SlowClock {
+		at = w.bootedAt + clock.Millis((w.leaseUntil+1)*slowClockDivisor/(slowClockDivisor-1))
+	}
+	for w.Clock(at) <= w.leaseUntil {
+		at++
+	}
+	return at
+}
+
+// dueEnd is an end of a run that is due.
+type dueEnd struct {
+	task  job.Task
+	cause fleet.EndCause
+	at    clock.Millis
+}
+
+// dueEnds returns the runs that have ended by now, without regard to the lease,
+// ordered by time.
+func (w *Worker) dueEnds(now clock.Millis) []dueEnd {
+	var due []dueEnd
 	for _, task := range w.Tasks() {
 		r := w.runs[task]
-		finished := r.work.Length > 0 && w.progress(r, now) >= r.work.Length
+		end := dueEnd{task: task, at: r.startedAt + r.work.Length}
 		switch {
-		case lapsed:
-			w.endRun(task, fleet.EndLeaseLapsed)
-		case r.stopsAt != 0 && now >= r.stopsAt:
-			w.endRun(task, fleet.EndStopped)
-		case r.stopsAt == 0 && finished && r.work.Fails:
-			w.endRun(task, fleet.EndFailed)
-		case r.stopsAt == 0 && finished:
-			w.endRun(task, fleet.EndDone)
+		case r.stopsAt != 0:
+			end.cause, end.at = fleet.EndStopped, r.stopsAt
+		case r.work.Length == 0 || w.progress(r, now) < r.work.Length:
+			continue
+		case r.work.Fails:
+			end.cause = fleet.EndFailed
+		}
+		if end.at <= now {
+			due = append(due, end)
 		}
 	}
+	slices.SortStableFunc(due, func(a, b dueEnd) int { return cmp.Compare(a.at, b.at) })
+	return due
 }
 
-func (w *Worker) endRun(task job.Task, cause fleet.EndCause) {
-	r := w.runs[task]
-	delete(w.runs, task)
+func (w *Worker) endRun(end dueEnd) {
+	r := w.runs[end.task]
+	delete(w.runs, end.task)
 	w.endCount++
-	w.closedRuns[task] = max(w.closedRuns[task], r.number)
-	w.unackedEnds = append(w.unackedEnds, fleet.End{Number: w.endCount, Task: task, Run: r.number, Cause: cause})
-	w.OnEnd(task, cause)
+	w.closedRuns[end.task] = max(w.closedRuns[end.task], r.number)
+	w.unackedEnds = append(w.unackedEnds, fleet.End{Number: w.endCount, Task: end.task, Run: r.number, Cause: end.cause})
+	w.OnEvent(Event{Kind: RunEnded, At: end.at, Task: end.task, Run: r.number, Cause: end.cause})
+	w.OnEnd(end.task, end.cause)
 }
 
 // extendLease extends the lease up to MaxLease from now. It never shortens it.
 func (w *Worker) extendLease(leaseUntil int64, now clock.Millis) {
-	w.leaseUntil = max(w.leaseUntil, min(leaseUntil, w.Clock(now)+int64(MaxLease)))
+	extended := min(leaseUntil, w.Clock(now)+int64(MaxLease))
+	if extended <= w.leaseUntil {
+		return
+	}
+	w.leaseUntil = extended
+	w.OnEvent(Event{Kind: LeaseExtended, At: now, Token: w.token, Until: w.lapsesAt()})
 }
 
 // fenced reports whether an owner with a newer token has called, and records the
@@ -236,6 +311,7 @@
 		return fleet.NoRoom
 	}
 	w.runs[order.Task] = &run{number: order.Run, startedAt: now, work: work}
+	w.OnEvent(Event{Kind: RunStarted, At: now, Task: order.Task, Run: order.Run, Token: order.Token})
 	return fleet.Accepted
 }
 
@@ -277,7 +353,7 @@
 	if order.UntilMS > 0 {
 		w.extendLease(order.UntilMS, now)
 	}
-	w.acknowledge(order.Acked)
+	w.acknowledge(order.Acked, now)
 	for _, task := range w.Tasks() {
 		r := w.runs[task]
 		percent := 100 * w.progress(r, now) / max(r.work.Length, 1)
@@ -285,15 +361,16 @@
 			Task: task, Run: r.number, Percent: int(min(percent, 99)), Usage: r.work.Usage,
 		})
 	}
-	report.Ended = slices.Clone(w.unackedEnds)
+	report.Ended = slices.Clone(w.unackedEnds[:min(len(w.unackedEnds), maxEndsPerReport)])
 	return report
 }
 
 // acknowledge drops the ends up to a number.
-func (w *Worker) acknowledge(ackedThrough int64) {
+func (w *Worker) acknowledge(ackedThrough int64, now clock.Millis) {
 	w.ackedThrough = max(w.ackedThrough, ackedThrough)
 	for _, end := range w.unackedEnds {
 		if end.Number <= w.ackedThrough && end.Number > w.lapsedThrough && end.Cause == fleet.EndDone {
+			w.OnEvent(Event{Kind: RunAcked, At: now, Task: end.Task, Run: end.Run, Token: w.token})
 			w.OnAcknowledged(end.Task)
 		}
 	}
--- a/main.go
+++ b/main.go
@@ -11,6 +11,7 @@
 	"github.com/oriolepier/oriolepier/internal/operator/demo"
 	"github.com/oriolepier/oriolepier/internal/operator/entry"
 	"github.com/oriolepier/oriolepier/internal/operator/option"
+	"github.com/oriolepier/oriolepier/internal/operator/soak"
 	"github.com/oriolepier/oriolepier/internal/operator/standin"
 	"github.com/oriolepier/oriolepier/internal/schedule/journal"
 	"github.com/oriolepier/oriolepier/internal/site/daemon"
@@ -26,6 +27,7 @@
 		Entry:   runEntry,
 		Demo:    runDemo,
 		Standin: runStandin,
+		Soak:    runSoak,
 		Store:   func(address string) journal.Log { return platform.NewStore(address).Log() },
 	}))
 }
@@ -44,9 +46,20 @@
 	return demo.Run(ctx, demo.Options{Out: os.Stdout, Progress: os.Stderr, Seed: opts.Demo.Seed})
 }
 
+func runSoak(ctx context.Context, opts option.Options) error {
+	program, err := os.Executable()
+	if err != nil {
+		return err
+	}
+	return soak.Run(ctx, soak.Options{Soak: opts.Soak, Program: program, Out: os.Stdout, Progress: os.Stderr})
+}
+
 func runStandin(ctx context.Context, opts option.Options) error {
-	if opts.Command == "standin worker" {
+	switch opts.Command {
+	case "standin worker":
 		return standin.RunWorker(ctx, opts.Standin.Worker, os.Stdout)
+	case "standin workers":
+		return soak.RunWorkers(ctx, opts.Standin.Workers.File)
 	}
 	return standin.RunStore(ctx, opts.Standin.Store, os.Stdout)
 }
