--- a/internal/operator/soak/fault_owner.go
+++ b/internal/operator/soak/fault_owner.go
@@ -36,7 +36,7 @@
 			return nil
 		})
 	}
-	slowSuccessor := c.chance(60)
+	slowSuccessor := c.chance(c.plan.delayed)
 	fault := storeFault{topic: cellTopic, before: c.between(200, 3000)}
 	if c.chance(30) {
 		fault = storeFault{topic: cellTopic, after: c.between(200, 3000)}
--- a/internal/operator/soak/link_proxy.go
+++ b/internal/operator/soak/link_proxy.go
@@ -22,6 +22,9 @@
 	dropHeld      bool // when the state changes, pieces held before are dropped with their connections
 }
 
+// targetDialTimeout bounds the connection to a target, which is on the same machine.
+const targetDialTimeout = time.Second
+
 // proxyBufferBytes is the size of the pieces that a linkProxy forwards.
 const proxyBufferBytes = 32 << 10
 
@@ -151,7 +154,8 @@
 		return
 	}
 	defer p.untrack(caller)
-	target, err := net.DialTimeout("tcp", p.target, time.Second)
+	dialer := net.Dialer{Timeout: targetDialTimeout}
+	target, err := dialer.DialContext(p.ctx, "tcp", p.target)
 	if err != nil || !p.track(target) {
 		return
 	}
--- a/internal/operator/soak/plan.go
+++ b/internal/operator/soak/plan.go
@@ -3,6 +3,7 @@
 import (
 	"fmt"
 	"math/rand/v2"
+	"strings"
 
 	"github.com/oriolepier/oriolepier/internal/base/clock"
 	"github.com/oriolepier/oriolepier/internal/operator/option"
@@ -27,6 +28,7 @@
 	cores   float64 // processor share in the settings of each entry
 	slow    int     // percent of workers with a slow clock
 	aimed   int     // percent of changes of the owner that are aimed at cut workers
+	delayed int     // percent of changes of the owner after which the cell's records are slow for the new owner
 	lanes   [laneCount]bool
 }
 
@@ -43,6 +45,9 @@
 	if p.links {
 		p.cores = min(float64(p.workers)/linkedWorkerPerCore, 1)
 	}
+	if rng.IntN(2) == 0 {
+		p.delayed = 60
+	}
 	p.lanes[ownerLane] = true
 	for lane := range p.lanes {
 		p.lanes[lane] = p.lanes[lane] || rng.IntN(3) > 0
@@ -83,3 +88,14 @@
 	}
 	return groups
 }
+
+// laneNames lists the lanes of faults that are played.
+func (p plan) laneNames() string {
+	var names []string
+	for number, name := range [laneCount]string{"owner", "cut", "store", "process"} {
+		if p.lanes[number] {
+			names = append(names, name)
+		}
+	}
+	return strings.Join(names, " ")
+}
--- a/internal/operator/soak/soak.go
+++ b/internal/operator/soak/soak.go
@@ -54,7 +54,8 @@
 	Entries    int            `json:"entries"`
 	Workers    int            `json:"workers"`
 	Links      bool           `json:"links"`
-	Lanes      string         `json:"lanes"` // of faults: owner, cut, store, process
+	Lanes      string         `json:"lanes"`           // of faults: owner, cut, store, process
+	Delayed    int            `json:"delayed_percent"` // changes of the owner with slow records for the new one
 	TookMS     clock.Millis   `json:"took_ms"`
 	Faults     int            `json:"faults"`
 	Owners     int64          `json:"owners"` // newest epoch
@@ -188,7 +189,7 @@
 // judge reads what the workers executed and judges it.
 func (d *deployment) judge(callers *load, progress io.Writer) (Verdict, error) {
 	v := Verdict{
-		Seed: d.plan.seed, Entries: d.plan.entries, Workers: d.plan.workers, Links: d.plan.links, Lanes: fmt.Sprint(d.plan.lanes),
+		Seed: d.plan.seed, Entries: d.plan.entries, Workers: d.plan.workers, Links: d.plan.links, Lanes: d.plan.laneNames(), Delayed: d.plan.delayed,
 		Faults: d.schedule.len(), Owners: d.owners.current().Epoch, Submitted: len(callers.submissions), Violations: map[string]int{},
 	}
 	processes, err := d.readProcesses(&v)
