--- a/internal/operator/soak/fault_owner.go
+++ b/internal/operator/soak/fault_owner.go
@@ -14,12 +14,11 @@
 const (
 	ownerChangeTimeout clock.Millis = 9 * clock.Second // until another entry must have claimed
 	ownerChangePoll    clock.Millis = 20
-	fenceDelayed       clock.Millis = 6 * clock.Second // how long a new owner's calls are delayed
+	successorsSlowed   clock.Millis = 6 * clock.Second // how long the store is slow for a new owner
 )
 
 // changeOwner makes the owner lose the cell, dead or alive, and at times cuts
-// workers off around that moment and delays the new owner between its claim and its
-// first append.
+// workers off around that moment and slows the store down for its successors.
 func (c *chaos) changeOwner(ctx context.Context) error {
 	owner := c.findOwner()
 	if owner == nil {
@@ -36,16 +35,13 @@
 			return nil
 		})
 	}
-	slowSuccessor := c.chance(c.plan.delayed)
-	fault := storeFault{topic: cellTopic, before: c.between(200, 3000)}
-	if c.chance(30) {
-		fault = storeFault{topic: cellTopic, after: c.between(200, 3000)}
-	}
-	action := c.rng.IntN(7)
+	slowed := c.drawSuccessorFaults(owner)
+	action := c.rng.IntN(8)
 	killSuccessor := c.chance(15)
 	c.wait(ctx, lead)
-	if slowSuccessor {
-		c.slowOthers(owner, fault)
+	for e, fault := range slowed {
+		c.schedule.addf("store", e.name, "%+v", fault)
+		e.store.set(fault)
 	}
 	parts.Go(func() error { return c.depose(ctx, owner, action) })
 	c.awaitOtherOwner(ctx, owner)
@@ -53,13 +49,39 @@
 		c.wait(ctx, 150)
 		parts.Go(func() error { return c.restartEntry(ctx, successor, syscall.SIGKILL, 500) })
 	}
-	if slowSuccessor {
-		c.wait(ctx, fenceDelayed)
-		c.slowOthers(owner, storeFault{})
+	if len(slowed) > 0 {
+		c.wait(ctx, successorsSlowed)
+	}
+	for e := range slowed {
+		c.schedule.addf("store", e.name, "healed")
+		e.store.set(storeFault{})
 	}
 	return parts.Wait()
 }
 
+// drawSuccessorFaults draws how the store is slow for the entries that may follow an
+// owner: for all of them between claim and first append, for some of them in all
+// calls, or not at all.
+func (c *chaos) drawSuccessorFaults(owner *entry) map[*entry]storeFault {
+	faults := map[*entry]storeFault{}
+	records := storeFault{topic: cellTopic, before: c.between(200, 3000)}
+	if c.chance(30) {
+		records = storeFault{topic: cellTopic, after: c.between(200, 3000)}
+	}
+	some := c.chance(25)
+	all := c.chance(c.plan.delayed)
+	for _, e := range c.entries {
+		switch {
+		case e == owner:
+		case some && c.chance(50):
+			faults[e] = storeFault{after: c.between(300, 3000)}
+		case !some && all:
+			faults[e] = records
+		}
+	}
+	return faults
+}
+
 // findOwner returns the entry that owns the cell, or nil.
 func (c *chaos) findOwner() *entry {
 	current := c.owners.current()
@@ -77,23 +99,17 @@
 	if c.chance(60) {
 		x.state = linkState{holdRequests: true, holdAnswers: true, dropHeld: c.chance(60)}
 	}
-	if c.chance(40) {
+	switch c.rng.IntN(10) {
+	case 0, 1, 2, 3: // only the old owner reaches them
 		view := c.plan.view(owner.number)
 		x.views = slices.DeleteFunc(x.views, func(v int) bool { return v == view })
+	case 4, 5: // only some view does, which may be the new owner's
+		view := c.rng.IntN(c.plan.views())
+		x.views = slices.DeleteFunc(x.views, func(v int) bool { return v == view })
 	}
 	return x, c.between(-1000, 4000)
 }
 
-// slowOthers sets the fault of the store for all entries but one.
-func (c *chaos) slowOthers(owner *entry, fault storeFault) {
-	c.schedule.addf("store", "all but "+owner.name, "%+v", fault)
-	for _, e := range c.entries {
-		if e != owner {
-			e.store.set(fault)
-		}
-	}
-}
-
 // depose makes others claim the cell of an owner.
 func (c *chaos) depose(ctx context.Context, owner *entry, action int) error {
 	switch action {
@@ -120,6 +136,13 @@
 		return c.restartEntry(ctx, owner, syscall.SIGKILL, c.between(100, 4000))
 	case 6:
 		return c.restartEntry(ctx, owner, syscall.SIGTERM, c.between(100, 4000))
+	case 7: // it sleeps while answers of the store are under way to it
+		fault := storeFault{after: c.between(300, 1000)}
+		c.schedule.addf("store", owner.name, "%+v", fault)
+		owner.store.set(fault)
+		c.wait(ctx, 2*fault.after)
+		c.pause(ctx, owner.process, c.between(1000, 16000))
+		owner.store.set(storeFault{})
 	}
 	return nil
 }
