Soak: partition an owner with its workers, end successors, give some entries more cores

A silent store held the registration of workers for good: calls now end when the fault does, and a worker gives up an append after a second. Ports of processes are chosen together and apart from those of proxies, as two processes drew the same.

--- a/internal/operator/soak/deployment.go
+++ b/internal/operator/soak/deployment.go
@@ -36,13 +36,16 @@
 
 // Parts of loopback addresses: 127.<base of the process>.<part>.<number>.
 const (
-	storePart  = 1
-	entryPart  = 2 // and following ones, each for addressesPerPart entries
-	groupPart  = 20
-	proxyPart  = 30 // and following ones, one for each view
-	firstBase  = 64
-	baseCount  = 150
-	perAddress = 200
+	storePart      = 1
+	entryPart      = 2 // and following ones, each for addressesPerPart entries
+	entryProxyPart = 10
+	groupPart      = 20
+	storeProxyPart = 21 // of the groups
+	proxyPart      = 30 // and following ones, one for each view
+	firstBase      = 64
+	baseCount      = 150
+
+	addressesPerPart = 200
 )
 
 // Names of the job API.
@@ -90,18 +93,22 @@
 
 // ip returns a loopback address of this soak.
 func (d *deployment) ip(part, number int) string {
-	return fmt.Sprintf("127.%d.%d.%d", d.base, part+number/perAddress, number%perAddress+1)
+	return fmt.Sprintf("127.%d.%d.%d", d.base, part+number/addressesPerPart, number%addressesPerPart+1)
 }
 
-// freeAddress returns an address of an IP with a port that is not in use. Nothing
-// else binds ports of these addresses, so the port stays free.
-func freeAddress(ctx context.Context, ip string) (string, error) {
-	listener, err := new(net.ListenConfig).Listen(ctx, "tcp", net.JoinHostPort(ip, "0"))
-	if err != nil {
-		return "", errors.Wrap(err, "find a port")
+// freeAddresses returns addresses of an IP with ports that are not in use. The soak
+// binds nothing else there, so the ports stay free.
+func freeAddresses(ctx context.Context, ip string, count int) ([]string, error) {
+	addresses := make([]string, count)
+	for i := range addresses {
+		listener, err := new(net.ListenConfig).Listen(ctx, "tcp", net.JoinHostPort(ip, "0"))
+		if err != nil {
+			return nil, errors.Wrap(err, "find a port")
+		}
+		defer func() { _ = listener.Close() }()
+		addresses[i] = listener.Addr().String()
 	}
-	defer func() { _ = listener.Close() }()
-	return listener.Addr().String(), nil
+	return addresses, nil
 }
 
 // newProcess returns a process of this program that is not started yet.
@@ -141,10 +148,11 @@
 }
 
 func (d *deployment) startStore(ctx context.Context) error {
-	var err error
-	if d.storeAt, err = freeAddress(ctx, d.ip(storePart, 0)); err != nil {
+	addresses, err := freeAddresses(ctx, d.ip(storePart, 0), 1)
+	if err != nil {
 		return err
 	}
+	d.storeAt = addresses[0]
 	args := []string{"standin", "store", "--listen", d.storeAt, "--expire-ms", strconv.Itoa(int(workerExpiry))}
 	d.store = d.newProcess("store", args, nil)
 	if err := d.store.start(); err != nil {
@@ -173,16 +181,17 @@
 func (d *deployment) startGroup(ctx context.Context, number int, workers []workerSetting) error {
 	name := fmt.Sprintf("workers-%02d", number)
 	g := &workerGroup{file: filepath.Join(d.dir, name+".json")}
-	var err error
-	if g.store, err = serveStoreProxy(ctx, d.ip(groupPart, number), d.storeAt, d.plan.seed+uint64(number), d.group); err != nil {
+	addresses, err := freeAddresses(ctx, d.ip(groupPart, number), len(workers))
+	if err != nil {
+		return err
+	}
+	if g.store, err = serveStoreProxy(ctx, d.ip(storeProxyPart, number), d.storeAt, d.plan.seed+uint64(number), d.group); err != nil {
 		return err
 	}
 	g.set = workerSet{Store: g.store.address, Events: filepath.Join(d.dir, name+".events"), Workers: workers}
 	g.proxies = make([][]*linkProxy, d.plan.views())
 	for i := range workers {
-		if g.set.Workers[i].Listen, err = freeAddress(ctx, d.ip(groupPart, number)); err != nil {
-			return err
-		}
+		g.set.Workers[i].Listen = addresses[i]
 		for view := range g.proxies {
 			proxy, err := newLinkProxy(ctx, d.ip(proxyPart+view, number), g.set.Workers[i].Listen, d.clock, d.group)
 			if err != nil {
@@ -213,17 +222,14 @@
 	name := fmt.Sprintf("entry-%03d", number)
 	ip := d.ip(entryPart, number)
 	e := &entry{number: number}
-	addresses := make([]string, 4)
-	var err error
-	for i := range addresses {
-		if addresses[i], err = freeAddress(ctx, ip); err != nil {
-			return err
-		}
+	addresses, err := freeAddresses(ctx, ip, 4)
+	if err != nil {
+		return err
 	}
-	if e.store, err = serveStoreProxy(ctx, ip, d.storeAt, d.plan.seed+uint64(number)<<8, d.group); err != nil {
+	if e.store, err = serveStoreProxy(ctx, d.ip(entryProxyPart, number), d.storeAt, d.plan.seed+uint64(number)<<8, d.group); err != nil {
 		return err
 	}
-	if e.peers, err = newLinkProxy(ctx, ip, addresses[3], d.clock, d.group); err != nil {
+	if e.peers, err = newLinkProxy(ctx, d.ip(entryProxyPart, number), addresses[3], d.clock, d.group); err != nil {
 		return err
 	}
 	e.callers, e.control = addresses[0], addresses[2]
@@ -238,7 +244,7 @@
 	data, err := platform.EncodeSettings(platform.Settings{
 		Name: name, Role: "entry", Domain: domain(number), Domains: d.plan.domains(), IP: ip,
 		Consumer: e.callers, Ready: addresses[1], Control: e.control, Ports: platform.PortSpan{First: peerPort, Last: peerPort},
-		Store: platform.StoreSettings{Address: e.store.address}, Limits: platform.Limits{Cores: d.plan.cores},
+		Store: platform.StoreSettings{Address: e.store.address}, Limits: platform.Limits{Cores: d.plan.coresOf(number)},
 		Heartbeat: workerHeartbeat,
 		Bounds:    platform.Bounds{MaxLease: maxLease, Stop: stopLimit, Cancel: cancelLimit, StatusKept: statusKept, Grace: gracePeriod},
 	})
--- a/internal/operator/soak/fault_owner.go
+++ b/internal/operator/soak/fault_owner.go
@@ -17,6 +17,9 @@
 	successorsSlowed   clock.Millis = 6 * clock.Second // how long the store is slow for a new owner
 )
 
+// partitionPercent is the share of changes of the owner that are partitions.
+const partitionPercent = 25
+
 // changeOwner makes the owner lose the cell, dead or alive, and at times cuts
 // workers off around that moment and slows the store down for its successors.
 func (c *chaos) changeOwner(ctx context.Context) error {
@@ -24,6 +27,9 @@
 	if owner == nil {
 		return nil
 	}
+	if c.chance(partitionPercent) {
+		return c.partition(ctx, owner)
+	}
 	var parts errgroup.Group
 	lead := clock.Millis(0)
 	if c.chance(c.plan.aimed) {
@@ -37,7 +43,7 @@
 	}
 	slowed := c.drawSuccessorFaults(owner)
 	action := c.rng.IntN(8)
-	killSuccessor := c.chance(15)
+	successorEnds := c.drawSuccessorEnd()
 	c.wait(ctx, lead)
 	for e, fault := range slowed {
 		c.schedule.addf("store", e.name, "%+v", fault)
@@ -45,10 +51,7 @@
 	}
 	parts.Go(func() error { return c.depose(ctx, owner, action) })
 	c.awaitOtherOwner(ctx, owner)
-	if successor := c.findOwner(); killSuccessor && successor != nil && successor != owner {
-		c.wait(ctx, 150)
-		parts.Go(func() error { return c.restartEntry(ctx, successor, syscall.SIGKILL, 500) })
-	}
+	parts.Go(func() error { return c.endSuccessor(ctx, owner, successorEnds) })
 	if len(slowed) > 0 {
 		c.wait(ctx, successorsSlowed)
 	}
@@ -82,6 +85,60 @@
 	return faults
 }
 
+// partition cuts an owner off from the store and from all entries, together with some
+// workers, which only the owner's view reaches. At times its successor leaves soon.
+func (c *chaos) partition(ctx context.Context, owner *entry) error {
+	view := c.plan.view(owner.number)
+	x := cut{
+		groups: c.someGroups(), unlists: true, length: c.between(4000, 14000),
+		views: slices.DeleteFunc(c.allViews(), func(v int) bool { return v == view }),
+		state: linkState{holdRequests: true, holdAnswers: true, dropHeld: true},
+	}
+	successorEnds := c.drawSuccessorEnd()
+	c.schedule.addf("partition", owner.name, "%d ms", x.length)
+	owner.store.set(storeFault{silent: true})
+	owner.peers.set(linkState{holdRequests: true, holdAnswers: true, dropHeld: true})
+	var parts errgroup.Group
+	parts.Go(func() error {
+		c.awaitOtherOwner(ctx, owner)
+		return c.endSuccessor(ctx, owner, successorEnds)
+	})
+	c.apply(ctx, x)
+	owner.store.set(storeFault{})
+	owner.peers.set(linkState{})
+	c.schedule.addf("heal", owner.name, "")
+	return parts.Wait()
+}
+
+// successorEnd is how an entry that has just claimed the cell loses it again.
+type successorEnd struct {
+	signal syscall.Signal // 0: it stays
+	after  clock.Millis   // its claim
+	down   clock.Millis
+}
+
+func (c *chaos) drawSuccessorEnd() successorEnd {
+	switch c.rng.IntN(8) {
+	case 0:
+		return successorEnd{signal: syscall.SIGKILL, after: 150, down: 500}
+	case 1:
+		return successorEnd{signal: syscall.SIGKILL, after: c.between(300, 3000), down: c.between(50, 300)}
+	case 2, 3:
+		return successorEnd{signal: syscall.SIGTERM, after: c.between(300, 3000), down: c.between(50, 1000)}
+	}
+	return successorEnd{}
+}
+
+// endSuccessor ends the successor of an owner, if it is to end.
+func (c *chaos) endSuccessor(ctx context.Context, former *entry, end successorEnd) error {
+	successor := c.findOwner()
+	if end.signal == 0 || successor == nil || successor == former {
+		return nil
+	}
+	c.wait(ctx, end.after)
+	return c.restartEntry(ctx, successor, end.signal, end.down)
+}
+
 // findOwner returns the entry that owns the cell, or nil.
 func (c *chaos) findOwner() *entry {
 	current := c.owners.current()
--- a/internal/operator/soak/plan.go
+++ b/internal/operator/soak/plan.go
@@ -12,10 +12,11 @@
 // Sizes of a deployment.
 const (
 	domainCount         = 3
-	maxViews            = 6  // up to this number of entries, each has proxies of its own to the workers
-	workerProcesses     = 12 // at most
-	directWorkerCores   = 2  // processor share with which an owner calls all workers itself
-	linkedWorkerPerCore = 300
+	maxViews            = 6   // up to this number of entries, each has proxies of its own to the workers
+	workerProcesses     = 12  // at most
+	workersPerProcess   = 4   // at least
+	directWorkerCores   = 2   // processor share with which an owner calls all workers itself
+	linkedWorkerPerCore = 600 // above what an owner calls itself, also with twice the share
 )
 
 // plan is what is drawn for a seed before it is run.
@@ -25,7 +26,8 @@
 	workers int
 	length  clock.Millis // of the faults
 	links   bool
-	cores   float64 // processor share in the settings of each entry
+	cores   float64 // processor share in the settings of an entry
+	strong  int     // every entry whose number is a multiple has twice that share; 0: none
 	slow    int     // percent of workers with a slow clock
 	aimed   int     // percent of changes of the owner that are aimed at cut workers
 	delayed int     // percent of changes of the owner after which the cell's records are slow for the new owner
@@ -45,6 +47,9 @@
 	if p.links {
 		p.cores = min(float64(p.workers)/linkedWorkerPerCore, 1)
 	}
+	if rng.IntN(2) == 0 {
+		p.strong = 2 + rng.IntN(3)
+	}
 	if rng.IntN(2) == 0 {
 		p.delayed = 60
 	}
@@ -55,6 +60,14 @@
 	return p
 }
 
+// coresOf returns the processor share of an entry.
+func (p plan) coresOf(entry int) float64 {
+	if p.strong != 0 && entry%p.strong == 0 {
+		return 2 * p.cores
+	}
+	return p.cores
+}
+
 // view returns the number of the view of an entry. Workers have an address, and a
 // proxy, for each view.
 func (p plan) view(entry int) int { return entry % p.views() }
@@ -79,7 +92,7 @@
 // workerGroups divides the workers among processes. Workers of a group are in one
 // failure domain.
 func (p plan) workerGroups(rng *rand.Rand) [][]workerSetting {
-	groups := make([][]workerSetting, min(workerProcesses, p.workers))
+	groups := make([][]workerSetting, min(workerProcesses, (p.workers+workersPerProcess-1)/workersPerProcess))
 	for i := range p.workers {
 		group := i % len(groups)
 		groups[group] = append(groups[group], workerSetting{
--- a/internal/operator/soak/soak.go
+++ b/internal/operator/soak/soak.go
@@ -54,8 +54,9 @@
 	Entries    int            `json:"entries"`
 	Workers    int            `json:"workers"`
 	Links      bool           `json:"links"`
-	Lanes      string         `json:"lanes"`           // of faults: owner, cut, store, process
-	Delayed    int            `json:"delayed_percent"` // changes of the owner with slow records for the new one
+	Strong     int            `json:"strong,omitempty"` // every entry whose number is a multiple has twice the processor share
+	Lanes      string         `json:"lanes"`            // of faults: owner, cut, store, process
+	Delayed    int            `json:"delayed_percent"`  // changes of the owner with slow records for the new one
 	TookMS     clock.Millis   `json:"took_ms"`
 	Faults     int            `json:"faults"`
 	Owners     int64          `json:"owners"` // newest epoch
@@ -105,8 +106,11 @@
 		return Verdict{}, errors.Wrap(err, "make a directory")
 	}
 	verdict, err := playSeed(ctx, options, newPlan(options.Soak, seed), dir)
-	if err != nil || !verdict.broken() {
-		return verdict, firstError(err, os.RemoveAll(dir))
+	if err != nil {
+		return verdict, errors.WithMessagef(err, "see %s", dir)
+	}
+	if !verdict.broken() {
+		return verdict, errors.Wrap(os.RemoveAll(dir), "clean up")
 	}
 	verdict.Kept, err = keep(options.Soak.Keep, dir)
 	return verdict, err
@@ -137,7 +141,7 @@
 	}
 	defer faults.close()
 	d := &deployment{
-		plan: p, program: options.Program, env: options.Env, dir: dir, base: firstBase + os.Getpid()%baseCount,
+		plan: p, program: options.Program, env: options.Env, dir: dir, base: firstBase + (os.Getpid()+int(p.seed))%baseCount,
 		clock: clk, group: group, schedule: faults,
 	}
 	callers := &load{deployment: d}
@@ -189,7 +193,7 @@
 // judge reads what the workers executed and judges it.
 func (d *deployment) judge(callers *load, progress io.Writer) (Verdict, error) {
 	v := Verdict{
-		Seed: d.plan.seed, Entries: d.plan.entries, Workers: d.plan.workers, Links: d.plan.links, Lanes: d.plan.laneNames(), Delayed: d.plan.delayed,
+		Seed: d.plan.seed, Entries: d.plan.entries, Workers: d.plan.workers, Links: d.plan.links, Strong: d.plan.strong, Lanes: d.plan.laneNames(), Delayed: d.plan.delayed,
 		Faults: d.schedule.len(), Owners: d.owners.current().Epoch, Submitted: len(callers.submissions), Violations: map[string]int{},
 	}
 	processes, err := d.readProcesses(&v)
@@ -241,12 +245,3 @@
 
 // newRand returns random numbers of a stream of the plan's seed.
 func (p plan) newRand(stream uint64) *rand.Rand { return rand.New(rand.NewPCG(p.seed, stream)) }
-
-func firstError(errs ...error) error {
-	for _, err := range errs {
-		if err != nil {
-			return err
-		}
-	}
-	return nil
-}
--- a/internal/operator/soak/store_proxy.go
+++ b/internal/operator/soak/store_proxy.go
@@ -33,9 +33,10 @@
 	// rewrite changes a record as this process reads it.
 	rewrite func(topic string, record *journal.Record)
 
-	mu    sync.Mutex
-	fault storeFault
-	rng   *rand.Rand
+	mu      sync.Mutex
+	fault   storeFault
+	changed chan struct{} // closed and replaced when the fault changes
+	rng     *rand.Rand
 }
 
 // serveStoreProxy returns a proxy that serves at a free port of an address until the
@@ -47,7 +48,7 @@
 	}
 	p := &storeProxy{
 		address: listener.Addr().String(), log: platform.NewStore(store).Log(), rng: rand.New(rand.NewPCG(seed, 3)),
-		rewrite: func(string, *journal.Record) {},
+		rewrite: func(string, *journal.Record) {}, changed: make(chan struct{}),
 	}
 	handler := platform.ServeStore(journal.Log{Append: p.append, Read: p.read, Newest: p.newest})
 	server := &http.Server{Handler: handler, ReadHeaderTimeout: 5 * time.Second}
@@ -60,11 +61,24 @@
 	return p, nil
 }
 
-// set changes the fault. Calls in progress keep the one that they began with.
+// set changes the fault. Calls that are slow keep the fault that they began with.
 func (p *storeProxy) set(fault storeFault) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	p.fault = fault
+	close(p.changed)
+	p.changed = make(chan struct{})
+}
+
+// await waits until the fault changes or the context ends.
+func (p *storeProxy) await(ctx context.Context) {
+	p.mu.Lock()
+	changed := p.changed
+	p.mu.Unlock()
+	select {
+	case <-changed:
+	case <-ctx.Done():
+	}
 }
 
 // callFault returns the fault of a call, and whether its answer is lost.
@@ -82,9 +96,9 @@
 
 // begin applies the part of a fault that comes before a call. It reports whether
 // the call is refused.
-func (fault storeFault) begin(ctx context.Context) (refused bool) {
+func (p *storeProxy) begin(ctx context.Context, fault storeFault) (refused bool) {
 	if fault.silent {
-		<-ctx.Done()
+		p.await(ctx)
 		abort()
 	}
 	time.Sleep(fault.before.Duration())
@@ -101,7 +115,7 @@
 
 func (p *storeProxy) append(ctx context.Context, call journal.Append) journal.Answer {
 	fault, lost := p.callFault(call.Topic)
-	if fault.begin(ctx) {
+	if p.begin(ctx, fault) {
 		return journal.Answer{Outcome: journal.NotDone}
 	}
 	answer := p.log.Append(context.WithoutCancel(ctx), call)
@@ -111,7 +125,7 @@
 
 func (p *storeProxy) read(ctx context.Context, call journal.Read) journal.Page {
 	fault, lost := p.callFault(call.Topic)
-	if fault.begin(ctx) {
+	if p.begin(ctx, fault) {
 		return journal.Page{Outcome: journal.NotDone}
 	}
 	page := p.log.Read(ctx, call)
@@ -126,7 +140,7 @@
 
 func (p *storeProxy) newest(ctx context.Context, topic string) journal.Page {
 	fault, lost := p.callFault(topic)
-	if fault.begin(ctx) {
+	if p.begin(ctx, fault) {
 		return journal.Page{Outcome: journal.NotDone}
 	}
 	page := p.log.Newest(ctx, topic)
--- a/internal/standin/worker/serve.go
+++ b/internal/standin/worker/serve.go
@@ -19,6 +19,7 @@
 // Periods of a served worker.
 const (
 	heartbeatInterval = 500 * time.Millisecond // period of renewing the entry in the list of workers
+	registerTimeout   = time.Second            // for one append of the entry
 	holdPollInterval  = 10 * time.Millisecond  // period of checking for ends while a hold waits
 	advanceInterval   = 20 * time.Millisecond  // period of ending what is due
 )
@@ -77,15 +78,21 @@
 		if err != nil {
 			return errors.Wrap(err, "encode worker entry")
 		}
-		h.Log.Append(ctx, journal.Append{ // after a failed append, the next heartbeat appends the entry again
-			Topic: platform.TopicWorkers, ExpectedEnd: -1, Records: []journal.Record{{Key: entry.ID, Value: data}},
-		})
+		h.register(ctx, journal.Record{Key: entry.ID, Value: data})
 		if err := h.Clock.Sleep(ctx, clock.FromDuration(heartbeatInterval)); err != nil {
 			return err
 		}
 	}
 }
 
+// register appends the worker's entry. After a failed append, the next heartbeat
+// appends it again.
+func (h *Host) register(ctx context.Context, entry journal.Record) {
+	ctx, cancel := context.WithTimeout(ctx, registerTimeout)
+	defer cancel()
+	h.Log.Append(ctx, journal.Append{Topic: platform.TopicWorkers, ExpectedEnd: -1, Records: []journal.Record{entry}})
+}
+
 // advance ends leases and runs that are due while nobody calls the worker.
 func (h *Host) advance(ctx context.Context) error {
 	for {
