Soak: cut an owner off with its workers from everything else; a second cause

With the product untouched and no slow store, an owner cut off together with its workers and a successor that releases the cell soon let nine tasks run twice, up to 3.5 s: previous_owner_stopped is said of the successor and applied to leases of the owner before it.

--- a/internal/operator/soak/fault_owner.go
+++ b/internal/operator/soak/fault_owner.go
@@ -18,7 +18,7 @@
 )
 
 // partitionPercent is the share of changes of the owner that are partitions.
-const partitionPercent = 25
+const partitionPercent = 35
 
 // changeOwner makes the owner lose the cell, dead or alive, and at times cuts
 // workers off around that moment and slows the store down for its successors.
@@ -85,8 +85,9 @@
 	return faults
 }
 
-// partition cuts an owner off from the store and from all entries, together with some
-// workers, which only the owner's view reaches. At times its successor leaves soon.
+// partition cuts an owner off together with some workers, from the store, all entries
+// and the other workers, as when a failure domain is cut off. At times its successor
+// leaves soon.
 func (c *chaos) partition(ctx context.Context, owner *entry) error {
 	view := c.plan.view(owner.number)
 	x := cut{
@@ -103,6 +104,12 @@
 		c.awaitOtherOwner(ctx, owner)
 		return c.endSuccessor(ctx, owner, successorEnds)
 	})
+	others := cut{views: []int{view}, state: x.state, length: x.length}
+	others.groups = slices.DeleteFunc(slices.Clone(c.groups), func(g *workerGroup) bool { return slices.Contains(x.groups, g) })
+	parts.Go(func() error {
+		c.apply(ctx, others)
+		return nil
+	})
 	c.apply(ctx, x)
 	owner.store.set(storeFault{})
 	owner.peers.set(linkState{})
