--- a/internal/operator/soak/plan.go
+++ b/internal/operator/soak/plan.go
@@ -12,6 +12,9 @@
 // Sizes of a deployment.
 const (
 	domainCount         = 3
+	always              = 100 // percent
+	partitionPercent    = 35
+	leavingPercent      = 50
 	maxViews            = 6   // up to this number of entries, each has proxies of its own to the workers
 	workerProcesses     = 12  // at most
 	workersPerProcess   = 4   // at least
@@ -30,6 +33,8 @@
 	strong  int     // every entry whose number is a multiple has twice that share; 0: none
 	slow    int     // percent of workers with a slow clock
 	aimed   int     // percent of changes of the owner that are aimed at cut workers
+	apart   int     // percent of changes of the owner that are partitions
+	leaving int     // percent of successors that lose the cell soon
 	delayed int     // percent of changes of the owner after which the cell's records are slow for the new owner
 	lanes   [laneCount]bool
 }
@@ -39,7 +44,7 @@
 	rng := rand.New(rand.NewPCG(seed, 0))
 	p := plan{
 		seed: seed, entries: options.Entries, workers: options.Workers, length: clock.FromDuration(options.For),
-		links: seed%2 == 0, cores: directWorkerCores, slow: 20 * rng.IntN(3), aimed: 40 + rng.IntN(61),
+		links: seed%2 == 0, cores: directWorkerCores, apart: partitionPercent, leaving: leavingPercent, slow: 20 * rng.IntN(3), aimed: 40 + rng.IntN(61),
 	}
 	if options.Links != "seed" {
 		p.links = options.Links == "on"
@@ -57,6 +62,19 @@
 	for lane := range p.lanes {
 		p.lanes[lane] = p.lanes[lane] || rng.IntN(3) > 0
 	}
+	return p.aim(options.Aim)
+}
+
+// aim returns the plan with all faults aimed at one kind of change of the owner.
+func (p plan) aim(kind string) plan {
+	switch kind {
+	case "partition":
+		p.apart, p.leaving, p.delayed = always, always, 0
+		p.lanes = [laneCount]bool{ownerLane: true}
+	case "delay":
+		p.apart, p.leaving, p.delayed, p.aimed = 0, 0, always, always
+		p.lanes = [laneCount]bool{ownerLane: true, cutLane: true}
+	}
 	return p
 }
 
--- a/internal/operator/soak/store_proxy.go
+++ b/internal/operator/soak/store_proxy.go
@@ -19,6 +19,7 @@
 // storeFault is how a storeProxy treats calls.
 type storeFault struct {
 	topic  string       // of the calls concerned; empty: all
+	writes bool         // only appends are concerned
 	before clock.Millis // wait before a call is passed on, also if the caller is gone
 	after  clock.Millis // wait before its answer is returned
 	lose   float64      // share of calls that are passed on and get no answer
@@ -82,10 +83,10 @@
 }
 
 // callFault returns the fault of a call, and whether its answer is lost.
-func (p *storeProxy) callFault(topic string) (fault storeFault, lost bool) {
+func (p *storeProxy) callFault(topic string, write bool) (fault storeFault, lost bool) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	if p.fault.topic != "" && p.fault.topic != topic {
+	if p.fault.topic != "" && p.fault.topic != topic || p.fault.writes && !write {
 		return storeFault{}, false
 	}
 	return p.fault, p.rng.Float64() < p.fault.lose
@@ -114,7 +115,7 @@
 }
 
 func (p *storeProxy) append(ctx context.Context, call journal.Append) journal.Answer {
-	fault, lost := p.callFault(call.Topic)
+	fault, lost := p.callFault(call.Topic, true)
 	if p.begin(ctx, fault) {
 		return journal.Answer{Outcome: journal.NotDone}
 	}
@@ -124,12 +125,12 @@
 }
 
 func (p *storeProxy) read(ctx context.Context, call journal.Read) journal.Page {
-	fault, lost := p.callFault(call.Topic)
+	fault, lost := p.callFault(call.Topic, false)
 	if p.begin(ctx, fault) {
 		return journal.Page{Outcome: journal.NotDone}
 	}
 	page := p.log.Read(ctx, call)
-	fault, _ = p.callFault(call.Topic) // a long poll may have begun before the fault
+	fault, _ = p.callFault(call.Topic, false) // a long poll may have begun before the fault
 	if fault.silent || fault.refuse {
 		abort()
 	}
@@ -139,7 +140,7 @@
 }
 
 func (p *storeProxy) newest(ctx context.Context, topic string) journal.Page {
-	fault, lost := p.callFault(topic)
+	fault, lost := p.callFault(topic, false)
 	if p.begin(ctx, fault) {
 		return journal.Page{Outcome: journal.NotDone}
 	}
