--- a/internal/operator/soak/fault_owner.go
+++ b/internal/operator/soak/fault_owner.go
@@ -14,7 +14,6 @@
 const (
 	ownerChangeTimeout clock.Millis = 9 * clock.Second // until another entry must have claimed
 	ownerChangePoll    clock.Millis = 20
-	successorsSlowed   clock.Millis = 6 * clock.Second // how long the store is slow for a new owner
 )
 
 // changeOwner makes the owner lose the cell, dead or alive, and at times cuts
@@ -51,7 +50,7 @@
 	c.awaitOtherOwner(ctx, s.owner)
 	parts.Go(func() error { return c.endSuccessor(ctx, s.owner, s.end) })
 	if len(s.slowed) > 0 {
-		c.wait(ctx, successorsSlowed)
+		c.wait(ctx, s.slowedFor)
 	}
 	for e := range s.slowed {
 		c.schedule.addf("store", e.name, "healed")
--- a/internal/operator/soak/plan.go
+++ b/internal/operator/soak/plan.go
@@ -72,8 +72,8 @@
 		p.apart, p.leaving, p.delayed = always, always, 0
 		p.lanes = [laneCount]bool{ownerLane: true}
 	case "delay":
-		p.apart, p.leaving, p.delayed, p.aimed = 0, 0, always, always
-		p.lanes = [laneCount]bool{ownerLane: true, cutLane: true}
+		p.apart, p.leaving, p.delayed, p.strong = 0, 0, always, 0
+		p.lanes = [laneCount]bool{ownerLane: true}
 	}
 	return p
 }
--- a/internal/operator/soak/succession.go
+++ b/internal/operator/soak/succession.go
@@ -9,12 +9,13 @@
 
 // succession is a change of the owner as it is drawn.
 type succession struct {
-	owner    *entry
-	deposal  deposal
-	cut      *cut         // of workers; nil: none
-	cutAfter clock.Millis // from the deposal to the cut; negative: the cut comes first
-	slowed   map[*entry]storeFault
-	end      successorEnd
+	owner     *entry
+	deposal   deposal
+	cut       *cut         // of workers; nil: none
+	cutAfter  clock.Millis // from the deposal to the cut; negative: the cut comes first
+	slowed    map[*entry]storeFault
+	slowedFor clock.Millis // after the next claim
+	end       successorEnd
 }
 
 // deposalKind is how an owner loses the cell.
@@ -59,7 +60,7 @@
 
 // drawSuccession draws a change of the owner with what happens around it.
 func (c *chaos) drawSuccession(owner *entry) succession {
-	s := succession{owner: owner}
+	s := succession{owner: owner, slowedFor: 6 * clock.Second}
 	if c.chance(c.plan.aimed) {
 		x := c.drawAimedCut(owner)
 		s.cut, s.cutAfter = &x, c.between(-4000, 1000)
@@ -82,7 +83,9 @@
 		owner: owner, deposal: deposal{kind: ownerCutFromPeers, length: c.between(4500, 6000)},
 		cut: &x, cutAfter: c.between(1400, 2200), slowed: map[*entry]storeFault{},
 	}
+	const loadTime = 100
 	fault := storeFault{topic: cellTopic, writes: true, before: c.between(1800, 2600)}
+	s.slowedFor = fault.before - loadTime
 	for _, e := range c.entries {
 		if e != owner {
 			s.slowed[e] = fault
