Know the process that pings by its entry and its incarnation

They are drawn from the time of the process's start, and entries that start at the same instant have the same one.

Fix: the entry's name is compared too, and incarnations are drawn from the system's random numbers. TestPingOfPreviousOwnersEntryIsNoProof plays a ping of another entry with the same incarnation; it failed before.

--- a/internal/site/daemon/daemon.go
+++ b/internal/site/daemon/daemon.go
@@ -14,6 +14,7 @@
 
 import (
 	"context"
+	"crypto/rand"
 	"io"
 	"os"
 	"runtime/debug"
@@ -220,4 +221,4 @@
 }
 
 // newIncarnation returns a unique name for this process.
-func newIncarnation() string { return ulid.Make().String() }
+func newIncarnation() string { return ulid.MustNew(ulid.Now(), rand.Reader).String() }
--- a/internal/site/daemon/ping_test.go
+++ b/internal/site/daemon/ping_test.go
@@ -92,6 +92,7 @@
 	queries := map[string]peer.PingQuery{
 		"an older version":        {Name: "b", Address: "b"},
 		"a ping of another epoch": {Name: "b", Address: "b", Incarnation: "b1", Epoch: 1},
+		"another entry":           {Name: "c", Address: "c", Incarnation: "b1", Epoch: 2},
 		"another process":         {Name: "b", Address: "b", Incarnation: "b2", Epoch: 2},
 		"the previous owner":      {Name: "b", Address: "b", Incarnation: "b1", Epoch: 2},
 	}
@@ -99,7 +100,7 @@
 	for name, query := range queries {
 		got[name] = stoppedByPing(t, query)
 	}
-	want := map[string]bool{"an older version": false, "a ping of another epoch": false, "another process": false, "the previous owner": true}
+	want := map[string]bool{"an older version": false, "a ping of another epoch": false, "another entry": false, "another process": false, "the previous owner": true}
 	if diff := cmp.Diff(want, got); diff != "" {
 		t.Errorf("taken for a proof (-want +got):\n%s", diff)
 	}
--- a/internal/site/daemon/serve.go
+++ b/internal/site/daemon/serve.go
@@ -261,7 +261,7 @@
 // before this one.
 func (d *Daemon) isPreviousOwner(query peer.PingQuery) bool {
 	previous := d.previousOwner.Load()
-	return previous != nil && query.Incarnation != "" && previous.Incarnation == query.Incarnation
+	return previous != nil && query.Incarnation != "" && previous.Name == query.Name && previous.Incarnation == query.Incarnation
 }
 
 // tablesTimeout bounds the wait for the owner's copy of the tables.
