--- a/internal/schedule/owner/run_end_test.go
+++ b/internal/schedule/owner/run_end_test.go
@@ -250,3 +250,30 @@
 		t.Errorf("ended without a stop (-want +got):\n%s", diff)
 	}
 }
+
+// A worker whose time of day went back has an earlier start time in its new incarnation.
+func TestWorkerWithEarlierStartTimeIsHeard(t *testing.T) {
+	m := newManualOwner(t, 1, clock.Hour)
+	m.list(9, "w:1")
+	m.advance(25)
+	m.acknowledge()
+	m.report(9)
+	m.submit()
+	m.advance(25)
+	m.acknowledge()
+	m.owner.Started(m.starts[0], fleet.Answer{Outcome: fleet.Accepted})
+	m.list(5, "w:1")
+	for range 2 { // the first answers a hold that is older than the run
+		m.advance(100)
+		m.report(5)
+	}
+	if len(m.stops) != 1 {
+		t.Fatalf("%d stops of the run that the worker has lost, want one", len(m.stops))
+	}
+	m.owner.Stopped(m.stops[0], fleet.Answer{Outcome: fleet.Accepted})
+	m.advance(100)
+	m.report(5)
+	if m.holdsRun() {
+		t.Error("the run still counts as executing")
+	}
+}
