--- a/internal/schedule/owner/run_end_test.go
+++ b/internal/schedule/owner/run_end_test.go
@@ -251,6 +251,21 @@
 	}
 }
 
+// An entry of another writer names no worker, whatever start time it has.
+func TestEntryOfUnknownServiceEndsNoRuns(t *testing.T) {
+	m := newManualOwner(t, 1, clock.Hour)
+	m.startRun()
+	foreign := testEntry("w")
+	foreign.Incarnation, foreign.Service, foreign.Address = 9, "unnamed", "foreign:1"
+	m.owner.SetWorkers([]fleet.Entry{foreign})
+	m.advance(25)
+	m.missHold()
+	m.advance(25)
+	if diff := cmp.Diff("w:1", m.holds[len(m.holds)-1].To.Host); diff != "" || !m.holdsRun() {
+		t.Errorf("run held: %v; address of the next hold (-want +got):\n%s", m.holdsRun(), diff)
+	}
+}
+
 // A worker whose time of day went back has an earlier start time in its new incarnation.
 func TestWorkerWithEarlierStartTimeIsHeard(t *testing.T) {
 	m := newManualOwner(t, 1, clock.Hour)
