--- a/internal/site/linkshard/outcome_test.go
+++ b/internal/site/linkshard/outcome_test.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"github.com/google/go-cmp/cmp"
+	"github.com/pkg/errors"
 
 	"github.com/oriolepier/oriolepier/internal/base/clock"
 	"github.com/oriolepier/oriolepier/internal/schedule/fleet"
@@ -99,3 +100,17 @@
 		}
 	})
 }
+
+// A batch whose sending failed may have left the socket before.
+func TestFailedSendCountsAsUnanswered(t *testing.T) {
+	s := newTestSession(clock.New())
+	outcomes := enqueueStart(s)
+	failure := errors.New("connection closed")
+	if err := s.sendBatches(context.Background(), func([]byte) error { return failure }); !errors.Is(err, failure) {
+		t.Errorf("error %v, want %v", err, failure)
+	}
+	s.closeSession()
+	if diff := cmp.Diff([]fleet.Outcome{fleet.Unanswered}, *outcomes); diff != "" {
+		t.Errorf("outcomes (-want +got):\n%s", diff)
+	}
+}
