--- a/internal/schedule/owner/lease_grant_test.go
+++ b/internal/schedule/owner/lease_grant_test.go
@@ -79,3 +79,17 @@
 		}
 	}
 }
+
+// The previous owner may have granted a lease just before the first report.
+func TestFirstReportAssumesAFullLease(t *testing.T) {
+	first := newManualOwner(t, 1, clock.Hour)
+	run := first.startRun()
+	next := first.successor(0)
+	next.list(1, "w:1")
+	next.advance(25)
+	next.report(1, run)
+	reported := next.now
+	if took := next.timeToEnd(reported); took < next.owner.options.Times.Lease {
+		t.Errorf("run ended %d ms after the first report, want at least %d", took, next.owner.options.Times.Lease)
+	}
+}
