--- a/internal/schedule/owner/lease_grant_test.go
+++ b/internal/schedule/owner/lease_grant_test.go
@@ -8,6 +8,8 @@
 	"github.com/oriolepier/oriolepier/internal/base/clock"
 	"github.com/oriolepier/oriolepier/internal/base/codec"
 	"github.com/oriolepier/oriolepier/internal/schedule/fleet"
+	"github.com/oriolepier/oriolepier/internal/schedule/job"
+	standin "github.com/oriolepier/oriolepier/internal/standin/worker"
 )
 
 // listed returns the ids in the acknowledged list of unresponsive workers.
@@ -93,3 +95,32 @@
 		t.Errorf("run ended %d ms after the first report, want at least %d", took, next.owner.options.Times.Lease)
 	}
 }
+
+// An order for an earlier incarnation extends the leases of the present one to the longest.
+func TestLapseWaitsForLateOrderOfEarlierIncarnation(t *testing.T) {
+	m := newManualOwner(t, 1, clock.Hour)
+	late := m.orderStart()
+	m.owner.Started(late, fleet.Answer{Outcome: fleet.Unanswered})
+	w := standin.New(testEntry("w"), m.now)
+	w.DrawWork = func(job.Task) standin.Work { return standin.Work{Length: clock.Minute} }
+	m.owner.SetWorkers([]fleet.Entry{w.Entry})
+	m.owner.Stopped(m.stops[0], w.Stop(m.stops[0], m.now))
+	for range 40 {
+		m.advance(25)
+		m.owner.Report("w", w.Hold(m.holds[len(m.holds)-1], m.now))
+		m.acknowledge()
+	}
+	second := m.starts[len(m.starts)-1]
+	m.owner.Started(second, w.Start(second, m.now))
+	w.Start(late, m.now)
+	for m.owner.currentRun(manualTask, second.Run) != nil {
+		m.advance(25)
+	}
+	ended := m.now
+	for w.Advance(m.now); w.Running(manualTask) != 0; w.Advance(m.now) {
+		m.now += 25
+	}
+	if overlap := m.now - ended; second.Run != 2 || overlap > 0 {
+		t.Errorf("run %d went on for %d ms after it had ended for the owner", second.Run, overlap)
+	}
+}
