Take a report for late only if its hold was sent before the restart was known

The check against reports of earlier incarnations made the owner deaf to a worker whose time of day went back: its start time is earlier than that of the incarnation before.

--- a/internal/schedule/owner/report.go
+++ b/internal/schedule/owner/report.go
@@ -17,8 +17,8 @@
 		return
 	}
 	switch {
-	case report.Outcome == fleet.Accepted && report.Incarnation != 0 && report.Incarnation < w.incarnation:
-		o.holdMissed(w, fleet.Unanswered) // a late report of an incarnation that has ended
+	case report.Outcome == fleet.Accepted && o.isLate(w, report):
+		o.holdMissed(w, fleet.Unanswered)
 	case report.Outcome == fleet.Accepted:
 		o.handleReport(w, report)
 	case report.Outcome == fleet.OtherIncarnation && w.holdAddress == w.entry.Address:
@@ -28,6 +28,13 @@
 	}
 }
 
+// isLate reports whether a report comes from an incarnation that has ended: an
+// earlier one, asked before the present one was known. If asked later, an earlier
+// start time is that of a worker whose time of day went back.
+func (o *Owner) isLate(w *worker, report fleet.Report) bool {
+	return report.Incarnation < w.incarnation && w.holdSentAt <= w.incarnationKnownAt
+}
+
 // holdMissed counts a hold that a worker did not answer, and schedules the
 // next.
 func (o *Owner) holdMissed(w *worker, outcome fleet.Outcome) {
