Use no entry of a pool that the tables do not have

An entry of another writer under a worker's id, with a later start time, ended all its runs, and its address replaced the worker's. Ignored entries are logged once (worker_entry_ignored).

--- a/internal/schedule/owner/workers.go
+++ b/internal/schedule/owner/workers.go
@@ -15,7 +15,8 @@
 	id          string
 	incarnation int64 // 0: unknown
 	entry       fleet.Entry
-	listed      bool // it is in the current list of workers
+	listed      bool   // it is in the current list of workers
+	unknownPool string // pool of the last entry that was ignored, as the tables do not have it
 	runs        map[*run]struct{}
 	sortedCache []*run // runs in a deterministic order; nil: to be sorted again
 	committed   fleet.Room
@@ -117,7 +118,9 @@
 		w.listed = false
 	}
 	for _, entry := range entries {
-		o.updateWorker(entry)
+		if o.namesPool(entry) {
+			o.updateWorker(entry)
+		}
 	}
 	for id, w := range o.workers {
 		if !w.listed && len(w.runs) == 0 && !w.holdInFlight && !w.unresponsive && o.isDelistingRecorded(w) {
@@ -130,6 +133,21 @@
 	o.placementDue = true
 }
 
+// namesPool reports whether the tables have the pool of an entry. Any other entry
+// comes from another writer, or for a pool of newer tables, and names no worker yet.
+func (o *Owner) namesPool(entry fleet.Entry) bool {
+	if o.tables.Version == 0 {
+		return true // no tables are known
+	}
+	_, known := o.tables.Pool(entry.Service)
+	if w := o.workers[entry.ID]; !known && w != nil && w.unknownPool != entry.Service {
+		w.unknownPool = entry.Service
+		o.options.Log.Warn().Str("event", "worker_entry_ignored").Str("worker", w.id).Str("pool", entry.Service).
+			Int64("manifest", o.tables.Version).Int("runs", len(w.runs)).Send()
+	}
+	return known
+}
+
 func (o *Owner) updateWorker(entry fleet.Entry) {
 	w := o.workers[entry.ID]
 	if w == nil {
