--- a/internal/schedule/owner/orders.go
+++ b/internal/schedule/owner/orders.go
@@ -134,13 +134,18 @@
 		Int("index", r.task.index).Int("run", r.runNumber).Str("worker", r.worker.id)
 }
 
-// confirmStart records that a worker has started a run.
+// confirmStart records that a worker has started a run. Inherited runs get no line
+// each: a takeover of a large cell would fill the log's buffer.
 func (o *Owner) confirmStart(r *run) {
-	if r.stage == stageInherited && r.startedAt == 0 {
+	inherited := r.stage == stageInherited
+	if inherited && r.startedAt == 0 {
 		r.startedAt = o.now
 	}
 	r.stage = stageConfirmed
 	r.confirmedAt = o.now
+	if inherited {
+		return
+	}
 	j := r.task.job
 	if !j.hasStarted {
 		o.options.Metrics.StartTime.Observe(o.now - j.submittedAt)
--- a/internal/schedule/owner/takeover_test.go
+++ b/internal/schedule/owner/takeover_test.go
@@ -95,3 +95,17 @@
 		t.Errorf("runs on the worker after the takeover (-want +got):\n%s", diff)
 	}
 }
+
+// TestTakeoverLogsNoLineForEachInheritedRun confirms an inherited run.
+func TestTakeoverLogsNoLineForEachInheritedRun(t *testing.T) {
+	b := ownerAfterTakeover(t, bestEffortSpec(1))
+	var log bytes.Buffer
+	b.owner.options.Log = zerolog.New(&log)
+	b.advance(1000)
+	if lines := linesOf(&log, "run_started"); lines != "" {
+		t.Errorf("lines of inherited runs:\n%s", lines)
+	}
+	if linesOf(&log, "worker_responsive") == "" {
+		t.Error("no line with the number of runs that the worker lists")
+	}
+}
