--- /dev/null
+++ b/internal/schedule/owner/restart_evidence_test.go
@@ -0,0 +1,26 @@
+package owner
+
+import (
+	"testing"
+
+	"github.com/google/go-cmp/cmp"
+
+	"github.com/oriolepier/oriolepier/internal/base/clock"
+	"github.com/oriolepier/oriolepier/internal/schedule/fleet"
+)
+
+// A clock behind the last reading shows a new incarnation, which numbers its ends from 1.
+func TestStartAnsweredByNextIncarnationAcknowledgesNoEnds(t *testing.T) {
+	m := newManualOwner(t, 1, clock.Hour)
+	start := m.orderStart()
+	other := fleet.End{Number: 40, Task: manualTask, Run: 9, Cause: fleet.EndDone}
+	m.owner.Report("w", fleet.Report{ClockMS: int64(m.now), Incarnation: 1, Ended: []fleet.End{other}})
+	m.now += m.owner.options.Times.Heartbeat
+	m.owner.Flush()
+	m.acknowledge()
+	m.owner.Started(start, fleet.Answer{Outcome: fleet.Accepted, ClockMS: 100})
+	m.advance(25)
+	if diff := cmp.Diff(int64(0), m.holds[len(m.holds)-1].Acked); diff != "" {
+		t.Errorf("ends acknowledged to the incarnation that runs the task (-want +got):\n%s", diff)
+	}
+}
