--- a/internal/schedule/owner/restart_evidence_test.go
+++ b/internal/schedule/owner/restart_evidence_test.go
@@ -24,3 +24,15 @@
 		t.Errorf("ends acknowledged to the incarnation that runs the task (-want +got):\n%s", diff)
 	}
 }
+
+// A start of the previous owner may reach the restarted worker after that owner has stopped.
+func TestPreviousOwnerStoppedKeepsWaitForRestartedWorker(t *testing.T) {
+	first := newManualOwner(t, 1, clock.Hour).successor(0)
+	first.orderStart()
+	next := first.successor(25)
+	next.list(2, "w:1")
+	next.owner.PreviousOwnerStopped(StopReleased)
+	if took := next.timeToEnd(next.now); took < uncertainStartTTL {
+		t.Errorf("run ended after %d ms, a start may be in transit for %d ms", took, uncertainStartTTL)
+	}
+}
