--- a/internal/schedule/owner/restart_evidence_test.go
+++ b/internal/schedule/owner/restart_evidence_test.go
@@ -36,3 +36,27 @@
 		t.Errorf("run ended after %d ms, a start may be in transit for %d ms", took, uncertainStartTTL)
 	}
 }
+
+// A hold for the old incarnation's clock grants the new one the longest lease there is.
+func TestLeaseByHoldAcrossRestartIsCounted(t *testing.T) {
+	const longestLease, newClock = 6000, 1000
+	m := newManualOwner(t, 1, clock.Hour)
+	m.startRun()
+	m.missHold()
+	m.advance(25)
+	leaseEnd := m.now + clock.Millis(min(m.holds[len(m.holds)-1].UntilMS-newClock, longestLease))
+	m.owner.Report("w", fleet.Report{ClockMS: newClock, Incarnation: 2})
+	m.now += refusedTaskBackoff
+	m.owner.Tick()
+	m.acknowledge()
+	second := m.owner.currentRun(manualTask, 2)
+	if second == nil || second.stage != stageOrdered {
+		t.Fatal("no run on the new incarnation")
+	}
+	m.owner.Started(m.starts[len(m.starts)-1], fleet.Answer{Outcome: fleet.Accepted, ClockMS: newClock + 100})
+	for m.missHold(); m.owner.currentRun(manualTask, 2) != nil; m.advance(25) {
+	}
+	if early := leaseEnd - m.now; early > 0 {
+		t.Errorf("run ended %d ms before its lease", early)
+	}
+}
