--- a/internal/schedule/owner/restart_evidence_test.go
+++ b/internal/schedule/owner/restart_evidence_test.go
@@ -60,3 +60,20 @@
 		t.Errorf("run ended %d ms before its lease", early)
 	}
 }
+
+// A stop that an earlier incarnation confirmed keeps no late start from beginning in the next.
+func TestStopConfirmedBeforeRestartIsRepeated(t *testing.T) {
+	m := newManualOwner(t, 1, clock.Hour)
+	m.orderStart()
+	for range maxStartsSent {
+		m.owner.Started(m.starts[len(m.starts)-1], fleet.Answer{Outcome: fleet.Unanswered})
+		m.advance(m.owner.options.Times.OrderRetry)
+	}
+	m.owner.Stopped(m.stops[0], fleet.Answer{Outcome: fleet.Accepted, ClockMS: int64(m.now)})
+	m.missHold()
+	m.advance(25)
+	m.report(2)
+	if !m.holdsRun() {
+		t.Error("the run counts as ended by a stop that the present incarnation has not confirmed")
+	}
+}
