--- a/internal/schedule/owner/restart_evidence_test.go
+++ b/internal/schedule/owner/restart_evidence_test.go
@@ -77,3 +77,13 @@
 		t.Error("the run counts as ended by a stop that the present incarnation has not confirmed")
 	}
 }
+
+// An order may be executed just before uncertainStartTTL is over, and grants a lease then.
+func TestWaitForRestartedWorkerIncludesLease(t *testing.T) {
+	m := newManualOwner(t, 1, clock.Hour)
+	m.orderStart()
+	m.list(2, "w:1")
+	if took, want := m.timeToEnd(m.now), uncertainStartTTL+m.owner.options.Times.Lease; took < want {
+		t.Errorf("run ended after %d ms, want at least %d", took, want)
+	}
+}
