--- a/internal/schedule/owner/durable_answer_test.go
+++ b/internal/schedule/owner/durable_answer_test.go
@@ -6,6 +6,7 @@
 	"github.com/google/go-cmp/cmp"
 
 	"github.com/oriolepier/oriolepier/internal/base/clock"
+	"github.com/oriolepier/oriolepier/internal/schedule/fleet"
 	"github.com/oriolepier/oriolepier/internal/schedule/job"
 )
 
@@ -30,3 +31,20 @@
 		t.Errorf("rulings of the next owner and the first (-want +got):\n%s", diff)
 	}
 }
+
+// The Unix clock may jump; a late repeat of the submission would run its tasks again.
+func TestFinalStateOutlivesJumpOfUnixClock(t *testing.T) {
+	m := newManualOwner(t, 1, clock.Hour)
+	run := m.startRun()
+	end := fleet.End{Number: 1, Task: run.Task, Run: run.Run, Cause: fleet.EndDone}
+	m.owner.Report("w", fleet.Report{ClockMS: int64(m.now), Incarnation: 1, Ended: []fleet.End{end}})
+	m.owner.options.WallClock = func() int64 { return int64(m.now + clock.Hour) }
+	ended := m.now
+	for m.now-ended < expiryPeriod+clock.Second {
+		m.advance(500)
+		m.acknowledge()
+	}
+	if diff := cmp.Diff(LookupResult{State: job.Completed}, m.owner.Lookup(manualTask.Job)); diff != "" {
+		t.Errorf("state %d ms after the end (-want +got):\n%s", m.now-ended, diff)
+	}
+}
