--- a/internal/schedule/owner/restart_evidence_test.go
+++ b/internal/schedule/owner/restart_evidence_test.go
@@ -87,3 +87,24 @@
 		t.Errorf("run ended after %d ms, want at least %d", took, want)
 	}
 }
+
+// A worker's Unix clock may be set back before it starts again.
+func TestWorkerWithUnixClockSetBackGetsRuns(t *testing.T) {
+	m := newManualOwner(t, 1, clock.Hour)
+	m.list(5, "w:1")
+	m.advance(25)
+	m.acknowledge()
+	m.report(5)
+	m.list(3, "w:1")
+	for i := range 40 {
+		m.advance(500)
+		m.report(3)
+		m.acknowledge()
+		if i == 20 {
+			m.submit()
+		}
+	}
+	if len(m.starts) == 0 {
+		t.Error("no start in 9 s, though the worker is listed and answers")
+	}
+}
