--- a/internal/schedule/owner/restart_evidence_test.go
+++ b/internal/schedule/owner/restart_evidence_test.go
@@ -108,3 +108,20 @@
 		t.Error("no start in 9 s, though the worker is listed and answers")
 	}
 }
+
+// A run that the new incarnation reports belongs to it for the next owner, too.
+func TestNextOwnerKeepsRunOfNextIncarnation(t *testing.T) {
+	m := newManualOwner(t, 1, clock.Hour)
+	run := m.startRun()
+	m.advance(100)
+	m.report(2, run)
+	for range 3 {
+		m.advance(500)
+		m.acknowledge()
+	}
+	next := m.successor(25)
+	next.list(2, "w:1")
+	if diff := cmp.Diff([]fleet.Stop(nil), next.stops); diff != "" {
+		t.Errorf("stops of the run (-want +got):\n%s", diff)
+	}
+}
