--- a/internal/schedule/owner/durable_answer_test.go
+++ b/internal/schedule/owner/durable_answer_test.go
@@ -48,3 +48,27 @@
 		t.Errorf("state %d ms after the end (-want +got):\n%s", m.now-ended, diff)
 	}
 }
+
+// Lists that a newer one replaces would grow an append by the length of an outage.
+func TestAppendAfterOutageHasOneListOfUnresponsiveWorkers(t *testing.T) {
+	m := newManualOwner(t, 1, clock.Hour)
+	m.startRun()
+	for range missedHoldsToUnresponsive {
+		m.missHold()
+	}
+	m.advance(25)
+	m.acknowledge()
+	for range 40 {
+		m.advance(500)
+	}
+	m.acknowledge()
+	lists := 0
+	for _, record := range m.pending {
+		if record.Key == keyUnresponsive {
+			lists++
+		}
+	}
+	if diff := cmp.Diff(1, lists); diff != "" {
+		t.Errorf("lists in the append after an outage of 20 s (-want +got):\n%s", diff)
+	}
+}
