--- /dev/null
+++ b/internal/schedule/owner/restart_evidence_test.go
@@ -0,0 +1,127 @@
+package owner
+
+import (
+	"testing"
+
+	"github.com/google/go-cmp/cmp"
+
+	"github.com/oriolepier/oriolepier/internal/base/clock"
+	"github.com/oriolepier/oriolepier/internal/schedule/fleet"
+)
+
+// A clock behind the last reading shows a new incarnation, which numbers its ends from 1.
+func TestStartAnsweredByNextIncarnationAcknowledgesNoEnds(t *testing.T) {
+	m := newManualOwner(t, 1, clock.Hour)
+	start := m.orderStart()
+	other := fleet.End{Number: 40, Task: manualTask, Run: 9, Cause: fleet.EndDone}
+	m.owner.Report("w", fleet.Report{ClockMS: int64(m.now), Incarnation: 1, Ended: []fleet.End{other}})
+	m.now += m.owner.options.Times.Heartbeat
+	m.owner.Flush()
+	m.acknowledge()
+	m.owner.Started(start, fleet.Answer{Outcome: fleet.Accepted, ClockMS: 100})
+	m.advance(25)
+	if diff := cmp.Diff(int64(0), m.holds[len(m.holds)-1].Acked); diff != "" {
+		t.Errorf("ends acknowledged to the incarnation that runs the task (-want +got):\n%s", diff)
+	}
+}
+
+// A start of the previous owner may reach the restarted worker after that owner has stopped.
+func TestPreviousOwnerStoppedKeepsWaitForRestartedWorker(t *testing.T) {
+	first := newManualOwner(t, 1, clock.Hour).successor(0)
+	first.orderStart()
+	next := first.successor(25)
+	next.list(2, "w:1")
+	next.owner.PreviousOwnerStopped(StopReleased)
+	if took := next.timeToEnd(next.now); took < uncertainStartTTL {
+		t.Errorf("run ended after %d ms, a start may be in transit for %d ms", took, uncertainStartTTL)
+	}
+}
+
+// A hold for the old incarnation's clock grants the new one the longest lease there is.
+func TestLeaseByHoldAcrossRestartIsCounted(t *testing.T) {
+	const longestLease, newClock = 6000, 1000
+	m := newManualOwner(t, 1, clock.Hour)
+	m.startRun()
+	m.missHold()
+	m.advance(25)
+	leaseEnd := m.now + clock.Millis(min(m.holds[len(m.holds)-1].UntilMS-newClock, longestLease))
+	m.owner.Report("w", fleet.Report{ClockMS: newClock, Incarnation: 2})
+	m.now += refusedTaskBackoff
+	m.owner.Tick()
+	m.acknowledge()
+	second := m.owner.currentRun(manualTask, 2)
+	if second == nil || second.stage != stageOrdered {
+		t.Fatal("no run on the new incarnation")
+	}
+	m.owner.Started(m.starts[len(m.starts)-1], fleet.Answer{Outcome: fleet.Accepted, ClockMS: newClock + 100})
+	for m.missHold(); m.owner.currentRun(manualTask, 2) != nil; m.advance(25) {
+	}
+	if early := leaseEnd - m.now; early > 0 {
+		t.Errorf("run ended %d ms before its lease", early)
+	}
+}
+
+// A stop that an earlier incarnation confirmed keeps no late start from beginning in the next.
+func TestStopConfirmedBeforeRestartIsRepeated(t *testing.T) {
+	m := newManualOwner(t, 1, clock.Hour)
+	m.orderStart()
+	for range maxStartsSent {
+		m.owner.Started(m.starts[len(m.starts)-1], fleet.Answer{Outcome: fleet.Unanswered})
+		m.advance(m.owner.options.Times.OrderRetry)
+	}
+	m.owner.Stopped(m.stops[0], fleet.Answer{Outcome: fleet.Accepted, ClockMS: int64(m.now)})
+	m.missHold()
+	m.advance(25)
+	m.report(2)
+	if !m.holdsRun() {
+		t.Error("the run counts as ended by a stop that the present incarnation has not confirmed")
+	}
+}
+
+// An order may be executed just before uncertainStartTTL is over, and grants a lease then.
+func TestWaitForRestartedWorkerIncludesLease(t *testing.T) {
+	m := newManualOwner(t, 1, clock.Hour)
+	m.orderStart()
+	m.list(2, "w:1")
+	if took, want := m.timeToEnd(m.now), uncertainStartTTL+m.owner.options.Times.Lease; took < want {
+		t.Errorf("run ended after %d ms, want at least %d", took, want)
+	}
+}
+
+// A worker's Unix clock may be set back before it starts again.
+func TestWorkerWithUnixClockSetBackGetsRuns(t *testing.T) {
+	m := newManualOwner(t, 1, clock.Hour)
+	m.list(5, "w:1")
+	m.advance(25)
+	m.acknowledge()
+	m.report(5)
+	m.list(3, "w:1")
+	for i := range 40 {
+		m.advance(500)
+		m.report(3)
+		m.acknowledge()
+		if i == 20 {
+			m.submit()
+		}
+	}
+	if len(m.starts) == 0 {
+		t.Error("no start in 9 s, though the worker is listed and answers")
+	}
+}
+
+// A run that the new incarnation reports belongs to it for the next owner, too.
+func TestNextOwnerKeepsRunOfNextIncarnation(t *testing.T) {
+	m := newManualOwner(t, 1, clock.Hour)
+	run := m.startRun()
+	m.advance(100)
+	m.report(2, run)
+	for range 3 {
+		m.advance(500)
+		m.acknowledge()
+	}
+	next := m.successor(25)
+	next.list(2, "w:1")
+	if diff := cmp.Diff([]fleet.Stop(nil), next.stops); diff != "" {
+		t.Errorf("stops of the run (-want +got):\n%s", diff)
+	}
+}
