Count orders that may reach a restarted worker in full

A worker that starts again under its id executes what was sent to its earlier incarnation. Five things were taken for settled that are not:

- A stop that the earlier incarnation confirmed; it is sent again.
- The wait for a silent restarted worker: an order may arrive at its end and grant the longest lease from then on.
- That wait when the previous owner has stopped.
- The lease before the first report, which an end on the old clock makes the longest one.
- The number of the last recorded end, when a start was answered by a new clock.

A run that moves to the present incarnation is recorded with it, so that the next owner does not stop it.

--- a/internal/schedule/owner/evidence.go
+++ b/internal/schedule/owner/evidence.go
@@ -12,7 +12,7 @@
 	evidenceRecordedRest                            // the time that a previous owner recorded as remaining of the leases is over
 	evidenceRenewWindow                             // a lease that a previous owner could renew without a record is over
 	evidencePreviousOwnerStopped                    // the same, counted from the time at which it was known to have stopped
-	evidenceRestartUnreported                       // the worker restarted, and its new incarnation has not reported for uncertainStartTTL
+	evidenceRestartUnreported                       // the worker restarted, and its new incarnation has not reported for as long as an order may be in transit, and its lease last
 	evidenceWorkerRestartedListed                   // the list of workers has a newer incarnation
 	evidenceWorkerRestartedReported                 // a newer incarnation reported
 	evidenceWorkerRestartedRecorded                 // a later run was recorded on a newer incarnation
--- a/internal/schedule/owner/evidence_test.go
+++ b/internal/schedule/owner/evidence_test.go
@@ -104,7 +104,7 @@
 			restarted := testEntry("w")
 			restarted.Incarnation = 2
 			b.owner.SetWorkers([]fleet.Entry{restarted}) // the inherited run may begin late, so it is stopped
-			b.tickAfter(uncertainStartTTL + 10)
+			b.tickAfter(uncertainStartTTL + b.owner.slowClockSpan(b.owner.options.Times.LongestLease) + 10)
 		}},
 		{evidenceWorkerRestartedListed, func(log *bytes.Buffer) {
 			b := runningHarness()
--- a/internal/schedule/owner/orders.go
+++ b/internal/schedule/owner/orders.go
@@ -101,15 +101,21 @@
 	}
 }
 
-// noteStartAnswer counts an answered start. A clock behind the worker's last reading
-// comes from a later incarnation, which may have started the run as well.
+// maxOvertaking is how much older than a report an answer can be that is handled after
+// it.
+const maxOvertaking clock.Millis = 2 * clock.Second
+
+// noteStartAnswer counts an answered start. A clock far behind the worker's last
+// reading is that of a new incarnation: it has started the run, and numbers its ends
+// from the start again.
 func (o *Owner) noteStartAnswer(r *run, answer fleet.Answer) {
 	if r == nil {
 		return
 	}
 	r.startsOpen--
-	if answer.Outcome == fleet.Accepted && answer.ClockMS != 0 && answer.ClockMS < r.worker.clockMS {
+	if w := r.worker; answer.Outcome == fleet.Accepted && answer.ClockMS != 0 && answer.ClockMS+int64(maxOvertaking) < w.clockMS {
 		r.startUnanswered = true
+		w.endsRecorded = 0
 	}
 }
 
--- a/internal/schedule/owner/report.go
+++ b/internal/schedule/owner/report.go
@@ -67,12 +67,22 @@
 	w.nextHoldAt = o.now + clock.Second
 }
 
-// adoptRuns moves runs that were placed on an earlier incarnation to the reporting
-// one if it lists them: their start reached it.
+// leaseBeforeFirstReport is the longest lease that an order before a worker's first
+// report can have granted: a previous owner's, just now; or in a new incarnation, by an
+// end on the clock of an earlier one, the longest that workers accept.
+func (o *Owner) leaseBeforeFirstReport(w *worker) clock.Millis {
+	if w.runsEndProof.evidence == evidenceRestartUnreported {
+		return o.options.Times.LongestLease
+	}
+	return o.options.Times.Lease
+}
+
+// adoptRuns moves runs that were placed on an earlier incarnation to the present one
+// if its report lists them: their start reached it.
 func (o *Owner) adoptRuns(w *worker, report fleet.Report) {
 	adopt := func(task job.Task, number int) {
-		if r := o.currentRun(task, number); r != nil && r.worker == w {
-			r.incarnation = max(r.incarnation, report.Incarnation)
+		if r := o.currentRun(task, number); r != nil && r.worker == w && r.incarnation < w.incarnation {
+			o.adopt(r)
 		}
 	}
 	for _, row := range report.Running {
@@ -85,10 +95,10 @@
 
 // handleReport applies a worker's report.
 func (o *Owner) handleReport(w *worker, report fleet.Report) {
-	o.adoptRuns(w, report)
 	if report.Incarnation > w.incarnation {
 		o.workerRestarted(w, report.Incarnation, evidenceWorkerRestartedReported)
 	}
+	o.adoptRuns(w, report)
 	if w.missedHolds > 0 || w.lastReportAt == 0 {
 		o.options.Log.Info().Str("event", "worker_responsive").Str("worker", w.id).Int("misses", w.missedHolds).
 			Int("running", len(report.Running)).Int("ended", len(report.Ended)).Int64("born", report.Incarnation).
@@ -96,8 +106,7 @@
 		o.placementDue = true
 	}
 	if w.lastReportAt == 0 {
-		// The previous owner may have granted a lease of the same length just now.
-		w.leaseUntilMS = max(w.leaseUntilMS, report.ClockMS+int64(o.options.Times.Lease))
+		w.leaseUntilMS = max(w.leaseUntilMS, report.ClockMS+int64(o.leaseBeforeFirstReport(w)))
 	}
 	o.endRunsOfOldIncarnations(w)
 	o.stopUncertainStarts(w)
--- a/internal/schedule/owner/times.go
+++ b/internal/schedule/owner/times.go
@@ -4,6 +4,7 @@
 
 // Times are the periods and time limits of an owner.
 type Times struct {
+	LongestLease   clock.Millis // that workers accept; a longer one is cut to it
 	Lease          clock.Millis // length of a lease, granted anew with each renewal; bounds how long the tasks of a lost worker wait
 	RenewWindow    clock.Millis // how long after the store's last confirmation of the ownership leases are renewed
 	ClockSlack     clock.Millis // added to the end of a lease when it is compared with the estimate of a worker's clock
@@ -29,6 +30,7 @@
 // up to longestLease and which requires final states to be kept for statusKept.
 func DefaultTimes(longestLease, statusKept clock.Millis) Times {
 	return Times{
+		LongestLease:   longestLease,
 		Lease:          min(5*clock.Second, longestLease),
 		RenewWindow:    6 * clock.Second,
 		ClockSlack:     300,
--- a/internal/schedule/owner/unresponsive.go
+++ b/internal/schedule/owner/unresponsive.go
@@ -75,9 +75,11 @@
 
 // maxLeaseSpan is how long a lease that was just granted can last, allowing for
 // a slow worker clock.
-func (o *Owner) maxLeaseSpan() clock.Millis {
-	t := o.options.Times
-	return t.Lease + t.Lease*driftPercent/100 + t.ClockSlack
+func (o *Owner) maxLeaseSpan() clock.Millis { return o.slowClockSpan(o.options.Times.Lease) }
+
+// slowClockSpan is how long a time on a worker's clock can take.
+func (o *Owner) slowClockSpan(length clock.Millis) clock.Millis {
+	return length + length*driftPercent/100 + o.options.Times.ClockSlack
 }
 
 // loadUnresponsive applies the list of a previous owner.
@@ -112,7 +114,8 @@
 
 // PreviousOwnerStopped records that the previous owner no longer grants leases. That
 // says nothing of the owner before it, which may still renew leases on workers that
-// the previous owner never reached; its list names these, with the time to wait.
+// the previous owner never reached; its list names these, with the time to wait. Nor
+// does it of orders that are in transit to a worker that restarted.
 func (o *Owner) PreviousOwnerStopped(by StopEvidence) {
 	if !o.beginInput() || !o.unresponsiveListCurrent || o.previousOwnerStopped {
 		return
@@ -122,7 +125,7 @@
 		Int64("after_ms", int64(o.now-o.claimedAt)).Int64("since_fence_ms", int64(age(o.fencedAt, o.now))).
 		Str("by", string(by)).Str("name", o.options.PreviousOwner).Send()
 	for _, w := range o.sortedWorkers {
-		if w.lastReportAt == 0 && w.recordedRest == notListed {
+		if w.lastReportAt == 0 && w.runsEndProof.evidence == evidenceRenewWindow {
 			w.limitRunsEnd(proof{evidence: evidencePreviousOwnerStopped, at: o.now}, o.maxLeaseSpan())
 		}
 	}
--- a/internal/schedule/owner/workers.go
+++ b/internal/schedule/owner/workers.go
@@ -160,6 +160,7 @@
 	}
 	if entry.Incarnation > w.incarnation {
 		o.workerRestarted(w, entry.Incarnation, evidenceWorkerRestartedListed)
+		o.endRunsOfOldIncarnations(w)
 	}
 	w.listed = true
 	w.entry = entry
@@ -197,7 +198,8 @@
 	slices.SortFunc(o.sortedWorkers, func(a, b *worker) int { return cmp.Compare(a.id, b.id) })
 }
 
-// workerRestarted resets the state of a worker that has a newer incarnation.
+// workerRestarted resets the state of a worker that has a newer incarnation. Its runs
+// are left to endRunsOfOldIncarnations.
 func (o *Owner) workerRestarted(w *worker, incarnation int64, from evidence) {
 	if w.incarnation != 0 {
 		o.options.Log.Warn().Str("event", "worker_restarted").Str("worker", w.id).
@@ -206,12 +208,11 @@
 		w.endsApplied, w.endsRecorded = 0, 0
 		w.clockReadAt, w.clockMS, w.leaseUntilMS = 0, 0, 0
 		w.lastReportAt = 0
-		w.runsEndBy, w.runsEndProof = o.now+uncertainStartTTL, proof{evidence: evidenceRestartUnreported, at: o.now}
+		w.runsEndBy, w.runsEndProof = o.now+uncertainStartTTL+o.slowClockSpan(o.options.Times.LongestLease), proof{evidence: evidenceRestartUnreported, at: o.now}
 		w.leasesLapsed = false
 	}
 	w.incarnation = incarnation
 	w.incarnationFrom, w.incarnationKnownAt = from, o.now
-	o.endRunsOfOldIncarnations(w)
 }
 
 // endRunsOfOldIncarnations ends the runs of a worker's earlier incarnations.
@@ -221,13 +222,31 @@
 		switch {
 		case r.incarnation >= w.incarnation:
 		case r.startUnanswered || r.startsOpen > 0:
-			o.stopRun(r, "worker restarted")
+			o.stopInNewIncarnation(r)
 		default:
 			o.endRun(r, endWorkerRestarted, w.restartProof(), "")
 		}
 	}
 }
 
+// stopInNewIncarnation stops a run whose start may reach its worker's present
+// incarnation, which knows of no stop that an earlier one has confirmed.
+func (o *Owner) stopInNewIncarnation(r *run) {
+	o.adopt(r)
+	if r.stage != stageStopped {
+		o.stopRun(r, "worker restarted")
+		return
+	}
+	r.stage = stageStopping
+	o.sendStop(r)
+}
+
+// adopt moves a run to the present incarnation of its worker, also for later owners.
+func (o *Owner) adopt(r *run) {
+	r.incarnation = r.worker.incarnation
+	o.markChanged(r.task.job)
+}
+
 // stopUncertainStarts sends stops for the unanswered starts of a worker's
 // earlier incarnations, so that they cannot begin in the present one.
 func (o *Owner) stopUncertainStarts(w *worker) {
