Send no order of a session that is overdue already

A hold that waited in the queue of a link session beyond its deadline was repeated from elsewhere, without an acknowledgement, and still sent itself with one. Orders that were completed leave the queue.

--- a/internal/site/linkshard/session.go
+++ b/internal/site/linkshard/session.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"slices"
 	"sync"
 
 	"github.com/pkg/errors"
@@ -93,17 +94,17 @@
 	}
 }
 
-// nextBatch removes up to maxBatchOrders orders from the queue.
+// nextBatch removes up to maxBatchOrders orders from the queue, without those that
+// were completed as overdue.
 func (s *session) nextBatch() orders {
 	s.mu.Lock()
 	defer s.mu.Unlock()
+	s.queue = slices.DeleteFunc(s.queue, func(o order) bool { return s.pending[o.Number] == nil })
 	size := min(len(s.queue), maxBatchOrders)
 	batch := orders{Echo: s.linkClock, List: s.queue[:size:size]}
 	s.queue = s.queue[size:]
 	for _, o := range batch.List {
-		if known := s.pending[o.Number]; known != nil {
-			known.sent = true
-		}
+		s.pending[o.Number].sent = true
 	}
 	return batch
 }
