Keep one list of unresponsive workers for the next append

Lists were added to the next append as they were encoded, twice a second during an outage of the store, though only the last one counts: 10 lists after 20 s, each as long as the number of unresponsive workers.

--- a/internal/schedule/owner/commit.go
+++ b/internal/schedule/owner/commit.go
@@ -17,17 +17,19 @@
 
 // batch is a group of changes for one append.
 type batch struct {
-	jobs          []*jobState      // changed jobs, in the sequence of their first change
-	encodedStates []job.State      // states of these jobs as encoded
-	removals      []journal.Record // deletions of the records of expired jobs
-	otherRecords  []journal.Record // records that belong to no job
-	onAck         []func()         // actions to run once the append is acknowledged
-	heartbeat     bool             // append even if nothing changed
+	jobs             []*jobState      // changed jobs, in the sequence of their first change
+	encodedStates    []job.State      // states of these jobs as encoded
+	removals         []journal.Record // deletions of the records of expired jobs
+	otherRecords     []journal.Record // records that belong to no job
+	unresponsiveList []byte           // newest list of unresponsive workers; nil: none
+	listNumber       int              // its number
+	onAck            []func()         // actions to run once the append is acknowledged
+	heartbeat        bool             // append even if nothing changed
 }
 
 // hasRecords reports whether the batch needs an append.
 func (b *batch) hasRecords() bool {
-	return len(b.jobs) > 0 || len(b.removals) > 0 || len(b.otherRecords) > 0 || b.heartbeat
+	return len(b.jobs) > 0 || len(b.removals) > 0 || len(b.otherRecords) > 0 || b.unresponsiveList != nil || b.heartbeat
 }
 
 func (b *batch) empty() bool { return !b.hasRecords() && len(b.onAck) == 0 }
@@ -117,6 +119,9 @@
 // records encodes the records of a batch, with its jobs as they are now.
 func (o *Owner) records(source *batch) []journal.Record {
 	records := append(source.removals, source.otherRecords...)
+	if source.unresponsiveList != nil {
+		records = append(records, journal.Record{Key: keyUnresponsive, Value: source.unresponsiveList})
+	}
 	for _, j := range source.jobs {
 		j.changed = false
 		source.encodedStates = append(source.encodedStates, j.state)
@@ -171,6 +176,7 @@
 		j.durable = true
 		j.recordedState = acknowledged.encodedStates[i]
 	}
+	o.noteListRecorded(acknowledged)
 	runAll(acknowledged.onAck)
 	o.flush()
 }
--- a/internal/schedule/owner/unresponsive.go
+++ b/internal/schedule/owner/unresponsive.go
@@ -5,7 +5,6 @@
 
 	"github.com/oriolepier/oriolepier/internal/base/clock"
 	"github.com/oriolepier/oriolepier/internal/base/codec"
-	"github.com/oriolepier/oriolepier/internal/schedule/journal"
 )
 
 // An owner records which workers are unresponsive and how long their leases can
@@ -149,7 +148,7 @@
 	o.unresponsiveChanged = true
 }
 
-// recordUnresponsive adds the list to the next append if it has changed, or
+// recordUnresponsive puts the list into the next append if it has changed, or
 // periodically while it is not empty.
 func (o *Owner) recordUnresponsive() {
 	refresh := len(o.encodedUnresponsive) > 0 && o.now-o.unresponsiveEncodedAt >= unresponsiveRecordPeriod
@@ -159,17 +158,21 @@
 	o.unresponsiveChanged = false
 	o.unresponsiveEncodedAt = o.now
 	o.listsEncoded++
-	number := o.listsEncoded
 	data, err := codec.Marshal(o.unresponsiveList())
 	if err != nil {
 		o.options.Log.Error().Err(err).Msg("cannot encode the list of unresponsive workers")
 		return
 	}
-	o.batch.otherRecords = append(o.batch.otherRecords, journal.Record{Key: keyUnresponsive, Value: data})
-	o.batch.onAck = append(o.batch.onAck, func() {
-		o.listsRecorded = number
-		o.placementDue = true // workers that it does not name any more may get new runs
-	})
+	o.batch.unresponsiveList, o.batch.listNumber = data, o.listsEncoded
+}
+
+// noteListRecorded handles the acknowledgement of the list in a batch, if it has one.
+func (o *Owner) noteListRecorded(recorded *batch) {
+	if recorded.unresponsiveList == nil {
+		return
+	}
+	o.listsRecorded = recorded.listNumber
+	o.placementDue = true // workers that it does not name any more may get new runs
 }
 
 // unresponsiveList builds the list for the next record, which it also sets as
