Call a submission unknown that is refused after an unanswered try

The entry that relays a submission tries again when the owner does not answer. If the owner refuses the second try, it may still handle the first one, and accept it: the caller was told that its job never runs. A refusal by a later owner is final as before.

--- a/internal/site/relay/relay.go
+++ b/internal/site/relay/relay.go
@@ -149,16 +149,20 @@
 }
 
 // send retries a query until an owner has answered, until no owner was reached
-// for maxOwnerWait, or until the context ends.
+// for maxOwnerWait, or until the context ends. A refusal counts only if no try before it
+// may still be handled by the same owner, which might accept it then.
 func (d Client) send(ctx context.Context, query ownerQuery) Reply {
 	started := d.options.Clock.Now()
-	maybeReceived := false // an owner may have received the query
+	maybeReceived := false  // an owner may have received the query
+	unanswered := int64(-1) // epoch of the newest owner that left a try unanswered
 	tries := 0
 	for ctx.Err() == nil {
 		tries++
 		epoch := d.options.Current().Epoch
 		reply, err := d.sendOnce(ctx, query)
 		switch {
+		case err == nil && reply.Verdict.Ruling == owner.Refused && unanswered >= epoch:
+			return Reply{Outcome: Unknown, Tries: tries}
 		case err == nil && reply.Verdict.Ruling != owner.NotOwner:
 			reply.Epoch, reply.Tries = epoch, tries
 			return reply
@@ -168,6 +172,7 @@
 			maybeReceived = true
 		case !fault.OutcomeOf(err).DidNotRun():
 			maybeReceived = true
+			unanswered = max(unanswered, epoch)
 		case !maybeReceived && d.options.Clock.Now()-started > maxOwnerWait:
 			return Reply{Outcome: NotRun, Tries: tries}
 		}
