Keep final states by the monotonic clock

A jump of the Unix clock removed the final states of jobs early, and a late repeat of a submission would run again. The Unix clock counts only across owners now.

--- a/internal/schedule/owner/commit.go
+++ b/internal/schedule/owner/commit.go
@@ -194,9 +194,9 @@
 		return
 	}
 	o.nextExpiryAt = o.now + expiryPeriod
-	oldest := o.options.WallClock() - int64(o.options.Times.StatusKept) - int64(expiryMargin)
+	oldest := o.now - o.options.Times.StatusKept - expiryMargin
 	for id, j := range o.jobs {
-		if j.state.Final() && j.runs == 0 && !j.changed && j.endedMS < oldest {
+		if j.state.Final() && j.runs == 0 && !j.changed && j.endedAt < oldest {
 			delete(o.jobs, id)
 			o.removeRecords(id)
 		}
--- a/internal/schedule/owner/load.go
+++ b/internal/schedule/owner/load.go
@@ -45,7 +45,7 @@
 	runs := 0
 	for _, j := range o.jobs {
 		j.durable = true
-		j.submittedAt = o.now - o.jobAge(j)
+		j.submittedAt = o.now - o.timeSince(j.spec.AcceptedMS)
 		j.lastPlacementChangeAt = o.now
 		j.deadlines = o.objective(j)
 		j.recordedState = j.state
@@ -61,10 +61,10 @@
 	return nil
 }
 
-// jobAge returns how long ago a job was accepted, by the wall clock.
-func (o *Owner) jobAge(j *jobState) clock.Millis {
+// timeSince returns how long ago a Unix time was, by the wall clock.
+func (o *Owner) timeSince(unixMS int64) clock.Millis {
 	const maxAge = 10 * clock.Minute // ages above it are cut off, as the wall clock may have jumped
-	return min(max(clock.Millis(o.options.WallClock()-j.spec.AcceptedMS), 0), maxAge)
+	return min(max(clock.Millis(o.options.WallClock()-unixMS), 0), maxAge)
 }
 
 func (o *Owner) loadRecord(record journal.Record, progress map[string]job.Progress) error {
@@ -101,6 +101,7 @@
 	j.state = recorded.State
 	j.cancelled = recorded.CancelAccepted
 	j.endedMS = recorded.EndedMS
+	j.endedAt = o.now - o.timeSince(j.endedMS)
 	next := 0
 	for i := range j.steps {
 		step := &j.steps[i]
--- a/internal/schedule/owner/state.go
+++ b/internal/schedule/owner/state.go
@@ -12,11 +12,12 @@
 type jobState struct {
 	spec                  job.Spec
 	state                 job.State
-	recordedState         job.State // state in the last acknowledged record
-	durable               bool      // the record of its specification is acknowledged
-	cancelled             bool      // cancelled by its caller
-	hasStarted            bool      // a worker confirmed a run of it, or an earlier owner recorded one
-	endedMS               int64     // Unix time at which it became final
+	recordedState         job.State    // state in the last acknowledged record
+	durable               bool         // the record of its specification is acknowledged
+	cancelled             bool         // cancelled by its caller
+	hasStarted            bool         // a worker confirmed a run of it, or an earlier owner recorded one
+	endedMS               int64        // Unix time at which it became final
+	endedAt               clock.Millis // the same; of an inherited job by its recorded age
 	steps                 []stepState
 	runs                  int  // runs that may be executing
 	unfinished            int  // steps that are not done
--- a/internal/schedule/owner/submit.go
+++ b/internal/schedule/owner/submit.go
@@ -213,7 +213,7 @@
 // endJob sets the final state of a job.
 func (o *Owner) endJob(j *jobState, state job.State, reason string) {
 	j.state = state
-	j.endedMS = o.options.WallClock()
+	j.endedMS, j.endedAt = o.options.WallClock(), o.now
 	o.interference.ForgetGroup(string(j.spec.ID))
 	o.options.Log.Info().Str("event", "job_ended").Str("job", string(j.spec.ID)).Str("queue", j.spec.Queue).
 		Str("state", state.String()).Str("reason", reason).Int64("age_ms", int64(o.now-j.submittedAt)).
