--- a/internal/schedule/owner/hostile_faults_test.go
+++ b/internal/schedule/owner/hostile_faults_test.go
@@ -7,7 +7,7 @@
 )
 
 // hostileFaults are the faults of hostile plays beside those of all plays.
-var hostileFaults = slices.Concat([]fault{ownerPaused}, linkFaults, []fault{
+var hostileFaults = slices.Concat([]fault{ownerPaused}, linkFaults, cutFaults, []fault{
 	{name: "worker_flaps", description: "a third of the workers cannot be reached for 1 to 3 s, five times with 0.3 to 3 s between", begin: func(sim *simulation, _ *simOwner) {
 		for _, m := range sim.randomThird() {
 			sim.flap(m, 5)
--- a/internal/schedule/owner/lease_regressions_test.go
+++ b/internal/schedule/owner/lease_regressions_test.go
@@ -9,9 +9,6 @@
 	standin "github.com/oriolepier/oriolepier/internal/standin/worker"
 )
 
-// noLimit is a time after the end of a play.
-const noLimit = clock.Hour
-
 // newLeaseSimulation returns a simulation of three workers whose tasks run until they
 // are stopped, with an owner that has loaded its state, and starts fifteen of them.
 func newLeaseSimulation(t *testing.T) (*simulation, *simOwner) {
@@ -29,13 +26,6 @@
 	return sim, owner
 }
 
-// callsDirectly makes an owner call all workers without links.
-func (sim *simulation) callsDirectly(s *simOwner) {
-	for _, id := range sim.workerIDs() {
-		sim.callDirectly(s, id, noLimit)
-	}
-}
-
 // leaseJob returns a job of three long-running tasks.
 func (sim *simulation) leaseJob(number int) job.Spec {
 	spec := sim.lastingJob(number)
@@ -50,24 +40,6 @@
 	return spec
 }
 
-// isolate cuts an owner and a worker off from the store, the other workers and the
-// other entries. They still reach each other.
-func (sim *simulation) isolate(s *simOwner, worker string) {
-	s.storeUnreachable = true
-	sim.cutOff(worker, sim.entryOf(s))
-	sim.callsDirectly(s)
-	for _, id := range sim.workerIDs() {
-		sim.entryOf(s).unreachable[id] = id != worker
-	}
-}
-
-// cutOff makes a worker unreachable from all entries but one.
-func (sim *simulation) cutOff(worker string, except *simEntry) {
-	for _, entry := range sim.entries {
-		entry.unreachable[worker] = entry != except
-	}
-}
-
 // playLeases runs a play of leases and fails its test if a rule is broken.
 func (sim *simulation) playLeases(length clock.Millis) {
 	sim.t.Helper()
