Count no grants that a worker refuses in hostile plays

A worker that has seen a newer fencing token accepts no lease of an older owner, so such a grant breaks no promise.

--- a/internal/schedule/owner/lease_invariants_test.go
+++ b/internal/schedule/owner/lease_invariants_test.go
@@ -77,8 +77,8 @@
 // checkGrant checks that a granted lease ends no later than a next owner may assume.
 func (sim *simulation) checkGrant(s *simOwner, to fleet.Address, until int64, order string) {
 	m, w := sim.workers[to.ID], s.owner.workers[to.ID]
-	if !sim.audit.enabled || until == 0 || m == nil || w == nil || w.incarnation != m.Entry.Incarnation {
-		return
+	if !sim.audit.enabled || until == 0 || m == nil || w == nil || w.incarnation != m.Entry.Incarnation || s.epoch < m.tokenSeen {
+		return // no lease, or none that the worker accepts
 	}
 	granted := grant{endsAt: m.endsAt(sim.now, until), grantedAt: sim.now, epoch: s.epoch, order: order}
 	if granted.endsAt > sim.audit.grants[to.ID].endsAt {
@@ -125,11 +125,21 @@
 		sim.audit.restEpoch = list.Epoch
 		for _, listed := range list.Workers {
 			sim.audit.rest[listed.ID] = listed.Remaining
-			sim.checkPromise(listed.ID, sim.audit.grants[listed.ID], sim.now+listed.Remaining, recordedRest)
+			sim.checkPromise(listed.ID, sim.longestLease(listed.ID), sim.now+listed.Remaining, recordedRest)
 		}
 	}
 }
 
+// longestLease returns the longest lease that was granted on a worker and that it has
+// accepted or may accept yet.
+func (sim *simulation) longestLease(worker string) grant {
+	granted := sim.audit.grants[worker]
+	if m := sim.workers[worker]; m != nil && granted.epoch < m.tokenSeen {
+		granted.endsAt = min(granted.endsAt, m.endsAt(sim.now, m.leaseUntil))
+	}
+	return granted
+}
+
 func (sim *simulation) unresponsiveIn(record journal.Record) unresponsiveList {
 	var list unresponsiveList
 	if err := codec.Unmarshal(record.Value, &list); err != nil {
--- a/internal/schedule/owner/simulation_orders_test.go
+++ b/internal/schedule/owner/simulation_orders_test.go
@@ -66,6 +66,7 @@
 	}
 	execute := func(m *simWorker) func() {
 		answer := m.Stop(order, sim.now)
+		m.tokenSeen = max(m.tokenSeen, order.Token)
 		return func() { s.owner.Stopped(order, answer) }
 	}
 	sim.order(s, order.To, execute, failed(fleet.Unanswered), failed(fleet.NotSent))
@@ -76,6 +77,7 @@
 func (sim *simulation) executeStart(s *simOwner, m *simWorker, order fleet.Start) func() {
 	before := m.Running(order.Task)
 	answer := m.Start(order, sim.now)
+	m.tokenSeen = max(m.tokenSeen, order.Token)
 	if answer.Outcome != fleet.Fenced && answer.Outcome != fleet.LeaseExpired {
 		m.extendLease(sim.now, order.UntilMS)
 	}
@@ -89,6 +91,7 @@
 // executeHold executes a hold.
 func (sim *simulation) executeHold(m *simWorker, order fleet.Hold) fleet.Report {
 	report := m.Hold(order, sim.now)
+	m.tokenSeen = max(m.tokenSeen, order.Token)
 	if report.Outcome == fleet.Accepted && order.UntilMS > 0 {
 		m.extendLease(sim.now, order.UntilMS)
 	}
--- a/internal/schedule/owner/simulation_test.go
+++ b/internal/schedule/owner/simulation_test.go
@@ -75,6 +75,7 @@
 	lastEntry      fleet.Entry  // entry as last written
 	entryWrittenAt clock.Millis // when it was written
 	leaseUntil     int64        // end of the longest lease that it accepted, on its clock
+	tokenSeen      int64        // highest fencing token that reached it
 	audit          *leaseAudit
 }
 
@@ -82,7 +83,7 @@
 func (m *simWorker) restart(now clock.Millis) {
 	m.down = false
 	m.Restart(now)
-	m.leaseUntil = 0
+	m.leaseUntil, m.tokenSeen = 0, 0
 	delete(m.audit.grants, m.Entry.ID)
 	m.entryWrittenAt = now
 }
