--- a/internal/schedule/owner/restart_evidence_test.go
+++ b/internal/schedule/owner/restart_evidence_test.go
@@ -125,3 +125,21 @@
 		t.Errorf("stops of the run (-want +got):\n%s", diff)
 	}
 }
+
+// The clock of a new incarnation can be ahead of the old one's last reading, if that had just started.
+func TestRunAcceptedAfterTwoRestartsIsNotEnded(t *testing.T) {
+	m := newManualOwner(t, 1, clock.Hour)
+	m.list(1, "w:1")
+	m.advance(25)
+	m.acknowledge()
+	m.owner.Report("w", fleet.Report{ClockMS: 100, Incarnation: 1})
+	m.now += clock.Second
+	m.submit()
+	m.advance(25)
+	m.acknowledge()
+	m.owner.Started(m.starts[0], fleet.Answer{Outcome: fleet.Accepted, ClockMS: 500})
+	m.list(2, "w:1")
+	if !m.holdsRun() {
+		t.Error("the run counts as ended, but the incarnation that answered its start began after the last reading")
+	}
+}
