--- a/internal/schedule/owner/restart_evidence_test.go
+++ b/internal/schedule/owner/restart_evidence_test.go
@@ -143,3 +143,24 @@
 		t.Error("the run counts as ended, but the incarnation that answered its start began after the last reading")
 	}
 }
+
+// playRestarts plays restarts of workers that take up to some time, while tasks start there.
+func playRestarts(t *testing.T, longest clock.Millis) {
+	t.Helper()
+	const restarts, period, seeds = 25, 500, 12
+	for seed := range uint64(seeds) {
+		restartOften := fault{begin: func(sim *simulation, _ *simOwner) {
+			for i := range restarts {
+				sim.at(clock.Millis(i*period+sim.rng.IntN(period)), func() {
+					m := sim.workers[sim.workerIDs()[sim.rng.IntN(len(sim.workers))]]
+					m.down = true
+					sim.at(clock.Millis(1+sim.rng.IntN(int(longest))), func() { m.restart(sim.now) })
+				})
+			}
+		}}
+		simulateHostile(t, seed, restartOften).report(seed)
+	}
+}
+
+// A start may be answered by a newer incarnation than its owner knows.
+func TestRestartsWithinASecondRunNoTaskTwice(t *testing.T) { playRestarts(t, 800) }
