--- a/internal/schedule/owner/restart_evidence_test.go
+++ b/internal/schedule/owner/restart_evidence_test.go
@@ -164,3 +164,6 @@
 
 // A start may be answered by a newer incarnation than its owner knows.
 func TestRestartsWithinASecondRunNoTaskTwice(t *testing.T) { playRestarts(t, 800) }
+
+// A hold may acknowledge the ends of an earlier incarnation to a newer one.
+func TestRestartsAtOnceLoseNoEnds(t *testing.T) { playRestarts(t, 20) }
