--- a/internal/schedule/owner/restart_evidence_test.go
+++ b/internal/schedule/owner/restart_evidence_test.go
@@ -167,3 +167,22 @@
 
 // A hold may acknowledge the ends of an earlier incarnation to a newer one.
 func TestRestartsAtOnceLoseNoEnds(t *testing.T) { playRestarts(t, 20) }
+
+// The entry of an earlier incarnation says where that one was, not a later one.
+func TestOtherWorkerAtEarlierIncarnationsAddressEndsNoRuns(t *testing.T) {
+	m := newManualOwner(t, 1, clock.Hour)
+	m.list(2, "w:2")
+	m.advance(25)
+	m.acknowledge()
+	m.report(2)
+	m.submit()
+	m.advance(25)
+	m.acknowledge()
+	next := m.successor(25)
+	next.list(1, "w:1")
+	next.advance(25)
+	next.owner.Report("w", fleet.Report{Outcome: fleet.OtherIncarnation})
+	if !next.holdsRun() {
+		t.Error("the run counts as ended, though nothing asked the incarnation that has it")
+	}
+}
