Tell a new incarnation by its clock when a start was sent, and by its entry

A start that a new incarnation accepted was told by a clock behind the last reading; if the old incarnation was young, it is not behind. It is behind what the clock must have been when the start was sent, which the end of its lease has. And an entry of an earlier incarnation gives no address of a later one, so a 421 from there is a miss.

TestRestartsWithinASecondRunNoTaskTwice keeps one case, of an end that is acknowledged unread, which the platform's calls give no means to prevent.

--- a/internal/schedule/owner/orders.go
+++ b/internal/schedule/owner/orders.go
@@ -83,7 +83,7 @@
 	if answer.Outcome == fleet.Unanswered {
 		o.addUncertainStart(order, r)
 	}
-	o.noteStartAnswer(r, answer)
+	o.noteStartAnswer(r, order, answer)
 	if r == nil || r.stage != stageOrdered || r.worker.id != order.To.ID {
 		return
 	}
@@ -101,21 +101,18 @@
 	}
 }
 
-// maxOvertaking is how much older than a report an answer can be that is handled after
-// it.
-const maxOvertaking clock.Millis = 2 * clock.Second
-
-// noteStartAnswer counts an answered start. A clock far behind the worker's last
-// reading is that of a new incarnation: it has started the run, and numbers its ends
-// from the start again.
-func (o *Owner) noteStartAnswer(r *run, answer fleet.Answer) {
+// noteStartAnswer counts an answered start. A clock that is behind what it must have
+// been when the start was sent is that of a new incarnation: it has started the run, and
+// numbers its ends from the start again.
+func (o *Owner) noteStartAnswer(r *run, order fleet.Start, answer fleet.Answer) {
 	if r == nil {
 		return
 	}
 	r.startsOpen--
-	if w := r.worker; answer.Outcome == fleet.Accepted && answer.ClockMS != 0 && answer.ClockMS+int64(maxOvertaking) < w.clockMS {
+	clockWhenSent := order.UntilMS - int64(o.options.Times.Lease)
+	if answer.Outcome == fleet.Accepted && answer.ClockMS != 0 && answer.ClockMS < clockWhenSent {
 		r.startUnanswered = true
-		w.endsRecorded = 0
+		r.worker.endsRecorded = 0
 	}
 }
 
@@ -245,7 +242,7 @@
 		r.stage = stageStopped
 		r.confirmedAt = o.now
 		r.worker.skipHoldWait = true
-	case answer.Outcome == fleet.OtherIncarnation && order.To == r.worker.address():
+	case answer.Outcome == fleet.OtherIncarnation && order.To.Host == r.worker.currentAddress():
 		o.endRun(r, endWorkerRestarted, proof{evidence: evidenceOtherIncarnation, at: r.orderSentAt}, "")
 	default:
 		o.timers.add(o.now+o.options.Times.OrderRetry, func() {
--- a/internal/schedule/owner/report.go
+++ b/internal/schedule/owner/report.go
@@ -21,7 +21,7 @@
 		o.holdMissed(w, fleet.Unanswered)
 	case report.Outcome == fleet.Accepted:
 		o.handleReport(w, report)
-	case report.Outcome == fleet.OtherIncarnation && w.holdAddress == w.entry.Address:
+	case report.Outcome == fleet.OtherIncarnation && w.holdAddress == w.currentAddress():
 		o.incarnationReplaced(w)
 	default: // another worker at an address that this one has left is no evidence on it
 		o.holdMissed(w, report.Outcome)
--- a/internal/schedule/owner/workers.go
+++ b/internal/schedule/owner/workers.go
@@ -77,6 +77,15 @@
 	return w.entry.Room.Plus(w.committed, -1).Plus(w.promised, -1)
 }
 
+// currentAddress returns the address of a worker's present incarnation, or "" while its
+// entry is that of an earlier one.
+func (w *worker) currentAddress() string {
+	if w.entry.Incarnation < w.incarnation {
+		return ""
+	}
+	return w.entry.Address
+}
+
 func (w *worker) address() fleet.Address { return fleet.Address{ID: w.id, Host: w.entry.Address} }
 
 // clockLowerBound returns a lower bound of the worker's clock: it may run slow
