--- a/internal/schedule/owner/restart_evidence_test.go
+++ b/internal/schedule/owner/restart_evidence_test.go
@@ -125,3 +125,64 @@
 		t.Errorf("stops of the run (-want +got):\n%s", diff)
 	}
 }
+
+// The clock of a new incarnation can be ahead of the old one's last reading, if that had just started.
+func TestRunAcceptedAfterTwoRestartsIsNotEnded(t *testing.T) {
+	m := newManualOwner(t, 1, clock.Hour)
+	m.list(1, "w:1")
+	m.advance(25)
+	m.acknowledge()
+	m.owner.Report("w", fleet.Report{ClockMS: 100, Incarnation: 1})
+	m.now += clock.Second
+	m.submit()
+	m.advance(25)
+	m.acknowledge()
+	m.owner.Started(m.starts[0], fleet.Answer{Outcome: fleet.Accepted, ClockMS: 500})
+	m.list(2, "w:1")
+	if !m.holdsRun() {
+		t.Error("the run counts as ended, but the incarnation that answered its start began after the last reading")
+	}
+}
+
+// playRestarts plays restarts of workers that take up to some time, while tasks start there.
+func playRestarts(t *testing.T, longest clock.Millis) {
+	t.Helper()
+	const restarts, period, seeds = 25, 500, 12
+	for seed := range uint64(seeds) {
+		restartOften := fault{begin: func(sim *simulation, _ *simOwner) {
+			for i := range restarts {
+				sim.at(clock.Millis(i*period+sim.rng.IntN(period)), func() {
+					m := sim.workers[sim.workerIDs()[sim.rng.IntN(len(sim.workers))]]
+					m.down = true
+					sim.at(clock.Millis(1+sim.rng.IntN(int(longest))), func() { m.restart(sim.now) })
+				})
+			}
+		}}
+		simulateHostile(t, seed, restartOften).report(seed)
+	}
+}
+
+// A start may be answered by a newer incarnation than its owner knows.
+func TestRestartsWithinASecondRunNoTaskTwice(t *testing.T) { playRestarts(t, 800) }
+
+// A hold may acknowledge the ends of an earlier incarnation to a newer one.
+func TestRestartsAtOnceLoseNoEnds(t *testing.T) { playRestarts(t, 20) }
+
+// The entry of an earlier incarnation says where that one was, not a later one.
+func TestOtherWorkerAtEarlierIncarnationsAddressEndsNoRuns(t *testing.T) {
+	m := newManualOwner(t, 1, clock.Hour)
+	m.list(2, "w:2")
+	m.advance(25)
+	m.acknowledge()
+	m.report(2)
+	m.submit()
+	m.advance(25)
+	m.acknowledge()
+	next := m.successor(25)
+	next.list(1, "w:1")
+	next.advance(25)
+	next.owner.Report("w", fleet.Report{Outcome: fleet.OtherIncarnation})
+	if !next.holdsRun() {
+		t.Error("the run counts as ended, though nothing asked the incarnation that has it")
+	}
+}
