Stop each run at a restart that no report has listed

A start that a worker's new incarnation accepted looked like one of the old one. No assumption on clocks is needed: only a report shows which incarnation has a run, so a run that none has listed is stopped before it is ended.

--- a/internal/schedule/owner/evidence_test.go
+++ b/internal/schedule/owner/evidence_test.go
@@ -36,6 +36,7 @@
 	b.reportAndDeliver()
 	b.owner.Submit(bestEffortSpec(1), func(Verdict) {})
 	b.deliverPending()
+	b.report("w", func(job.Task) int64 { return 0 })
 	return b
 }
 
--- a/internal/schedule/owner/orders.go
+++ b/internal/schedule/owner/orders.go
@@ -102,8 +102,8 @@
 }
 
 // noteStartAnswer counts an answered start. A clock that is behind what it must have
-// been when the start was sent is that of a new incarnation: it has started the run, and
-// numbers its ends from the start again.
+// been when the start was sent is that of a new incarnation, which numbers its ends from
+// the start again.
 func (o *Owner) noteStartAnswer(r *run, order fleet.Start, answer fleet.Answer) {
 	if r == nil {
 		return
@@ -111,7 +111,6 @@
 	r.startsOpen--
 	clockWhenSent := order.UntilMS - int64(o.options.Times.Lease)
 	if answer.Outcome == fleet.Accepted && answer.ClockMS != 0 && answer.ClockMS < clockWhenSent {
-		r.startUnanswered = true
 		r.worker.endsRecorded = 0
 	}
 }
--- a/internal/schedule/owner/restart_evidence_test.go
+++ b/internal/schedule/owner/restart_evidence_test.go
@@ -41,7 +41,7 @@
 func TestLeaseByHoldAcrossRestartIsCounted(t *testing.T) {
 	const longestLease, newClock = 6000, 1000
 	m := newManualOwner(t, 1, clock.Hour)
-	m.startRun()
+	m.report(1, m.startRun())
 	m.missHold()
 	m.advance(25)
 	leaseEnd := m.now + clock.Millis(min(m.holds[len(m.holds)-1].UntilMS-newClock, longestLease))
--- a/internal/schedule/owner/workers.go
+++ b/internal/schedule/owner/workers.go
@@ -224,13 +224,14 @@
 	w.incarnationFrom, w.incarnationKnownAt = from, o.now
 }
 
-// endRunsOfOldIncarnations ends the runs of a worker's earlier incarnations.
-// Runs with a start order that may reach the new incarnation are stopped there.
+// endRunsOfOldIncarnations ends the runs of a worker's earlier incarnations. Runs
+// whose start may have reached the new incarnation, or may still, are stopped there:
+// only a report shows which incarnation has a run.
 func (o *Owner) endRunsOfOldIncarnations(w *worker) {
 	for _, r := range w.sortedRuns() {
 		switch {
 		case r.incarnation >= w.incarnation:
-		case r.startUnanswered || r.startsOpen > 0:
+		case r.startUnanswered || r.startsOpen > 0 || r.reportedAt == 0:
 			o.stopInNewIncarnation(r)
 		default:
 			o.endRun(r, endWorkerRestarted, w.restartProof(), "")
