--- a/internal/operator/soak/deployment.go
+++ b/internal/operator/soak/deployment.go
@@ -139,7 +139,7 @@
 	views := d.workerViews()
 	peers := d.peerViews()
 	for _, e := range d.entries {
-		e.store.rewrite = d.rewriteFor(e, views, peers)
+		e.store.setRewrite(d.rewriteFor(e, views, peers))
 		if err := e.start(); err != nil {
 			return err
 		}
--- a/internal/operator/soak/plan.go
+++ b/internal/operator/soak/plan.go
@@ -44,7 +44,7 @@
 	rng := rand.New(rand.NewPCG(seed, 0))
 	p := plan{
 		seed: seed, entries: options.Entries, workers: options.Workers, length: clock.FromDuration(options.For),
-		links: seed%2 == 0, cores: directWorkerCores, apart: partitionPercent, leaving: leavingPercent, slow: 20 * rng.IntN(3), aimed: 40 + rng.IntN(61),
+		links: seed%2 == 0, cores: directWorkerCores, slow: 20 * rng.IntN(3), aimed: 40 + rng.IntN(61),
 	}
 	if options.Links != "seed" {
 		p.links = options.Links == "on"
@@ -52,6 +52,12 @@
 	if p.links {
 		p.cores = min(float64(p.workers)/linkedWorkerPerCore, 1)
 	}
+	if rng.IntN(2) == 0 {
+		p.apart = partitionPercent
+	}
+	if rng.IntN(2) == 0 {
+		p.leaving = leavingPercent
+	}
 	if rng.IntN(2) == 0 {
 		p.strong = 2 + rng.IntN(3)
 	}
--- a/internal/operator/soak/soak.go
+++ b/internal/operator/soak/soak.go
@@ -56,6 +56,8 @@
 	Links      bool           `json:"links"`
 	Strong     int            `json:"strong,omitempty"` // every entry whose number is a multiple has twice the processor share
 	Lanes      string         `json:"lanes"`            // of faults: owner, cut, store, process
+	Apart      int            `json:"apart_percent"`    // changes of the owner that are partitions
+	Leaving    int            `json:"leaving_percent"`  // successors that lose the cell soon
 	Delayed    int            `json:"delayed_percent"`  // changes of the owner with slow records for the new one
 	TookMS     clock.Millis   `json:"took_ms"`
 	Faults     int            `json:"faults"`
@@ -193,7 +195,7 @@
 // judge reads what the workers executed and judges it.
 func (d *deployment) judge(callers *load, progress io.Writer) (Verdict, error) {
 	v := Verdict{
-		Seed: d.plan.seed, Entries: d.plan.entries, Workers: d.plan.workers, Links: d.plan.links, Strong: d.plan.strong, Lanes: d.plan.laneNames(), Delayed: d.plan.delayed,
+		Seed: d.plan.seed, Entries: d.plan.entries, Workers: d.plan.workers, Links: d.plan.links, Strong: d.plan.strong, Lanes: d.plan.laneNames(), Apart: d.plan.apart, Leaving: d.plan.leaving, Delayed: d.plan.delayed,
 		Faults: d.schedule.len(), Owners: d.owners.current().Epoch, Submitted: len(callers.submissions), Violations: map[string]int{},
 	}
 	processes, err := d.readProcesses(&v)
--- a/internal/operator/soak/store_proxy.go
+++ b/internal/operator/soak/store_proxy.go
@@ -31,10 +31,10 @@
 type storeProxy struct {
 	address string
 	log     journal.Log // the store
+
+	mu sync.Mutex
 	// rewrite changes a record as this process reads it.
 	rewrite func(topic string, record *journal.Record)
-
-	mu      sync.Mutex
 	fault   storeFault
 	changed chan struct{} // closed and replaced when the fault changes
 	rng     *rand.Rand
@@ -150,8 +150,17 @@
 	return page
 }
 
+func (p *storeProxy) setRewrite(rewrite func(topic string, record *journal.Record)) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.rewrite = rewrite
+}
+
 func (p *storeProxy) rewritePage(topic string, page journal.Page) {
+	p.mu.Lock()
+	rewrite := p.rewrite
+	p.mu.Unlock()
 	for i := range page.Records {
-		p.rewrite(topic, &page.Records[i].Record)
+		rewrite(topic, &page.Records[i].Record)
 	}
 }
