--- a/internal/operator/soak/deployment.go
+++ b/internal/operator/soak/deployment.go
@@ -54,16 +54,6 @@
 	queuePrefix = "/soak/"
 )
 
-// entry is the process of an entry with the proxies beside it.
-type entry struct {
-	*process
-	number  int
-	callers string // address for callers
-	control string // address for operators
-	store   *storeProxy
-	peers   *linkProxy // by which other entries reach it when they look for the owner
-}
-
 // workerGroup is a process that runs workers, with the proxies in front of it.
 type workerGroup struct {
 	*process
@@ -217,49 +207,6 @@
 	return g.start()
 }
 
-// addEntry writes the settings of an entry and prepares its process.
-func (d *deployment) addEntry(ctx context.Context, number int) error {
-	name := fmt.Sprintf("entry-%03d", number)
-	ip := d.ip(entryPart, number)
-	e := &entry{number: number}
-	addresses, err := freeAddresses(ctx, ip, 4)
-	if err != nil {
-		return err
-	}
-	if e.store, err = serveStoreProxy(ctx, d.ip(entryProxyPart, number), d.storeAt, d.plan.seed+uint64(number)<<8, d.group); err != nil {
-		return err
-	}
-	if e.peers, err = newLinkProxy(ctx, d.ip(entryProxyPart, number), addresses[3], d.clock, d.group); err != nil {
-		return err
-	}
-	e.callers, e.control = addresses[0], addresses[2]
-	_, port, err := net.SplitHostPort(addresses[3])
-	if err != nil {
-		return errors.Wrap(err, "split address")
-	}
-	peerPort, err := strconv.Atoi(port)
-	if err != nil {
-		return errors.Wrap(err, "parse port")
-	}
-	data, err := platform.EncodeSettings(platform.Settings{
-		Name: name, Role: "entry", Domain: domain(number), Domains: d.plan.domains(), IP: ip,
-		Consumer: e.callers, Ready: addresses[1], Control: e.control, Ports: platform.PortSpan{First: peerPort, Last: peerPort},
-		Store: platform.StoreSettings{Address: e.store.address}, Limits: platform.Limits{Cores: d.plan.coresOf(number)},
-		Heartbeat: workerHeartbeat,
-		Bounds:    platform.Bounds{MaxLease: maxLease, Stop: stopLimit, Cancel: cancelLimit, StatusKept: statusKept, Grace: gracePeriod},
-	})
-	if err != nil {
-		return err
-	}
-	file := filepath.Join(d.dir, name+".yaml")
-	if err := os.WriteFile(file, data, 0o600); err != nil {
-		return errors.Wrap(err, "write settings")
-	}
-	e.process = d.newProcess(name, []string{"serve"}, []string{platform.SettingsEnvironment(file)})
-	d.entries = append(d.entries, e)
-	return nil
-}
-
 // awaitReady waits until all entries are ready.
 func (d *deployment) awaitReady(ctx context.Context) error {
 	client := &http.Client{Timeout: time.Second}
--- a/internal/operator/soak/explain.go
+++ b/internal/operator/soak/explain.go
@@ -38,7 +38,8 @@
 type explainedCase struct {
 	violation
 	Orderers map[int64]string  `json:"entries_by_epoch,omitempty"` // which sent the starts
-	Lines    []json.RawMessage `json:"log_lines,omitempty"`        // about the runs, of all entries, by time
+	Lines    []json.RawMessage `json:"log_lines,omitempty"`        // about the task, of all entries, by time
+	ends     []string          // log lines by which the first run was ended
 }
 
 // takeover is a change of the owner.
@@ -145,18 +146,21 @@
 		if aboutTask && line.Event != "request_answered" {
 			c.Lines = append(c.Lines, json.RawMessage(line.text))
 		}
+		if aboutTask && line.Event == "run_ended" && line.Run == v.Runs[0].Run {
+			c.ends = append(c.ends, line.text)
+		}
 	}
 	return c
 }
 
-// print prints a case for people.
+// print prints a case for people, with how its first run was ended.
 func (c explainedCase) print(out io.Writer) {
 	_, _ = fmt.Fprintf(out, "soak: broken: %s: %s\n", c.Promise, c.Text)
 	for _, r := range c.Runs {
 		_, _ = fmt.Fprintf(out, "  run %d on %s: %d to %d (%s), leased until %d, ordered by epoch %d (%s)\n",
 			r.Run, r.Worker, r.StartedAt, r.EndedAt, r.Cause, r.LeasedUntil, r.Token, c.Orderers[r.Token])
 	}
-	for _, line := range c.Lines {
+	for _, line := range c.ends {
 		_, _ = fmt.Fprintf(out, "  %s\n", line)
 	}
 }
--- a/internal/operator/soak/plan.go
+++ b/internal/operator/soak/plan.go
@@ -136,3 +136,6 @@
 	}
 	return strings.Join(names, " ")
 }
+
+// newRand returns random numbers of a stream of the plan's seed.
+func (p plan) newRand(stream uint64) *rand.Rand { return rand.New(rand.NewPCG(p.seed, stream)) }
--- a/internal/operator/soak/soak.go
+++ b/internal/operator/soak/soak.go
@@ -25,7 +25,6 @@
 	"encoding/json"
 	"fmt"
 	"io"
-	"math/rand/v2"
 	"os"
 	"path/filepath"
 
@@ -48,33 +47,6 @@
 	Progress io.Writer
 }
 
-// Verdict is the outcome of a seed.
-type Verdict struct {
-	Seed       uint64         `json:"seed"`
-	Entries    int            `json:"entries"`
-	Workers    int            `json:"workers"`
-	Links      bool           `json:"links"`
-	Strong     int            `json:"strong,omitempty"` // every entry whose number is a multiple has twice the processor share
-	Lanes      string         `json:"lanes"`            // of faults: owner, cut, store, process
-	Apart      int            `json:"apart_percent"`    // changes of the owner that are partitions
-	Leaving    int            `json:"leaving_percent"`  // successors that lose the cell soon
-	Delayed    int            `json:"delayed_percent"`  // changes of the owner with slow records for the new one
-	TookMS     clock.Millis   `json:"took_ms"`
-	Faults     int            `json:"faults"`
-	Owners     int64          `json:"owners"` // newest epoch
-	Submitted  int            `json:"jobs_submitted"`
-	Accepted   int            `json:"jobs_accepted"`
-	Runs       int            `json:"runs"`
-	Done       int            `json:"runs_done"`
-	Lapsed     int            `json:"runs_lapsed"`
-	Violations map[string]int `json:"broken"` // number by promise
-	Failures   []string       `json:"failures,omitempty"`
-	Kept       string         `json:"kept,omitempty"` // directory
-}
-
-// broken reports whether a promise was broken or the soak did not work.
-func (v Verdict) broken() bool { return len(v.Violations)+len(v.Failures) > 0 }
-
 // Run runs all seeds. It returns an error if one of them broke a promise.
 func Run(ctx context.Context, options Options) error {
 	broken := 0
@@ -108,12 +80,15 @@
 		return Verdict{}, errors.Wrap(err, "make a directory")
 	}
 	verdict, err := playSeed(ctx, options, newPlan(options.Soak, seed), dir)
-	if err != nil {
+	switch {
+	case ctx.Err() != nil || err == nil && !verdict.broken():
+		if removeErr := os.RemoveAll(dir); err == nil {
+			err = errors.Wrap(removeErr, "clean up")
+		}
+		return verdict, err
+	case err != nil:
 		return verdict, errors.WithMessagef(err, "see %s", dir)
 	}
-	if !verdict.broken() {
-		return verdict, errors.Wrap(os.RemoveAll(dir), "clean up")
-	}
 	verdict.Kept, err = keep(options.Soak.Keep, dir)
 	return verdict, err
 }
@@ -191,59 +166,3 @@
 			d.plan.seed, left/clock.Second, d.schedule.len(), owner.Epoch, owner.Entry, len(callers.open()))
 	}
 }
-
-// judge reads what the workers executed and judges it.
-func (d *deployment) judge(callers *load, progress io.Writer) (Verdict, error) {
-	v := Verdict{
-		Seed: d.plan.seed, Entries: d.plan.entries, Workers: d.plan.workers, Links: d.plan.links, Strong: d.plan.strong, Lanes: d.plan.laneNames(), Apart: d.plan.apart, Leaving: d.plan.leaving, Delayed: d.plan.delayed,
-		Faults: d.schedule.len(), Owners: d.owners.current().Epoch, Submitted: len(callers.submissions), Violations: map[string]int{},
-	}
-	processes, err := d.readProcesses(&v)
-	if err != nil {
-		return v, err
-	}
-	runs := collectRuns(processes)
-	for _, r := range runs {
-		v.Runs++
-		v.Done += count(r.Cause == "done")
-		v.Lapsed += count(r.Cause == "lapsed")
-	}
-	for _, s := range callers.submissions {
-		v.Accepted += count(s.accepted)
-	}
-	violations := judge(runs, callers.submissions)
-	for _, found := range violations {
-		v.Violations[found.Promise]++
-	}
-	return v, d.explain(violations, progress)
-}
-
-func count(counted bool) int {
-	if counted {
-		return 1
-	}
-	return 0
-}
-
-// readProcesses reads the events of all processes of workers, and records processes
-// that ended by themselves as failures.
-func (d *deployment) readProcesses(v *Verdict) ([]processEvents, error) {
-	for _, e := range d.entries {
-		_, failures := e.report()
-		v.Failures = append(v.Failures, failures...)
-	}
-	var processes []processEvents
-	for _, g := range d.groups {
-		events, err := readEvents(g.set.Events)
-		if err != nil {
-			return nil, err
-		}
-		deaths, failures := g.report()
-		v.Failures = append(v.Failures, failures...)
-		processes = append(processes, processEvents{events: events, deaths: deaths})
-	}
-	return processes, nil
-}
-
-// newRand returns random numbers of a stream of the plan's seed.
-func (p plan) newRand(stream uint64) *rand.Rand { return rand.New(rand.NewPCG(p.seed, stream)) }
