--- a/internal/operator/option/option.go
+++ b/internal/operator/option/option.go
@@ -140,7 +140,7 @@
 	Entries int           `long:"entries" value-name:"E" default:"5" description:"Number of entries"`
 	Workers int           `long:"workers" value-name:"W" default:"24" description:"Number of workers"`
 	Links   string        `long:"links" value-name:"MODE" default:"seed" choice:"seed" choice:"on" choice:"off" description:"Whether the owner calls workers by way of other entries; seed: by the seed"`
-	Aim     string        `long:"aim" value-name:"KIND" default:"seed" choice:"seed" choice:"partition" choice:"delay" description:"What changes of the owner are aimed at: an owner cut off with its workers and a successor that leaves soon; a successor that waits between claim and load; seed: by the seed, with the other faults"`
+	Aim     string        `long:"aim" value-name:"KIND" default:"seed" choice:"seed" choice:"partition" choice:"delay" choice:"sleep" choice:"oneway" description:"What changes of the owner are aimed at, see docs/SOAK.md; seed: by the seed, with the other faults"`
 	Keep    string        `long:"keep" value-name:"DIR" description:"Directory for what is kept of broken seeds; a new temporary one if not given"`
 }
 
--- a/internal/operator/soak/fault_owner.go
+++ b/internal/operator/soak/fault_owner.go
@@ -25,8 +25,12 @@
 		return nil
 	case c.chance(c.plan.apart):
 		return c.partition(ctx, owner)
-	case c.plan.delayed == always:
+	case c.plan.aim == aimDelay:
 		return c.play(ctx, c.drawDelayedSuccession(owner))
+	case c.plan.aim == aimSleep:
+		return c.playSleep(ctx, owner)
+	case c.plan.aim == aimOneWay:
+		return c.playOneWay(ctx, owner)
 	}
 	return c.play(ctx, c.drawSuccession(owner))
 }
@@ -59,16 +63,55 @@
 	return parts.Wait()
 }
 
-// partition cuts an owner off together with some workers, from the store, all entries
-// and the other workers, as when a failure domain is cut off. At times its successor
-// leaves soon.
-func (c *chaos) partition(ctx context.Context, owner *entry) error {
+// playSleep lets an owner sleep while answers of the store are under way to it, and go
+// on with workers that only it reaches.
+func (c *chaos) playSleep(ctx context.Context, owner *entry) error {
+	asleep := deposal{kind: ownerPausedWithAnswers, length: c.between(13000, 18000), store: storeFault{after: c.between(300, 1000)}}
+	own, others := c.splitWorkers(owner, asleep.length+c.between(4000, 8000))
+	var parts errgroup.Group
+	parts.Go(func() error { c.apply(ctx, own); return nil })
+	parts.Go(func() error { c.apply(ctx, others); return nil })
+	parts.Go(func() error { return c.depose(ctx, owner, asleep) })
+	return parts.Wait()
+}
+
+// splitWorkers returns a cut of some workers from all but an owner's view, and one of
+// the other workers from that view.
+func (c *chaos) splitWorkers(owner *entry, length clock.Millis) (own, others cut) {
 	view := c.plan.view(owner.number)
-	x := cut{
-		groups: c.someGroups(), unlists: true, length: c.between(6000, 14000),
+	own = cut{
+		groups: c.someGroups(), unlists: true, length: length,
 		views: slices.DeleteFunc(c.allViews(), func(v int) bool { return v == view }),
 		state: linkState{holdRequests: true, holdAnswers: true, dropHeld: true},
 	}
+	others = cut{views: []int{view}, state: own.state, length: length}
+	others.groups = slices.DeleteFunc(slices.Clone(c.groups), func(g *workerGroup) bool { return slices.Contains(own.groups, g) })
+	return own, others
+}
+
+// playOneWay lets workers hear an owner without being heard for a while, then cuts
+// them off and kills the owner.
+func (c *chaos) playOneWay(ctx context.Context, owner *entry) error {
+	unheard := cut{
+		groups: c.someGroups(), views: c.allViews(), length: c.between(500, 3000), state: linkState{holdAnswers: true, dropHeld: true},
+	}
+	off := cut{
+		groups: unheard.groups, views: unheard.views, length: c.between(7000, 9000),
+		state: linkState{holdRequests: true, holdAnswers: true, dropHeld: true},
+	}
+	down := c.between(100, 2000)
+	c.apply(ctx, unheard)
+	var parts errgroup.Group
+	parts.Go(func() error { c.apply(ctx, off); return nil })
+	parts.Go(func() error { return c.restartEntry(ctx, owner, syscall.SIGKILL, down) })
+	return parts.Wait()
+}
+
+// partition cuts an owner off together with some workers, from the store, all entries
+// and the other workers, as when a failure domain is cut off. At times its successor
+// leaves soon.
+func (c *chaos) partition(ctx context.Context, owner *entry) error {
+	x, others := c.splitWorkers(owner, c.between(6000, 14000))
 	successorEnds := c.drawSuccessorEnd()
 	c.schedule.addf("partition", owner.name, "%d ms", x.length)
 	owner.store.set(storeFault{silent: true})
@@ -78,8 +121,6 @@
 		c.awaitOtherOwner(ctx, owner)
 		return c.endSuccessor(ctx, owner, successorEnds)
 	})
-	others := cut{views: []int{view}, state: x.state, length: x.length}
-	others.groups = slices.DeleteFunc(slices.Clone(c.groups), func(g *workerGroup) bool { return slices.Contains(x.groups, g) })
 	parts.Go(func() error {
 		c.apply(ctx, others)
 		return nil
--- a/internal/operator/soak/plan.go
+++ b/internal/operator/soak/plan.go
@@ -22,6 +22,15 @@
 	linkedWorkerPerCore = 600 // above what an owner calls itself, also with twice the share
 )
 
+// Kinds of changes of the owner that a soak can be aimed at.
+const (
+	aimNone      = "seed"
+	aimPartition = "partition" // the owner is cut off with workers, and its successor loses the cell soon
+	aimDelay     = "delay"     // the successor waits between claim and first append, while the owner runs on
+	aimSleep     = "sleep"     // the owner sleeps with answers of the store under way, and goes on with workers that only it reaches
+	aimOneWay    = "oneway"    // workers hear the owner and are not heard, then nobody reaches them and the owner is killed
+)
+
 // plan is what is drawn for a seed before it is run.
 type plan struct {
 	seed    uint64
@@ -37,6 +46,7 @@
 	leaving int     // percent of successors that lose the cell soon
 	delayed int     // percent of changes of the owner after which the cell's records are slow for the new owner
 	lanes   [laneCount]bool
+	aim     string
 }
 
 // newPlan draws the plan of a seed.
@@ -68,18 +78,21 @@
 	for lane := range p.lanes {
 		p.lanes[lane] = p.lanes[lane] || rng.IntN(3) > 0
 	}
-	return p.aim(options.Aim)
+	return p.withAim(options.Aim)
 }
 
-// aim returns the plan with all faults aimed at one kind of change of the owner.
-func (p plan) aim(kind string) plan {
-	switch kind {
-	case "partition":
-		p.apart, p.leaving, p.delayed = always, always, 0
-		p.lanes = [laneCount]bool{ownerLane: true}
-	case "delay":
-		p.apart, p.leaving, p.delayed, p.strong = 0, 0, always, 0
-		p.lanes = [laneCount]bool{ownerLane: true}
+// withAim returns the plan with all faults aimed at one kind of change of the owner.
+func (p plan) withAim(aim string) plan {
+	if aim == aimNone {
+		return p
+	}
+	p.aim = aim
+	p.apart, p.leaving, p.delayed = 0, 0, 0
+	p.lanes = [laneCount]bool{ownerLane: true}
+	if aim == aimPartition {
+		p.apart, p.leaving = always, always
+	} else {
+		p.strong = 0 // hand-overs would come between
 	}
 	return p
 }
