--- a/internal/operator/soak/fault_owner.go
+++ b/internal/operator/soak/fault_owner.go
@@ -14,6 +14,7 @@
 const (
 	ownerChangeTimeout clock.Millis = 9 * clock.Second // until another entry must have claimed
 	ownerChangePoll    clock.Millis = 20
+	startsLost         clock.Millis = 400 // before an owner falls asleep, its starts get no answers
 )
 
 // changeOwner makes the owner lose the cell, dead or alive, and at times cuts
@@ -63,15 +64,18 @@
 	return parts.Wait()
 }
 
-// playSleep lets an owner sleep while answers of the store are under way to it, and go
-// on with workers that only it reaches.
+// playSleep lets an owner sleep while answers of the store and of workers are under
+// way to it, and go on with workers that only it reaches.
 func (c *chaos) playSleep(ctx context.Context, owner *entry) error {
 	asleep := deposal{kind: ownerPausedWithAnswers, length: c.between(13000, 18000), store: storeFault{after: c.between(300, 1000)}}
 	own, others := c.splitWorkers(owner, asleep.length+c.between(4000, 8000))
+	lost := cut{groups: own.groups, views: others.views, state: own.state, length: startsLost + asleep.length/2}
 	var parts errgroup.Group
 	parts.Go(func() error { c.apply(ctx, own); return nil })
 	parts.Go(func() error { c.apply(ctx, others); return nil })
 	parts.Go(func() error { return c.depose(ctx, owner, asleep) })
+	c.wait(ctx, 2*asleep.store.after-startsLost)
+	c.apply(ctx, lost)
 	return parts.Wait()
 }
 
--- a/internal/operator/soak/soak_test.go
+++ b/internal/operator/soak/soak_test.go
@@ -42,21 +42,24 @@
 	playForTest(t, option.Soak{Seed: 1, Links: "off", Aim: "delay"})
 }
 
+// buildDir is where program builds; empty before.
+var buildDir string
+
 // program builds the program once for all tests.
-var program = sync.OnceValues(func() (string, error) {
-	dir, err := os.MkdirTemp("", "oriolepier-soak-test-")
+var program = sync.OnceValues(func() (path string, err error) {
+	buildDir, err = os.MkdirTemp("", "oriolepier-soak-test-")
 	if err != nil {
 		return "", err
 	}
-	path := filepath.Join(dir, "oriolepier")
+	path = filepath.Join(buildDir, "oriolepier")
 	output, err := exec.Command("go", "build", "-o", path, "../../..").CombinedOutput()
 	return path, errors.Wrapf(err, "%s", output)
 })
 
 func TestMain(m *testing.M) {
 	code := m.Run()
-	if path, err := program(); err == nil {
-		_ = os.RemoveAll(filepath.Dir(path))
+	if buildDir != "" {
+		_ = os.RemoveAll(buildDir)
 	}
 	os.Exit(code)
 }
