--- a/internal/operator/soak/soak.go
+++ b/internal/operator/soak/soak.go
@@ -102,7 +102,10 @@
 		return "", errors.Wrap(err, "make the directory of broken seeds")
 	}
 	kept := filepath.Join(target, filepath.Base(dir))
-	return kept, errors.Wrap(os.CopyFS(kept, os.DirFS(dir)), "keep a broken seed")
+	if err := os.CopyFS(kept, os.DirFS(dir)); err != nil {
+		return dir, errors.Wrap(err, "keep a broken seed")
+	}
+	return kept, errors.Wrap(os.RemoveAll(dir), "clean up")
 }
 
 // playSeed runs a deployment under faults and judges it.
