--- a/internal/operator/soak/deployment.go
+++ b/internal/operator/soak/deployment.go
@@ -34,8 +34,9 @@
 	gracePeriod     clock.Millis = 6 * clock.Second
 )
 
-// Parts of loopback addresses: 127.<base of the process>.<part>.<number>.
+// Parts of loopback addresses: 127.<base of the soak>.<part>.<number>.
 const (
+	claimPart      = 0 // bound while the base is in use
 	storePart      = 1
 	entryPart      = 2 // and following ones, each for addressesPerPart entries
 	entryProxyPart = 10
@@ -54,16 +55,6 @@
 	queuePrefix = "/soak/"
 )
 
-// entry is the process of an entry with the proxies beside it.
-type entry struct {
-	*process
-	number  int
-	callers string // address for callers
-	control string // address for operators
-	store   *storeProxy
-	peers   *linkProxy // by which other entries reach it when they look for the owner
-}
-
 // workerGroup is a process that runs workers, with the proxies in front of it.
 type workerGroup struct {
 	*process
@@ -96,6 +87,22 @@
 	return fmt.Sprintf("127.%d.%d.%d", d.base, part+number/addressesPerPart, number%addressesPerPart+1)
 }
 
+// claimPort is bound at an address of each base that is in use.
+const claimPort = "20000"
+
+// claimAddresses returns a base that no other soak uses until it is released.
+func claimAddresses(ctx context.Context) (base int, release func(), err error) {
+	for i := range baseCount {
+		base = firstBase + (os.Getpid()+i)%baseCount
+		address := net.JoinHostPort(fmt.Sprintf("127.%d.%d.1", base, claimPart), claimPort)
+		claim, err := new(net.ListenConfig).Listen(ctx, "tcp", address)
+		if err == nil {
+			return base, func() { _ = claim.Close() }, nil
+		}
+	}
+	return 0, nil, errors.Errorf("all %d ranges of addresses are in use", baseCount)
+}
+
 // freeAddresses returns addresses of an IP with ports that are not in use. The soak
 // binds nothing else there, so the ports stay free.
 func freeAddresses(ctx context.Context, ip string, count int) ([]string, error) {
@@ -139,7 +146,7 @@
 	views := d.workerViews()
 	peers := d.peerViews()
 	for _, e := range d.entries {
-		e.store.rewrite = d.rewriteFor(e, views, peers)
+		e.store.setRewrite(d.rewriteFor(e, views, peers))
 		if err := e.start(); err != nil {
 			return err
 		}
@@ -217,49 +224,6 @@
 	return g.start()
 }
 
-// addEntry writes the settings of an entry and prepares its process.
-func (d *deployment) addEntry(ctx context.Context, number int) error {
-	name := fmt.Sprintf("entry-%03d", number)
-	ip := d.ip(entryPart, number)
-	e := &entry{number: number}
-	addresses, err := freeAddresses(ctx, ip, 4)
-	if err != nil {
-		return err
-	}
-	if e.store, err = serveStoreProxy(ctx, d.ip(entryProxyPart, number), d.storeAt, d.plan.seed+uint64(number)<<8, d.group); err != nil {
-		return err
-	}
-	if e.peers, err = newLinkProxy(ctx, d.ip(entryProxyPart, number), addresses[3], d.clock, d.group); err != nil {
-		return err
-	}
-	e.callers, e.control = addresses[0], addresses[2]
-	_, port, err := net.SplitHostPort(addresses[3])
-	if err != nil {
-		return errors.Wrap(err, "split address")
-	}
-	peerPort, err := strconv.Atoi(port)
-	if err != nil {
-		return errors.Wrap(err, "parse port")
-	}
-	data, err := platform.EncodeSettings(platform.Settings{
-		Name: name, Role: "entry", Domain: domain(number), Domains: d.plan.domains(), IP: ip,
-		Consumer: e.callers, Ready: addresses[1], Control: e.control, Ports: platform.PortSpan{First: peerPort, Last: peerPort},
-		Store: platform.StoreSettings{Address: e.store.address}, Limits: platform.Limits{Cores: d.plan.coresOf(number)},
-		Heartbeat: workerHeartbeat,
-		Bounds:    platform.Bounds{MaxLease: maxLease, Stop: stopLimit, Cancel: cancelLimit, StatusKept: statusKept, Grace: gracePeriod},
-	})
-	if err != nil {
-		return err
-	}
-	file := filepath.Join(d.dir, name+".yaml")
-	if err := os.WriteFile(file, data, 0o600); err != nil {
-		return errors.Wrap(err, "write settings")
-	}
-	e.process = d.newProcess(name, []string{"serve"}, []string{platform.SettingsEnvironment(file)})
-	d.entries = append(d.entries, e)
-	return nil
-}
-
 // awaitReady waits until all entries are ready.
 func (d *deployment) awaitReady(ctx context.Context) error {
 	client := &http.Client{Timeout: time.Second}
