--- a/internal/schedule/owner/owner.go
+++ b/internal/schedule/owner/owner.go
@@ -72,10 +72,10 @@
 	options   Options
 	now       clock.Millis // time of the input being handled
 	claimedAt clock.Millis // when the ownership was won
+	fenced    bool         // Fenced was called
+	fencedAt  clock.Millis // when the store confirmed that earlier owners are fenced; claimedAt before
 
-	// For log lines only; 0: not yet, or unknown.
-	fenced         bool
-	fencedAt       clock.Millis // when the store confirmed that earlier owners are fenced; claimedAt before
+	// For log lines only; 0: not yet.
 	firstHoldAt    clock.Millis // when the first hold was sent
 	leaseGrantedAt clock.Millis // when a lease was last granted, on any worker
 
