--- a/internal/schedule/owner/lease_grant_test.go
+++ b/internal/schedule/owner/lease_grant_test.go
@@ -29,12 +29,7 @@
 // An acknowledgement older than the renew window proves no ownership.
 func TestLateAcknowledgementStartsNothing(t *testing.T) {
 	m := newManualOwner(t, 1, clock.Hour)
-	m.list(1, "w:1")
-	m.advance(25)
-	m.acknowledge()
-	m.report(1)
-	m.submit()
-	m.advance(25)
+	m.placeRun(1)
 	m.now += m.owner.options.Times.RenewWindow
 	m.acknowledge()
 	if len(m.starts) != 0 {
--- a/internal/schedule/owner/manual_test.go
+++ b/internal/schedule/owner/manual_test.go
@@ -107,15 +107,21 @@
 	m.owner.Submit(jobSpec(bestEffortJob, job.Step{Count: 1, MilliCPU: 2000, EstimateMS: 60000}), func(Verdict) {})
 }
 
-// orderStart makes worker w known and orders it to start run 1 of manualTask.
-func (m *manualOwner) orderStart() fleet.Start {
-	m.t.Helper()
-	m.list(1, "w:1")
+// placeRun makes an incarnation of worker w known and places run 1 of manualTask there.
+// The append with its record is in flight then.
+func (m *manualOwner) placeRun(incarnation int64) {
+	m.list(incarnation, "w:1")
 	m.advance(25)
 	m.acknowledge()
-	m.report(1)
+	m.report(incarnation)
 	m.submit()
 	m.advance(25)
+}
+
+// orderStart makes worker w known and orders it to start run 1 of manualTask.
+func (m *manualOwner) orderStart() fleet.Start {
+	m.t.Helper()
+	m.placeRun(1)
 	m.acknowledge()
 	if len(m.starts) != 1 {
 		m.t.Fatalf("%d starts ordered, want one", len(m.starts))
--- a/internal/schedule/owner/run_end_test.go
+++ b/internal/schedule/owner/run_end_test.go
@@ -190,12 +190,7 @@
 func startsAfterRecord(t *testing.T, meanwhile func(m *manualOwner)) int {
 	t.Helper()
 	m := newManualOwner(t, 1, clock.Hour)
-	m.list(1, "w:1")
-	m.advance(25)
-	m.acknowledge()
-	m.report(1)
-	m.submit()
-	m.advance(25)
+	m.placeRun(1)
 	meanwhile(m)
 	m.acknowledge()
 	return len(m.starts)
@@ -269,12 +264,7 @@
 // A worker whose time of day went back has an earlier start time in its new incarnation.
 func TestWorkerWithEarlierStartTimeIsHeard(t *testing.T) {
 	m := newManualOwner(t, 1, clock.Hour)
-	m.list(9, "w:1")
-	m.advance(25)
-	m.acknowledge()
-	m.report(9)
-	m.submit()
-	m.advance(25)
+	m.placeRun(9)
 	m.acknowledge()
 	m.owner.Started(m.starts[0], fleet.Answer{Outcome: fleet.Accepted})
 	m.list(5, "w:1")
