--- a/internal/schedule/owner/faults_test.go
+++ b/internal/schedule/owner/faults_test.go
@@ -144,6 +144,7 @@
 func simulateFaults(t *testing.T, seed uint64, injections ...fault) *simulation {
 	t.Helper()
 	sim := newSimulation(t, seed, 9)
+	sim.audit.enabled = true
 	sim.simOwner()
 	for i := range 48 {
 		sim.at(clock.Millis(i)*250, func() { sim.submit(sim.currentOwner(), sim.randomJob(i+1)) })
