--- a/review/kit/main.go
+++ b/review/kit/main.go
@@ -35,6 +35,9 @@
 	"record":     largeRecord,
 	"label":      changedLabel,
 	"budget":     removedRoute,
+	"estimate":   noEstimate,
+	"paused":     pausedWorkers,
+	"trial":      trialWorkers,
 }
 
 func main() {
--- a/review/kit/worker.go
+++ b/review/kit/worker.go
@@ -20,12 +20,15 @@
 )
 
 // A job's id tells the stand-ins of workers what its tasks do: 4 hexadecimal digits for
-// the length of a run in ms (0: until it is stopped), 4 for the milli-CPU that a task
-// uses, and 8 that number the job, of which the first is f if all runs fail.
+// the length of a run in units of 10 ms (0: until it is stopped), 4 for the milli-CPU that
+// a task uses, and 8 that number the job, of which the first is f if all runs fail.
 
-// newID returns the id of a job.
+// lengthUnit is the unit of lengths in ids, in ms.
+const lengthUnit = 10
+
+// newID returns the id of a job whose runs take a number of ms.
 func newID(length, milliCPU, number int) string {
-	return fmt.Sprintf("%04x%04x%08x", length, milliCPU, number)
+	return fmt.Sprintf("%04x%04x%08x", length/lengthUnit, milliCPU, number)
 }
 
 // servingTailMS is the tail latency that long-running tasks report.
@@ -45,7 +48,7 @@
 	if length == 0 {
 		usage = servingTailMS
 	}
-	return worker.Work{Length: clock.Millis(length), Room: fleet.Room{MilliCPU: milliCPU}, Usage: usage, Fails: task.Job[8] == 'f'}
+	return worker.Work{Length: clock.Millis(length * lengthUnit), Room: fleet.Room{MilliCPU: milliCPU}, Usage: usage, Fails: task.Job[8] == 'f'}
 }
 
 // runEvent is a line that a worker writes for each start and end of a run.
