--- a/review/kit/client.go
+++ b/review/kit/client.go
@@ -29,7 +29,6 @@
 	client *http.Client
 	header [2]string
 	next   atomic.Int64
-	quiet  bool // requests are not recorded one by one
 }
 
 func newCaller(d *deployment, host string) (*caller, error) {
@@ -62,9 +61,7 @@
 			status, answer = 0, readErr.Error()
 		}
 	}
-	if !c.quiet {
-		c.d.notef("%s %s to %s (%d bytes): %d %s", method, path, e.name, len(body), status, answer)
-	}
+	c.d.notef("%s %s to %s (%d bytes): %d %s", method, path, e.name, len(body), status, answer)
 	return status, answer
 }
 
--- a/review/kit/deployment.go
+++ b/review/kit/deployment.go
@@ -6,11 +6,13 @@
 	"encoding/json"
 	"errors"
 	"fmt"
+	"maps"
 	"net"
 	"net/http"
 	"os"
 	"os/exec"
 	"path/filepath"
+	"slices"
 	"strconv"
 	"strings"
 	"sync"
@@ -331,6 +333,47 @@
 	return all, lines.Err()
 }
 
+// noteRuns writes what the workers have run to the record: a line for each job.
+func (d *deployment) noteRuns() {
+	events, err := d.events()
+	if err != nil {
+		d.notef("the events of the workers cannot be read: %v", err)
+		return
+	}
+	type runs struct {
+		starts, done, failed, stopped, lapsed int
+		tasks                                 map[string]bool
+		workers                               map[string]bool
+	}
+	byJob := map[string]*runs{}
+	for _, event := range events {
+		job := byJob[event.Job]
+		if job == nil {
+			job = &runs{tasks: map[string]bool{}, workers: map[string]bool{}}
+			byJob[event.Job] = job
+		}
+		job.tasks[fmt.Sprint(event.Step, ".", event.Index)] = true
+		job.workers[event.Worker] = true
+		switch {
+		case event.Kind == "started":
+			job.starts++
+		case event.Cause == "done":
+			job.done++
+		case event.Cause == "failed":
+			job.failed++
+		case event.Cause == "stopped":
+			job.stopped++
+		default:
+			job.lapsed++
+		}
+	}
+	for _, id := range slices.Sorted(maps.Keys(byJob)) {
+		job := byJob[id]
+		d.notef("run: job %s: %d tasks started on %d workers, %d starts; ends: %d done, %d failed, %d stopped, %d lapsed",
+			id, len(job.tasks), len(job.workers), job.starts, job.done, job.failed, job.stopped, job.lapsed)
+	}
+}
+
 // logTail writes the last lines of a process's output to the record.
 func (d *deployment) logTail(name, contains string, count int) {
 	data, err := os.ReadFile(filepath.Join(d.dir, name+".log"))
--- a/review/kit/main.go
+++ b/review/kit/main.go
@@ -87,6 +87,7 @@
 	defer d.stop()
 	d.notef("case %s, trouble %d", args[0], *trouble)
 	broken, err := cases[args[0]](ctx, d, *trouble != 0)
+	d.noteRuns()
 	switch {
 	case err != nil:
 		d.notef("the case could not run: %v", err)
--- a/review/kit/record.go
+++ b/review/kit/record.go
@@ -129,7 +129,6 @@
 		return false, err
 	}
 	broken, completed := 0, 0
-	c.quiet = true
 	for _, job := range accepted {
 		state := c.state(ctx, job.prefix, job.id)
 		if state == "completed" {
--- a/review/kit/starvation.go
+++ b/review/kit/starvation.go
@@ -90,8 +90,6 @@
 
 // submitWatches submits the long-running jobs, and waits until all their tasks run.
 func submitWatches(ctx context.Context, d *deployment, c *caller) error {
-	c.quiet = true
-	defer func() { c.quiet = false }()
 	steps := []job.Step{{Count: starvationWorkers, MilliCPU: watchCPU, MemoryMB: 50, EstimateMS: 500, PerWorker: 1, Lasting: true, Image: "watch"}}
 	group, groupCtx := errgroup.WithContext(ctx)
 	group.SetLimit(8)
