--- a/internal/schedule/job/job.go
+++ b/internal/schedule/job/job.go
@@ -41,6 +41,7 @@
 	Repetitions int    `cbor:"6,keyasint,omitempty"` // number of occurrences; 0: runs once, at once
 	FirstMS     int64  `cbor:"7,keyasint,omitempty"` // Unix time at which occurrence 0 is due
 	IntervalMS  int64  `cbor:"8,keyasint,omitempty"` // time between occurrences
+	Customer    string `cbor:"9,keyasint,omitempty"` // name of the customer that submitted it; empty: none
 }
 
 // Step is a group of tasks with the same requirements.
