Place nothing by the entry of a worker's earlier incarnation

A worker crashed and was back within a second, under its id and at its address, with other labels.

Cause: the report of a new incarnation makes the worker usable again, while its labels and capacity are those of the entry that the list of workers still has of the earlier one. The list is read every 600 ms. The log shows it: worker_restarted with evidence reported, then run_placed, then worker_listed with the new start time.

A worker is now usable only while its entry names the incarnation that its last report names. Start times are compared for equality, as a worker's time of day may be set back.

TestReportingIncarnationIsNotUsedByLabelsOfEarlierEntry failed before: one start on the incarnation whose entry was not listed. TestLeaseByHoldAcrossRestartIsCounted needs a run on the new incarnation, so it lists that one now; what it checks is unchanged.

--- a/internal/schedule/owner/place.go
+++ b/internal/schedule/owner/place.go
@@ -188,10 +188,11 @@
 	return pools
 }
 
-// isUsable reports whether a worker may get new runs: it is listed, not
-// draining, in service, in contact, not backing off, and leases may be granted there.
+// isUsable reports whether a worker may get new runs: it is listed with the entry of
+// its present incarnation, not draining, in service, in contact, not backing off, and
+// leases may be granted there.
 func (o *Owner) isUsable(w *worker) bool {
-	return w.listed && !w.entry.Draining && !o.domainsOut[w.entry.Domain] &&
+	return w.listed && w.entryIsCurrent() && !w.entry.Draining && !o.domainsOut[w.entry.Domain] &&
 		w.missedHolds == 0 && o.leaseBlock(w) == leaseAllowed && !w.leasesLapsed && o.now-w.lastReportAt < maxContactAge && o.now >= w.backoffUntil
 }
 
--- a/internal/schedule/owner/report.go
+++ b/internal/schedule/owner/report.go
@@ -98,6 +98,7 @@
 	if report.Incarnation > w.incarnation {
 		o.workerRestarted(w, report.Incarnation, evidenceWorkerRestartedReported)
 	}
+	w.reportedIncarnation = report.Incarnation
 	o.adoptRuns(w, report)
 	if w.missedHolds > 0 || w.lastReportAt == 0 {
 		o.options.Log.Info().Str("event", "worker_responsive").Str("worker", w.id).Int("misses", w.missedHolds).
--- a/internal/schedule/owner/restart_evidence_test.go
+++ b/internal/schedule/owner/restart_evidence_test.go
@@ -46,6 +46,7 @@
 	m.advance(25)
 	leaseEnd := m.now + clock.Millis(min(m.holds[len(m.holds)-1].UntilMS-newClock, longestLease))
 	m.owner.Report("w", fleet.Report{ClockMS: newClock, Incarnation: 2})
+	m.list(2, "w:1")
 	m.now += refusedTaskBackoff
 	m.owner.Tick()
 	m.acknowledge()
--- a/internal/schedule/owner/workers.go
+++ b/internal/schedule/owner/workers.go
@@ -33,6 +33,7 @@
 	recordedRest           clock.Millis // remaining time of its leases in the loaded list of unresponsive workers; notListed without it
 	incarnationFrom        evidence     // what showed its present incarnation
 	incarnationKnownAt     clock.Millis // when that was seen first
+	reportedIncarnation    int64        // incarnation named in its last report; 0: none was named
 	unresponsive           bool         // belongs in the next list of unresponsive workers; leases are not renewed
 	namedInList            int          // number of the newest encoded list of unresponsive workers that names it; unnamed: none
 	leasesLapsed           bool         // its leases have expired since its last report
@@ -86,6 +87,13 @@
 	return w.entry.Address
 }
 
+// entryIsCurrent reports whether a worker's entry is that of the incarnation that
+// reports. Labels and capacity of any other incarnation may differ. Start times are not
+// compared by size: the worker's time of day may have been set back.
+func (w *worker) entryIsCurrent() bool {
+	return w.reportedIncarnation == 0 || w.entry.Incarnation == w.reportedIncarnation
+}
+
 func (w *worker) address() fleet.Address { return fleet.Address{ID: w.id, Host: w.entry.Address} }
 
 // clockLowerBound returns a lower bound of the worker's clock: it may run slow
