Repeat no start to a worker that misses holds

A start that got no answer was sent again after 100 ms although the worker had just missed a hold.

The start now waits for the hold that is repeated at once after the first missed one. It shows which incarnation is there, or blocks leases, and then the start is abandoned.

TestStartIsNotRepeatedToIncarnationOfUnknownLabels failed before: two starts ordered.

--- a/internal/schedule/owner/label_test.go
+++ b/internal/schedule/owner/label_test.go
@@ -53,3 +53,26 @@
 		t.Errorf("%d starts once the entry of the reporting incarnation is listed, want one", len(m.starts))
 	}
 }
+
+// A start that did not reach its worker is not repeated while the worker misses holds:
+// it may be answered by the next incarnation, which may lack the label.
+func TestStartIsNotRepeatedToIncarnationOfUnknownLabels(t *testing.T) {
+	m := newLabelledWorker(t, "b")
+	m.submitLabelled("b")
+	m.advance(25)
+	m.acknowledge()
+	if len(m.starts) != 1 {
+		t.Fatalf("%d starts ordered, want one", len(m.starts))
+	}
+	m.owner.Started(m.starts[0], fleet.Answer{Outcome: fleet.NotSent})
+	m.missHold()
+	m.advance(m.owner.options.Times.OrderRetry)
+	if len(m.starts) != 1 {
+		t.Errorf("%d starts ordered while the worker misses a hold, want one", len(m.starts))
+	}
+	m.report(1)
+	m.advance(m.owner.options.Times.OrderRetry)
+	if len(m.starts) != 2 {
+		t.Errorf("%d starts ordered after the same incarnation reported, want two", len(m.starts))
+	}
+}
--- a/internal/schedule/owner/orders.go
+++ b/internal/schedule/owner/orders.go
@@ -169,6 +169,10 @@
 		case r.stage != stageOrdered || r.task.run != r:
 		case o.leaseBlock(r.worker) != leaseAllowed:
 			o.abandonStart(r, outcome)
+		case r.worker.missedHolds > 0:
+			// Its next incarnation may answer, with other labels. The hold that is
+			// repeated at once shows which incarnation is there, or blocks leases.
+			o.retryStart(r, outcome)
 		default:
 			o.sendStart(r)
 		}
