Keep keys of customers as digests, and check the list of customers

The manifest held the keys as text, so any output of it would have shown them. A manifest now holds a digest of each key, and looks a key up by its digest.

One function checks the list: malformed keys (also those that are no text, which kept the whole manifest from being read), keys of several customers, and doubled or missing names. Each fault is listed by the customer's name.

--- a/internal/schedule/manifest/manifest.go
+++ b/internal/schedule/manifest/manifest.go
@@ -16,7 +16,6 @@
 	"github.com/samber/lo"
 
 	"github.com/oriolepier/oriolepier/internal/base/clock"
-	"github.com/oriolepier/oriolepier/internal/schedule/fleet"
 )
 
 // Queue is a route that accepts jobs.
@@ -41,14 +40,6 @@
 	PoweredOff        bool // its VMs are powered off
 }
 
-// Customer is one of the parties that share the workers.
-type Customer struct {
-	Name   string
-	Keys   []string   // secrets that identify its callers; they must not be logged
-	Weight float64    // its share relative to other customers when the workers are full; also the submissions a second that it may expect to be served
-	Limit  fleet.Room // most that it may have running on all workers together; 0 in a field: no limit
-}
-
 // Limits bound the size and duration of callers' requests.
 type Limits struct {
 	HeaderBytes   int
@@ -61,10 +52,10 @@
 type Manifest struct {
 	Version   int64
 	Limits    Limits
-	queues    map[string]Queue    // by name
-	pools     map[string]Pool     // by name
-	byHost    map[string][]Queue  // longest prefix first
-	customers map[string]Customer // by name
+	queues    map[string]Queue   // by name
+	pools     map[string]Pool    // by name
+	byHost    map[string][]Queue // longest prefix first
+	customers *customerIndex     // nil: no customers are listed
 }
 
 // New returns a manifest with the given queues and pools.
@@ -84,25 +75,6 @@
 	}
 }
 
-// WithCustomers returns the manifest with the given customers.
-func (m Manifest) WithCustomers(customers []Customer) Manifest {
-	m.customers = lo.KeyBy(customers, func(customer Customer) string { return customer.Name })
-	return m
-}
-
-// Customer returns a customer by its name.
-func (m Manifest) Customer(name string) (Customer, bool) {
-	customer, ok := m.customers[name]
-	return customer, ok
-}
-
-// Customers returns all customers in the order of their names.
-func (m Manifest) Customers() []Customer {
-	customers := lo.Values(m.customers)
-	slices.SortFunc(customers, func(a, b Customer) int { return cmp.Compare(a.Name, b.Name) })
-	return customers
-}
-
 // anyHost is the host of queues that accept requests for every host.
 const anyHost = ""
 
