Keep the time up to which the operators' tables are proven complete

A removed key must stop working on an entry that is out of contact, so an entry must know up to when its tables are complete. The watcher of the tables keeps that time: a read that reaches the end of the topic proves it for the moment before the read was sent. Another entry's proof is taken over where its records are applied.

With a bound on revocations, the wait of the long poll is a sixteenth of it, or a fifth beside proofs of other entries; there are no other calls, but for a short first poll. Without the bound nothing changes.

Faults of the list of customers are logged with the manifest that has them.

--- a/internal/site/tables/tables.go
+++ b/internal/site/tables/tables.go
@@ -29,10 +29,23 @@
 const (
 	maxPollWait      clock.Millis = 2500 // of one long poll; a poll that the store never answers is retried after it
 	pollAnswerMargin clock.Millis = 500  // added to a poll's wait, for the answer to arrive
+	minPollWait      clock.Millis = 50   // of one long poll
 	retryPeriod      clock.Millis = 120
 	readTimeout      clock.Millis = 2000
 )
 
+// Divisors of Options.Revoke. A proof counts from before its poll was sent, so it is up
+// to two waits old when the next one replaces it. Two waits of the owner's entry, a ping
+// period of 0.5 s and the margin of package access leave 0.6 of a bound of 5 s, in which
+// an entry that has lost all contact still serves calls.
+const (
+	ownPollDivisor    = 16 // gives the wait of a poll without recent proofs of other entries; the owner's entry gets none
+	backupPollDivisor = 5  // gives the wait of a poll beside them, and the least time for an answer to arrive
+)
+
+// maxProblemLines bounds the log lines about one manifest's customers.
+const maxProblemLines = 20
+
 // Change is the decoded content of one record of the operators' topic.
 type Change struct {
 	Manifest     *manifest.Manifest // new version; nil: unchanged
@@ -50,6 +63,9 @@
 	// Contact is the time after an outage of the store by which an entry must
 	// apply a new manifest; 0: unlimited.
 	Contact clock.Millis
+	// Revoke is the time within which a removed key must stop working, which limits the
+	// wait of long polls; 0: unlimited.
+	Revoke clock.Millis
 	// Decode decodes a record. An error means that the record was written by
 	// another writer; it is skipped.
 	Decode func(record journal.Record) (Change, error)
@@ -62,6 +78,8 @@
 	options     Options
 	current     atomic.Pointer[runtime.Tables]
 	lastContact atomic.Int64
+	provenAt    atomic.Int64 // see Proof; written after current. 0: no proof yet
+	peerProofAt atomic.Int64 // time of the newest proof of another entry; 0: none
 
 	mu     sync.Mutex                // guards newest, end and stores to current
 	newest map[string]journal.Record // newest record of each key
@@ -126,23 +144,55 @@
 	w.apply(stored, true, offered.End)
 }
 
+// Proof is what a watcher knows of the topic: all records that the store had confirmed
+// at time At are applied, and their offsets are below End.
+type Proof struct {
+	End int64
+	At  clock.Millis // by the watcher's clock; 0: nothing is known
+}
+
+// Proof returns the newest proof.
+func (w *Watcher) Proof() Proof {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	return Proof{End: w.end, At: w.ProvenAt()}
+}
+
+// ProvenAt returns the time of the newest proof; 0: there is none. Tables that are
+// read with Current after it contain what the proof covers.
+func (w *Watcher) ProvenAt() clock.Millis { return clock.Millis(w.provenAt.Load()) }
+
+// Confirm takes over another entry's proof, with its time by this entry's clock. It has
+// no effect while this entry lacks records that the other one has.
+func (w *Watcher) Confirm(proof Proof) {
+	if proof.At > clock.Millis(w.peerProofAt.Load()) {
+		w.peerProofAt.Store(int64(proof.At))
+	}
+	w.prove(proof)
+}
+
+// prove advances the time of the proof if the records below its end are applied.
+func (w *Watcher) prove(proof Proof) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	if w.end >= proof.End && proof.At > w.ProvenAt() {
+		w.provenAt.Store(int64(proof.At))
+	}
+}
+
 // Serve follows the topic until the context ends.
 func (w *Watcher) Serve(ctx context.Context) error {
-	from, initialized := int64(0), false
+	var position position
 	for ctx.Err() == nil {
-		page := w.read(ctx, from, initialized)
+		sent := Proof{At: w.options.Clock.Now(), End: w.End()}
+		page := w.read(ctx, position)
 		switch page.Outcome {
 		case journal.Done:
 			w.lastContact.Store(int64(w.options.Clock.Now()))
-			next := page.End
-			if initialized {
-				next = page.Next()
-			}
-			w.apply(page.Records, !initialized, next)
-			from, initialized = next, true
+			position = w.applyPage(page, position, sent)
 		case journal.RecordsGone:
-			initialized = false
-			w.options.Logger.Warn().Str("event", "tables_history_lost").Int64("from", from).Int64("first", page.OldestOffset).Send()
+			w.options.Logger.Warn().Str("event", "tables_history_lost").Int64("from", position.from).Int64("first", page.OldestOffset).Send()
+			position.initialized = false
 		default:
 			if err := w.options.Clock.Sleep(ctx, retryPeriod); err != nil {
 				return err
@@ -152,27 +202,65 @@
 	return ctx.Err()
 }
 
+// position is the state of reading the topic.
+type position struct {
+	from        int64
+	initialized bool // the newest records of all keys were read
+	confirmed   bool // a read has reached the end of the topic since
+}
+
+// applyPage applies the answer to a read, and returns the new position. A read that
+// reaches the end of the topic proves that the store had confirmed nothing else when it
+// was sent. The newest records prove nothing, as they are not read at one time, and
+// neither does an end below the one known when the read was sent.
+func (w *Watcher) applyPage(page journal.Page, before position, sent Proof) position {
+	if !before.initialized {
+		w.apply(page.Records, true, page.End)
+		return position{from: page.End, initialized: true}
+	}
+	next := page.Next()
+	w.apply(page.Records, false, next)
+	if next != page.End || page.End < sent.End {
+		return position{from: next, initialized: true, confirmed: before.confirmed}
+	}
+	w.prove(Proof{End: page.End, At: sent.At})
+	return position{from: next, initialized: true, confirmed: true}
+}
+
 // read long-polls for records from an offset, or reads the newest record of each
 // key if the content is not initialized.
-func (w *Watcher) read(ctx context.Context, from int64, initialized bool) journal.Page {
-	if !initialized {
+func (w *Watcher) read(ctx context.Context, position position) journal.Page {
+	if !position.initialized {
 		ctx, cancel := context.WithTimeout(ctx, readTimeout.Duration())
 		defer cancel()
 		return w.options.Log.Newest(ctx, w.options.Topic)
 	}
-	pollWait := w.pollWait()
-	ctx, cancel := context.WithTimeout(ctx, (pollWait + pollAnswerMargin).Duration())
+	pollWait := w.pollWait(position.confirmed)
+	answerMargin := max(pollAnswerMargin, w.options.Revoke/backupPollDivisor)
+	ctx, cancel := context.WithTimeout(ctx, (pollWait + answerMargin).Duration())
 	defer cancel()
-	return w.options.Log.Read(ctx, journal.Read{Topic: w.options.Topic, From: from, WaitMS: int64(pollWait)})
+	return w.options.Log.Read(ctx, journal.Read{Topic: w.options.Topic, From: position.from, WaitMS: int64(pollWait)})
 }
 
 // pollWait returns the wait of a long poll. A poll that the store never answers
-// must time out, and the next one be answered, well within Options.Contact.
-func (w *Watcher) pollWait() clock.Millis {
-	if w.options.Contact == 0 {
-		return maxPollWait
+// must time out, and the next one be answered, well within Options.Contact. With
+// Options.Revoke, the first poll after the newest records is short, as these prove
+// nothing.
+func (w *Watcher) pollWait(confirmed bool) clock.Millis {
+	wait := maxPollWait
+	if w.options.Contact != 0 {
+		wait = min(w.options.Contact/2, maxPollWait)
+	}
+	revoke := w.options.Revoke
+	switch {
+	case revoke == 0:
+		return wait
+	case !confirmed:
+		return minPollWait
+	case w.options.Clock.Now()-clock.Millis(w.peerProofAt.Load()) < 2*revoke/backupPollDivisor:
+		return max(min(wait, revoke/backupPollDivisor), minPollWait)
 	}
-	return min(w.options.Contact/2, maxPollWait)
+	return max(min(wait, revoke/ownPollDivisor), minPollWait)
 }
 
 // apply applies records in sequence. If complete is set, they are the newest
@@ -201,7 +289,7 @@
 		}
 		changed = true
 		if change.Manifest != nil && change.Manifest.Version > next.Manifest.Version {
-			w.logManifest(next.Manifest.Version, change.Manifest.Version, record.Offset)
+			w.logManifest(next.Manifest.Version, change.Manifest, record.Offset)
 			next.Manifest = *change.Manifest
 			next.Release = change.Release
 		}
@@ -235,7 +323,12 @@
 	}
 }
 
-func (w *Watcher) logManifest(previous, version, offset int64) {
-	w.options.Logger.Info().Str("event", "manifest_in_force").Int64("version", version).
+func (w *Watcher) logManifest(previous int64, next *manifest.Manifest, offset int64) {
+	w.options.Logger.Info().Str("event", "manifest_in_force").Int64("version", next.Version).
 		Int64("before", previous).Int64("offset", offset).Send()
+	problems := next.CustomerProblems()
+	for _, problem := range problems[:min(len(problems), maxProblemLines)] {
+		w.options.Logger.Warn().Str("event", "customer_problem").Int64("manifest", next.Version).
+			Str("customer", problem.Customer).Str("problem", problem.Text).Int("problems", len(problems)).Send()
+	}
 }
