Let a job exist for its customer alone

A look-up or cancellation names the customer on whose behalf it is made. A job of another customer is answered like an unknown one, and a submission with its id is refused and changes nothing. Jobs of nobody exist for everyone.

The specification, which has the customer, was deleted once a job was final. For a job of a customer it is now replaced by one without steps until the state expires, so that the customer is known after a takeover. The record of progress keeps its format.

--- a/internal/schedule/owner/commit.go
+++ b/internal/schedule/owner/commit.go
@@ -149,14 +149,27 @@
 		o.options.Log.Error().Err(err).Str("job", string(j.spec.ID)).Msg("cannot encode the job progress")
 	}
 	records = append(records, journal.Record{Key: keyProgress + string(j.spec.ID), Value: data})
-	// A final job without runs needs only its state.
+	// A final job without runs needs only its state and its customer.
 	if len(progress.Tasks) == 0 && !j.specRemoved {
 		j.specRemoved = true
-		records = append(records, journal.Record{Key: keySpec + string(j.spec.ID)})
+		records = append(records, journal.Record{Key: keySpec + string(j.spec.ID), Value: o.finalSpec(j)})
 	}
 	return records
 }
 
+// finalSpec returns the record that replaces a final job's specification: without steps,
+// or nil if the job belongs to no customer.
+func (o *Owner) finalSpec(j *jobState) []byte {
+	if j.spec.Customer == "" {
+		return nil
+	}
+	data, err := job.EncodeSpec(job.Spec{ID: j.spec.ID, Queue: j.spec.Queue, AcceptedMS: j.spec.AcceptedMS, Customer: j.spec.Customer})
+	if err != nil {
+		o.options.Log.Error().Err(err).Str("job", string(j.spec.ID)).Msg("cannot encode the customer of a final job")
+	}
+	return data
+}
+
 // Appended handles the final outcome of the append in flight: Done or
 // Superseded. The caller retries the append until it has one of them.
 func (o *Owner) Appended(outcome journal.Outcome) {
@@ -198,7 +211,7 @@
 	for id, j := range o.jobs {
 		if j.state.Final() && j.runs == 0 && !j.changed && j.endedAt < oldest {
 			delete(o.jobs, id)
-			o.removeRecords(id)
+			o.removeRecords(j)
 		}
 	}
 }
--- a/internal/schedule/owner/durable_answer_test.go
+++ b/internal/schedule/owner/durable_answer_test.go
@@ -44,7 +44,7 @@
 		m.advance(500)
 		m.acknowledge()
 	}
-	if diff := cmp.Diff(LookupResult{State: job.Completed}, m.owner.Lookup(manualTask.Job)); diff != "" {
+	if diff := cmp.Diff(LookupResult{State: job.Completed}, m.owner.Lookup(JobRef{ID: manualTask.Job})); diff != "" {
 		t.Errorf("state %d ms after the end (-want +got):\n%s", m.now-ended, diff)
 	}
 }
--- a/internal/schedule/owner/evidence_test.go
+++ b/internal/schedule/owner/evidence_test.go
@@ -139,7 +139,7 @@
 			b.logTo(log)
 			b.owner.Submit(bestEffortSpec(1), func(Verdict) {})
 			b.owner.Flush()
-			b.owner.Cancel(bestEffortJob, func(Verdict) {})
+			b.owner.Cancel(JobRef{ID: bestEffortJob}, func(Verdict) {})
 			b.deliverPending()
 		}},
 		{evidenceRefused, func(log *bytes.Buffer) {
--- a/internal/schedule/owner/invariants_test.go
+++ b/internal/schedule/owner/invariants_test.go
@@ -66,7 +66,7 @@
 // agrees with what the workers executed.
 func (sim *simulation) checkFinalStates(s *simOwner) {
 	for id := range sim.accepted {
-		result := s.owner.Lookup(id)
+		result := s.owner.Lookup(JobRef{ID: id})
 		if result.Verdict.Ruling != Recorded {
 			sim.violationf("job %s: %s at the end", id, result.Verdict.Ruling)
 			continue
--- a/internal/schedule/owner/load.go
+++ b/internal/schedule/owner/load.go
@@ -42,6 +42,7 @@
 	for id, recorded := range progress {
 		o.loadProgress(job.ID(id), recorded)
 	}
+	o.dropExpired(progress)
 	runs := 0
 	for _, j := range o.jobs {
 		j.durable = true
@@ -61,6 +62,17 @@
 	return nil
 }
 
+// dropExpired removes jobs of which only the customer is recorded: their other record was
+// removed in an append before, and the rest was not.
+func (o *Owner) dropExpired(progress map[string]job.Progress) {
+	for id, j := range o.jobs {
+		if _, known := progress[string(id)]; !known && j.specRemoved {
+			delete(o.jobs, id)
+			o.batch.removals = append(o.batch.removals, journal.Record{Key: keySpec + string(id)})
+		}
+	}
+}
+
 // timeSince returns how long ago a Unix time was, by the wall clock.
 func (o *Owner) timeSince(unixMS int64) clock.Millis {
 	const maxAge = 10 * clock.Minute // ages above it are cut off, as the wall clock may have jumped
@@ -74,6 +86,7 @@
 			return err
 		}
 		o.jobs[job.ID(id)] = newJob(spec)
+		o.jobs[job.ID(id)].specRemoved = len(spec.Steps) == 0
 		return nil
 	}
 	if id, ok := strings.CutPrefix(record.Key, keyProgress); ok {
--- a/internal/schedule/owner/play_test.go
+++ b/internal/schedule/owner/play_test.go
@@ -270,7 +270,7 @@
 // cancelServing cancels the long-running jobs that leave.
 func (p *play) cancelServing() {
 	for _, i := range p.rng.Perm(p.load.servingJobs)[:p.load.leaving] {
-		p.owner.Cancel(job.ID(fmt.Sprintf("%016x", i+1)), func(Verdict) {})
+		p.owner.Cancel(JobRef{ID: job.ID(fmt.Sprintf("%016x", i+1))}, func(Verdict) {})
 	}
 }
 
--- a/internal/schedule/owner/rejection_test.go
+++ b/internal/schedule/owner/rejection_test.go
@@ -33,7 +33,7 @@
 	if dump.WaitingCPU != 2000 || dump.IdleCPU <= dump.WaitingCPU {
 		t.Errorf("%d milli-CPU wait beside %d idle, want 2000 beside more", dump.WaitingCPU, dump.IdleCPU)
 	}
-	b.owner.Cancel(servingJob, func(Verdict) {})
+	b.owner.Cancel(JobRef{ID: servingJob}, func(Verdict) {})
 	b.deliverPending()
 	b.report("w", lowTail)
 	b.report("w", lowTail)
--- a/internal/schedule/owner/relocate_test.go
+++ b/internal/schedule/owner/relocate_test.go
@@ -49,7 +49,7 @@
 // worker that the task leaves does not answer in time.
 func TestRoomOfRelocationIsReleased(t *testing.T) {
 	for name, interrupt := range map[string]func(b *ownerHarness){
-		"cancelled":  func(b *ownerHarness) { b.owner.Cancel(servingJob, func(Verdict) {}) },
+		"cancelled":  func(b *ownerHarness) { b.owner.Cancel(JobRef{ID: servingJob}, func(Verdict) {}) },
 		"unanswered": func(b *ownerHarness) { b.now += relocationTimeout + clock.Second },
 	} {
 		t.Run(name, func(t *testing.T) {
--- a/internal/schedule/owner/run_end_test.go
+++ b/internal/schedule/owner/run_end_test.go
@@ -138,7 +138,7 @@
 	next.list(0, "stale:1")
 	next.advance(25)
 	next.acknowledge()
-	next.owner.Cancel(bestEffortJob, func(Verdict) {})
+	next.owner.Cancel(JobRef{ID: bestEffortJob}, func(Verdict) {})
 	next.advance(25)
 	next.acknowledge()
 	if len(next.stops) != 1 {
@@ -169,7 +169,7 @@
 	run := m.startRun()
 	m.report(1, run)
 	m.advance(100)
-	m.owner.Cancel(bestEffortJob, func(Verdict) {})
+	m.owner.Cancel(JobRef{ID: bestEffortJob}, func(Verdict) {})
 	m.advance(25)
 	m.acknowledge()
 	if len(m.stops) != 1 {
--- a/internal/schedule/owner/simulation_test.go
+++ b/internal/schedule/owner/simulation_test.go
@@ -283,7 +283,7 @@
 // cancel cancels a job at an owner and records when that was confirmed.
 func (sim *simulation) cancel(s *simOwner, id job.ID) {
 	sim.deliver(s, func() {
-		s.owner.Cancel(id, func(verdict Verdict) {
+		s.owner.Cancel(JobRef{ID: id}, func(verdict Verdict) {
 			if verdict.Ruling == Recorded {
 				sim.cancelled[id] = sim.now
 			}
--- a/internal/schedule/owner/submit.go
+++ b/internal/schedule/owner/submit.go
@@ -33,6 +33,40 @@
 	RetryAfter clock.Millis `json:"retry_after_ms,omitempty"` // with Refused
 }
 
+// JobRef names a job on behalf of a customer. Jobs of other customers do not exist for
+// it; those that belong to no customer are everyone's.
+type JobRef struct {
+	ID       job.ID `json:"id"`
+	Customer string `json:"customer,omitempty"` // empty: none
+}
+
+// belongsTo reports whether a job exists for a customer, or for nobody if it is empty.
+func (j *jobState) belongsTo(customer string) bool {
+	return j.spec.Customer == "" || j.spec.Customer == customer
+}
+
+// find returns the job that is named, or nil if it does not exist for the customer.
+func (o *Owner) find(ref JobRef) *jobState {
+	j := o.jobs[ref.ID]
+	if j == nil || !j.belongsTo(ref.Customer) {
+		return nil
+	}
+	return j
+}
+
+// refuseForeignID refuses a submission with the id of another customer's job, and says
+// nothing about that job.
+func (o *Owner) refuseForeignID(spec job.Spec) Verdict {
+	verdict := Verdict{Ruling: Invalid, Reason: "the id cannot be used"}
+	if !o.OwnershipFresh() {
+		verdict = o.notFoundVerdict()
+	}
+	o.options.Log.Info().Str("event", "job_refused").Str("job", string(spec.ID)).Str("queue", spec.Queue).
+		Str("customer", spec.Customer).Str("ruling", verdict.Ruling.String()).Str("reason", "the id is of another customer's job").Send()
+	o.options.Metrics.Refused(verdict.Ruling.String())
+	return verdict
+}
+
 // Submit adds a job. It replies once the job is recorded, or at once when the
 // job is refused. A repeated submission of the same id joins the first.
 func (o *Owner) Submit(spec job.Spec, reply func(Verdict)) {
@@ -41,6 +75,10 @@
 		return
 	}
 	if known := o.jobs[spec.ID]; known != nil {
+		if !known.belongsTo(spec.Customer) {
+			reply(o.refuseForeignID(spec))
+			return
+		}
 		o.replyWhenRecorded(known, reply)
 		return
 	}
@@ -148,12 +186,12 @@
 }
 
 // Cancel cancels a job. It replies once the cancellation is recorded.
-func (o *Owner) Cancel(id job.ID, reply func(Verdict)) {
+func (o *Owner) Cancel(ref JobRef, reply func(Verdict)) {
 	if !o.beginInput() {
 		reply(Verdict{Ruling: NotOwner, Reason: "ownership lost"})
 		return
 	}
-	j := o.jobs[id]
+	j := o.find(ref)
 	if j == nil {
 		reply(o.notFoundVerdict())
 		return
@@ -188,11 +226,11 @@
 }
 
 // Lookup returns the recorded state of a job.
-func (o *Owner) Lookup(id job.ID) LookupResult {
+func (o *Owner) Lookup(ref JobRef) LookupResult {
 	if !o.beginInput() {
 		return LookupResult{Verdict: Verdict{Ruling: NotOwner, Reason: "ownership lost"}}
 	}
-	j := o.jobs[id]
+	j := o.find(ref)
 	if j == nil || !j.durable {
 		return LookupResult{Verdict: o.notFoundVerdict()}
 	}
@@ -252,8 +290,12 @@
 	o.batch.jobs = remaining
 }
 
-// removeRecords deletes the progress record of a job; its specification is
-// already deleted.
-func (o *Owner) removeRecords(id job.ID) {
-	o.batch.removals = append(o.batch.removals, journal.Record{Key: keyProgress + string(id)})
+// removeRecords deletes the records of a final job. The specification is already deleted
+// unless it holds the job's customer.
+func (o *Owner) removeRecords(j *jobState) {
+	id := string(j.spec.ID)
+	o.batch.removals = append(o.batch.removals, journal.Record{Key: keyProgress + id})
+	if j.spec.Customer != "" {
+		o.batch.removals = append(o.batch.removals, journal.Record{Key: keySpec + id})
+	}
 }
--- a/internal/schedule/owner/submit_test.go
+++ b/internal/schedule/owner/submit_test.go
@@ -84,9 +84,9 @@
 	sim := newSimulation(t, 1, 3)
 	s := sim.simOwner()
 	var confirmed, unconfirmed Ruling
-	sim.at(1000, func() { confirmed = s.owner.Lookup("0000000000000009").Verdict.Ruling })
+	sim.at(1000, func() { confirmed = s.owner.Lookup(JobRef{ID: "0000000000000009"}).Verdict.Ruling })
 	sim.at(1100, func() { sim.storeDown = true })
-	sim.at(4000, func() { unconfirmed = s.owner.Lookup("0000000000000009").Verdict.Ruling })
+	sim.at(4000, func() { unconfirmed = s.owner.Lookup(JobRef{ID: "0000000000000009"}).Verdict.Ruling })
 	sim.run(5 * clock.Second)
 	if diff := cmp.Diff([]Ruling{NotFound, Refused}, []Ruling{confirmed, unconfirmed}); diff != "" {
 		t.Errorf("rulings (-want +got):\n%s", diff)
--- a/internal/site/daemon/serve.go
+++ b/internal/site/daemon/serve.go
@@ -205,15 +205,15 @@
 			}
 			return notOwner
 		},
-		Cancel: func(ctx context.Context, query peer.JobQuery) owner.Verdict {
+		Cancel: func(ctx context.Context, query owner.JobRef) owner.Verdict {
 			if local := d.owner(); local != nil {
-				return local.Cancel(ctx, query.ID)
+				return local.Cancel(ctx, query)
 			}
 			return notOwner
 		},
-		Lookup: func(ctx context.Context, query peer.JobQuery) owner.LookupResult {
+		Lookup: func(ctx context.Context, query owner.JobRef) owner.LookupResult {
 			if local := d.owner(); local != nil {
-				return local.Lookup(ctx, query.ID)
+				return local.Lookup(ctx, query)
 			}
 			return owner.LookupResult{Verdict: notOwner}
 		},
--- a/internal/site/front/front.go
+++ b/internal/site/front/front.go
@@ -202,7 +202,7 @@
 }
 
 func (h *Handler) state(ctx context.Context, x *exchange) answer {
-	x.reply = h.options.Client.Lookup(ctx, job.ID(x.jobID))
+	x.reply = h.options.Client.Lookup(ctx, owner.JobRef{ID: job.ID(x.jobID)})
 	if x.reply.Outcome != relay.Answered {
 		return unavailable("no owner is known")
 	}
@@ -213,7 +213,7 @@
 }
 
 func (h *Handler) cancel(ctx context.Context, x *exchange) answer {
-	x.reply = h.options.Client.Cancel(ctx, job.ID(x.jobID))
+	x.reply = h.options.Client.Cancel(ctx, owner.JobRef{ID: job.ID(x.jobID)})
 	return replyAnswer(x.reply, "whether the job was cancelled is not known")
 }
 
--- a/internal/site/front/front_test.go
+++ b/internal/site/front/front_test.go
@@ -58,10 +58,10 @@
 func TestServeHTTPBadInput(t *testing.T) {
 	localOwner := &relay.LocalOwner{
 		Submit: func(context.Context, job.Spec) owner.Verdict { return owner.Verdict{Ruling: owner.Recorded} },
-		Cancel: func(context.Context, job.ID) owner.Verdict {
+		Cancel: func(context.Context, owner.JobRef) owner.Verdict {
 			return owner.Verdict{Ruling: owner.NotFound, Reason: "no such job"}
 		},
-		Lookup:       func(context.Context, job.ID) owner.LookupResult { return owner.LookupResult{State: job.Running} },
+		Lookup:       func(context.Context, owner.JobRef) owner.LookupResult { return owner.LookupResult{State: job.Running} },
 		CountWaiting: func(context.Context, string) (int, bool) { return 12, true },
 	}
 	front := newHandler(localOwner, 7)
--- a/internal/site/peer/client.go
+++ b/internal/site/peer/client.go
@@ -57,12 +57,12 @@
 }
 
 // Cancel sends the owner a request to cancel a job.
-func (c *Client) Cancel(ctx context.Context, address string, query JobQuery) (owner.Verdict, error) {
+func (c *Client) Cancel(ctx context.Context, address string, query owner.JobRef) (owner.Verdict, error) {
 	return call[owner.Verdict](ctx, c, address, methodCancel, query)
 }
 
 // Lookup queries a job's state from the owner.
-func (c *Client) Lookup(ctx context.Context, address string, query JobQuery) (owner.LookupResult, error) {
+func (c *Client) Lookup(ctx context.Context, address string, query owner.JobRef) (owner.LookupResult, error) {
 	return call[owner.LookupResult](ctx, c, address, methodLookup, query)
 }
 
--- a/internal/site/peer/peer.go
+++ b/internal/site/peer/peer.go
@@ -110,11 +110,6 @@
 	Spec job.Spec `json:"spec"`
 }
 
-// JobQuery names a job.
-type JobQuery struct {
-	ID job.ID `json:"id"`
-}
-
 // QueueQuery names a queue.
 type QueueQuery struct {
 	Queue string `json:"queue"`
--- a/internal/site/peer/server.go
+++ b/internal/site/peer/server.go
@@ -21,8 +21,8 @@
 	Ping         func(ctx context.Context, query PingQuery) PingAnswer
 	OwnerContact func(ctx context.Context, query OwnerContactQuery) OwnerContactAnswer
 	Submit       func(ctx context.Context, query SubmitQuery) owner.Verdict
-	Cancel       func(ctx context.Context, query JobQuery) owner.Verdict
-	Lookup       func(ctx context.Context, query JobQuery) owner.LookupResult
+	Cancel       func(ctx context.Context, query owner.JobRef) owner.Verdict
+	Lookup       func(ctx context.Context, query owner.JobRef) owner.LookupResult
 	CountWaiting func(ctx context.Context, query QueueQuery) WaitingAnswer
 	Tables       func(ctx context.Context, query struct{}) TablesAnswer
 	// OpenLink serves a link session until it ends; nil if this entry does not serve as a link.
--- a/internal/site/relay/relay.go
+++ b/internal/site/relay/relay.go
@@ -52,8 +52,8 @@
 // LocalOwner holds the calls of the owner in this process.
 type LocalOwner struct {
 	Submit       func(ctx context.Context, spec job.Spec) owner.Verdict
-	Cancel       func(ctx context.Context, id job.ID) owner.Verdict
-	Lookup       func(ctx context.Context, id job.ID) owner.LookupResult
+	Cancel       func(ctx context.Context, ref owner.JobRef) owner.Verdict
+	Lookup       func(ctx context.Context, ref owner.JobRef) owner.LookupResult
 	CountWaiting func(ctx context.Context, queue string) (int, bool)
 }
 
@@ -108,24 +108,24 @@
 }
 
 // Cancel cancels a job.
-func (d Client) Cancel(ctx context.Context, id job.ID) Reply {
+func (d Client) Cancel(ctx context.Context, ref owner.JobRef) Reply {
 	return d.send(ctx, verdictQuery(
-		func(ctx context.Context, localOwner *LocalOwner) owner.Verdict { return localOwner.Cancel(ctx, id) },
+		func(ctx context.Context, localOwner *LocalOwner) owner.Verdict { return localOwner.Cancel(ctx, ref) },
 		func(ctx context.Context, address string) (owner.Verdict, error) {
-			return d.options.Peers.Cancel(ctx, address, peer.JobQuery{ID: id})
+			return d.options.Peers.Cancel(ctx, address, ref)
 		},
 	))
 }
 
 // Lookup queries a job's state.
-func (d Client) Lookup(ctx context.Context, id job.ID) Reply {
+func (d Client) Lookup(ctx context.Context, ref owner.JobRef) Reply {
 	return d.send(ctx, ownerQuery{
 		local: func(ctx context.Context, localOwner *LocalOwner) (Reply, error) {
-			finding := localOwner.Lookup(ctx, id)
+			finding := localOwner.Lookup(ctx, ref)
 			return Reply{Verdict: finding.Verdict, State: finding.State}, nil
 		},
 		remote: func(ctx context.Context, address string) (Reply, error) {
-			finding, err := d.options.Peers.Lookup(ctx, address, peer.JobQuery{ID: id})
+			finding, err := d.options.Peers.Lookup(ctx, address, ref)
 			return Reply{Verdict: finding.Verdict, State: finding.State}, err
 		},
 	})
--- a/internal/site/runtime/runtime.go
+++ b/internal/site/runtime/runtime.go
@@ -240,13 +240,13 @@
 }
 
 // Cancel cancels a job and waits for the verdict.
-func (r *Runtime) Cancel(ctx context.Context, id job.ID) owner.Verdict {
-	return request(ctx, r, noDecision, func(reply func(owner.Verdict)) { r.stateMachine.Cancel(id, reply) })
+func (r *Runtime) Cancel(ctx context.Context, ref owner.JobRef) owner.Verdict {
+	return request(ctx, r, noDecision, func(reply func(owner.Verdict)) { r.stateMachine.Cancel(ref, reply) })
 }
 
 // Lookup returns what is recorded of a job.
-func (r *Runtime) Lookup(ctx context.Context, id job.ID) owner.LookupResult {
-	return request(ctx, r, owner.LookupResult{Verdict: noDecision}, func(reply func(owner.LookupResult)) { reply(r.stateMachine.Lookup(id)) })
+func (r *Runtime) Lookup(ctx context.Context, ref owner.JobRef) owner.LookupResult {
+	return request(ctx, r, owner.LookupResult{Verdict: noDecision}, func(reply func(owner.LookupResult)) { reply(r.stateMachine.Lookup(ref)) })
 }
 
 // CountWaiting counts the jobs of a queue that have not begun.
