Require callers' keys where the manifest lists customers

A call to a route that is not public needs a key of a customer. Without one it is answered 401 before its body is read, on every method. With strict revocation, calls are answered 503 once the proof for the tables is older than revoke_ms less a tenth. An entry takes the proof from its own reads and from the ping answers of the owner, which carry its age, by a clock that includes suspensions. A call is checked again when its body is read.

Counters by outcome, the age of the proof as gauge and in /state, a line when the tables are no longer trusted and when they are again.

TestAccessEndToEnd runs two entries: keys, jobs of others, rotation and removal, an entry cut off from the store alone, and both. TestAccessAndBodies fails without the second check.

--- a/internal/site/daemon/daemon.go
+++ b/internal/site/daemon/daemon.go
@@ -31,6 +31,7 @@
 	"github.com/oriolepier/oriolepier/internal/base/clock"
 	"github.com/oriolepier/oriolepier/internal/base/logline"
 	"github.com/oriolepier/oriolepier/internal/schedule/owner"
+	"github.com/oriolepier/oriolepier/internal/site/access"
 	"github.com/oriolepier/oriolepier/internal/site/linkshard"
 	"github.com/oriolepier/oriolepier/internal/site/ownership"
 	"github.com/oriolepier/oriolepier/internal/site/peer"
@@ -94,6 +95,7 @@
 	store         platform.Store
 	shard         *linkshard.Shard
 	tables        *tables.Watcher
+	access        *access.Guard
 	roster        *roster.Watcher
 	elector       *ownership.Elector
 	peers         *peer.Client
--- a/internal/site/daemon/links.go
+++ b/internal/site/daemon/links.go
@@ -11,6 +11,7 @@
 	"github.com/oriolepier/oriolepier/internal/site/linkshard"
 	"github.com/oriolepier/oriolepier/internal/site/peer"
 	"github.com/oriolepier/oriolepier/internal/site/runtime"
+	"github.com/oriolepier/oriolepier/internal/site/tables"
 )
 
 // newPool returns the pool of links for an ownership. A link is an entry that
@@ -54,9 +55,14 @@
 }
 
 // ping pings an entry, with this entry's failure domain and whether it can act
-// as a link.
+// as a link. It takes over the proof for the tables in the answer.
 func (d *Daemon) ping(ctx context.Context, address string, query peer.PingQuery) (peer.PingAnswer, error) {
 	query.Domain = d.settings.Domain
 	query.Links = !d.leaving.Load()
-	return d.peers.Ping(ctx, address, query)
+	sent := d.clock.Now()
+	answer, err := d.peers.Ping(ctx, address, query)
+	if err == nil && answer.ProofAge != nil && *answer.ProofAge >= 0 {
+		d.tables.Confirm(tables.Proof{End: answer.TablesEnd, At: sent - *answer.ProofAge})
+	}
+	return answer, err
 }
--- a/internal/site/daemon/serve.go
+++ b/internal/site/daemon/serve.go
@@ -60,6 +60,9 @@
 		{name: "consumers", run: d.serveCallers},
 		{name: "metrics", run: d.serveOperators},
 	}
+	if d.settings.Bounds.StrictRevocation {
+		parts = append(parts, service{name: "access", run: d.observeAccess})
+	}
 	if d.settings.Ready != "" {
 		parts = append(parts, service{name: "readiness", run: d.serveReadiness})
 	}
@@ -82,6 +85,7 @@
 	return d.serveHTTP(ctx, d.settings.Consumer, front.New(front.Options{
 		Clock: d.clock, Logger: d.logger, Metrics: d.metrics,
 		Manifest:      func() manifest.Manifest { return d.tables.Current().Manifest },
+		Access:        d.access,
 		Client:        ownerRelay,
 		CallerTimeout: platform.CallerTimeout,
 		Decode:        platform.DecodeSubmission,
@@ -91,6 +95,18 @@
 	}))
 }
 
+// accessPeriod is the time between checks whether the tables are trusted.
+const accessPeriod = clock.Second / 2
+
+// observeAccess logs when the tables are no longer trusted and when they are again, until
+// the context ends.
+func (d *Daemon) observeAccess(ctx context.Context) error {
+	for d.clock.Sleep(ctx, accessPeriod) == nil {
+		d.access.Observe()
+	}
+	return ctx.Err()
+}
+
 // requestHandler returns the proxy, or nil without Options.Standalone.
 func (d *Daemon) requestHandler() http.Handler {
 	if d.options.Standalone == nil {
@@ -244,9 +260,14 @@
 		peers = nil
 	}
 	claimed := d.elector.ClaimedEpoch()
+	proof := d.tables.Proof()
 	answer := peer.PingAnswer{
 		Owner: claimed != 0, Epoch: max(claimed, d.elector.Current().Epoch), Peers: peers, PeersHash: hash,
-		TablesEnd: d.tables.End(), Cores: d.settings.Limits.Cores,
+		TablesEnd: proof.End, Cores: d.settings.Limits.Cores,
+	}
+	if proof.At != 0 {
+		age := d.clock.Now() - proof.At
+		answer.ProofAge = &age
 	}
 	if run := d.localOwner.Load(); run != nil {
 		if d.isPreviousOwner(query) && query.Epoch == run.Epoch() {
--- a/internal/site/daemon/wire.go
+++ b/internal/site/daemon/wire.go
@@ -17,7 +17,9 @@
 	"github.com/oriolepier/oriolepier/internal/config/release"
 	"github.com/oriolepier/oriolepier/internal/schedule/fleet"
 	"github.com/oriolepier/oriolepier/internal/schedule/journal"
+	"github.com/oriolepier/oriolepier/internal/schedule/manifest"
 	"github.com/oriolepier/oriolepier/internal/schedule/owner"
+	"github.com/oriolepier/oriolepier/internal/site/access"
 	"github.com/oriolepier/oriolepier/internal/site/linkshard"
 	"github.com/oriolepier/oriolepier/internal/site/ownership"
 	"github.com/oriolepier/oriolepier/internal/site/peer"
@@ -43,6 +45,7 @@
 	do.Provide(injector, newLinkMetrics)
 	do.Provide(injector, newShard)
 	do.Provide(injector, newTables)
+	do.Provide(injector, newGuard)
 	do.Provide(injector, newRoster)
 	do.Provide(injector, newDaemon)
 	return injector
@@ -71,12 +74,42 @@
 	if do.MustInvoke[Options](injector).Standalone != nil {
 		topic, decode = platform.Topic(release.Topic), decodeRelease
 	}
+	bounds := do.MustInvoke[platform.Settings](injector).Bounds
 	return tables.New(tables.Options{
 		Topic:  topic,
 		Clock:  do.MustInvoke[clock.Clock](injector),
 		Log:    do.MustInvoke[platform.Store](injector).Log(),
 		Logger: do.MustInvoke[zerolog.Logger](injector),
-		Decode: decode, Contact: do.MustInvoke[platform.Settings](injector).Bounds.Contact,
+		Decode: decode, Contact: bounds.Contact, Revoke: revokeBound(bounds),
+	}), nil
+}
+
+// defaultRevoke is the time within which a removed key must stop working, if the
+// settings require strict revocation without it.
+const defaultRevoke = 5 * clock.Second
+
+// revokeBound returns the time within which a removed key must stop working on every
+// entry; 0 without strict revocation.
+func revokeBound(bounds platform.Bounds) clock.Millis {
+	switch {
+	case !bounds.StrictRevocation:
+		return 0
+	case bounds.Revoke <= 0:
+		return defaultRevoke
+	}
+	return bounds.Revoke
+}
+
+func newGuard(injector do.Injector) (*access.Guard, error) {
+	bounds := do.MustInvoke[platform.Settings](injector).Bounds
+	watcher := do.MustInvoke[*tables.Watcher](injector)
+	return access.New(access.Options{
+		Rules:    access.NewRules(bounds.StrictRevocation, revokeBound(bounds), bounds.ConfigApply),
+		Clock:    do.MustInvoke[clock.Clock](injector),
+		Logger:   do.MustInvoke[zerolog.Logger](injector),
+		Metrics:  do.MustInvoke[*metrics.Set](injector),
+		Manifest: func() manifest.Manifest { return watcher.Current().Manifest },
+		ProvenAt: watcher.ProvenAt,
 	}), nil
 }
 
@@ -141,6 +174,7 @@
 		linkMetrics:  do.MustInvoke[*linkshard.Metrics](injector),
 		shard:        do.MustInvoke[*linkshard.Shard](injector),
 		tables:       do.MustInvoke[*tables.Watcher](injector),
+		access:       do.MustInvoke[*access.Guard](injector),
 		roster:       do.MustInvoke[*roster.Watcher](injector),
 		peers:        do.MustInvoke[*peer.Client](injector),
 	}
--- a/internal/site/front/front.go
+++ b/internal/site/front/front.go
@@ -1,10 +1,14 @@
 // Package front serves the job API over HTTP: it matches a request to a queue,
 // decodes it, sends it to the owner, and maps the reply to a status.
 //
-//	POST   PREFIX + ID   submit a job        200 | 400 | 404 | 413 | 422 | 501 | 503 | 504
-//	GET    PREFIX + ID   state of a job      200 | 400 | 404 | 410 | 503
-//	DELETE PREFIX + ID   cancel a job        200 | 400 | 404 | 410 | 503 | 504
-//	GET    PREFIX        count waiting jobs  200 | 404 | 503
+//	POST   PREFIX + ID   submit a job        200 | 400 | 401 | 404 | 413 | 422 | 501 | 503 | 504
+//	GET    PREFIX + ID   state of a job      200 | 400 | 401 | 404 | 410 | 503
+//	DELETE PREFIX + ID   cancel a job        200 | 400 | 401 | 404 | 410 | 503 | 504
+//	GET    PREFIX        count waiting jobs  200 | 401 | 404 | 503
+//
+// A call to a route that is not public needs a customer's key, where the manifest lists
+// customers. It is checked before the body is read: 401 without a valid key, on every
+// method; 503 if the entry cannot tell. Jobs of other customers do not exist for a call.
 //
 // Other methods are answered by 405 with an ID and by 400 without one. 404: no such
 // route; 410: no such job; 422: the owner ruled the job invalid.
@@ -33,6 +37,7 @@
 	"github.com/oriolepier/oriolepier/internal/schedule/job"
 	"github.com/oriolepier/oriolepier/internal/schedule/manifest"
 	"github.com/oriolepier/oriolepier/internal/schedule/owner"
+	"github.com/oriolepier/oriolepier/internal/site/access"
 	"github.com/oriolepier/oriolepier/internal/site/relay"
 )
 
@@ -53,7 +58,9 @@
 	Logger   zerolog.Logger
 	Metrics  *metrics.Set
 	Manifest func() manifest.Manifest // Version 0: none received yet
-	Client   relay.Client
+	// Access decides which calls are accepted. If nil, no call needs a key.
+	Access *access.Guard
+	Client relay.Client
 	// CallerTimeout returns a request's timeout, or the fallback if it sets none.
 	CallerTimeout func(request *http.Request, fallback clock.Millis) clock.Millis
 	// Decode decodes the body of a submission.
@@ -93,7 +100,9 @@
 	request *http.Request
 	queue   manifest.Queue
 	jobID   string // path after the queue's prefix; empty for a request about the queue
-	tables  manifest.Manifest
+	view    access.View
+	tables  manifest.Manifest // of view
+	access  access.Decision
 	reply   relay.Reply
 	started clock.Millis
 }
@@ -103,7 +112,9 @@
 	if h.proxy(writer, request) {
 		return
 	}
-	x := &exchange{request: request, started: h.options.Clock.Now(), tables: h.options.Manifest()}
+	x := &exchange{request: request, started: h.options.Clock.Now()}
+	x.view = h.accessView(x.started)
+	x.tables = x.view.Manifest
 	timeout := max(h.options.CallerTimeout(request, defaultTimeout)-answerMargin, minTimeout)
 	ctx, cancel := context.WithTimeout(request.Context(), timeout.Duration())
 	defer cancel()
@@ -134,6 +145,9 @@
 		return answer{status: http.StatusNotFound, reason: "no such route"}
 	}
 	x.queue, x.jobID = queue, jobID
+	if refusal := h.checkAccess(x); refusal.status != 0 {
+		return refusal
+	}
 	if jobID == "" {
 		return h.count(ctx, x)
 	}
@@ -151,6 +165,46 @@
 	return answer{status: http.StatusMethodNotAllowed, reason: "POST, GET and DELETE are allowed"}
 }
 
+// accessView returns what is known at a time for the check of a call.
+func (h *Handler) accessView(now clock.Millis) access.View {
+	if h.options.Access == nil {
+		return access.View{Manifest: h.options.Manifest()}
+	}
+	return h.options.Access.View(now)
+}
+
+// checkAccess decides whether the call is accepted and whose it is. If it is refused,
+// the answer's status is not zero.
+func (h *Handler) checkAccess(x *exchange) (refusal answer) {
+	if h.options.Access == nil {
+		return answer{}
+	}
+	x.access = h.options.Access.Check(x.view, x.queue, x.request.Header)
+	return accessRefusal(x.access)
+}
+
+// accessRefusal returns the answer to a refused call; else its status is zero.
+func accessRefusal(decision access.Decision) answer {
+	switch decision.Outcome {
+	case access.Unauthorized:
+		return answer{status: http.StatusUnauthorized, reason: "the call needs a valid key"}
+	case access.Stale:
+		return unavailable("whether the key is valid is not known")
+	case access.Open, access.Public, access.Allowed:
+	}
+	return answer{}
+}
+
+// recheckAccess checks a call again once its body is read, which may take long.
+func (h *Handler) recheckAccess(x *exchange) (refusal answer) {
+	if x.access.Outcome != access.Allowed {
+		return answer{}
+	}
+	x.view = h.accessView(h.options.Clock.Now())
+	x.access = h.options.Access.Recheck(x.view, x.queue, x.request.Header)
+	return accessRefusal(x.access)
+}
+
 func (h *Handler) count(ctx context.Context, x *exchange) answer {
 	if x.request.Method != http.MethodGet {
 		return answer{status: http.StatusBadRequest, reason: "the path names no job"}
@@ -167,8 +221,12 @@
 	if failure.status != 0 {
 		return failure
 	}
+	if refusal := h.recheckAccess(x); refusal.status != 0 {
+		return refusal
+	}
+	spec.Customer = x.access.Customer
 	x.reply = h.options.Client.Submit(ctx, spec)
-	return replyAnswer(x.reply, "whether the job was recorded is not known")
+	return x.withoutProof(replyAnswer(x.reply, "whether the job was recorded is not known"))
 }
 
 // readSpec reads and checks a submission. On failure, the answer's status is not
@@ -202,19 +260,34 @@
 }
 
 func (h *Handler) state(ctx context.Context, x *exchange) answer {
-	x.reply = h.options.Client.Lookup(ctx, owner.JobRef{ID: job.ID(x.jobID)})
+	x.reply = h.options.Client.Lookup(ctx, x.job())
 	if x.reply.Outcome != relay.Answered {
 		return unavailable("no owner is known")
 	}
 	if x.reply.Verdict.Ruling == owner.Recorded {
 		return answer{status: http.StatusOK, body: h.options.State(x.reply.State)}
 	}
-	return verdictAnswer(x.reply.Verdict)
+	return x.withoutProof(verdictAnswer(x.reply.Verdict))
 }
 
 func (h *Handler) cancel(ctx context.Context, x *exchange) answer {
-	x.reply = h.options.Client.Cancel(ctx, owner.JobRef{ID: job.ID(x.jobID)})
-	return replyAnswer(x.reply, "whether the job was cancelled is not known")
+	x.reply = h.options.Client.Cancel(ctx, x.job())
+	return x.withoutProof(replyAnswer(x.reply, "whether the job was cancelled is not known"))
+}
+
+// job returns the job that the call names, as its customer's.
+func (x *exchange) job() owner.JobRef {
+	return owner.JobRef{ID: job.ID(x.jobID), Customer: x.access.Customer}
+}
+
+// withoutProof replaces the answer to a call whose key could not be checked, if the job
+// does not exist for a call without one.
+func (x *exchange) withoutProof(result answer) answer {
+	ruling := x.reply.Verdict.Ruling
+	if !x.access.Unproven || x.reply.Outcome != relay.Answered || ruling != owner.NotFound && ruling != owner.Invalid {
+		return result
+	}
+	return unavailable("whether the key is valid is not known")
 }
 
 // replyAnswer maps a reply to an answer. unknownReason is the reason given if it
@@ -262,6 +335,9 @@
 	}
 	header := writer.Header()
 	header.Set("Content-Type", "application/json")
+	if result.status == http.StatusUnauthorized {
+		header.Set("WWW-Authenticate", "Bearer")
+	}
 	if result.retryAfter > 0 {
 		seconds := (result.retryAfter + clock.Second - 1) / clock.Second
 		header.Set("Retry-After", strconv.FormatInt(int64(seconds), 10))
@@ -270,18 +346,19 @@
 	_, _ = writer.Write(data) // the caller may have disconnected
 }
 
-// log counts every request, and logs all but GETs answered with 200.
+// log counts every request, and logs all but GETs answered with 200 and those that the
+// guard refused, which it logs itself.
 func (h *Handler) log(x *exchange, result answer) {
 	took := h.options.Clock.Now() - x.started
 	h.options.Metrics.GetOrCreateCounter(
 		`oriolepier_requests_total{method="` + x.request.Method + `",status="` + strconv.Itoa(result.status) + `"}`).Inc()
 	h.options.Metrics.GetOrCreateHistogram(
 		`oriolepier_request_seconds{method="` + x.request.Method + `"}`).Update(float64(took) / float64(clock.Second))
-	if x.request.Method == http.MethodGet && result.status == http.StatusOK {
+	if x.request.Method == http.MethodGet && result.status == http.StatusOK || x.access.Outcome.Refused() {
 		return
 	}
 	h.options.Logger.Info().Str("event", "request_answered").Str("method", x.request.Method).Str("job", x.jobID).
-		Str("queue", x.queue.Name).Int("status", result.status).Str("reason", result.reason).
+		Str("queue", x.queue.Name).Str("customer", x.access.Customer).Int("status", result.status).Str("reason", result.reason).
 		Int64("took_ms", int64(took)).Int("tries", x.reply.Tries).Int64("epoch", x.reply.Epoch).
 		Int64("manifest", x.tables.Version).Int64("retry_after_ms", int64(result.retryAfter)).Send()
 }
--- a/internal/site/peer/peer.go
+++ b/internal/site/peer/peer.go
@@ -91,6 +91,9 @@
 	PeersHash   uint64       `json:"peers_hash"`   // hash of the list of entries; 0 from an older version
 	StateLoaded bool         `json:"ready"`        // the owner has loaded its state
 	TablesEnd   int64        `json:"tables_end"`   // offset up to which the entry has read the operators' topic
+	// ProofAge is how long ago TablesEnd was proven to be the end of that topic; nil from
+	// an entry without a proof, or of an older version.
+	ProofAge *clock.Millis `json:"proof_age_ms,omitempty"`
 }
 
 // OwnerContactQuery queries how long ago the owner of an epoch last answered a ping
