--- a/internal/site/daemon/ping_test.go
+++ b/internal/site/daemon/ping_test.go
@@ -105,3 +105,17 @@
 		t.Errorf("taken for a proof (-want +got):\n%s", diff)
 	}
 }
+
+// An entry without a proof for its tables, like one of an older version, vouches for
+// nothing; an age of 0 would be taken for a proof of this moment.
+func TestPingAnswerCarriesAgeOfProof(t *testing.T) {
+	fake := clock.NewFake(clock.Hour)
+	d := &Daemon{clock: fake.Clock(), elector: ownership.New(ownership.Options{}), tables: tables.New(tables.Options{Clock: fake.Clock()})}
+	without := d.handlePing(t.Context(), peer.PingQuery{}).ProofAge
+	d.tables.Confirm(tables.Proof{At: fake.Now() - 300})
+	fake.Advance(50)
+	age := clock.Millis(350)
+	if diff := cmp.Diff([]*clock.Millis{nil, &age}, []*clock.Millis{without, d.handlePing(t.Context(), peer.PingQuery{}).ProofAge}); diff != "" {
+		t.Errorf("ages without a proof and with one (-want +got):\n%s", diff)
+	}
+}
