Keep customers within their limits on all workers together

A customer could run as much as the workers had room for. The owner now counts what each customer may have running, from the attach of a run to its proven end, and holds a task back before a worker is chosen if it would exceed the limit. What is stopping, unanswered, inherited or on an unresponsive worker counts; so do starts whose run has ended while the order may still arrive, until a report or a confirmed stop shows otherwise. A recorded run is not started, and an unanswered start not repeated, above a limit that was lowered since. A task held back by its quota reserves no worker, and is no demand for relocation or for the share of batch tasks.

A task larger than its customer's limit is refused as invalid, and a long-running job that does not fit beside the customer's earlier ones is refused with a Retry-After. The objective of a job counts waves of the width that the limit allows.

All plays of faults check the rule from what workers run when customers have limits; TestQuotaUnderFaults and TestQuotaUnderHostileFaults play every fault with limits that are halved for a time.

--- a/internal/schedule/owner/dump.go
+++ b/internal/schedule/owner/dump.go
@@ -13,7 +13,7 @@
 	DomainsOut         []string       `json:"failure_domains_out"`
 	Jobs               map[string]int `json:"jobs"` // by state
 	Waiting            int            `json:"tasks_waiting"`
-	WaitingCPU         int64          `json:"waiting_milli_cpu"` // requested by tasks that the last placement pass left waiting
+	WaitingCPU         int64          `json:"waiting_milli_cpu"` // requested by tasks that the last placement pass left waiting, without those held back by a quota
 	IdleCPU            int64          `json:"idle_milli_cpu"`    // of usable workers, not in use while tasks wait
 	Blocked            map[string]int `json:"blocked_steps"`     // steps that wait, by the leading reason
 	Workers            []WorkerDump   `json:"workers"`
--- a/internal/schedule/owner/hostile_test.go
+++ b/internal/schedule/owner/hostile_test.go
@@ -101,7 +101,11 @@
 // simulateHostile plays faults as simulateFaults does, in a hostile simulation.
 func simulateHostile(t *testing.T, seed uint64, injections ...fault) *simulation {
 	t.Helper()
-	sim := newHostileSimulation(t, seed, 9)
+	return newHostileSimulation(t, seed, 9).playHostile(injections...)
+}
+
+// playHostile plays the faults of simulateHostile.
+func (sim *simulation) playHostile(injections ...fault) *simulation {
 	sim.simOwner()
 	sim.submitHostile()
 	sim.injectWithin(hostileFaultWindow, injections)
--- a/internal/schedule/owner/invariants_test.go
+++ b/internal/schedule/owner/invariants_test.go
@@ -39,6 +39,7 @@
 			}
 		}
 	}
+	sim.checkQuota(order)
 	if m.Used().MilliCPU > m.Entry.Room.MilliCPU {
 		sim.violationf("%s: processors in use exceed its room", m.Entry.ID)
 	}
--- a/internal/schedule/owner/load.go
+++ b/internal/schedule/owner/load.go
@@ -73,7 +73,9 @@
 		if err != nil {
 			return err
 		}
-		o.jobs[job.ID(id)] = newJob(spec)
+		j := newJob(spec)
+		j.account = o.quotas.Account(spec.Customer)
+		o.jobs[job.ID(id)] = j
 		return nil
 	}
 	if id, ok := strings.CutPrefix(record.Key, keyProgress); ok {
--- a/internal/schedule/owner/metrics.go
+++ b/internal/schedule/owner/metrics.go
@@ -8,7 +8,8 @@
 
 // Metrics are the metrics of an owner.
 type Metrics struct {
-	set *metrics.Set
+	set            *metrics.Set
+	customerLabels map[string]bool // labels given to customers
 
 	Accepted    *metrics.Counter  // jobs whose record was acknowledged
 	Appends     *metrics.Counter  // acknowledged appends
@@ -39,7 +40,7 @@
 func NewMetrics(set *metrics.Set) *Metrics {
 	newDuration := func(name string) DurationHistogram { return DurationHistogram{histogram: set.NewHistogram(name)} }
 	return &Metrics{
-		set:         set,
+		set: set, customerLabels: map[string]bool{},
 		Accepted:    set.NewCounter("oriolepier_jobs_accepted_total"),
 		Appends:     set.NewCounter("oriolepier_store_appends_total"),
 		Starts:      set.NewCounter("oriolepier_task_starts_total"),
--- a/internal/schedule/owner/objective.go
+++ b/internal/schedule/owner/objective.go
@@ -43,18 +43,19 @@
 
 // criticalPath is the expected duration of a job's longest chain of steps.
 func (o *Owner) criticalPath(j *jobState) clock.Millis {
-	return longestChain(j, func(*stepState) bool { return true })
+	return longestChain(j, func(step *stepState) int { return step.spec.Count })
 }
 
 // remainingPath is the expected duration of the longest chain of steps that are
 // not done, each from its beginning.
 func (o *Owner) remainingPath(j *jobState) clock.Millis {
-	return longestChain(j, func(step *stepState) bool { return step.unfinished > 0 })
+	return longestChain(j, func(step *stepState) int { return step.unfinished })
 }
 
-// longestChain is the expected duration of the longest chain of the counted
-// steps of a job.
-func longestChain(j *jobState, counts func(*stepState) bool) clock.Millis {
+// longestChain is the expected duration of the longest chain of the steps of a job
+// with a number of tasks each; steps without tasks take no time. A step wider than
+// the limit of the job's customer runs in waves.
+func longestChain(j *jobState, tasks func(*stepState) int) clock.Millis {
 	ends := make([]clock.Millis, len(j.steps))
 	longest := clock.Millis(0)
 	for i := range j.steps {
@@ -62,14 +63,23 @@
 		for _, predecessor := range step.spec.After {
 			ends[i] = max(ends[i], ends[predecessor])
 		}
-		if counts(step) {
-			ends[i] += taskLength(step.spec)
+		if count := tasks(step); count > 0 {
+			ends[i] += taskLength(step.spec) * waves(j, step, count)
 		}
 		longest = max(longest, ends[i])
 	}
 	return longest
 }
 
+// waves is the number of groups in which the limit of a job's customer lets a number
+// of a step's tasks run one after another. Long-running tasks all run at a time.
+func waves(j *jobState, step *stepState, tasks int) clock.Millis {
+	if step.spec.Lasting {
+		return 1
+	}
+	return clock.Millis(j.account.Waves(tasks, requestedRoom(step.spec)))
+}
+
 // taskLength is the expected duration of a step's tasks.
 func taskLength(spec *job.Step) clock.Millis {
 	if spec.EstimateMS == 0 {
--- a/internal/schedule/owner/orders.go
+++ b/internal/schedule/owner/orders.go
@@ -6,6 +6,7 @@
 	"github.com/oriolepier/oriolepier/internal/base/clock"
 	"github.com/oriolepier/oriolepier/internal/schedule/fleet"
 	"github.com/oriolepier/oriolepier/internal/schedule/job"
+	"github.com/oriolepier/oriolepier/internal/schedule/quota"
 )
 
 // fullPace is the pace, in percent, of a run that is not slowed.
@@ -45,6 +46,8 @@
 		return "worker is draining"
 	case o.domainsOut[w.entry.Domain]:
 		return "failure domain out of service"
+	case !r.keepsQuota():
+		return "above the limit of its customer"
 	}
 	if block := o.leaseBlock(w); block != leaseAllowed {
 		return "no lease may be granted: " + block.String()
@@ -126,6 +129,8 @@
 	start := uncertainStart{task: order.Task, run: order.Run, at: o.now}
 	if r != nil && r.worker == w {
 		start.incarnation = r.incarnation
+	} else {
+		o.quotas.ExtendLate(w.id, quota.Start{Task: order.Task, Run: order.Run}, o.now+uncertainStartTTL)
 	}
 	w.uncertainStarts = append(w.uncertainStarts, start)
 }
@@ -167,7 +172,7 @@
 	o.timers.add(o.now+o.options.Times.OrderRetry, func() {
 		switch {
 		case r.stage != stageOrdered || r.task.run != r:
-		case o.leaseBlock(r.worker) != leaseAllowed:
+		case o.leaseBlock(r.worker) != leaseAllowed || !r.keepsQuota():
 			o.abandonStart(r, outcome)
 		case r.worker.missedHolds > 0:
 			// Its next incarnation may answer, with other labels. The hold that is
@@ -237,6 +242,9 @@
 		return
 	}
 	r := o.currentRun(order.Task, order.Run)
+	if r == nil && (answer.Outcome == fleet.Accepted || answer.Outcome == fleet.RunSuperseded) {
+		o.quotas.StopConfirmed(order.To.ID, quota.Start{Task: order.Task, Run: order.Run}, o.now)
+	}
 	if r == nil || r.stage != stageStopping || r.worker.id != order.To.ID {
 		return
 	}
--- a/internal/schedule/owner/owner.go
+++ b/internal/schedule/owner/owner.go
@@ -41,6 +41,7 @@
 	"github.com/oriolepier/oriolepier/internal/schedule/job"
 	"github.com/oriolepier/oriolepier/internal/schedule/journal"
 	"github.com/oriolepier/oriolepier/internal/schedule/manifest"
+	"github.com/oriolepier/oriolepier/internal/schedule/quota"
 )
 
 // Effects are the owner's outputs. None of them may block.
@@ -118,11 +119,13 @@
 	loggedReason             rejection                 // leading reason in the last log line on it
 	nextBlockedLogAt         clock.Millis              // earliest next such line
 	failureRate              failureRate
-	resigned                 bool         // the ownership is lost; no input is handled any more
-	placementDue             bool         // a placement pass is due because some input may let a task start
-	nextPassAt               clock.Millis // next placement pass that is due by time alone
-	nextExpiryAt             clock.Millis // next removal of expired final states
-	nextDrainCheckAt         clock.Millis // next check for long-running tasks on draining workers
+	quotas                   *quota.Ledger        // what customers may have running
+	customers                map[string]*customer // by name
+	resigned                 bool                 // the ownership is lost; no input is handled any more
+	placementDue             bool                 // a placement pass is due because some input may let a task start
+	nextPassAt               clock.Millis         // next placement pass that is due by time alone
+	nextExpiryAt             clock.Millis         // next removal of expired final states
+	nextDrainCheckAt         clock.Millis         // next check for long-running tasks on draining workers
 }
 
 // New returns an owner without jobs or workers. Its ownership counts from now.
@@ -142,6 +145,8 @@
 		interference:         interference.New(),
 		trials:               map[trial]int{},
 		failureRate:          initialFailureRate,
+		quotas:               quota.New(),
+		customers:            map[string]*customer{},
 		batchDemands:         map[string]batchDemand{},
 		relocations:          map[*taskState]relocating{},
 	}
@@ -164,6 +169,7 @@
 	o.expireRelocations()
 	o.moveOffDraining()
 	o.removeExpiredJobs()
+	o.checkCustomers()
 	o.flush()
 }
 
@@ -181,7 +187,9 @@
 	}
 	o.options.Log.Info().Str("event", "manifest_taken").
 		Int64("version", tables.Version).Int64("before", o.tables.Version).Send()
+	first := o.tables.Version == 0
 	o.tables = tables
+	o.setCustomers(first)
 	o.placementDue = true
 }
 
--- a/internal/schedule/owner/place.go
+++ b/internal/schedule/owner/place.go
@@ -42,8 +42,10 @@
 				if o.placeStep(j, step, queued.pools, usablePools, failures) {
 					continue
 				}
-				unplaced++
 				blocked.add(step)
+				if !step.heldByQuota() {
+					unplaced++
+				}
 			}
 		}
 		if unplaced > maxUnplacedPerPass {
@@ -68,7 +70,8 @@
 }
 
 // placeStep places the waiting tasks of a step until no worker suits the next
-// one. It returns false if tasks are left waiting for a worker.
+// one. It returns false if tasks are left waiting for a worker or for the limit of
+// their customer.
 func (o *Owner) placeStep(j *jobState, step *stepState, pools []string, usablePools map[string]*poolCapacity, failures placementFailures) bool {
 	ratings := o.resetRatings(len(pools))
 	for k := range step.tasks {
@@ -80,6 +83,9 @@
 			o.timers.add(task.notBefore, func() { o.placementDue = true })
 			continue
 		}
+		if o.holdsBack(j, step) {
+			return false
+		}
 		w := o.relocationTarget(task, step, pools)
 		if w != nil {
 			ratings = o.resetRatings(len(pools)) // the destination has less room than when it was rated
--- /dev/null
+++ b/internal/schedule/owner/quota.go
@@ -0,0 +1,207 @@
+package owner
+
+import (
+	"slices"
+
+	"github.com/oriolepier/oriolepier/internal/base/clock"
+	"github.com/oriolepier/oriolepier/internal/schedule/fleet"
+	"github.com/oriolepier/oriolepier/internal/schedule/job"
+	"github.com/oriolepier/oriolepier/internal/schedule/quota"
+)
+
+// A customer's limit is compared with what it may have running when a task is
+// about to be placed. Package quota counts; this file tells it which starts may
+// still be carried out after their run has ended.
+
+// limitQuiet is the time without a task held back by its customer's limit after
+// which the customer counts as below it. It bounds the log lines on limits.
+const limitQuiet clock.Millis = 5 * clock.Second
+
+// customer is what the owner knows of a customer beside its account.
+type customer struct {
+	account      *quota.Account
+	label        string       // value of the metrics' label
+	atLimitAt    clock.Millis // when a task was last held back by its limit; 0: never
+	limitReached bool         // logged as being at its limit
+}
+
+// customerOf returns the state of a job's customer, or nil without one.
+func (o *Owner) customerOf(account *quota.Account) *customer {
+	if account == nil {
+		return nil
+	}
+	c := o.customers[account.Name()]
+	if c == nil {
+		c = &customer{account: account, label: otherCustomers}
+		o.customers[account.Name()] = c
+	}
+	return c
+}
+
+// setCustomers applies the customers of new tables.
+func (o *Owner) setCustomers(first bool) {
+	listed := o.tables.Customers()
+	if len(listed) == 0 && o.quotas.Empty() {
+		return
+	}
+	o.quotas.SetCustomers(listed)
+	o.labelCustomers(listed)
+	for _, j := range o.jobs {
+		// The first tables arrive after the recorded state. A later limit does not
+		// change the objective of jobs that were accepted under an earlier one.
+		if first && j.account != nil {
+			j.deadlines = o.objective(j)
+		}
+	}
+}
+
+// holdsBack reports whether a customer's limit keeps the next task of a step
+// waiting. Such a step reserves no worker.
+func (o *Owner) holdsBack(j *jobState, step *stepState) bool {
+	if j.account.Admits(requestedRoom(step.spec)) {
+		return false
+	}
+	step.rejections = rejections{rejectedQuota: 1}
+	o.customerOf(j.account).atLimitAt = o.now
+	if step.reserved > 0 {
+		for _, w := range o.sortedWorkers {
+			if w.reserved != nil && w.reserved.step == step {
+				o.releaseReservation(w)
+			}
+		}
+	}
+	return true
+}
+
+// keepsQuota reports whether a run that is counted is within its customer's limit,
+// which may have been lowered since it was placed.
+func (r *run) keepsQuota() bool { return r.task.job.account.Keeps(requestedRoom(r.task.spec())) }
+
+// heldByQuota reports whether the last placement pass that left the step waiting
+// did so for its customer's limit.
+func (step *stepState) heldByQuota() bool { return step.rejections[rejectedQuota] > 0 }
+
+// exceedsQuota reports whether a task alone is larger than its customer's limit.
+func exceedsQuota(account *quota.Account, spec *job.Spec) bool {
+	return account.Limited() && slices.ContainsFunc(spec.Steps, func(step job.Step) bool { return account.Exceeds(requestedRoom(&step)) })
+}
+
+// lacksLongRunningQuota reports whether a new job's long-running tasks do not fit
+// their customer's limit beside its long-running tasks accepted before.
+func (o *Owner) lacksLongRunningQuota(account *quota.Account, spec *job.Spec) bool {
+	if !account.Limited() {
+		return false
+	}
+	requested := longRunningRoom(spec)
+	if requested == (fleet.Room{}) {
+		return false
+	}
+	accepted := fleet.Room{}
+	for _, j := range o.jobs {
+		if j.account == account && !j.state.Final() {
+			accepted = accepted.Plus(longRunningRoom(&j.spec), 1)
+		}
+	}
+	return !account.FitsBeside(requested, accepted)
+}
+
+// longRunningRoom is what the long-running tasks of a job request together.
+func longRunningRoom(spec *job.Spec) fleet.Room {
+	sum := fleet.Room{}
+	for i := range spec.Steps {
+		if step := &spec.Steps[i]; step.Lasting {
+			sum = sum.Plus(requestedRoom(step), int64(step.Count))
+		}
+	}
+	return sum
+}
+
+// placeableCPU is the milli-CPU that the startable tasks of a job would commit
+// within what its customer may still start. The map has what is left of that.
+func placeableCPU(j *jobState, left map[*quota.Account]int64) int64 {
+	waiting := j.waitingCPU()
+	free, limited := j.account.Free()
+	if !limited {
+		return waiting
+	}
+	if known, ok := left[j.account]; ok {
+		free = known
+	}
+	granted := min(waiting, free)
+	left[j.account] = free - granted
+	return granted
+}
+
+// holdLateStart keeps counting a run that ends while a start order of it may
+// still be carried out: its answer is missing, and neither its worker's report nor
+// a confirmed stop shows that it cannot begin any more.
+func (o *Owner) holdLateStart(r *run, by proof) {
+	if r.task.job.account == nil || !r.startUnanswered && r.startsOpen == 0 {
+		return
+	}
+	switch by.evidence {
+	case evidenceReported, evidenceStopConfirmed, evidenceNeverSent:
+		return
+	default:
+		sentAt := max(r.orderSentAt, o.fencedAt) // an earlier owner may have sent it until it was fenced
+		o.holdLate(r.worker, r.task.key(), r.runNumber, sentAt+uncertainStartTTL)
+	}
+}
+
+// holdUncertainStarts counts the unanswered starts of a worker that has restarted:
+// the new incarnation does not know that their runs have ended.
+func (o *Owner) holdUncertainStarts(w *worker) {
+	for _, start := range w.uncertainStarts {
+		if o.currentRun(start.task, start.run) == nil {
+			o.holdLate(w, start.task, start.run, start.at+uncertainStartTTL)
+		}
+	}
+}
+
+// holdLate counts a start on a worker that no current run stands for, until a time
+// if it does not begin by then.
+func (o *Owner) holdLate(w *worker, id job.Task, runNumber int, until clock.Millis) {
+	if task := o.task(id); task != nil {
+		o.quotas.HoldLate(w.id, quota.Start{Task: id, Run: runNumber}, task.job.account, requestedRoom(task.spec()), until)
+	}
+}
+
+// settleLateStarts stops counting the late starts that a report shows to be over.
+func (o *Owner) settleLateStarts(w *worker, report fleet.Report) {
+	if report.Truncated {
+		return
+	}
+	listed := func(start quota.Start) bool {
+		return slices.ContainsFunc(report.Running, func(row fleet.Run) bool { return row.Task == start.Task && row.Run == start.Run })
+	}
+	if o.quotas.Settle(w.id, listed, w.holdSentAt) {
+		o.placementDue = true
+	}
+}
+
+// checkCustomers ends late starts by time, and logs customers that have reached or
+// left their limits.
+func (o *Owner) checkCustomers() {
+	if o.quotas.Empty() {
+		return
+	}
+	if o.quotas.Expire(o.now, o.slowClockSpan(o.options.Times.LongestLease)) {
+		o.placementDue = true
+	}
+	for _, c := range o.customers {
+		atLimit := c.atLimitAt != 0 && o.now-c.atLimitAt < limitQuiet
+		if atLimit == c.limitReached {
+			continue
+		}
+		c.limitReached = atLimit
+		event := "customer_limit_left"
+		if atLimit {
+			event = "customer_limit_reached"
+		}
+		used, limit := c.account.Used(), c.account.Limit()
+		o.options.Log.Info().Str("event", event).Str("customer", c.account.Name()).
+			Int64("used_milli_cpu", used.MilliCPU).Int64("used_memory_mb", used.MemoryMB).Int64("used_gpus", used.GPUs).
+			Int64("limit_milli_cpu", limit.MilliCPU).Int64("limit_memory_mb", limit.MemoryMB).Int64("limit_gpus", limit.GPUs).
+			Int64("tasks", c.account.Tasks()).Int64("manifest", o.tables.Version).Send()
+	}
+}
--- a/internal/schedule/owner/rejection.go
+++ b/internal/schedule/owner/rejection.go
@@ -19,11 +19,12 @@
 	rejectedPaused                 // its best-effort tasks are paused
 	rejectedFailing                // it failed runs in a row, and one is under way to show whether it still does
 	rejectedPool                   // the pool has no usable worker, or leaves no more room to long-running tasks
+	rejectedQuota                  // (the customer) has all running that its limit allows
 	rejectionKinds
 )
 
 func (r rejection) String() string {
-	return [...]string{"none", "room", "limits", "reservation", "incompatible", "headroom", "trial", "idle_processors", "paused", "failing", "pool"}[r]
+	return [...]string{"none", "room", "limits", "reservation", "incompatible", "headroom", "trial", "idle_processors", "paused", "failing", "pool", "quota"}[r]
 }
 
 // rejections counts workers by the reason why they cannot run a task.
@@ -53,7 +54,7 @@
 // blockedTasks sums up what a placement pass left waiting.
 type blockedTasks struct {
 	steps      rejections // steps by their leading reason
-	waitingCPU int64      // milli-CPU that their waiting tasks request
+	waitingCPU int64      // milli-CPU that their waiting tasks request, without those held back by a quota
 	idleCPU    int64      // milli-CPU of usable workers that is not in use; 0 if nothing waits
 }
 
@@ -61,6 +62,9 @@
 func (b *blockedTasks) add(step *stepState) {
 	reason, _ := step.rejections.leading()
 	b.steps[reason]++
+	if reason == rejectedQuota {
+		return // more workers would not help them
+	}
 	b.waitingCPU += int64(step.waiting) * step.spec.MilliCPU
 }
 
--- a/internal/schedule/owner/relocate.go
+++ b/internal/schedule/owner/relocate.go
@@ -68,7 +68,7 @@
 		}
 		for i := range queued.job.steps {
 			step := &queued.job.steps[i]
-			if !step.ready || step.waiting == 0 || !step.spec.Fills || step.spec.Label != "" {
+			if !step.ready || step.waiting == 0 || !step.spec.Fills || step.spec.Label != "" || step.heldByQuota() {
 				continue
 			}
 			waiting := int64(step.waiting) * step.spec.MilliCPU
--- a/internal/schedule/owner/report.go
+++ b/internal/schedule/owner/report.go
@@ -120,6 +120,7 @@
 	o.decaySpeed(w)
 	o.applyEnds(w, report.Ended)
 	listed := o.applyRunning(w, report.Running)
+	o.settleLateStarts(w, report)
 	if !report.Truncated {
 		o.handleMissing(w, listed)
 	}
@@ -227,6 +228,7 @@
 func (o *Owner) stopStray(w *worker, row fleet.Run) {
 	o.options.Log.Warn().Str("event", "stray_run_stopped").Str("job", string(row.Task.Job)).
 		Int("step", row.Task.Step).Int("index", row.Task.Index).Int("run", row.Run).Str("worker", w.id).Send()
+	o.holdLate(w, row.Task, row.Run, o.now)
 	o.options.Effects.Stop(fleet.Stop{To: w.address(), Task: row.Task, Run: row.Run, Token: o.options.Epoch})
 }
 
@@ -276,6 +278,7 @@
 		Str("reason", r.stopReason).Int64("ran_ms", int64(age(r.startedAt, o.now))).Int64("contact_age_ms", int64(o.contactAge(r.worker))).
 		Str("evidence", by.evidence.String()).Int64("evidence_age_ms", int64(age(by.at, o.now))).Int64("epoch", o.options.Epoch).Send()
 	o.updateWorkerHistory(r, end)
+	o.holdLateStart(r, by)
 	o.detach(r)
 	o.markChanged(j)
 	o.placementDue = true
--- a/internal/schedule/owner/simulation_test.go
+++ b/internal/schedule/owner/simulation_test.go
@@ -31,6 +31,8 @@
 	sortedIDs  []string    // of the workers
 	entries    []*simEntry // through which orders travel; none: owners reach the workers themselves
 	tables     manifest.Manifest
+	tablesOld  manifest.Manifest // tables in force before, until tablesAt+configApply
+	tablesAt   clock.Millis      // when tables were confirmed
 	owners     []*simOwner
 	times      Times
 	audit      *leaseAudit
@@ -267,6 +269,7 @@
 
 // submit submits a job to an owner and records its ruling.
 func (sim *simulation) submit(s *simOwner, spec job.Spec) {
+	spec.Customer = sim.drawCustomer(spec)
 	sim.specs[spec.ID] = spec
 	sim.deliver(s, func() {
 		s.owner.Submit(spec, func(verdict Verdict) {
--- a/internal/schedule/owner/state.go
+++ b/internal/schedule/owner/state.go
@@ -6,11 +6,13 @@
 	"github.com/oriolepier/oriolepier/internal/base/clock"
 	"github.com/oriolepier/oriolepier/internal/schedule/fleet"
 	"github.com/oriolepier/oriolepier/internal/schedule/job"
+	"github.com/oriolepier/oriolepier/internal/schedule/quota"
 )
 
 // jobState is the in-memory state of a job.
 type jobState struct {
 	spec                  job.Spec
+	account               *quota.Account // of its customer; nil without one
 	state                 job.State
 	recordedState         job.State    // state in the last acknowledged record
 	durable               bool         // the record of its specification is acknowledged
--- a/internal/schedule/owner/submit.go
+++ b/internal/schedule/owner/submit.go
@@ -54,6 +54,7 @@
 	}
 	spec.AcceptedMS = o.options.WallClock()
 	j := newJob(spec)
+	j.account = o.quotas.Account(spec.Customer)
 	j.specUnsent = true
 	j.submittedAt = o.now
 	j.lastPlacementChangeAt = o.now
@@ -113,12 +114,19 @@
 	if queue.ExternallyPlaced {
 		return Verdict{Ruling: Unsupported, Reason: "queues with a recommendation service are not supported"}
 	}
+	account := o.quotas.Account(spec.Customer)
+	if exceedsQuota(account, &spec) {
+		return Verdict{Ruling: Invalid, Reason: "a task is larger than the limit of its customer"}
+	}
 	if o.tooLarge(queue.Pools, spec) {
 		return Verdict{Ruling: Invalid, Reason: "a task is larger than any worker of its pool"}
 	}
 	if o.lacksLongRunningCapacity(queue.Pools, spec) {
 		return Verdict{Ruling: Refused, Reason: "no room for more lasting tasks", RetryAfter: longRunningRetryAfter}
 	}
+	if o.lacksLongRunningQuota(account, &spec) {
+		return Verdict{Ruling: Refused, Reason: "the customer's limit leaves no room for more lasting tasks", RetryAfter: longRunningRetryAfter}
+	}
 	return Verdict{Ruling: Recorded}
 }
 
--- a/internal/schedule/owner/workers.go
+++ b/internal/schedule/owner/workers.go
@@ -227,6 +227,7 @@
 		w.lastReportAt = 0
 		w.runsEndBy, w.runsEndProof = o.now+uncertainStartTTL+o.slowClockSpan(o.options.Times.LongestLease), proof{evidence: evidenceRestartUnreported, at: o.now}
 		w.leasesLapsed = false
+		o.holdUncertainStarts(w)
 	}
 	w.incarnation = incarnation
 	w.incarnationFrom, w.incarnationKnownAt = from, o.now
@@ -310,6 +311,7 @@
 	w.runs[r] = struct{}{}
 	w.planValid, w.sortedCache = false, nil
 	w.commitRoom(r.task.spec(), 1)
+	r.task.job.account.Add(requestedRoom(r.task.spec()), 1)
 	if runCounts := r.task.job.steps[r.task.step].runsByWorker; runCounts != nil {
 		runCounts[w.id]++
 	}
@@ -333,6 +335,7 @@
 	r.task.run = nil
 	r.task.job.runs--
 	w.commitRoom(r.task.spec(), -1)
+	r.task.job.account.Add(requestedRoom(r.task.spec()), -1)
 	if runCounts := r.task.job.steps[r.task.step].runsByWorker; runCounts != nil {
 		runCounts[w.id]--
 	}
--- a/internal/schedule/quota/late.go
+++ b/internal/schedule/quota/late.go
@@ -40,6 +40,14 @@
 	account.Add(room, 1)
 }
 
+// ExtendLate moves the time until which a late start may begin; others are not
+// counted.
+func (l *Ledger) ExtendLate(worker string, start Start, until clock.Millis) {
+	if late := l.late[worker][start]; late != nil {
+		late.until = max(late.until, until)
+	}
+}
+
 // StopConfirmed notes that a worker has confirmed a stop: it lists the run until
 // it has ended, and does not begin it any more.
 func (l *Ledger) StopConfirmed(worker string, start Start, now clock.Millis) {
--- a/internal/schedule/quota/quota.go
+++ b/internal/schedule/quota/quota.go
@@ -117,6 +117,17 @@
 	return !a.Limited() || fits(room, a.used, a.customer.Limit)
 }
 
+// Keeps reports whether the customer is within its limit with a task that is
+// already counted.
+func (a *Account) Keeps(room fleet.Room) bool {
+	return !a.Limited() || fits(room, a.used.Plus(room, -1), a.customer.Limit)
+}
+
+// FitsBeside reports whether a request fits the limit beside another amount.
+func (a *Account) FitsBeside(room, other fleet.Room) bool {
+	return !a.Limited() || fits(room, other, a.customer.Limit)
+}
+
 // Exceeds reports whether a task alone exceeds the limit.
 func (a *Account) Exceeds(room fleet.Room) bool {
 	return a.Limited() && !fits(room, fleet.Room{}, a.customer.Limit)
