Divide full workers between customers by their weights

Work of all customers was served by queue priority and objective, so one that sent ten times its usual submissions made all others late. Customers now take turns in a placement pass by weighted dominant share, in the places that their jobs have in the order; within a customer the order is as before, and jobs without a customer keep their place. Submissions beyond a customer's weight in submissions a second come after all other work of their kind, and are refused with a Retry-After only while no worker has room and the waiting work takes longer than the job may wait.

dump and /state list customers with usage, limit, share and waiting tasks; run_placed names quota or share in blocked_by; one line tells that a customer reached or left its limit; counters by customer have at most 60 labels.

--- a/internal/operator/command/explain.go
+++ b/internal/operator/command/explain.go
@@ -124,7 +124,13 @@
 		}
 		longest = waited
 		text = fmt.Sprintf("%.0f ms, step %s index %s run %s", waited, formatValue(l.fields["step"]), formatValue(l.fields["index"]), formatValue(l.fields["run"]))
-		if workers, _ := l.fields["blocked_workers"].(float64); workers > 0 {
+		switch workers, _ := l.fields["blocked_workers"].(float64); {
+		case workers == 0:
+		case l.fields["blocked_by"] == "quota":
+			text += "; its customer had all running that its limit allows"
+		case l.fields["blocked_by"] == "share":
+			text += fmt.Sprintf("; %.0f workers were full, and its customer had its share or sent more than its rate", workers)
+		default:
 			text += fmt.Sprintf("; most workers were ruled out by: %s (%.0f)", formatValue(l.fields["blocked_by"]), workers)
 		}
 	}
--- a/internal/schedule/job/job.go
+++ b/internal/schedule/job/job.go
@@ -37,11 +37,12 @@
 	Queue       string `cbor:"2,keyasint"`           // name of the queue that accepted it
 	Text        string `cbor:"3,keyasint,omitempty"` // opaque, passed on to workers
 	Steps       []Step `cbor:"4,keyasint"`
-	AcceptedMS  int64  `cbor:"5,keyasint"`           // Unix time; used only for the age of the job after a change of owner
-	Repetitions int    `cbor:"6,keyasint,omitempty"` // number of occurrences; 0: runs once, at once
-	FirstMS     int64  `cbor:"7,keyasint,omitempty"` // Unix time at which occurrence 0 is due
-	IntervalMS  int64  `cbor:"8,keyasint,omitempty"` // time between occurrences
-	Customer    string `cbor:"9,keyasint,omitempty"` // name of the customer that submitted it; empty: none
+	AcceptedMS  int64  `cbor:"5,keyasint"`            // Unix time; used only for the age of the job after a change of owner
+	Repetitions int    `cbor:"6,keyasint,omitempty"`  // number of occurrences; 0: runs once, at once
+	FirstMS     int64  `cbor:"7,keyasint,omitempty"`  // Unix time at which occurrence 0 is due
+	IntervalMS  int64  `cbor:"8,keyasint,omitempty"`  // time between occurrences
+	Customer    string `cbor:"9,keyasint,omitempty"`  // name of the customer that submitted it; empty: none
+	Excess      bool   `cbor:"10,keyasint,omitempty"` // its customer had sent more submissions than its rate when it was accepted; set by the owner
 }
 
 // Step is a group of tasks with the same requirements.
--- a/internal/schedule/owner/batch_share.go
+++ b/internal/schedule/owner/batch_share.go
@@ -60,12 +60,12 @@
 // updateBatchShares computes the share of each pool that is held back for batch
 // tasks.
 func (o *Owner) updateBatchShares(pools map[string]*poolCapacity, jobs []queuedJob) {
-	left := map[*quota.Account]int64{}
+	var left map[*quota.Account]int64
 	for _, queued := range jobs {
 		if queued.longRunning || queued.expired || len(queued.pools) == 0 || pools[queued.pools[0]] == nil {
 			continue
 		}
-		pools[queued.pools[0]].batchCPU += placeableCPU(queued.job, left)
+		pools[queued.pools[0]].batchCPU += placeableCPU(queued.job, &left)
 	}
 	for name, pool := range pools {
 		demand := o.batchDemands[name]
--- a/internal/schedule/owner/bench_test.go
+++ b/internal/schedule/owner/bench_test.go
@@ -7,6 +7,7 @@
 	"github.com/oriolepier/oriolepier/internal/base/clock"
 	"github.com/oriolepier/oriolepier/internal/schedule/fleet"
 	"github.com/oriolepier/oriolepier/internal/schedule/job"
+	"github.com/oriolepier/oriolepier/internal/schedule/manifest"
 )
 
 // loadedHarness returns an owner with a number of workers that have all
@@ -103,6 +104,32 @@
 	}
 }
 
+// BenchmarkBacklogOfCustomers measures the pass of BenchmarkBacklog with twenty
+// customers, and with all waiting jobs held back by their limits.
+func BenchmarkBacklogOfCustomers(b *testing.B) {
+	for _, limited := range []bool{false, true} {
+		b.Run(fmt.Sprintf("490workers/limited=%t", limited), func(b *testing.B) {
+			harness := backlogHarness(490)
+			var customers []manifest.Customer
+			for i := range 20 {
+				customers = append(customers, manifest.Customer{Name: fmt.Sprint("c", i), Weight: 1})
+				if limited {
+					customers[i].Limit.MilliCPU = 1
+				}
+			}
+			harness.setCustomers(customers...)
+			number := 0
+			for _, queued := range harness.owner.queue() {
+				queued.job.account = harness.owner.quotas.Account(customers[number%len(customers)].Name)
+				number++
+			}
+			for b.Loop() {
+				harness.owner.runPlacementPass()
+			}
+		})
+	}
+}
+
 // backlogHarness returns an owner whose workers all run long-running tasks,
 // with 150 waiting jobs of best-effort tasks incompatible with them.
 func backlogHarness(workers int) *ownerHarness {
--- a/internal/schedule/owner/customer_metrics.go
+++ b/internal/schedule/owner/customer_metrics.go
@@ -41,6 +41,18 @@
 	return true
 }
 
+// publishHeld counts the steps of a customer that were held back since the last
+// time.
+func (o *Owner) publishHeld(c *customer) {
+	if c.heldByQuota > 0 {
+		o.options.Metrics.Customer("steps_held_by_quota", c.label, c.heldByQuota)
+	}
+	if c.heldByShare > 0 {
+		o.options.Metrics.Customer("steps_held_by_share", c.label, c.heldByShare)
+	}
+	c.heldByQuota, c.heldByShare = 0, 0
+}
+
 // Customer counts an event of a customer.
 func (c *Metrics) Customer(event, label string, count int) {
 	c.set.GetOrCreateCounter(fmt.Sprintf("oriolepier_customer_%s_total{customer=%q}", event, label)).Add(count)
--- a/internal/schedule/owner/dump.go
+++ b/internal/schedule/owner/dump.go
@@ -17,6 +17,7 @@
 	IdleCPU            int64          `json:"idle_milli_cpu"`    // of usable workers, not in use while tasks wait
 	Blocked            map[string]int `json:"blocked_steps"`     // steps that wait, by the leading reason
 	Workers            []WorkerDump   `json:"workers"`
+	Customers          []CustomerDump `json:"customers,omitempty"`
 	PreviousOwnerKnown bool           `json:"former_owner_known"`
 }
 
@@ -64,6 +65,7 @@
 			}
 		}
 	}
+	dump.Customers = o.dumpCustomers()
 	for _, w := range o.sortedWorkers {
 		dump.Workers = append(dump.Workers, o.dumpWorker(w))
 	}
--- a/internal/schedule/owner/load.go
+++ b/internal/schedule/owner/load.go
@@ -74,7 +74,7 @@
 			return err
 		}
 		j := newJob(spec)
-		j.account = o.quotas.Account(spec.Customer)
+		j.account, j.excess = o.quotas.Account(spec.Customer), spec.Excess
 		o.jobs[job.ID(id)] = j
 		return nil
 	}
--- a/internal/schedule/owner/orders.go
+++ b/internal/schedule/owner/orders.go
@@ -159,6 +159,9 @@
 	}
 	j.hasStarted = true
 	o.options.Metrics.Starts.Inc()
+	if c := o.customerOf(j.account); c != nil {
+		o.options.Metrics.Customer("task_starts", c.label, 1)
+	}
 	o.logRun("run_started", r).Int("tries", r.startsSent).Send()
 }
 
--- a/internal/schedule/owner/owner.go
+++ b/internal/schedule/owner/owner.go
@@ -119,13 +119,15 @@
 	loggedReason             rejection                 // leading reason in the last log line on it
 	nextBlockedLogAt         clock.Millis              // earliest next such line
 	failureRate              failureRate
-	quotas                   *quota.Ledger        // what customers may have running
-	customers                map[string]*customer // by name
-	resigned                 bool                 // the ownership is lost; no input is handled any more
-	placementDue             bool                 // a placement pass is due because some input may let a task start
-	nextPassAt               clock.Millis         // next placement pass that is due by time alone
-	nextExpiryAt             clock.Millis         // next removal of expired final states
-	nextDrainCheckAt         clock.Millis         // next check for long-running tasks on draining workers
+	quotas                   *quota.Ledger          // what customers may have running
+	customers                map[string]*customer   // by name
+	turn                     turn                   // of the customer whose job is being placed
+	waitingWork              map[string]waitingWork // by pool, while there are customers
+	resigned                 bool                   // the ownership is lost; no input is handled any more
+	placementDue             bool                   // a placement pass is due because some input may let a task start
+	nextPassAt               clock.Millis           // next placement pass that is due by time alone
+	nextExpiryAt             clock.Millis           // next removal of expired final states
+	nextDrainCheckAt         clock.Millis           // next check for long-running tasks on draining workers
 }
 
 // New returns an owner without jobs or workers. Its ownership counts from now.
--- a/internal/schedule/owner/place.go
+++ b/internal/schedule/owner/place.go
@@ -32,16 +32,18 @@
 	o.expireReservations()
 	jobs := o.queue()
 	o.updateBatchShares(usablePools, jobs)
+	o.updateExcess(jobs, usablePools)
 	failures := placementFailures{}
 	unplaced := 0
 	var blocked blockedTasks
-	for _, queued := range jobs {
+	for queued := range o.inTurns(jobs, usablePools) {
 		j := queued.job
-		for i := range j.steps {
+		for i := o.turn.firstStep; i < len(j.steps) && !o.turn.over; i++ {
 			if step := &j.steps[i]; step.ready && step.waiting > 0 {
 				if o.placeStep(j, step, queued.pools, usablePools, failures) {
 					continue
 				}
+				o.blameShare(queued, step)
 				blocked.add(step)
 				if !step.heldByQuota() {
 					unplaced++
@@ -83,6 +85,9 @@
 			o.timers.add(task.notBefore, func() { o.placementDue = true })
 			continue
 		}
+		if o.turn.endsBefore(task.step) {
+			return true
+		}
 		if o.holdsBack(j, step) {
 			return false
 		}
@@ -134,13 +139,14 @@
 	job         *jobState
 	pools       []string
 	longRunning bool
+	excess      bool // in excess of its customer's rate
 	expired     bool // past deadlines.expiresAt
 	priority    int  // of its queue; 0 is served first
 }
 
 // queue lists the jobs that have startable tasks, most urgent first:
-// long-running jobs, then jobs that are not expired, each by priority and by
-// the end of the latency objective.
+// long-running jobs, then jobs that are not in excess of their customer's rate, then
+// those that are not expired, each by priority and by the end of the latency objective.
 func (o *Owner) queue() []queuedJob {
 	var jobs []queuedJob
 	for _, j := range o.jobs {
@@ -152,12 +158,13 @@
 			continue
 		}
 		jobs = append(jobs, queuedJob{
-			job: j, pools: queue.Pools, longRunning: j.longRunning(), expired: o.now > j.deadlines.expiresAt, priority: queue.Priority,
+			job: j, pools: queue.Pools, longRunning: j.longRunning(), excess: j.excess, expired: o.now > j.deadlines.expiresAt, priority: queue.Priority,
 		})
 	}
 	slices.SortFunc(jobs, func(a, b queuedJob) int {
 		return cmp.Or(
 			-compareBool(a.longRunning, b.longRunning),
+			compareBool(a.excess, b.excess),
 			compareBool(a.expired, b.expired),
 			cmp.Compare(a.priority, b.priority),
 			cmp.Compare(a.job.deadlines.dueAt, b.job.deadlines.dueAt),
--- a/internal/schedule/owner/quota.go
+++ b/internal/schedule/owner/quota.go
@@ -3,10 +3,13 @@
 import (
 	"slices"
 
+	"github.com/rs/zerolog"
+
 	"github.com/oriolepier/oriolepier/internal/base/clock"
 	"github.com/oriolepier/oriolepier/internal/schedule/fleet"
 	"github.com/oriolepier/oriolepier/internal/schedule/job"
 	"github.com/oriolepier/oriolepier/internal/schedule/quota"
+	"github.com/oriolepier/oriolepier/internal/schedule/share"
 )
 
 // A customer's limit is compared with what it may have running when a task is
@@ -19,10 +22,14 @@
 
 // customer is what the owner knows of a customer beside its account.
 type customer struct {
-	account      *quota.Account
-	label        string       // value of the metrics' label
-	atLimitAt    clock.Millis // when a task was last held back by its limit; 0: never
-	limitReached bool         // logged as being at its limit
+	account       *quota.Account
+	bucket        share.Bucket // counts its submissions against its rate
+	excessWaiting int          // excess jobs that wait, as of the last placement pass and accepted since
+	label         string       // value of the metrics' label
+	atLimitAt     clock.Millis // when a task was last held back by its limit; 0: never
+	limitReached  bool         // logged as being at its limit
+	heldByQuota   int          // steps that passes held back by its limit and that are not in the metrics yet
+	heldByShare   int          // the same by its share
 }
 
 // customerOf returns the state of a job's customer, or nil without one.
@@ -38,6 +45,15 @@
 	return c
 }
 
+// withCustomer adds the customer of a job to a log line, if it has one, and whether
+// the job is in excess of the customer's rate.
+func withCustomer(line *zerolog.Event, spec job.Spec) *zerolog.Event {
+	if spec.Customer == "" {
+		return line
+	}
+	return line.Str("customer", spec.Customer).Bool("excess", spec.Excess)
+}
+
 // setCustomers applies the customers of new tables.
 func (o *Owner) setCustomers(first bool) {
 	listed := o.tables.Customers()
@@ -62,7 +78,9 @@
 		return false
 	}
 	step.rejections = rejections{rejectedQuota: 1}
-	o.customerOf(j.account).atLimitAt = o.now
+	c := o.customerOf(j.account)
+	c.atLimitAt = o.now
+	c.heldByQuota++
 	if step.reserved > 0 {
 		for _, w := range o.sortedWorkers {
 			if w.reserved != nil && w.reserved.step == step {
@@ -117,18 +135,22 @@
 }
 
 // placeableCPU is the milli-CPU that the startable tasks of a job would commit
-// within what its customer may still start. The map has what is left of that.
-func placeableCPU(j *jobState, left map[*quota.Account]int64) int64 {
+// within what its customer may still start. The map has what is left of that, and
+// is made when it is needed.
+func placeableCPU(j *jobState, left *map[*quota.Account]int64) int64 {
 	waiting := j.waitingCPU()
 	free, limited := j.account.Free()
 	if !limited {
 		return waiting
 	}
-	if known, ok := left[j.account]; ok {
+	if *left == nil {
+		*left = map[*quota.Account]int64{}
+	}
+	if known, ok := (*left)[j.account]; ok {
 		free = known
 	}
 	granted := min(waiting, free)
-	left[j.account] = free - granted
+	(*left)[j.account] = free - granted
 	return granted
 }
 
@@ -189,6 +211,7 @@
 		o.placementDue = true
 	}
 	for _, c := range o.customers {
+		o.publishHeld(c)
 		atLimit := c.atLimitAt != 0 && o.now-c.atLimitAt < limitQuiet
 		if atLimit == c.limitReached {
 			continue
--- a/internal/schedule/owner/rejection.go
+++ b/internal/schedule/owner/rejection.go
@@ -20,11 +20,12 @@
 	rejectedFailing                // it failed runs in a row, and one is under way to show whether it still does
 	rejectedPool                   // the pool has no usable worker, or leaves no more room to long-running tasks
 	rejectedQuota                  // (the customer) has all running that its limit allows
+	rejectedShare                  // it has too little room, and the customer has its share or sends more than its rate
 	rejectionKinds
 )
 
 func (r rejection) String() string {
-	return [...]string{"none", "room", "limits", "reservation", "incompatible", "headroom", "trial", "idle_processors", "paused", "failing", "pool", "quota"}[r]
+	return [...]string{"none", "room", "limits", "reservation", "incompatible", "headroom", "trial", "idle_processors", "paused", "failing", "pool", "quota", "share"}[r]
 }
 
 // rejections counts workers by the reason why they cannot run a task.
--- a/internal/schedule/owner/relocate.go
+++ b/internal/schedule/owner/relocate.go
@@ -125,9 +125,10 @@
 }
 
 // movable reports whether a long-running run may be stopped to run elsewhere.
-// Callers that limit how many tasks may be without a run keep theirs.
+// Callers that limit how many tasks may be without a run keep theirs, and so do
+// customers above a lowered limit, which would not let the task start again.
 func (o *Owner) movable(r *run) bool {
-	return r.stage == stageConfirmed && r.task.spec().MayMiss == 0 && o.now-r.startedAt >= minTimeOnWorker
+	return r.stage == stageConfirmed && r.task.spec().MayMiss == 0 && o.now-r.startedAt >= minTimeOnWorker && r.keepsQuota()
 }
 
 // mayRelocate reports whether the limits of a task's step allow it on a worker,
--- a/internal/schedule/owner/state.go
+++ b/internal/schedule/owner/state.go
@@ -16,6 +16,7 @@
 	state                 job.State
 	recordedState         job.State    // state in the last acknowledged record
 	durable               bool         // the record of its specification is acknowledged
+	excess                bool         // it comes after all other work of its kind
 	cancelled             bool         // cancelled by its caller
 	hasStarted            bool         // a worker confirmed a run of it, or an earlier owner recorded one
 	endedMS               int64        // Unix time at which it became final
--- a/internal/schedule/owner/submit.go
+++ b/internal/schedule/owner/submit.go
@@ -44,8 +44,12 @@
 		o.replyWhenRecorded(known, reply)
 		return
 	}
-	if verdict := o.admit(spec); verdict.Ruling != Recorded {
-		o.options.Log.Info().Str("event", "job_refused").Str("job", string(spec.ID)).Str("queue", spec.Queue).
+	verdict := o.admit(spec)
+	if verdict.Ruling == Recorded {
+		spec.Excess, verdict = o.admitRate(&spec)
+	}
+	if verdict.Ruling != Recorded {
+		withCustomer(o.options.Log.Info(), spec).Str("event", "job_refused").Str("job", string(spec.ID)).Str("queue", spec.Queue).
 			Str("ruling", verdict.Ruling.String()).Str("reason", verdict.Reason).
 			Int64("retry_after_ms", int64(verdict.RetryAfter)).Int64("store_silence_ms", int64(o.PendingAppendAge())).Send()
 		o.options.Metrics.Refused(verdict.Ruling.String())
@@ -54,7 +58,7 @@
 	}
 	spec.AcceptedMS = o.options.WallClock()
 	j := newJob(spec)
-	j.account = o.quotas.Account(spec.Customer)
+	j.account, j.excess = o.quotas.Account(spec.Customer), spec.Excess
 	j.specUnsent = true
 	j.submittedAt = o.now
 	j.lastPlacementChangeAt = o.now
@@ -85,8 +89,11 @@
 		return // refused before an append carried it
 	}
 	o.options.Metrics.Accepted.Inc()
+	if c := o.customerOf(j.account); c != nil {
+		o.options.Metrics.Customer("jobs_accepted", c.label, 1)
+	}
 	o.options.Metrics.AcceptTime.Observe(o.now - j.submittedAt)
-	o.options.Log.Info().Str("event", "job_accepted").Str("job", string(j.spec.ID)).Str("queue", j.spec.Queue).
+	withCustomer(o.options.Log.Info(), j.spec).Str("event", "job_accepted").Str("job", string(j.spec.ID)).Str("queue", j.spec.Queue).
 		Int("steps", len(j.spec.Steps)).Int64("epoch", o.options.Epoch).
 		Int64("manifest", o.tables.Version).Int64("took_ms", int64(o.now-j.submittedAt)).Send()
 	o.replyAll(j, Verdict{Ruling: Recorded})
