--- a/internal/operator/command/command_test.go
+++ b/internal/operator/command/command_test.go
@@ -106,6 +106,26 @@
 	}
 }
 
+// TestExplainNamesQuotaAndShare checks that a job's longest wait is not put down to
+// workers where its customer's limit or share was the cause.
+func TestExplainNamesQuotaAndShare(t *testing.T) {
+	const job = "5c0e7a21d94b36f8"
+	var got []string
+	for _, blocked := range []string{`"quota","blocked_workers":1`, `"share","blocked_workers":36`} {
+		log := `{"entry":"a","event":"run_placed","job":"` + job + `","step":0,"index":2,"run":1,"waited_ms":2210,"blocked_by":` + blocked + `,"time":3225}`
+		_, printed := runCommand(t, journal.Log{}, log, "explain", job)
+		for line := range strings.Lines(printed) {
+			if wait, ok := strings.CutPrefix(line, "longest wait: 2210 ms, step 0 index 2 run 1; "); ok {
+				got = append(got, wait)
+			}
+		}
+	}
+	want := []string{"its customer had all running that its limit allows\n", "36 workers were full, and its customer had its share or sent more than its rate\n"}
+	if diff := cmp.Diff(want, got); diff != "" {
+		t.Errorf("longest waits (-want +got):\n%s", diff)
+	}
+}
+
 // explain merges log lines of several entries by time, skips lines that are not
 // JSON or about another job, and reports missing events.
 func TestExplain(t *testing.T) {
--- a/internal/schedule/owner/fair_test.go
+++ b/internal/schedule/owner/fair_test.go
@@ -319,3 +319,57 @@
 		t.Errorf("labels by round (-want +got):\n%s", diff)
 	}
 }
+
+// TestPriorityOrdersWorkOfOneCustomer checks that a customer's urgent queue comes
+// first in its own work, and does not take the turn of a customer that has less
+// running.
+func TestPriorityOrdersWorkOfOneCustomer(t *testing.T) {
+	b := loadedHarness(1)
+	queues := []manifest.Queue{{Name: "urgent", Pools: []string{"pool"}}, {Name: "batch", Pools: []string{"pool"}, Priority: 2}}
+	tables := manifest.New(2, queues, []manifest.Pool{{Name: "pool"}}, manifest.Limits{})
+	b.owner.SetManifest(tables.WithCustomers([]manifest.Customer{{Name: "a", Weight: 1}, {Name: "b", Weight: 1}}))
+	add := func(id, customer, queue string) {
+		j := newJob(job.Spec{ID: job.ID(id), Queue: queue, Steps: []job.Step{{Count: 1, MilliCPU: 1000}}})
+		j.account = b.owner.quotas.Account(customer)
+		j.deadlines = objective{dueAt: b.now + 1, expiresAt: b.now + clock.Hour}
+		b.owner.jobs[j.spec.ID] = j
+	}
+	add("a-batch", "a", "batch")
+	add("a-urgent1", "a", "urgent")
+	add("a-urgent2", "a", "urgent")
+	add("b-batch", "b", "batch")
+	var got []string
+	for queued := range b.owner.inTurns(b.owner.queue(), b.owner.usablePools()) {
+		got = append(got, string(queued.job.spec.ID))
+		queued.job.account.Add(fleet.Room{MilliCPU: 1000}, 1)
+	}
+	if diff := cmp.Diff([]string{"a-urgent1", "b-batch", "a-urgent2", "a-batch"}, got); diff != "" {
+		t.Errorf("order (-want +got):\n%s", diff)
+	}
+}
+
+// TestExcessAcrossTakeover checks that a job accepted in excess of its customer's
+// rate is still in excess for the next owner, whose buckets are full again.
+func TestExcessAcrossTakeover(t *testing.T) {
+	sim := newSimulation(t, 1, 3)
+	sim.drawWork = sim.drawLongWork
+	sim.setCustomers(manifest.Customer{Name: "a", Weight: 1})
+	first := sim.simOwner()
+	for i := range 6 {
+		sim.at(500, func() { sim.submit(first, jobSpec(fmt.Sprintf("%016x", i+1), job.Step{Count: 9, MilliCPU: 1000})) })
+	}
+	var excess []bool
+	sim.at(700, func() {
+		first.down = true
+		next := sim.simOwner().owner
+		for i := range 6 {
+			excess = append(excess, next.jobs[job.ID(fmt.Sprintf("%016x", i+1))].excess)
+		}
+		sim.submit(sim.currentOwner(), jobSpec(fmt.Sprintf("%016x", 7), job.Step{Count: 1, MilliCPU: 1000}))
+		excess = append(excess, next.jobs[job.ID(fmt.Sprintf("%016x", 7))].excess)
+	})
+	sim.run(800)
+	if diff := cmp.Diff([]bool{false, false, false, false, true, true, false}, excess); diff != "" {
+		t.Errorf("in excess (-want +got):\n%s", diff)
+	}
+}
--- a/internal/schedule/owner/quota_test.go
+++ b/internal/schedule/owner/quota_test.go
@@ -203,3 +203,42 @@
 		t.Errorf("objective without a customer and with the limit of two tasks (-want +got):\n%s", diff)
 	}
 }
+
+// TestRunsThatTheOwnerEndedCount checks that a run which a worker lists although the
+// owner has ended it counts until the worker lists it no more, and that an
+// unanswered start counts again when its worker restarts, as the new incarnation
+// does not know that its run has ended.
+func TestRunsThatTheOwnerEndedCount(t *testing.T) {
+	b := loadedHarness(1)
+	b.setCustomers(manifest.Customer{Name: "a", Limit: fleet.Room{MilliCPU: 4000}})
+	b.submitFor("a", 1, job.Step{Count: 1, MilliCPU: 1000})
+	w, account := b.owner.workers["w00000"], b.owner.quotas.Account("a")
+	id := job.Task{Job: "0000000000000001"}
+	var got []int64
+	note := func() {
+		b.deliverPending()
+		got = append(got, account.Tasks())
+	}
+	note()
+	delete(b.runs[w.id], id)
+	b.reportEnd(w.id, id, 1)
+	note()
+	b.runs[w.id][id] = 1 // still listed
+	b.now += clock.Second
+	b.reportAll()
+	note()
+	b.now += clock.Second
+	b.reportAll() // without it, after the stop was confirmed
+	note()
+	w.uncertainStarts = append(w.uncertainStarts, uncertainStart{task: id, run: 1, incarnation: 1, at: b.now})
+	entry := w.entry
+	entry.Incarnation = 2
+	b.owner.SetWorkers([]fleet.Entry{entry})
+	note()
+	b.now += uncertainStartTTL + b.owner.slowClockSpan(b.owner.options.Times.LongestLease)
+	b.owner.Tick()
+	note()
+	if diff := cmp.Diff([]int64{1, 0, 1, 0, 1, 0}, got); diff != "" {
+		t.Errorf("tasks counted: running, ended, listed again, stopped, worker restarted, too late to begin (-want +got):\n%s", diff)
+	}
+}
