Give customers that left the least weight; test limits lowered before a start

Weights are submissions a second, often below 1, so the default weight of 1 could give a customer that left more than those in the tables. TestLimitLoweredBeforeStart fails without the check of the limit at a start and at its repetition: four runs start under a limit of two.

--- a/internal/schedule/owner/quota_test.go
+++ b/internal/schedule/owner/quota_test.go
@@ -242,3 +242,34 @@
 		t.Errorf("tasks counted: running, ended, listed again, stopped, worker restarted, too late to begin (-want +got):\n%s", diff)
 	}
 }
+
+// TestLimitLoweredBeforeStart checks that runs which were recorded under a higher
+// limit are not started above the lowered one, and that an unanswered start is
+// stopped instead of repeated.
+func TestLimitLoweredBeforeStart(t *testing.T) {
+	b := loadedHarness(1)
+	limited := func(cpu int64) manifest.Customer {
+		return manifest.Customer{Name: "a", Limit: fleet.Room{MilliCPU: cpu}}
+	}
+	b.setCustomers(limited(4000))
+	spec := jobSpec("0000000000000001", job.Step{Count: 4, MilliCPU: 1000})
+	spec.Customer = "a"
+	b.owner.Submit(spec, func(Verdict) {})
+	b.owner.Flush()
+	b.setCustomers(limited(2000))
+	accept := b.owner.options.Effects.Start
+	var lost []fleet.Start
+	b.owner.options.Effects.Start = func(order fleet.Start) { lost = append(lost, order) }
+	b.deliverPending()
+	b.setCustomers(limited(1000))
+	for _, order := range lost {
+		b.owner.Started(order, fleet.Answer{Outcome: fleet.Unanswered})
+	}
+	b.owner.options.Effects.Start = accept
+	b.now += b.owner.options.Times.OrderRetry
+	b.owner.Tick()
+	got := []int{len(lost), len(b.stops), b.running()}
+	if diff := cmp.Diff([]int{2, 2, 0}, got); diff != "" {
+		t.Errorf("started under the limit of two, stopped and repeated under that of one (-want +got):\n%s", diff)
+	}
+}
--- a/internal/schedule/quota/quota.go
+++ b/internal/schedule/quota/quota.go
@@ -28,8 +28,9 @@
 
 // Ledger has the accounts of a cell's customers and the late starts.
 type Ledger struct {
-	accounts map[string]*Account
-	late     map[string]map[Start]*lateStart // by worker
+	accounts    map[string]*Account
+	leastWeight float64                         // of the customers in the tables in force; 0: none
+	late        map[string]map[Start]*lateStart // by worker
 }
 
 // New returns a ledger without customers.
@@ -38,10 +39,17 @@
 }
 
 // SetCustomers replaces the customers' limits and weights. A customer that is not
-// listed keeps its account, without a limit: its accepted work must still be done.
+// listed keeps its account, without a limit and with the least weight of the listed
+// ones: its accepted work must still be done.
 func (l *Ledger) SetCustomers(customers []manifest.Customer) {
-	for _, account := range l.accounts {
-		account.customer, account.listed = manifest.Customer{Name: account.customer.Name}, false
+	l.leastWeight = 0
+	for _, customer := range customers {
+		if l.leastWeight == 0 || customer.Weight > 0 && customer.Weight < l.leastWeight {
+			l.leastWeight = customer.Weight
+		}
+	}
+	for name, account := range l.accounts {
+		account.customer, account.listed = manifest.Customer{Name: name, Weight: l.leastWeight}, false
 	}
 	for _, customer := range customers {
 		account := l.Account(customer.Name)
@@ -58,7 +66,7 @@
 	}
 	account := l.accounts[name]
 	if account == nil {
-		account = &Account{customer: manifest.Customer{Name: name}}
+		account = &Account{customer: manifest.Customer{Name: name, Weight: l.leastWeight}}
 		l.accounts[name] = account
 	}
 	return account
@@ -84,7 +92,7 @@
 // Name returns the customer's name.
 func (a *Account) Name() string { return a.customer.Name }
 
-// Weight returns the customer's weight; 0 for a customer that has left.
+// Weight returns the customer's weight; 0 if no weight is known.
 func (a *Account) Weight() float64 { return a.customer.Weight }
 
 // Listed reports whether the customer is in the tables in force.
--- a/internal/schedule/share/share.go
+++ b/internal/schedule/share/share.go
@@ -28,8 +28,7 @@
 // resource.
 const Quantum = 0.02
 
-// DefaultWeight is that of a customer without one, as of a customer that has left
-// while its accepted work is waiting.
+// DefaultWeight is that of a customer without one.
 const DefaultWeight = 1.0
 
 // Dominant returns the largest share of a resource of all workers that is used.
