--- a/internal/schedule/owner/dump.go
+++ b/internal/schedule/owner/dump.go
@@ -13,10 +13,11 @@
 	DomainsOut         []string       `json:"failure_domains_out"`
 	Jobs               map[string]int `json:"jobs"` // by state
 	Waiting            int            `json:"tasks_waiting"`
-	WaitingCPU         int64          `json:"waiting_milli_cpu"` // requested by tasks that the last placement pass left waiting
+	WaitingCPU         int64          `json:"waiting_milli_cpu"` // requested by tasks that the last placement pass left waiting, without those held back by a quota
 	IdleCPU            int64          `json:"idle_milli_cpu"`    // of usable workers, not in use while tasks wait
 	Blocked            map[string]int `json:"blocked_steps"`     // steps that wait, by the leading reason
 	Workers            []WorkerDump   `json:"workers"`
+	Customers          []CustomerDump `json:"customers,omitempty"`
 	PreviousOwnerKnown bool           `json:"former_owner_known"`
 }
 
@@ -64,6 +65,7 @@
 			}
 		}
 	}
+	dump.Customers = o.dumpCustomers()
 	for _, w := range o.sortedWorkers {
 		dump.Workers = append(dump.Workers, o.dumpWorker(w))
 	}
--- a/internal/schedule/owner/load.go
+++ b/internal/schedule/owner/load.go
@@ -85,8 +85,10 @@
 		if err != nil {
 			return err
 		}
-		o.jobs[job.ID(id)] = newJob(spec)
-		o.jobs[job.ID(id)].specRemoved = len(spec.Steps) == 0
+		j := newJob(spec)
+		j.account, j.excess = o.quotas.Account(spec.Customer), spec.Excess
+		j.specRemoved = len(spec.Steps) == 0
+		o.jobs[job.ID(id)] = j
 		return nil
 	}
 	if id, ok := strings.CutPrefix(record.Key, keyProgress); ok {
--- a/internal/schedule/owner/state.go
+++ b/internal/schedule/owner/state.go
@@ -6,14 +6,17 @@
 	"github.com/oriolepier/oriolepier/internal/base/clock"
 	"github.com/oriolepier/oriolepier/internal/schedule/fleet"
 	"github.com/oriolepier/oriolepier/internal/schedule/job"
+	"github.com/oriolepier/oriolepier/internal/schedule/quota"
 )
 
 // jobState is the in-memory state of a job.
 type jobState struct {
 	spec                  job.Spec
+	account               *quota.Account // of its customer; nil without one
 	state                 job.State
 	recordedState         job.State    // state in the last acknowledged record
 	durable               bool         // the record of its specification is acknowledged
+	excess                bool         // it comes after all other work of its kind
 	cancelled             bool         // cancelled by its caller
 	hasStarted            bool         // a worker confirmed a run of it, or an earlier owner recorded one
 	endedMS               int64        // Unix time at which it became final
--- a/internal/schedule/owner/submit.go
+++ b/internal/schedule/owner/submit.go
@@ -82,8 +82,12 @@
 		o.replyWhenRecorded(known, reply)
 		return
 	}
-	if verdict := o.admit(spec); verdict.Ruling != Recorded {
-		o.options.Log.Info().Str("event", "job_refused").Str("job", string(spec.ID)).Str("queue", spec.Queue).
+	verdict := o.admit(spec)
+	if verdict.Ruling == Recorded {
+		spec.Excess, verdict = o.admitRate(&spec)
+	}
+	if verdict.Ruling != Recorded {
+		withCustomer(o.options.Log.Info(), spec).Str("event", "job_refused").Str("job", string(spec.ID)).Str("queue", spec.Queue).
 			Str("ruling", verdict.Ruling.String()).Str("reason", verdict.Reason).
 			Int64("retry_after_ms", int64(verdict.RetryAfter)).Int64("store_silence_ms", int64(o.PendingAppendAge())).Send()
 		o.options.Metrics.Refused(verdict.Ruling.String())
@@ -92,6 +96,7 @@
 	}
 	spec.AcceptedMS = o.options.WallClock()
 	j := newJob(spec)
+	j.account, j.excess = o.quotas.Account(spec.Customer), spec.Excess
 	j.specUnsent = true
 	j.submittedAt = o.now
 	j.lastPlacementChangeAt = o.now
@@ -122,8 +127,11 @@
 		return // refused before an append carried it
 	}
 	o.options.Metrics.Accepted.Inc()
+	if c := o.customerOf(j.account); c != nil {
+		o.options.Metrics.Customer("jobs_accepted", c.label, 1)
+	}
 	o.options.Metrics.AcceptTime.Observe(o.now - j.submittedAt)
-	o.options.Log.Info().Str("event", "job_accepted").Str("job", string(j.spec.ID)).Str("queue", j.spec.Queue).
+	withCustomer(o.options.Log.Info(), j.spec).Str("event", "job_accepted").Str("job", string(j.spec.ID)).Str("queue", j.spec.Queue).
 		Int("steps", len(j.spec.Steps)).Int64("epoch", o.options.Epoch).
 		Int64("manifest", o.tables.Version).Int64("took_ms", int64(o.now-j.submittedAt)).Send()
 	o.replyAll(j, Verdict{Ruling: Recorded})
@@ -151,12 +159,19 @@
 	if queue.ExternallyPlaced {
 		return Verdict{Ruling: Unsupported, Reason: "queues with a recommendation service are not supported"}
 	}
+	account := o.quotas.Account(spec.Customer)
+	if exceedsQuota(account, &spec) {
+		return Verdict{Ruling: Invalid, Reason: "a task is larger than the limit of its customer"}
+	}
 	if o.tooLarge(queue.Pools, spec) {
 		return Verdict{Ruling: Invalid, Reason: "a task is larger than any worker of its pool"}
 	}
 	if o.lacksLongRunningCapacity(queue.Pools, spec) {
 		return Verdict{Ruling: Refused, Reason: "no room for more lasting tasks", RetryAfter: longRunningRetryAfter}
 	}
+	if o.lacksLongRunningQuota(account, &spec) {
+		return Verdict{Ruling: Refused, Reason: "the customer's limit leaves no room for more lasting tasks", RetryAfter: longRunningRetryAfter}
+	}
 	return Verdict{Ruling: Recorded}
 }
 
