--- a/internal/schedule/owner/quota_test.go
+++ b/internal/schedule/owner/quota_test.go
@@ -108,7 +108,7 @@
 func TestLoweredLimitAndCustomerThatLeaves(t *testing.T) {
 	b := loadedHarness(4)
 	limited := func(name string, cpu int64) manifest.Customer {
-		return manifest.Customer{Name: name, Keys: []string{"k"}, Limit: fleet.Room{MilliCPU: cpu}}
+		return manifest.Customer{Name: name, Keys: []manifest.Key{manifest.NewKey("k")}, Limit: fleet.Room{MilliCPU: cpu}}
 	}
 	b.setCustomers(limited("a", 4000))
 	b.submitFor("a", 1, job.Step{Count: 9, MilliCPU: 1000})
