Owner: acknowledge no ends after a start that a new incarnation may have

If a worker restarted between two holds, and a start reached its new incarnation, the next hold could acknowledge that incarnation's ends unread: the task would run again after its end was noted. The owner saw the restart only by a clock behind the last reading, which the clock of an incarnation that had just started is not, and not at all by a start without an answer.

The clock of a later incarnation shows no more than the time since the hold that the last report answered. An answer that shows more proves the incarnation. After any other, holds acknowledge nothing until a hold sent later is answered. The rule before is a part of this one.

TestHoldAfterStartThatNextIncarnationMayHaveAcknowledgesNoEnds failed before. All tests of restarts pass.

--- a/internal/schedule/owner/lease.go
+++ b/internal/schedule/owner/lease.go
@@ -32,9 +32,9 @@
 func (o *Owner) sendHold(w *worker) {
 	o.noteFirstHold()
 	order := fleet.Hold{To: w.address(), Token: o.options.Epoch}
-	// After a missed hold the worker may have restarted and number its ends from
-	// the start again, so none are acknowledged.
-	if w.missedHolds == 0 {
+	// After a missed hold, or a start that a new incarnation may have executed, the
+	// worker may number its ends from the start again, so none are acknowledged.
+	if w.missedHolds == 0 && w.incarnationUnprovenAt == 0 {
 		order.Acked = w.endsRecorded
 	}
 	if w.lastReportAt != 0 && w.missedHolds == 0 {
--- a/internal/schedule/owner/orders.go
+++ b/internal/schedule/owner/orders.go
@@ -83,7 +83,7 @@
 	if answer.Outcome == fleet.Unanswered {
 		o.addUncertainStart(order, r)
 	}
-	o.noteStartAnswer(r, order, answer)
+	o.noteStartAnswer(r, answer)
 	if r == nil || r.stage != stageOrdered || r.worker.id != order.To.ID {
 		return
 	}
@@ -101,20 +101,25 @@
 	}
 }
 
-// noteStartAnswer counts an answered start. A clock that is behind what it must have
-// been when the start was sent is that of a new incarnation, which numbers its ends from
-// the start again.
-func (o *Owner) noteStartAnswer(r *run, order fleet.Start, answer fleet.Answer) {
+// noteStartAnswer counts an answered start, and notes whether a new incarnation of the
+// worker may have executed it.
+func (o *Owner) noteStartAnswer(r *run, answer fleet.Answer) {
 	if r == nil {
 		return
 	}
 	r.startsOpen--
-	clockWhenSent := order.UntilMS - int64(o.options.Times.Lease)
-	if answer.Outcome == fleet.Accepted && answer.ClockMS != 0 && answer.ClockMS < clockWhenSent {
-		r.worker.endsRecorded = 0
+	if answer.Outcome == fleet.Unanswered || answer.Outcome == fleet.Accepted && !o.provesIncarnation(r.worker, answer) {
+		r.worker.incarnationUnprovenAt = o.now
 	}
 }
 
+// provesIncarnation reports whether an answer is from the incarnation that sent the
+// last report: the clock of a later one shows no more than the time since the hold that
+// this report answered. Answers without a clock are taken as proof.
+func (o *Owner) provesIncarnation(w *worker, answer fleet.Answer) bool {
+	return answer.ClockMS == 0 || answer.ClockMS > int64(o.now-w.reportedHoldSentAt)
+}
+
 // addUncertainStart adds an unanswered start, which may still be executed, to
 // its worker's state. If its run is no longer current, the incarnation stays 0, so that
 // it is stopped in any incarnation: no current run can be affected.
--- a/internal/schedule/owner/report.go
+++ b/internal/schedule/owner/report.go
@@ -113,6 +113,10 @@
 	o.stopUncertainStarts(w)
 	w.clockMS, w.clockReadAt = report.ClockMS, o.now
 	w.lastReportAt = o.now
+	w.reportedHoldSentAt = w.holdSentAt
+	if w.holdSentAt >= w.incarnationUnprovenAt {
+		w.incarnationUnprovenAt = 0
+	}
 	o.markResponsive(w)
 	w.missedHolds = 0
 	w.leasesLapsed = false
--- a/internal/schedule/owner/restart_evidence_test.go
+++ b/internal/schedule/owner/restart_evidence_test.go
@@ -25,6 +25,46 @@
 	}
 }
 
+// ackAfterStart reports an end of an incarnation whose clock has a reading, answers a
+// start 500 ms after it was ordered, and returns what the next hold and the one after
+// its report acknowledge.
+func ackAfterStart(t *testing.T, reading int64, answer fleet.Answer) []int64 {
+	t.Helper()
+	m := newManualOwner(t, 1, clock.Hour)
+	m.list(1, "w:1")
+	m.advance(25)
+	m.acknowledge()
+	report := fleet.Report{ClockMS: reading, Incarnation: 1, Ended: []fleet.End{{Number: 40, Task: manualTask, Run: 9}}}
+	m.owner.Report("w", report)
+	m.submit()
+	m.advance(25)
+	m.acknowledge()
+	m.now += 500
+	m.owner.Started(m.starts[0], answer)
+	var acked []int64
+	for range 2 {
+		m.owner.Report("w", report)
+		m.advance(25)
+		acked = append(acked, m.holds[len(m.holds)-1].Acked)
+	}
+	return acked
+}
+
+// A hold must not acknowledge the unread ends of an incarnation that may have executed a
+// start since the last report. The clock of an incarnation that had just started is no
+// proof, nor is a start without an answer. The next report is.
+func TestHoldAfterStartThatNextIncarnationMayHaveAcknowledgesNoEnds(t *testing.T) {
+	got := map[string][]int64{
+		"same incarnation":      ackAfterStart(t, 3_600_000, fleet.Answer{Outcome: fleet.Accepted, ClockMS: 3_600_600}),
+		"just started, unclear": ackAfterStart(t, 50, fleet.Answer{Outcome: fleet.Accepted, ClockMS: 490}),
+		"no answer":             ackAfterStart(t, 3_600_000, fleet.Answer{Outcome: fleet.Unanswered}),
+	}
+	want := map[string][]int64{"same incarnation": {40, 40}, "just started, unclear": {0, 40}, "no answer": {0, 40}}
+	if diff := cmp.Diff(want, got); diff != "" {
+		t.Errorf("acknowledged by the next hold and the one after a report (-want +got):\n%s", diff)
+	}
+}
+
 // A start of the previous owner may reach the restarted worker after that owner has stopped.
 func TestPreviousOwnerStoppedKeepsWaitForRestartedWorker(t *testing.T) {
 	first := newManualOwner(t, 1, clock.Hour).successor(0)
--- a/internal/schedule/owner/workers.go
+++ b/internal/schedule/owner/workers.go
@@ -34,6 +34,8 @@
 	incarnationFrom        evidence     // what showed its present incarnation
 	incarnationKnownAt     clock.Millis // when that was seen first
 	reportedIncarnation    int64        // incarnation named in its last report; 0: none was named
+	reportedHoldSentAt     clock.Millis // when the hold that its last report answered was sent
+	incarnationUnprovenAt  clock.Millis // when a start was found that a later incarnation may have executed, if no hold sent since was answered; 0: none
 	unresponsive           bool         // belongs in the next list of unresponsive workers; leases are not renewed
 	namedInList            int          // number of the newest encoded list of unresponsive workers that names it; unnamed: none
 	leasesLapsed           bool         // its leases have expired since its last report
