Owner: wait for leases that late orders grant in a next incarnation

A run went on for 575 ms after it had ended for the owner: its worker had restarted, and a start for the earlier incarnation, carried out seconds late, was refused as stopped but extended the lease to the longest that workers accept. An order names its worker by the id, which does not tell incarnations apart (docs/PLATFORM.md), so the worker cannot refuse it.

The owner keeps the longest lease of unanswered starts and holds. After a restart, whose leases it counts anew, runs on a worker that stops answering end no sooner than 15 s (uncertainStartTTL) and the longest lease after the newest of these orders timed out. The list of unresponsive workers states the same, and a next owner takes its rest also where it is longer than the renew window. Orders to the present incarnation change nothing, as their leases are counted when they are granted.

TestLapseWaitsForNoOrderOfPresentIncarnation guards the wait of all other lapses.

--- a/internal/schedule/owner/lease.go
+++ b/internal/schedule/owner/lease.go
@@ -54,7 +54,7 @@
 		order.UntilMS = o.grantLease(w)
 	}
 	w.holdInFlight = true
-	w.holdSentAt, w.holdAddress = o.now, w.entry.Address
+	w.holdSentAt, w.holdAddress, w.holdUntilMS = o.now, w.entry.Address, order.UntilMS
 	o.options.Effects.Hold(order)
 }
 
@@ -128,11 +128,21 @@
 // previous owner of an older version may have granted leases that it did not record.
 func (o *Owner) leasesExpired(w *worker) bool {
 	if w.lastReportAt != 0 {
-		return w.clockLowerBound(o.now) > w.leaseUntilMS+int64(o.options.Times.ClockSlack)
+		return w.clockLowerBound(o.now) > w.leaseUntilMS+int64(o.options.Times.ClockSlack) && o.now > o.uncertainLeaseEnd(w)
 	}
 	return o.now > w.runsEndBy && o.wasAsked(w)
 }
 
+// uncertainLeaseEnd returns when the leases of unanswered orders to a worker's earlier
+// incarnations have certainly expired in the present one, or 0 if there are none. The
+// leases of orders to the present incarnation are counted as they are granted.
+func (o *Owner) uncertainLeaseEnd(w *worker) clock.Millis {
+	if w.uncertainGrant.at == 0 || w.uncertainGrant.untilMS <= w.leaseUntilMS {
+		return 0
+	}
+	return w.uncertainGrant.at + uncertainStartTTL + o.slowClockSpan(o.options.Times.LongestLease)
+}
+
 // wasAsked reports whether a worker has left a hold of this owner unanswered, or
 // is not listed and cannot be asked.
 func (o *Owner) wasAsked(w *worker) bool {
--- a/internal/schedule/owner/lease_grant_test.go
+++ b/internal/schedule/owner/lease_grant_test.go
@@ -119,3 +119,54 @@
 		t.Errorf("run %d went on for %d ms after it had ended for the owner", second.Run, overlap)
 	}
 }
+
+// runAfterRestart leaves a hold for incarnation 1 unanswered, starts run 2 on
+// incarnation 2, and cuts that off. It returns when the hold timed out.
+func runAfterRestart(m *manualOwner) (missed clock.Millis) {
+	const newClock = 1000
+	m.report(1, m.startRun())
+	m.advance(25)
+	m.missHold()
+	missed = m.now
+	m.advance(25)
+	m.owner.Report("w", fleet.Report{ClockMS: newClock, Incarnation: 2})
+	m.list(2, "w:1")
+	m.now += refusedTaskBackoff
+	m.owner.Tick()
+	m.acknowledge()
+	m.owner.Started(m.starts[len(m.starts)-1], fleet.Answer{Outcome: fleet.Accepted, ClockMS: newClock + 100})
+	for range missedHoldsToUnresponsive {
+		m.missHold()
+	}
+	return missed
+}
+
+// A hold for an earlier incarnation may be executed by the present one seconds later,
+// and extends its leases to the longest. The next owner must wait for that as well.
+func TestLapseWaitsForLateHoldOfEarlierIncarnation(t *testing.T) {
+	m := newManualOwner(t, 1, clock.Hour)
+	latestEnd := runAfterRestart(m) + uncertainStartTTL + m.owner.options.Times.LongestLease
+	for range 2 {
+		m.advance(25)
+		m.acknowledge()
+	}
+	for _, o := range []*manualOwner{m, m.successor(0)} {
+		for o.missHold(); o.owner.currentRun(manualTask, 2) != nil; o.advance(25) {
+		}
+		if early := latestEnd - o.now; early > 0 {
+			t.Errorf("owner %d ended the run %d ms before the last lease that the hold may grant", o.owner.options.Epoch, early)
+		}
+	}
+}
+
+// An unanswered order to the present incarnation must not delay the lapse of its leases,
+// after which its tasks start elsewhere.
+func TestLapseWaitsForNoOrderOfPresentIncarnation(t *testing.T) {
+	m := newManualOwner(t, 1, clock.Hour)
+	m.owner.Started(m.orderStart(), fleet.Answer{Outcome: fleet.Unanswered})
+	m.report(1, fleet.Run{Task: manualTask, Run: 1})
+	m.advance(25)
+	if took, longest := m.timeToEnd(m.now), m.owner.maxLeaseSpan()+clock.Second; took > longest {
+		t.Errorf("run ended after %d ms, want at most %d", took, longest)
+	}
+}
--- a/internal/schedule/owner/orders.go
+++ b/internal/schedule/owner/orders.go
@@ -133,6 +133,7 @@
 		start.incarnation = r.incarnation
 	}
 	w.uncertainStarts = append(w.uncertainStarts, start)
+	w.noteUncertainGrant(order.UntilMS, o.now)
 }
 
 // logRun returns a log event with the fields that identify a run.
--- a/internal/schedule/owner/report.go
+++ b/internal/schedule/owner/report.go
@@ -16,6 +16,9 @@
 	if o.resignIfFenced("hold", id, report.Outcome) {
 		return
 	}
+	if report.Outcome == fleet.Unanswered {
+		w.noteUncertainGrant(w.holdUntilMS, o.now)
+	}
 	switch {
 	case report.Outcome == fleet.Accepted && o.isLate(w, report):
 		o.holdMissed(w, fleet.Unanswered)
--- a/internal/schedule/owner/unresponsive.go
+++ b/internal/schedule/owner/unresponsive.go
@@ -94,7 +94,9 @@
 		w.unresponsive = true
 		w.namedInList = o.listsEncoded
 		w.recordedRest = recorded.Remaining
-		w.limitRunsEnd(proof{evidence: evidenceRecordedRest, at: o.fencedAt}, recorded.Remaining)
+		// Also where it is later than the renew window: a lease that a late order grants
+		// is longer.
+		w.runsEndBy, w.runsEndProof = o.fencedAt+recorded.Remaining, proof{evidence: evidenceRecordedRest, at: o.fencedAt}
 	}
 	return nil
 }
@@ -190,6 +192,7 @@
 		case w.unresponsive && w.lastReportAt != 0:
 			remaining := clock.Millis(w.leaseUntilMS - w.clockLowerBound(o.now))
 			remaining += max(remaining, 0)*driftPercent/100 + o.options.Times.ClockSlack
+			remaining = max(remaining, o.uncertainLeaseEnd(w)-o.now)
 			w.namedInList = o.listsEncoded
 			list.Workers = append(list.Workers, unresponsiveWorker{ID: w.id, Remaining: max(remaining, 0)})
 		}
--- a/internal/schedule/owner/workers.go
+++ b/internal/schedule/owner/workers.go
@@ -55,6 +55,8 @@
 	workDone, workExpected float64          // recent work of its batch runs in ms, decayed: done, and expected
 	workDecayedAt          clock.Millis     // when workDone and workExpected were last decayed
 	uncertainStarts        []uncertainStart // unanswered starts that may still be executed
+	holdUntilMS            int64            // end of the lease that the newest hold grants; 0: none
+	uncertainGrant         uncertainGrant   // leases of unanswered orders that may still be executed
 	pace                   int              // pace of its best-effort tasks in percent
 	paceChangedAt          clock.Millis     // when pace last changed
 	usesLowHeadroomWait    bool             // a long-running task has little headroom, so holds use the wait for low headroom
@@ -74,6 +76,25 @@
 // uncertainStartTTL is the longest time an order can be in transit.
 const uncertainStartTTL clock.Millis = 15 * clock.Second
 
+// uncertainGrant covers the leases of all unanswered orders to a worker. They may still
+// be executed, also in a later incarnation: an order names its worker by the id. By the
+// clock of that incarnation, a lease for an earlier one can be as long as workers accept.
+type uncertainGrant struct {
+	untilMS int64        // end of the longest of them, on the clock of the incarnation that it was meant for
+	at      clock.Millis // when the newest of these orders timed out; 0: there is none
+}
+
+// noteUncertainGrant notes an unanswered order that grants a lease.
+func (w *worker) noteUncertainGrant(untilMS int64, now clock.Millis) {
+	if untilMS == 0 {
+		return
+	}
+	if now-w.uncertainGrant.at > uncertainStartTTL {
+		w.uncertainGrant = uncertainGrant{}
+	}
+	w.uncertainGrant = uncertainGrant{untilMS: max(w.uncertainGrant.untilMS, untilMS), at: now}
+}
+
 // freeRoom returns the room that is neither committed to runs nor promised to
 // tasks that are being relocated to the worker.
 func (w *worker) freeRoom() fleet.Room {
