Owner: refuse a submission only if no later owner can have it

An owner without an answer of the store for 2 s told a caller by 503 that its job was not recorded and never would be, while the next owner had recorded it from an earlier attempt.

Refusals now need certainty: the store has confirmed the ownership freshly, or all other entries answered queries that were sent after the submission arrived, and still follow this owner's epoch. An entry takes up a later epoch before its ownership begins, so none of them had accepted the job. The owner's entry sends these queries while the store is silent, by the call that entries use before they replace an owner. Without certainty the submission stays undecided for 0.6 s and then counts as not decided by this owner: the sending entry tries again, with the next owner once it knows it, and answers 504 at the deadline. Nothing undecided is recorded.

The new fault submissions_repeated plays repeats to owners that were replaced; it breaks a rule if refusals need no certainty. In the simulation the entries answer the queries of an owner until another one claims.

--- a/internal/schedule/owner/hostile_faults_test.go
+++ b/internal/schedule/owner/hostile_faults_test.go
@@ -1,6 +1,7 @@
 package owner
 
 import (
+	"maps"
 	"slices"
 
 	"github.com/oriolepier/oriolepier/internal/base/clock"
@@ -41,8 +42,34 @@
 		next := sim.simOwner()
 		sim.releaseOnceListed(next)
 	}},
+	{name: "submissions_repeated", description: "the owner reaches workers and not the store, and another claims 1.8 s later; callers send accepted jobs again, to any owner that still acts", begin: func(sim *simulation, s *simOwner) {
+		s.storeUnreachable = true
+		sim.startOwnerAfter(1800)
+		sim.repeatSubmissions(60)
+	}},
 })
 
+// repeatSubmissions submits accepted jobs again, each to one of the owners that act. A
+// caller that was told that its job is recorded must not be told that it is not.
+func (sim *simulation) repeatSubmissions(times int) {
+	const period = 100
+	accepted := slices.Sorted(maps.Keys(sim.accepted))
+	acting := slices.DeleteFunc(slices.Clone(sim.owners), (*simOwner).stopped)
+	if len(accepted) > 0 && len(acting) > 0 {
+		id, s := accepted[sim.rng.IntN(len(accepted))], acting[sim.rng.IntN(len(acting))]
+		sim.deliver(s, func() {
+			s.owner.Submit(sim.specs[id], func(verdict Verdict) {
+				if verdict.Ruling != Recorded && verdict.Ruling != NotOwner {
+					sim.violationf("job %s: %s by owner %d after it was accepted", id, verdict.Ruling, s.epoch)
+				}
+			})
+		})
+	}
+	if times > 1 {
+		sim.at(period, func() { sim.repeatSubmissions(times - 1) })
+	}
+}
+
 // flap cuts a worker off and reconnects it, again and again.
 func (sim *simulation) flap(m *simWorker, times int) {
 	if times == 0 {
--- a/internal/schedule/owner/metrics.go
+++ b/internal/schedule/owner/metrics.go
@@ -58,8 +58,8 @@
 	}
 }
 
-// Refused counts a submission that was not accepted, by ruling, or as "store"
-// if it was dropped before an append carried it.
+// Refused counts a submission that was not accepted, by ruling, as "store" if the
+// store does not answer, or as "undecided" if it was left to another try.
 func (c *Metrics) Refused(reason string) {
 	c.set.GetOrCreateCounter(`oriolepier_jobs_refused_total{reason="` + reason + `"}`).Inc()
 }
--- a/internal/schedule/owner/owner.go
+++ b/internal/schedule/owner/owner.go
@@ -92,6 +92,9 @@
 	ownershipConfirmedAt clock.Millis // send time of the newest acknowledged append
 	nextAppendAt         clock.Millis // earliest time of the next append
 
+	undecided      []submission // submissions that could be refused, but not yet with certainty
+	noLaterOwnerAt clock.Millis // when no other entry knew a later owner; 0: not known
+
 	cancelReplies map[int]func(Verdict) // replies to cancellations that are not recorded yet
 	cancelCount   int                   // cancellations received; numbers cancelReplies
 
@@ -158,6 +161,7 @@
 	if o.PendingAppendAge() > o.options.Times.StoreTimeout {
 		o.refuseUnsent()
 	}
+	o.decideUndecided()
 	o.scheduleHeartbeat()
 	o.recordInterference()
 	o.recordUnresponsive()
--- a/internal/schedule/owner/simulation_test.go
+++ b/internal/schedule/owner/simulation_test.go
@@ -219,6 +219,9 @@
 	if sim.drawTakeover != nil && sim.previousOwnerStopped(s) {
 		s.owner.PreviousOwnerStopped(StopReleased)
 	}
+	if sim.claims == s.epoch {
+		s.owner.NoLaterOwner(sim.now) // the other entries answer its queries
+	}
 	s.owner.Tick()
 }
 
--- a/internal/schedule/owner/submit.go
+++ b/internal/schedule/owner/submit.go
@@ -33,25 +33,53 @@
 	RetryAfter clock.Millis `json:"retry_after_ms,omitempty"` // with Refused
 }
 
-// Submit adds a job. It replies once the job is recorded, or at once when the
-// job is refused. A repeated submission of the same id joins the first.
+// reasonStoreSilent is the reason of refusals while the store does not answer.
+const reasonStoreSilent = "the store does not answer"
+
+// Submit adds a job. It replies once the job is recorded, or when the job is refused:
+// at once if it is certain that no later owner has recorded the job. A repeated
+// submission of the same id joins the first.
 func (o *Owner) Submit(spec job.Spec, reply func(Verdict)) {
 	if !o.beginInput() {
 		reply(Verdict{Ruling: NotOwner, Reason: "ownership lost"})
 		return
 	}
-	if known := o.jobs[spec.ID]; known != nil {
-		o.replyWhenRecorded(known, reply)
+	o.decide(submission{spec: spec, reply: reply, at: o.now})
+}
+
+// decide accepts or refuses a submission, or leaves it undecided.
+func (o *Owner) decide(s submission) {
+	if known := o.jobs[s.spec.ID]; known != nil {
+		o.replyWhenRecorded(known, s.reply)
 		return
 	}
-	if verdict := o.admit(spec); verdict.Ruling != Recorded {
-		o.options.Log.Info().Str("event", "job_refused").Str("job", string(spec.ID)).Str("queue", spec.Queue).
-			Str("ruling", verdict.Ruling.String()).Str("reason", verdict.Reason).
-			Int64("retry_after_ms", int64(verdict.RetryAfter)).Int64("store_silence_ms", int64(o.PendingAppendAge())).Send()
-		o.options.Metrics.Refused(verdict.Ruling.String())
-		reply(verdict)
-		return
+	verdict := o.admit(s.spec)
+	switch {
+	case verdict.Ruling == Recorded:
+		o.accept(s.spec, s.reply)
+	case o.certainlyUnrecorded(s):
+		o.refuse(s, verdict)
+	default:
+		o.undecided = append(o.undecided, s)
+	}
+}
+
+// refuse refuses a submission.
+func (o *Owner) refuse(s submission, verdict Verdict) {
+	o.options.Log.Info().Str("event", "job_refused").Str("job", string(s.spec.ID)).Str("queue", s.spec.Queue).
+		Str("ruling", verdict.Ruling.String()).Str("reason", verdict.Reason).Int64("retry_after_ms", int64(verdict.RetryAfter)).
+		Int64("store_silence_ms", int64(o.PendingAppendAge())).Int64("store_age_ms", int64(o.now-o.ownershipConfirmedAt)).
+		Int64("no_later_owner_age_ms", int64(age(o.noLaterOwnerAt, o.now))).Send()
+	reason := verdict.Ruling.String()
+	if verdict.Reason == reasonStoreSilent {
+		reason = "store"
 	}
+	o.options.Metrics.Refused(reason)
+	s.reply(verdict)
+}
+
+// accept adds a job to the next append.
+func (o *Owner) accept(spec job.Spec, reply func(Verdict)) {
 	spec.AcceptedMS = o.options.WallClock()
 	j := newJob(spec)
 	j.specUnsent = true
@@ -104,7 +132,7 @@
 // against it; the job is not recorded yet.
 func (o *Owner) admit(spec job.Spec) Verdict {
 	if o.PendingAppendAge() > o.options.Times.StoreTimeout {
-		return Verdict{Ruling: Refused, Reason: "the store does not answer", RetryAfter: clock.Second}
+		return Verdict{Ruling: Refused, Reason: reasonStoreSilent, RetryAfter: clock.Second}
 	}
 	queue, ok := o.tables.Queue(spec.Queue)
 	if !ok {
@@ -227,6 +255,10 @@
 	for _, j := range o.jobs {
 		o.replyAll(j, Verdict{Ruling: NotOwner, Reason: "ownership lost"})
 	}
+	for _, s := range o.undecided {
+		s.reply(Verdict{Ruling: NotOwner, Reason: "ownership lost"})
+	}
+	o.undecided = nil
 	for _, reply := range o.cancelReplies {
 		reply(Verdict{Ruling: NotOwner, Reason: "ownership lost"})
 	}
@@ -234,8 +266,9 @@
 	o.batch, o.inFlight = batch{}, nil
 }
 
-// refuseUnsent refuses the submissions that no append has carried yet, because
-// the store does not answer. The store never received them, so they never run.
+// refuseUnsent takes back the submissions that no append has carried yet, because
+// the store does not answer. The store never received them, so they are refused if it
+// is certain that no later owner has recorded them.
 func (o *Owner) refuseUnsent() {
 	remaining := o.batch.jobs[:0]
 	for _, j := range o.batch.jobs {
@@ -244,10 +277,11 @@
 			continue
 		}
 		delete(o.jobs, j.spec.ID)
-		o.options.Metrics.Refused("store")
-		o.options.Log.Info().Str("event", "job_refused").Str("job", string(j.spec.ID)).Str("queue", j.spec.Queue).
-			Str("reason", "the store does not answer").Int64("store_silence_ms", int64(o.PendingAppendAge())).Send()
-		o.replyAll(j, Verdict{Ruling: Refused, Reason: "the store does not answer", RetryAfter: clock.Second})
+		acceptReplies := j.acceptReplies
+		j.acceptReplies = nil
+		for _, reply := range acceptReplies {
+			o.decide(submission{spec: j.spec, reply: reply, at: o.now})
+		}
 	}
 	o.batch.jobs = remaining
 }
--- a/internal/site/daemon/daemon.go
+++ b/internal/site/daemon/daemon.go
@@ -103,6 +103,7 @@
 	pool          atomic.Pointer[linkshard.Pool]  // nil unless this entry is the owner
 	previousOwner atomic.Pointer[ownership.PreviousOwner]
 	recentPeers   peerPings
+	knownEntries  knownEntries
 	leaving       atomic.Bool
 	tablesBehind  atomic.Bool // the owner's last ping answer had a higher TablesEnd than this entry's
 }
@@ -183,6 +184,7 @@
 	partsCtx, stop := context.WithCancel(context.WithoutCancel(ctx))
 	group := new(errgroup.Group)
 	group.Go(func() error { return pool.Serve(partsCtx) })
+	group.Go(func() error { return d.watchLaterOwners(partsCtx, run) })
 	if d.options.Standalone == nil { // otherwise the supervisor runs the roster all the time
 		group.Go(func() error { return d.roster.Serve(partsCtx) })
 	}
--- a/internal/site/daemon/serve.go
+++ b/internal/site/daemon/serve.go
@@ -240,6 +240,7 @@
 func (d *Daemon) handlePing(_ context.Context, query peer.PingQuery) peer.PingAnswer {
 	now := d.clock.Now()
 	peers, hash := d.recentPeers.recordPing(query, now)
+	d.knownEntries.note(query.Address, !query.Links, now)
 	if query.KnownPeersHash == hash {
 		peers = nil
 	}
--- a/internal/site/runtime/runtime.go
+++ b/internal/site/runtime/runtime.go
@@ -293,6 +293,16 @@
 	}
 }
 
+// NoLaterOwner informs the owner that all other entries, queried at a time or later,
+// knew no later owner.
+func (r *Runtime) NoLaterOwner(at clock.Millis) {
+	select {
+	case <-r.loaded:
+		r.post(func() { r.stateMachine.NoLaterOwner(at) })
+	default: // nothing can be submitted before the state is loaded
+	}
+}
+
 func (r *Runtime) append(records []journal.Record) { r.writer.enqueue(records) }
 
 func (r *Runtime) start(order fleet.Start) {
