Owner: count a worker with an earlier start time as restarted

A worker whose time of day was set back has an earlier start time in its next incarnation. The owner heard it, but reset nothing: the next hold acknowledged ends of the earlier incarnation (40 in the test) to one that numbers its ends from 1, and the leases granted on the earlier clock, 3.6 million ms in the test, counted for the new one, whose runs would not have lapsed for an hour.

A report that names another incarnation than the last one, with an earlier start time, now resets the same state as a later one, and all runs and starts so far belong to an incarnation before it. An end that is recorded after the restart is not acknowledged to the next incarnation either.

TestWorkerWithEarlierStartTimeGetsNothingOfItsEarlierIncarnation and TestEndRecordedAfterRestartIsNotAcknowledgedToNextIncarnation failed before.

--- a/internal/schedule/owner/report.go
+++ b/internal/schedule/owner/report.go
@@ -98,8 +98,11 @@
 
 // handleReport applies a worker's report.
 func (o *Owner) handleReport(w *worker, report fleet.Report) {
-	if report.Incarnation > w.incarnation {
+	switch {
+	case report.Incarnation > w.incarnation:
 		o.workerRestarted(w, report.Incarnation, evidenceWorkerRestartedReported)
+	case report.Incarnation < w.incarnation && w.namedOther(report.Incarnation):
+		o.workerRestartedEarlier(w)
 	}
 	w.reportedIncarnation = report.Incarnation
 	o.adoptRuns(w, report)
@@ -157,9 +160,9 @@
 		return
 	}
 	w.endsApplied = highest
-	incarnation := w.incarnation
+	incarnation, reported := w.incarnation, w.reportedIncarnation
 	o.whenRecorded(func() {
-		if w.incarnation == incarnation {
+		if w.incarnation == incarnation && w.reportedIncarnation == reported {
 			w.endsRecorded = max(w.endsRecorded, highest)
 		}
 	})
--- a/internal/schedule/owner/restart_evidence_test.go
+++ b/internal/schedule/owner/restart_evidence_test.go
@@ -227,3 +227,50 @@
 		t.Error("the run counts as ended, though nothing asked the incarnation that has it")
 	}
 }
+
+// A worker whose time of day was set back has an earlier start time after a restart. It
+// numbers its ends from 1 and counts its clock anew all the same.
+func TestWorkerWithEarlierStartTimeGetsNothingOfItsEarlierIncarnation(t *testing.T) {
+	m := newManualOwner(t, 1, clock.Hour)
+	m.list(5, "w:1")
+	m.advance(25)
+	m.acknowledge()
+	ends := []fleet.End{{Number: 40, Task: manualTask, Run: 9}}
+	m.owner.Report("w", fleet.Report{ClockMS: int64(m.now), Incarnation: 5, Ended: ends})
+	m.advance(25)
+	m.owner.Report("w", fleet.Report{ClockMS: 1000, Incarnation: 3})
+	m.list(3, "w:1")
+	for range 2 {
+		m.advance(25)
+		m.acknowledge()
+	}
+	hold := m.holds[len(m.holds)-1]
+	leaseOver := int64(1000+25) + int64(m.owner.options.Times.LongestLease)
+	if hold.Acked != 0 || hold.UntilMS > leaseOver || m.owner.workers["w"].leaseUntilMS > leaseOver {
+		t.Errorf("the hold acknowledges %d and grants a lease until %d, counted until %d; want 0 and at most %d",
+			hold.Acked, hold.UntilMS, m.owner.workers["w"].leaseUntilMS, leaseOver)
+	}
+}
+
+// An end of the earlier incarnation may be recorded after the next one has reported.
+func TestEndRecordedAfterRestartIsNotAcknowledgedToNextIncarnation(t *testing.T) {
+	for _, next := range []int64{3, 7} {
+		m := newManualOwner(t, 1, clock.Hour)
+		run := fleet.End{Number: 40, Task: manualTask, Run: 1, Cause: fleet.EndDone}
+		m.list(5, "w:1")
+		m.advance(25)
+		m.acknowledge()
+		m.owner.Report("w", fleet.Report{ClockMS: int64(m.now), Incarnation: 5})
+		m.submit()
+		m.advance(25)
+		m.acknowledge()
+		m.owner.Report("w", fleet.Report{ClockMS: int64(m.now), Incarnation: 5, Ended: []fleet.End{run}})
+		m.advance(25)
+		m.owner.Report("w", fleet.Report{ClockMS: 10, Incarnation: next})
+		m.acknowledge()
+		m.advance(25)
+		if acked := m.holds[len(m.holds)-1].Acked; acked != 0 {
+			t.Errorf("incarnation %d after 5: end %d acknowledged to it", next, acked)
+		}
+	}
+}
--- a/internal/schedule/owner/workers.go
+++ b/internal/schedule/owner/workers.go
@@ -255,6 +255,24 @@
 	w.incarnationFrom, w.incarnationKnownAt = from, o.now
 }
 
+// namedOther reports whether the last report named an incarnation other than this one.
+func (w *worker) namedOther(incarnation int64) bool {
+	return incarnation != 0 && w.reportedIncarnation != 0 && w.reportedIncarnation != incarnation
+}
+
+// workerRestartedEarlier resets the state of a worker whose new incarnation has an
+// earlier start time, since its time of day was set back. The highest start time stays
+// that of the worker, and all runs and starts so far belong to an incarnation before it.
+func (o *Owner) workerRestartedEarlier(w *worker) {
+	o.workerRestarted(w, w.incarnation, evidenceWorkerRestartedReported)
+	for r := range w.runs {
+		r.incarnation = min(r.incarnation, w.incarnation-1)
+	}
+	for i := range w.uncertainStarts {
+		w.uncertainStarts[i].incarnation = min(w.uncertainStarts[i].incarnation, w.incarnation-1)
+	}
+}
+
 // endRunsOfOldIncarnations ends the runs of a worker's earlier incarnations. Runs
 // whose start may have reached the new incarnation, or may still, are stopped there:
 // only a report shows which incarnation has a run.
