Owner: assume the longest lease at a worker's first report

A late order of the previous owner, meant for an earlier incarnation of a restarted worker, may have extended its leases to the longest (6 s) just before the worker first reports to the next owner, which assumed an ordinary lease (5 s) unless it had seen the restart itself. Its run could be ended some 0.7 s early.

The owner now assumes the longest lease at any first report. Cost: runs of a worker that is cut off within a second of its first report after a takeover are ended up to a second later.

TestFirstReportAssumesLateOrderOfEarlierIncarnation failed before.

--- a/internal/schedule/owner/lease_grant_test.go
+++ b/internal/schedule/owner/lease_grant_test.go
@@ -170,3 +170,32 @@
 		t.Errorf("run ended after %d ms, want at most %d", took, longest)
 	}
 }
+
+// A late order of the previous owner may have extended the leases of a restarted worker
+// to the longest just before it first reports to the next owner.
+func TestFirstReportAssumesLateOrderOfEarlierIncarnation(t *testing.T) {
+	first := newManualOwner(t, 1, clock.Hour)
+	late := first.orderStart()
+	first.owner.Started(late, fleet.Answer{Outcome: fleet.Unanswered})
+	w := standin.New(testEntry("w"), first.now)
+	w.DrawWork = func(job.Task) standin.Work { return standin.Work{Length: clock.Minute} }
+	first.owner.SetWorkers([]fleet.Entry{w.Entry})
+	first.owner.Stopped(first.stops[0], w.Stop(first.stops[0], first.now))
+	for range 40 {
+		first.advance(25)
+		first.owner.Report("w", w.Hold(first.holds[len(first.holds)-1], first.now))
+		first.acknowledge()
+	}
+	second := first.starts[len(first.starts)-1]
+	w.Start(second, first.now)
+	next := first.successor(0)
+	next.owner.SetWorkers([]fleet.Entry{w.Entry})
+	w.Start(late, next.now)
+	next.advance(1)
+	next.owner.Report("w", w.Hold(next.holds[len(next.holds)-1], next.now))
+	for next.missHold(); next.owner.currentRun(manualTask, second.Run) != nil; next.advance(25) {
+	}
+	if w.Advance(next.now); second.Run != 2 || w.Running(manualTask) != 0 {
+		t.Errorf("run %d goes on after it has ended for the next owner", second.Run)
+	}
+}
--- a/internal/schedule/owner/report.go
+++ b/internal/schedule/owner/report.go
@@ -70,16 +70,6 @@
 	w.nextHoldAt = o.now + clock.Second
 }
 
-// leaseBeforeFirstReport is the longest lease that an order before a worker's first
-// report can have granted: a previous owner's, just now; or in a new incarnation, by an
-// end on the clock of an earlier one, the longest that workers accept.
-func (o *Owner) leaseBeforeFirstReport(w *worker) clock.Millis {
-	if w.runsEndProof.evidence == evidenceRestartUnreported {
-		return o.options.Times.LongestLease
-	}
-	return o.options.Times.Lease
-}
-
 // adoptRuns moves runs that were placed on an earlier incarnation to the present one
 // if its report lists them: their start reached it.
 func (o *Owner) adoptRuns(w *worker, report fleet.Report) {
@@ -113,7 +103,9 @@
 		o.placementDue = true
 	}
 	if w.lastReportAt == 0 {
-		w.leaseUntilMS = max(w.leaseUntilMS, report.ClockMS+int64(o.leaseBeforeFirstReport(w)))
+		// An order before it, of a previous owner or for an earlier incarnation, may have
+		// granted the longest lease that workers accept just now.
+		w.leaseUntilMS = max(w.leaseUntilMS, report.ClockMS+int64(o.options.Times.LongestLease))
 	}
 	o.endRunsOfOldIncarnations(w)
 	o.stopUncertainStarts(w)
