--- a/internal/schedule/owner/fair.go
+++ b/internal/schedule/owner/fair.go
@@ -183,6 +183,15 @@
 	return account.Weight()
 }
 
+// admitRateOnce decides by its customer's rate whether to refuse a submission, the first
+// time that it is decided on, and marks it if it is in excess.
+func (o *Owner) admitRateOnce(s *submission) Verdict {
+	if s.rateRefusal.Ruling == Recorded {
+		s.spec.Excess, s.rateRefusal = o.admitRate(&s.spec)
+	}
+	return s.rateRefusal
+}
+
 // admitRate reports whether a submission is in excess of its customer's rate, and
 // decides whether to refuse it for that.
 func (o *Owner) admitRate(spec *job.Spec) (excess bool, verdict Verdict) {
--- a/internal/schedule/owner/report.go
+++ b/internal/schedule/owner/report.go
@@ -16,6 +16,9 @@
 	if o.resignIfFenced("hold", id, report.Outcome) {
 		return
 	}
+	if report.Outcome == fleet.Unanswered {
+		w.noteUncertainGrant(w.holdUntilMS, o.now)
+	}
 	switch {
 	case report.Outcome == fleet.Accepted && o.isLate(w, report):
 		o.holdMissed(w, fleet.Unanswered)
@@ -67,16 +70,6 @@
 	w.nextHoldAt = o.now + clock.Second
 }
 
-// leaseBeforeFirstReport is the longest lease that an order before a worker's first
-// report can have granted: a previous owner's, just now; or in a new incarnation, by an
-// end on the clock of an earlier one, the longest that workers accept.
-func (o *Owner) leaseBeforeFirstReport(w *worker) clock.Millis {
-	if w.runsEndProof.evidence == evidenceRestartUnreported {
-		return o.options.Times.LongestLease
-	}
-	return o.options.Times.Lease
-}
-
 // adoptRuns moves runs that were placed on an earlier incarnation to the present one
 // if its report lists them: their start reached it.
 func (o *Owner) adoptRuns(w *worker, report fleet.Report) {
@@ -95,8 +88,11 @@
 
 // handleReport applies a worker's report.
 func (o *Owner) handleReport(w *worker, report fleet.Report) {
-	if report.Incarnation > w.incarnation {
+	switch {
+	case report.Incarnation > w.incarnation:
 		o.workerRestarted(w, report.Incarnation, evidenceWorkerRestartedReported)
+	case report.Incarnation < w.incarnation && w.namedOther(report.Incarnation):
+		o.workerRestartedEarlier(w)
 	}
 	w.reportedIncarnation = report.Incarnation
 	o.adoptRuns(w, report)
@@ -107,12 +103,18 @@
 		o.placementDue = true
 	}
 	if w.lastReportAt == 0 {
-		w.leaseUntilMS = max(w.leaseUntilMS, report.ClockMS+int64(o.leaseBeforeFirstReport(w)))
+		// An order before it, of a previous owner or for an earlier incarnation, may have
+		// granted the longest lease that workers accept just now.
+		w.leaseUntilMS = max(w.leaseUntilMS, report.ClockMS+int64(o.options.Times.LongestLease))
 	}
 	o.endRunsOfOldIncarnations(w)
 	o.stopUncertainStarts(w)
 	w.clockMS, w.clockReadAt = report.ClockMS, o.now
 	w.lastReportAt = o.now
+	w.reportedHoldSentAt = w.holdSentAt
+	if w.holdSentAt >= w.incarnationUnprovenAt {
+		w.incarnationUnprovenAt = 0
+	}
 	o.markResponsive(w)
 	w.missedHolds = 0
 	w.leasesLapsed = false
@@ -151,9 +153,9 @@
 		return
 	}
 	w.endsApplied = highest
-	incarnation := w.incarnation
+	incarnation, reported := w.incarnation, w.reportedIncarnation
 	o.whenRecorded(func() {
-		if w.incarnation == incarnation {
+		if w.incarnation == incarnation && w.reportedIncarnation == reported {
 			w.endsRecorded = max(w.endsRecorded, highest)
 		}
 	})
--- a/internal/schedule/owner/restart_evidence_test.go
+++ b/internal/schedule/owner/restart_evidence_test.go
@@ -25,6 +25,46 @@
 	}
 }
 
+// ackAfterStart reports an end of an incarnation whose clock has a reading, answers a
+// start 500 ms after it was ordered, and returns what the next hold and the one after
+// its report acknowledge.
+func ackAfterStart(t *testing.T, reading int64, answer fleet.Answer) []int64 {
+	t.Helper()
+	m := newManualOwner(t, 1, clock.Hour)
+	m.list(1, "w:1")
+	m.advance(25)
+	m.acknowledge()
+	report := fleet.Report{ClockMS: reading, Incarnation: 1, Ended: []fleet.End{{Number: 40, Task: manualTask, Run: 9}}}
+	m.owner.Report("w", report)
+	m.submit()
+	m.advance(25)
+	m.acknowledge()
+	m.now += 500
+	m.owner.Started(m.starts[0], answer)
+	var acked []int64
+	for range 2 {
+		m.owner.Report("w", report)
+		m.advance(25)
+		acked = append(acked, m.holds[len(m.holds)-1].Acked)
+	}
+	return acked
+}
+
+// A hold must not acknowledge the unread ends of an incarnation that may have executed a
+// start since the last report. The clock of an incarnation that had just started is no
+// proof, nor is a start without an answer. The next report is.
+func TestHoldAfterStartThatNextIncarnationMayHaveAcknowledgesNoEnds(t *testing.T) {
+	got := map[string][]int64{
+		"same incarnation":      ackAfterStart(t, 3_600_000, fleet.Answer{Outcome: fleet.Accepted, ClockMS: 3_600_600}),
+		"just started, unclear": ackAfterStart(t, 50, fleet.Answer{Outcome: fleet.Accepted, ClockMS: 490}),
+		"no answer":             ackAfterStart(t, 3_600_000, fleet.Answer{Outcome: fleet.Unanswered}),
+	}
+	want := map[string][]int64{"same incarnation": {40, 40}, "just started, unclear": {0, 40}, "no answer": {0, 40}}
+	if diff := cmp.Diff(want, got); diff != "" {
+		t.Errorf("acknowledged by the next hold and the one after a report (-want +got):\n%s", diff)
+	}
+}
+
 // A start of the previous owner may reach the restarted worker after that owner has stopped.
 func TestPreviousOwnerStoppedKeepsWaitForRestartedWorker(t *testing.T) {
 	first := newManualOwner(t, 1, clock.Hour).successor(0)
@@ -187,3 +227,50 @@
 		t.Error("the run counts as ended, though nothing asked the incarnation that has it")
 	}
 }
+
+// A worker whose time of day was set back has an earlier start time after a restart. It
+// numbers its ends from 1 and counts its clock anew all the same.
+func TestWorkerWithEarlierStartTimeGetsNothingOfItsEarlierIncarnation(t *testing.T) {
+	m := newManualOwner(t, 1, clock.Hour)
+	m.list(5, "w:1")
+	m.advance(25)
+	m.acknowledge()
+	ends := []fleet.End{{Number: 40, Task: manualTask, Run: 9}}
+	m.owner.Report("w", fleet.Report{ClockMS: int64(m.now), Incarnation: 5, Ended: ends})
+	m.advance(25)
+	m.owner.Report("w", fleet.Report{ClockMS: 1000, Incarnation: 3})
+	m.list(3, "w:1")
+	for range 2 {
+		m.advance(25)
+		m.acknowledge()
+	}
+	hold := m.holds[len(m.holds)-1]
+	leaseOver := int64(1000+25) + int64(m.owner.options.Times.LongestLease)
+	if hold.Acked != 0 || hold.UntilMS > leaseOver || m.owner.workers["w"].leaseUntilMS > leaseOver {
+		t.Errorf("the hold acknowledges %d and grants a lease until %d, counted until %d; want 0 and at most %d",
+			hold.Acked, hold.UntilMS, m.owner.workers["w"].leaseUntilMS, leaseOver)
+	}
+}
+
+// An end of the earlier incarnation may be recorded after the next one has reported.
+func TestEndRecordedAfterRestartIsNotAcknowledgedToNextIncarnation(t *testing.T) {
+	for _, next := range []int64{3, 7} {
+		m := newManualOwner(t, 1, clock.Hour)
+		run := fleet.End{Number: 40, Task: manualTask, Run: 1, Cause: fleet.EndDone}
+		m.list(5, "w:1")
+		m.advance(25)
+		m.acknowledge()
+		m.owner.Report("w", fleet.Report{ClockMS: int64(m.now), Incarnation: 5})
+		m.submit()
+		m.advance(25)
+		m.acknowledge()
+		m.owner.Report("w", fleet.Report{ClockMS: int64(m.now), Incarnation: 5, Ended: []fleet.End{run}})
+		m.advance(25)
+		m.owner.Report("w", fleet.Report{ClockMS: 10, Incarnation: next})
+		m.acknowledge()
+		m.advance(25)
+		if acked := m.holds[len(m.holds)-1].Acked; acked != 0 {
+			t.Errorf("incarnation %d after 5: end %d acknowledged to it", next, acked)
+		}
+	}
+}
--- a/internal/schedule/owner/simulation_test.go
+++ b/internal/schedule/owner/simulation_test.go
@@ -221,6 +221,9 @@
 	if sim.drawTakeover != nil && sim.previousOwnerStopped(s) {
 		s.owner.PreviousOwnerStopped(StopReleased)
 	}
+	if sim.claims == s.epoch {
+		s.owner.NoLaterOwner(sim.now) // the other entries answer its queries
+	}
 	s.owner.Tick()
 }
 
@@ -286,7 +289,7 @@
 // cancel cancels a job at an owner and records when that was confirmed.
 func (sim *simulation) cancel(s *simOwner, id job.ID) {
 	sim.deliver(s, func() {
-		s.owner.Cancel(JobRef{ID: id}, func(verdict Verdict) {
+		s.owner.Cancel(JobRef{ID: id, Customer: sim.specs[id].Customer}, func(verdict Verdict) {
 			if verdict.Ruling == Recorded {
 				sim.cancelled[id] = sim.now
 			}
--- a/internal/schedule/owner/workers.go
+++ b/internal/schedule/owner/workers.go
@@ -34,6 +34,8 @@
 	incarnationFrom        evidence     // what showed its present incarnation
 	incarnationKnownAt     clock.Millis // when that was seen first
 	reportedIncarnation    int64        // incarnation named in its last report; 0: none was named
+	reportedHoldSentAt     clock.Millis // when the hold that its last report answered was sent
+	incarnationUnprovenAt  clock.Millis // when a start was found that a later incarnation may have executed, if no hold sent since was answered; 0: none
 	unresponsive           bool         // belongs in the next list of unresponsive workers; leases are not renewed
 	namedInList            int          // number of the newest encoded list of unresponsive workers that names it; unnamed: none
 	leasesLapsed           bool         // its leases have expired since its last report
@@ -53,6 +55,8 @@
 	workDone, workExpected float64          // recent work of its batch runs in ms, decayed: done, and expected
 	workDecayedAt          clock.Millis     // when workDone and workExpected were last decayed
 	uncertainStarts        []uncertainStart // unanswered starts that may still be executed
+	holdUntilMS            int64            // end of the lease that the newest hold grants; 0: none
+	uncertainGrant         uncertainGrant   // leases of unanswered orders that may still be executed
 	pace                   int              // pace of its best-effort tasks in percent
 	paceChangedAt          clock.Millis     // when pace last changed
 	usesLowHeadroomWait    bool             // a long-running task has little headroom, so holds use the wait for low headroom
@@ -72,6 +76,25 @@
 // uncertainStartTTL is the longest time an order can be in transit.
 const uncertainStartTTL clock.Millis = 15 * clock.Second
 
+// uncertainGrant covers the leases of all unanswered orders to a worker. They may still
+// be executed, also in a later incarnation: an order names its worker by the id. By the
+// clock of that incarnation, a lease for an earlier one can be as long as workers accept.
+type uncertainGrant struct {
+	untilMS int64        // end of the longest of them, on the clock of the incarnation that it was meant for
+	at      clock.Millis // when the newest of these orders timed out; 0: there is none
+}
+
+// noteUncertainGrant notes an unanswered order that grants a lease.
+func (w *worker) noteUncertainGrant(untilMS int64, now clock.Millis) {
+	if untilMS == 0 {
+		return
+	}
+	if now-w.uncertainGrant.at > uncertainStartTTL {
+		w.uncertainGrant = uncertainGrant{}
+	}
+	w.uncertainGrant = uncertainGrant{untilMS: max(w.uncertainGrant.untilMS, untilMS), at: now}
+}
+
 // freeRoom returns the room that is neither committed to runs nor promised to
 // tasks that are being relocated to the worker.
 func (w *worker) freeRoom() fleet.Room {
@@ -233,6 +256,24 @@
 	w.incarnationFrom, w.incarnationKnownAt = from, o.now
 }
 
+// namedOther reports whether the last report named an incarnation other than this one.
+func (w *worker) namedOther(incarnation int64) bool {
+	return incarnation != 0 && w.reportedIncarnation != 0 && w.reportedIncarnation != incarnation
+}
+
+// workerRestartedEarlier resets the state of a worker whose new incarnation has an
+// earlier start time, since its time of day was set back. The highest start time stays
+// that of the worker, and all runs and starts so far belong to an incarnation before it.
+func (o *Owner) workerRestartedEarlier(w *worker) {
+	o.workerRestarted(w, w.incarnation, evidenceWorkerRestartedReported)
+	for r := range w.runs {
+		r.incarnation = min(r.incarnation, w.incarnation-1)
+	}
+	for i := range w.uncertainStarts {
+		w.uncertainStarts[i].incarnation = min(w.uncertainStarts[i].incarnation, w.incarnation-1)
+	}
+}
+
 // endRunsOfOldIncarnations ends the runs of a worker's earlier incarnations. Runs
 // whose start may have reached the new incarnation, or may still, are stopped there:
 // only a report shows which incarnation has a run.
