--- a/internal/schedule/interference/interference.go
+++ b/internal/schedule/interference/interference.go
@@ -23,6 +23,7 @@
 
 import (
 	"cmp"
+	"maps"
 	"math"
 	"slices"
 
@@ -46,6 +47,8 @@
 	minLevel           = 1.2               // without best-effort tasks a long-running task keeps its target
 	incompatibleWeight = 3.5               // weight from which a pair of images counts as incompatible
 	minShare           = 0.005             // smaller loads are not used for the estimate
+	maxModels          = 256               // images of long-running tasks that are kept; the one without a report for longest is dropped
+	maxBestEffort      = 128               // best-effort images that are kept for each of them, likewise; an update costs the square
 	// initialVariance is the variance of the weight of a pair without observations,
 	// in units of the noise's variance.
 	initialVariance = priorSpread * priorSpread / (headroomNoise * headroomNoise)
@@ -84,6 +87,7 @@
 type Estimator struct {
 	models  map[string]*model // by image of long-running tasks
 	levels  map[string]*trend // by group
+	reports int64             // reports so far; the time scale of lastReport and lastSeen
 	changed bool
 }
 
@@ -126,12 +130,10 @@
 
 // Observe updates the estimates from a report.
 func (e *Estimator) Observe(sample Sample) {
-	m := e.models[sample.Serving]
-	if m == nil {
-		m = newModel()
-		e.models[sample.Serving] = m
-	}
-	shares, total := m.shares(sample.Loads)
+	e.reports++
+	m := e.model(sample.Serving)
+	m.lastReport = e.reports
+	shares, total := m.shares(sample.Loads, e.reports)
 	expectedLoss, known := m.expectedLoss(shares)
 	headroom := min(sample.Headroom, MaxHeadroom)
 	if total >= minShare {
@@ -143,6 +145,22 @@
 	}
 }
 
+// model returns the model of an image of long-running tasks, adding it if it is new.
+func (e *Estimator) model(serving string) *model {
+	if m := e.models[serving]; m != nil {
+		return m
+	}
+	if len(e.models) >= maxModels {
+		names := slices.Collect(maps.Keys(e.models))
+		delete(e.models, slices.MinFunc(names, func(a, b string) int {
+			return cmp.Or(cmp.Compare(e.models[a].lastReport, e.models[b].lastReport), cmp.Compare(a, b))
+		}))
+	}
+	m := newModel()
+	e.models[serving] = m
+	return m
+}
+
 // observeLevel adds a level derived from a report to the trend of the group. It
 // counts the more, the smaller the share and the loss of the best-effort tasks.
 func (e *Estimator) observeLevel(sample Sample, level, expectedLoss, totalShare float64) {
@@ -161,6 +179,8 @@
 	index      map[string]int // of the best-effort images
 	weights    []float64
 	covariance [][]float64 // of the weights, in units of the noise's variance
+	lastSeen   []int64     // number of the newest report with the image; 0: loaded
+	lastReport int64       // number of the newest report; 0: loaded
 }
 
 func newModel() *model { return &model{index: map[string]int{}} }
@@ -183,6 +203,7 @@
 	}
 	i := len(m.weights)
 	m.index[bestEffort] = i
+	m.lastSeen = append(m.lastSeen, 0)
 	m.weights = append(m.weights, priorWeight)
 	for k := range m.covariance {
 		m.covariance[k] = append(m.covariance[k], 0)
@@ -192,11 +213,42 @@
 	return i
 }
 
-// shares sums loads by image.
-func (m *model) shares(loads []Load) (shares []float64, total float64) {
+// dropOldest drops the best-effort images that were not reported for longest, until at
+// most maxBestEffort are left. Those of the present report stay.
+func (m *model) dropOldest(report int64) {
+	for len(m.weights) > maxBestEffort {
+		oldest := slices.Index(m.lastSeen, slices.Min(m.lastSeen))
+		if m.lastSeen[oldest] == report {
+			return
+		}
+		m.drop(oldest)
+	}
+}
+
+// drop drops a best-effort image.
+func (m *model) drop(dropped int) {
+	for image, i := range m.index {
+		switch {
+		case i == dropped:
+			delete(m.index, image)
+		case i > dropped:
+			m.index[image] = i - 1
+		}
+	}
+	m.weights = slices.Delete(m.weights, dropped, dropped+1)
+	m.lastSeen = slices.Delete(m.lastSeen, dropped, dropped+1)
+	m.covariance = slices.Delete(m.covariance, dropped, dropped+1)
+	for i := range m.covariance {
+		m.covariance[i] = slices.Delete(m.covariance[i], dropped, dropped+1)
+	}
+}
+
+// shares sums the loads of a report by image.
+func (m *model) shares(loads []Load, report int64) (shares []float64, total float64) {
 	for _, load := range loads {
-		m.indexOf(load.Image)
+		m.lastSeen[m.indexOf(load.Image)] = report
 	}
+	m.dropOldest(report)
 	shares = make([]float64, len(m.weights))
 	for _, load := range loads {
 		shares[m.index[load.Image]] += load.Share
@@ -253,20 +305,49 @@
 // Changed reports whether an estimate has changed since the last Encode.
 func (e *Estimator) Changed() bool { return e.changed }
 
-// Encode returns the estimates as a record.
-func (e *Estimator) Encode() ([]byte, error) {
+// rowFrameBytes is the size of an encoded row besides its images: four lengths, of the
+// row and its texts, and two numbers.
+const rowFrameBytes = 2*9 + 3*5
+
+// Encode returns the estimates as a record of at most limit bytes. Those without a
+// report for longest are left out if there is no room for all.
+func (e *Estimator) Encode(limit int) ([]byte, error) {
 	e.changed = false
-	var rows []row
+	rows := e.rowsWithin(limit)
+	slices.SortFunc(rows, compareRows)
+	return codec.Marshal(rows)
+}
+
+// rowsWithin returns the rows with the newest reports that a record has room for.
+func (e *Estimator) rowsWithin(limit int) []row {
+	type reported struct {
+		row
+		lastSeen int64
+	}
+	var all []reported
 	for serving, m := range e.models {
-		for bestEffort := range m.index {
+		for bestEffort, i := range m.index {
 			estimate := m.estimate(bestEffort)
-			rows = append(rows, row{Serving: serving, BestEffort: bestEffort, Weight: estimate.Weight, Spread: estimate.Spread})
+			all = append(all, reported{row{Serving: serving, BestEffort: bestEffort, Weight: estimate.Weight, Spread: estimate.Spread}, m.lastSeen[i]})
 		}
 	}
-	slices.SortFunc(rows, func(a, b row) int {
-		return cmp.Or(cmp.Compare(a.Serving, b.Serving), cmp.Compare(a.BestEffort, b.BestEffort))
+	slices.SortFunc(all, func(a, b reported) int {
+		return cmp.Or(cmp.Compare(b.lastSeen, a.lastSeen), compareRows(a.row, b.row))
 	})
-	return codec.Marshal(rows)
+	var rows []row
+	size := rowFrameBytes
+	for _, next := range all {
+		size += rowFrameBytes + len(next.Serving) + len(next.BestEffort)
+		if size > limit {
+			break
+		}
+		rows = append(rows, next.row)
+	}
+	return rows
+}
+
+func compareRows(a, b row) int {
+	return cmp.Or(cmp.Compare(a.Serving, b.Serving), cmp.Compare(a.BestEffort, b.BestEffort))
 }
 
 // Load restores the estimates from a record of Encode.
@@ -276,11 +357,7 @@
 		return err
 	}
 	for _, stored := range rows {
-		m := e.models[stored.Serving]
-		if m == nil {
-			m = newModel()
-			e.models[stored.Serving] = m
-		}
+		m := e.model(stored.Serving)
 		i := m.indexOf(stored.BestEffort)
 		m.weights[i] = stored.Weight
 		m.covariance[i][i] = min(stored.Spread*stored.Spread/(headroomNoise*headroomNoise), initialVariance)
--- a/internal/schedule/interference/interference_test.go
+++ b/internal/schedule/interference/interference_test.go
@@ -10,6 +10,9 @@
 	"github.com/oriolepier/oriolepier/internal/base/clock"
 )
 
+// recordBytes is the size of the records of the tests.
+const recordBytes = 262_144
+
 // simulation is a simulated deployment: most pairs of images are compatible,
 // some are incompatible.
 type simulation struct {
@@ -87,7 +90,7 @@
 	for round := range 600 {
 		before.Observe(simulated.sample(round))
 	}
-	data, err := before.Encode()
+	data, err := before.Encode(recordBytes)
 	if err != nil {
 		t.Fatal(err)
 	}
@@ -104,7 +107,7 @@
 }
 
 func FuzzLoad(f *testing.F) {
-	data, err := New().Encode()
+	data, err := New().Encode(recordBytes)
 	if err != nil {
 		f.Fatal(err)
 	}
@@ -113,3 +116,60 @@
 		_ = New().Load(data) // must return an error or load the record, without a panic
 	})
 }
+
+// A record of the estimates that the store refuses would be sent with every append. It
+// must fit whatever images callers name, and keep the pairs that were reported last.
+func TestRecordOfManyImagesFits(t *testing.T) {
+	estimator := New()
+	for i := range 300 {
+		loads := make([]Load, 30)
+		for k := range loads {
+			loads[k] = Load{Image: fmt.Sprintf("best-effort-%060d", (30*i+k)%2000), Share: 0.01}
+		}
+		estimator.Observe(Sample{Serving: fmt.Sprintf("serving-%d", i%280), Group: "g", Headroom: 2, Loads: loads})
+	}
+	data, err := estimator.Encode(recordBytes)
+	if err != nil {
+		t.Fatal(err)
+	}
+	if len(data) > recordBytes || len(data) < recordBytes/2 {
+		t.Errorf("the record has %d bytes, want at most %d and at least half of it", len(data), recordBytes)
+	}
+	after := New()
+	if err := after.Load(data); err != nil {
+		t.Fatal(err)
+	}
+	newest := fmt.Sprintf("best-effort-%060d", (30*299)%2000)
+	if want, got := estimator.Pair("serving-19", newest), after.Pair("serving-19", newest); want.Spread != got.Spread {
+		t.Errorf("the newest pair has %v after loading, want %v", got, want)
+	}
+}
+
+// What is kept for an image of long-running tasks must not grow with each best-effort
+// image that was ever seen beside it; the estimates of those that stay must not change.
+func TestOldestImagesAreForgotten(t *testing.T) {
+	estimator := New()
+	observe := func(image string) {
+		estimator.Observe(Sample{Serving: "s", Group: "g", Headroom: 1.5, Loads: []Load{{Image: image, Share: 0.2}}})
+	}
+	for range 50 {
+		observe("first")
+	}
+	for i := range maxBestEffort - 1 {
+		observe(fmt.Sprint("image-", i))
+	}
+	observe("image-0")
+	before := estimator.Pair("s", "image-0")
+	estimator.models["s"].drop(estimator.models["s"].index["first"])
+	if diff := cmp.Diff(before, estimator.Pair("s", "image-0")); diff != "" {
+		t.Errorf("estimate after another one is dropped (-want +got):\n%s", diff)
+	}
+	observe("one-more")
+	observe("another-one")
+	m := estimator.models["s"]
+	_, oldest := m.index["image-1"]
+	_, newest := m.index["another-one"]
+	if len(m.weights) != maxBestEffort || len(m.index) != maxBestEffort || oldest || !newest {
+		t.Errorf("%d weights, %d images, oldest kept %v, newest kept %v; want %d, the newest only", len(m.weights), len(m.index), oldest, newest, maxBestEffort)
+	}
+}
--- a/internal/schedule/journal/journal.go
+++ b/internal/schedule/journal/journal.go
@@ -55,12 +55,13 @@
 	EndMismatch          // the topic does not end at the offset that the append requires
 	RecordsGone          // the requested records are no longer stored
 	TooManyCalls         // the rate limit was exceeded; nothing was done
+	Refused              // the store refuses the append for its form, and would refuse it again; nothing was done
 )
 
 // String returns the outcome's name in logs.
 func (o Outcome) String() string {
 	return [...]string{
-		"done", "unknown", "not_done", "superseded", "out_of_order", "not_at", "forgotten", "too_many_calls",
+		"done", "unknown", "not_done", "superseded", "out_of_order", "not_at", "forgotten", "too_many_calls", "refused",
 	}[o]
 }
 
--- a/internal/schedule/owner/bench_test.go
+++ b/internal/schedule/owner/bench_test.go
@@ -78,6 +78,7 @@
 	for i := range 500 {
 		j := newJob(jobSpec(fmt.Sprintf("%016x", i+1), job.Step{Count: 16, MilliCPU: 1000, MemoryMB: 10}))
 		j.specUnsent = true
+		first.owner.markChanged(j)
 		sim.storeRecords(first.owner.jobRecords(j))
 	}
 	records := sim.records()
--- a/internal/schedule/owner/commit.go
+++ b/internal/schedule/owner/commit.go
@@ -1,6 +1,9 @@
 package owner
 
 import (
+	"slices"
+	"strings"
+
 	"github.com/oriolepier/oriolepier/internal/base/clock"
 	"github.com/oriolepier/oriolepier/internal/schedule/job"
 	"github.com/oriolepier/oriolepier/internal/schedule/journal"
@@ -9,10 +12,10 @@
 // Keys and key prefixes of the cell's records.
 const (
 	keySpec         = "s/" // + job id: the job's specification
-	keyProgress     = "p/" // + job id: the job's progress
+	keyProgress     = "p/" // + job id: the job's progress; + "/" + number: a further record of it
 	keyHeartbeat    = "beat"
 	keyInterference = "harm"
-	keyUnresponsive = "silence"
+	keyUnresponsive = "silence" // + "/" + number: a further record of the list
 )
 
 // batch is a group of changes for one append.
@@ -21,7 +24,7 @@
 	encodedStates    []job.State      // states of these jobs as encoded
 	removals         []journal.Record // deletions of the records of expired jobs
 	otherRecords     []journal.Record // records that belong to no job
-	unresponsiveList []byte           // newest list of unresponsive workers; nil: none
+	unresponsiveList []journal.Record // newest list of unresponsive workers; nil: none
 	listNumber       int              // its number
 	onAck            []func()         // actions to run once the append is acknowledged
 	heartbeat        bool             // append even if nothing changed
@@ -34,15 +37,6 @@
 
 func (b *batch) empty() bool { return !b.hasRecords() && len(b.onAck) == 0 }
 
-// markChanged adds a job to the batch for the next append.
-func (o *Owner) markChanged(j *jobState) {
-	if j.changed {
-		return
-	}
-	j.changed = true
-	o.batch.jobs = append(o.batch.jobs, j)
-}
-
 // whenRecorded runs an action once all decisions so far are recorded, at once
 // if they are.
 func (o *Owner) whenRecorded(action func()) {
@@ -71,6 +65,9 @@
 // estimates, which the next owner would otherwise have to learn again.
 const interferenceRecordPeriod clock.Millis = 4 * clock.Second
 
+// recordReserve is left free in a record, for what frames its value.
+const recordReserve = 64
+
 // recordInterference adds changed interference estimates to the next append,
 // once a period.
 func (o *Owner) recordInterference() {
@@ -78,7 +75,7 @@
 		return
 	}
 	o.nextInterferenceRecordAt = o.now + interferenceRecordPeriod
-	data, err := o.interference.Encode()
+	data, err := o.interference.Encode(o.options.Limits.RecordBytes - len(keyInterference) - recordReserve)
 	if err != nil {
 		o.options.Log.Error().Err(err).Msg("cannot encode the interference estimates")
 		return
@@ -116,12 +113,10 @@
 	o.options.Effects.Append(o.records(&current))
 }
 
-// records encodes the records of a batch, with its jobs as they are now.
+// records encodes the records of a batch, with its jobs as they are now. The list of
+// unresponsive workers comes first, so that one append holds all of it.
 func (o *Owner) records(source *batch) []journal.Record {
-	records := append(source.removals, source.otherRecords...)
-	if source.unresponsiveList != nil {
-		records = append(records, journal.Record{Key: keyUnresponsive, Value: source.unresponsiveList})
-	}
+	records := slices.Concat(source.unresponsiveList, source.removals, source.otherRecords)
 	for _, j := range source.jobs {
 		j.changed = false
 		source.encodedStates = append(source.encodedStates, j.state)
@@ -133,28 +128,64 @@
 	return records
 }
 
+// jobRecords encodes the changed records of a job.
 func (o *Owner) jobRecords(j *jobState) []journal.Record {
 	var records []journal.Record
 	if j.specUnsent {
 		j.specUnsent = false
 		data, err := job.EncodeSpec(j.spec)
-		if err != nil {
-			o.options.Log.Error().Err(err).Str("job", string(j.spec.ID)).Msg("cannot encode the job specification")
+		records = append(records, o.encodedRecord(j, keySpec+string(j.spec.ID), data, err))
+	}
+	return append(records, o.progressRecords(j)...)
+}
+
+// RecordsRefused handles the keys of the records of the append in flight that the store
+// has refused for their form. Call it before Appended. They are not sent again: a job
+// without its record could start a task twice, so it fails.
+func (o *Owner) RecordsRefused(keys []string) {
+	if len(keys) == 0 || !o.beginInput() || o.inFlight == nil {
+		return
+	}
+	for _, key := range keys {
+		if key == keyUnresponsive || strings.HasPrefix(key, keyUnresponsive+"/") {
+			o.inFlight.unresponsiveList = nil // so that none of its workers gets work by it
+		}
+		if j := o.jobOfKey(key); j != nil {
+			o.failRefused(j, key)
 		}
-		records = append(records, journal.Record{Key: keySpec + string(j.spec.ID), Value: data})
 	}
-	progress := j.progress()
-	data, err := job.EncodeProgress(progress)
-	if err != nil {
-		o.options.Log.Error().Err(err).Str("job", string(j.spec.ID)).Msg("cannot encode the job progress")
+}
+
+// jobOfKey returns the job that a record belongs to, or nil.
+func (o *Owner) jobOfKey(key string) *jobState {
+	if id, ok := strings.CutPrefix(key, keySpec); ok {
+		return o.jobs[job.ID(id)]
 	}
-	records = append(records, journal.Record{Key: keyProgress + string(j.spec.ID), Value: data})
-	// A final job without runs needs only its state.
-	if len(progress.Tasks) == 0 && !j.specRemoved {
-		j.specRemoved = true
-		records = append(records, journal.Record{Key: keySpec + string(j.spec.ID)})
+	if name, ok := strings.CutPrefix(key, keyProgress); ok {
+		id, _, _ := parseProgressKey(name)
+		return o.jobs[id]
 	}
-	return records
+	return nil
+}
+
+// failRefused fails a job whose record the store has refused. From then on only its
+// state is recorded, and nothing once that is refused, too.
+func (o *Owner) failRefused(j *jobState, key string) {
+	j.refusals++
+	if j.refusals > 1 {
+		return
+	}
+	o.options.Log.Error().Str("event", "job_not_recordable").Str("job", string(j.spec.ID)).Str("queue", j.spec.Queue).
+		Str("key", key).Int("tasks", j.spec.TaskCount()).Int64("epoch", o.options.Epoch).Send()
+	if !j.durable {
+		o.options.Metrics.Refused("store")
+		o.replyAll(j, Verdict{Ruling: Invalid, Reason: "the store refuses the job's record"})
+	}
+	if !j.state.Final() {
+		o.endJob(j, job.Failed, "the store refuses its record")
+	}
+	o.markChanged(j)
+	o.whenRecorded(func() { o.stopJob(j, "job failed") })
 }
 
 // Appended handles the final outcome of the append in flight: Done or
@@ -198,7 +229,7 @@
 	for id, j := range o.jobs {
 		if j.state.Final() && j.runs == 0 && !j.changed && j.endedAt < oldest {
 			delete(o.jobs, id)
-			o.removeRecords(id)
+			o.removeRecords(j)
 		}
 	}
 }
--- a/internal/schedule/owner/faults_test.go
+++ b/internal/schedule/owner/faults_test.go
@@ -143,7 +143,11 @@
 // checks the invariants after 45 s, when all jobs must be final.
 func simulateFaults(t *testing.T, seed uint64, injections ...fault) *simulation {
 	t.Helper()
-	sim := newSimulation(t, seed, 9)
+	return newSimulation(t, seed, 9).playFaults(injections...)
+}
+
+// playFaults plays simulateFaults on a new simulation.
+func (sim *simulation) playFaults(injections ...fault) *simulation {
 	sim.audit.enabled = true
 	sim.simOwner()
 	for i := range 48 {
--- a/internal/schedule/owner/load.go
+++ b/internal/schedule/owner/load.go
@@ -33,17 +33,24 @@
 	if o.beginInput(); !o.fenced {
 		return errors.New("load before the fence")
 	}
-	progress := map[string]job.Progress{}
+	progress := map[job.ID]*storedProgress{}
+	lists := map[string][]byte{}
 	for _, record := range records {
-		if err := o.loadRecord(record.Record, progress); err != nil {
+		if err := o.loadRecord(record.Record, progress, lists); err != nil {
 			return errors.WithMessagef(err, "load %s", record.Key)
 		}
 	}
+	if err := o.loadUnresponsiveLists(lists); err != nil {
+		return err
+	}
 	for id, recorded := range progress {
-		o.loadProgress(job.ID(id), recorded)
+		o.loadProgress(id, recorded)
 	}
 	runs := 0
 	for _, j := range o.jobs {
+		if len(j.parts.changed) == 0 { // no record of its progress
+			j.parts = newProgressParts(j.spec.TaskCount(), o.tasksPerRecord())
+		}
 		j.durable = true
 		j.submittedAt = o.now - o.timeSince(j.spec.AcceptedMS)
 		j.lastPlacementChangeAt = o.now
@@ -67,7 +74,7 @@
 	return min(max(clock.Millis(o.options.WallClock()-unixMS), 0), maxAge)
 }
 
-func (o *Owner) loadRecord(record journal.Record, progress map[string]job.Progress) error {
+func (o *Owner) loadRecord(record journal.Record, progress map[job.ID]*storedProgress, lists map[string][]byte) error {
 	if id, ok := strings.CutPrefix(record.Key, keySpec); ok {
 		spec, err := job.DecodeSpec(record.Value)
 		if err != nil {
@@ -76,45 +83,80 @@
 		o.jobs[job.ID(id)] = newJob(spec)
 		return nil
 	}
-	if id, ok := strings.CutPrefix(record.Key, keyProgress); ok {
-		decoded, err := job.DecodeProgress(record.Value)
-		progress[id] = decoded
-		return err
+	if name, ok := strings.CutPrefix(record.Key, keyProgress); ok {
+		return loadProgressRecord(name, record.Value, progress)
 	}
-	switch record.Key {
-	case keyInterference:
+	if record.Key == keyUnresponsive || strings.HasPrefix(record.Key, keyUnresponsive+"/") {
+		lists[record.Key] = record.Value
+		return nil
+	}
+	if record.Key == keyInterference {
 		return o.interference.Load(record.Value)
-	case keyUnresponsive:
-		return o.loadUnresponsive(record.Value)
 	}
 	return nil
 }
 
+// loadProgressRecord decodes a record of a job's progress.
+func loadProgressRecord(name string, data []byte, progress map[job.ID]*storedProgress) error {
+	id, number, ok := parseProgressKey(name)
+	if !ok {
+		return nil // of a newer version
+	}
+	stored := progress[id]
+	if stored == nil {
+		stored = &storedProgress{parts: map[int]job.ProgressPart{}}
+		progress[id] = stored
+	}
+	if number == 0 {
+		first, err := job.DecodeProgress(data)
+		stored.first = &first
+		return err
+	}
+	part, err := job.DecodeProgressPart(data)
+	stored.parts[number] = part
+	return err
+}
+
 // loadProgress applies a job's recorded progress to its state.
-func (o *Owner) loadProgress(id job.ID, recorded job.Progress) {
+func (o *Owner) loadProgress(id job.ID, recorded *storedProgress) {
 	j := o.jobs[id]
 	if j == nil {
-		// Its specification was removed because the job is final and has no runs.
+		// Its specification was removed because the job is final and has no runs. Else
+		// only a part of its first records was appended, and no caller has an answer.
 		j = &jobState{spec: job.Spec{ID: id}, specRemoved: true}
+		if !recorded.finished() {
+			j.parts.stored = recorded.lastPart()
+			o.removeRecords(j)
+			return
+		}
 		o.jobs[id] = j
 	}
-	j.state = recorded.State
-	j.cancelled = recorded.CancelAccepted
-	j.endedMS = recorded.EndedMS
-	j.endedAt = o.now - o.timeSince(j.endedMS)
-	next := 0
+	if first := recorded.first; first != nil {
+		j.state = first.State
+		j.cancelled = first.CancelAccepted
+		j.endedMS = first.EndedMS
+		j.endedAt = o.now - o.timeSince(j.endedMS)
+	}
+	count := j.spec.TaskCount()
+	j.parts = recorded.layout(count, o.tasksPerRecord())
+	if recorded.finished() {
+		o.batch.removals = append(o.batch.removals, j.takeRemovals()...)
+		return
+	}
+	tasks := recorded.merged(count)
 	for i := range j.steps {
 		step := &j.steps[i]
 		for k := range step.tasks {
-			if next < len(recorded.Tasks) {
-				o.loadTask(&step.tasks[k], step, recorded.Tasks[next])
-			}
-			next++
+			o.loadTask(&step.tasks[k], step, tasks[step.firstTask+k])
 		}
 		if step.unfinished == 0 {
 			j.unfinished--
 		}
 	}
+	if j.state == job.Queued && j.hasStarted {
+		j.state = job.Running // the first record is appended last
+		o.markChanged(j)
+	}
 	j.markStepsReady(0)
 }
 
--- a/internal/schedule/owner/manual_test.go
+++ b/internal/schedule/owner/manual_test.go
@@ -86,10 +86,18 @@
 
 // acknowledge confirms the append in flight.
 func (m *manualOwner) acknowledge() {
-	for _, record := range m.pending {
+	m.record(m.pending)
+	m.owner.Appended(journal.Done)
+}
+
+// record stores records. One without a value removes its key.
+func (m *manualOwner) record(records []journal.Record) {
+	for _, record := range records {
 		m.recorded[record.Key] = record
+		if len(record.Value) == 0 {
+			delete(m.recorded, record.Key)
+		}
 	}
-	m.owner.Appended(journal.Done)
 }
 
 // report answers the hold of the worker; its clock is the owner's.
--- a/internal/schedule/owner/orders.go
+++ b/internal/schedule/owner/orders.go
@@ -280,8 +280,9 @@
 	o.attach(r, w)
 	if j.state == job.Queued {
 		j.state = job.Running
+		o.markChanged(j)
 	}
-	o.markChanged(j)
+	o.markTaskChanged(task)
 	o.batch.onAck = append(o.batch.onAck, func() { o.startRecorded(r) })
 	blockedBy, blockedWorkers := step.rejections.leading()
 	o.logRun("run_placed", r).Str("failure_domain", w.entry.Domain).
--- a/internal/schedule/owner/owner.go
+++ b/internal/schedule/owner/owner.go
@@ -61,7 +61,8 @@
 	Now           func() clock.Millis // monotonic clock; must include time spent suspended
 	WallClock     func() int64        // Unix milliseconds; may jump, so it is used only for the age of jobs and final states across owners
 	Times         Times
-	Cores         float64 // processor cores of this process; 0: unknown
+	Limits        journal.Limits // of the store; zero: the defaults
+	Cores         float64        // processor cores of this process; 0: unknown
 	Effects       Effects
 	Log           zerolog.Logger
 	Metrics       *Metrics
@@ -101,6 +102,7 @@
 	unresponsiveEncodedAt   clock.Millis         // when the list of unresponsive workers was last encoded; its append may be pending
 	encodedUnresponsive     []unresponsiveWorker // the list as last encoded
 	unresponsiveChanged     bool                 // the list must be recorded again
+	listRecords             int                  // records of the list beyond the first that may be stored
 	listsEncoded            int                  // number of the newest encoded list of unresponsive workers; 0: the loaded one
 	listsRecorded           int                  // number of the newest acknowledged one
 
@@ -127,6 +129,7 @@
 
 // New returns an owner without jobs or workers. Its ownership counts from now.
 func New(options Options) *Owner {
+	options.Limits = options.Limits.OrDefault()
 	now := options.Now()
 	return &Owner{
 		options:              options,
--- /dev/null
+++ b/internal/schedule/owner/progress_parts.go
@@ -0,0 +1,231 @@
+package owner
+
+import (
+	"maps"
+	"slices"
+	"strconv"
+	"strings"
+
+	"github.com/oriolepier/oriolepier/internal/schedule/job"
+	"github.com/oriolepier/oriolepier/internal/schedule/journal"
+)
+
+// A record of the store has a largest size, so the progress of a job with many tasks is
+// split over several records: the first one, with the job's state and its first tasks,
+// and parts with a fixed number of tasks each, which fit at their largest. Only the
+// records with changed tasks are written.
+//
+// A batch above the largest append goes over several appends, so a later owner may find
+// some records of a job without the others. Ends are acknowledged to workers, runs
+// ordered and callers answered only after the last append. Three rules make each prefix
+// readable:
+//
+//   - Parts are written before the first record, the last part first. On load, a part
+//     takes precedence over the records before it. So when the number of tasks in a
+//     record gets smaller, the records before it still hold the tasks that are not
+//     rewritten.
+//   - The first record of a job that is final and has no runs is written before its other
+//     records are removed. On load, a final job without tasks has no others.
+//   - A task without a record has not been started.
+
+// progressParts is the division of a job's progress into records.
+type progressParts struct {
+	tasks   int    // tasks in each record but the last
+	changed []bool // by record: must be written with the job's next change
+	stored  int    // records beyond the first that may be stored
+}
+
+// newProgressParts divides a number of tasks; an empty job has one record.
+func newProgressParts(count, tasksPerRecord int) progressParts {
+	perRecord := max(tasksPerRecord, 1)
+	return progressParts{tasks: perRecord, changed: make([]bool, max((count+perRecord-1)/perRecord, 1))}
+}
+
+// markAllChanged makes the next change write all records.
+func (p *progressParts) markAllChanged() {
+	for i := range p.changed {
+		p.changed[i] = true
+	}
+}
+
+// tasksPerRecord is the number of tasks in each record of a new job's progress.
+func (o *Owner) tasksPerRecord() int { return job.TasksPerRecord(o.options.Limits.RecordBytes) }
+
+// markChanged adds the state of a job to the batch for the next append.
+func (o *Owner) markChanged(j *jobState) {
+	if len(j.parts.changed) == 0 {
+		j.parts = newProgressParts(j.spec.TaskCount(), o.tasksPerRecord())
+	}
+	j.parts.changed[0] = true
+	o.addToBatch(j)
+}
+
+// markTaskChanged adds a task to the batch for the next append.
+func (o *Owner) markTaskChanged(task *taskState) {
+	j := task.job
+	if len(j.parts.changed) == 0 {
+		j.parts = newProgressParts(j.spec.TaskCount(), o.tasksPerRecord())
+	}
+	j.parts.changed[(j.steps[task.step].firstTask+task.index)/j.parts.tasks] = true
+	o.addToBatch(j)
+}
+
+func (o *Owner) addToBatch(j *jobState) {
+	if j.changed || j.refusals > 1 {
+		return
+	}
+	j.changed = true
+	o.batch.jobs = append(o.batch.jobs, j)
+}
+
+// settled reports whether only the state of a job is recorded: it is final and has no
+// runs, or the store has refused a record of it.
+func (j *jobState) settled() bool { return j.state.Final() && j.runs == 0 || j.refusals > 0 }
+
+// progressRecords encodes the changed records of a job's progress, in the sequence in
+// which they must be appended.
+func (o *Owner) progressRecords(j *jobState) []journal.Record {
+	if j.settled() {
+		clear(j.parts.changed)
+		return append([]journal.Record{o.firstRecord(j)}, j.takeRemovals()...)
+	}
+	var records []journal.Record
+	for number, changed := range slices.Backward(j.parts.changed) {
+		j.parts.changed[number] = false
+		switch {
+		case !changed:
+		case number == 0:
+			records = append(records, o.firstRecord(j))
+		default:
+			j.parts.stored = max(j.parts.stored, number)
+			part := job.ProgressPart{First: number * j.parts.tasks, Tasks: j.recordedTasks(number)}
+			data, err := job.EncodeProgressPart(part)
+			records = append(records, o.encodedRecord(j, partKey(j.spec.ID, number), data, err))
+		}
+	}
+	return records
+}
+
+// firstRecord encodes a job's state, with its first tasks unless it is settled.
+func (o *Owner) firstRecord(j *jobState) journal.Record {
+	progress := job.Progress{State: j.state, EndedMS: j.endedMS, CancelAccepted: j.cancelled}
+	if !j.settled() {
+		progress.Tasks = j.recordedTasks(0)
+	}
+	data, err := job.EncodeProgress(progress)
+	return o.encodedRecord(j, keyProgress+string(j.spec.ID), data, err)
+}
+
+// encodedRecord is a record of a job; an error of its encoding is logged.
+func (o *Owner) encodedRecord(j *jobState, key string, data []byte, err error) journal.Record {
+	if err != nil {
+		o.options.Log.Error().Err(err).Str("job", string(j.spec.ID)).Str("key", key).Msg("cannot encode a record")
+	}
+	return journal.Record{Key: key, Value: data}
+}
+
+// recordedTasks returns the tasks of one record.
+func (j *jobState) recordedTasks(number int) []job.TaskProgress {
+	var tasks []job.TaskProgress
+	begin, end := number*j.parts.tasks, (number+1)*j.parts.tasks
+	for i := range j.steps {
+		step := &j.steps[i]
+		from, to := max(begin-step.firstTask, 0), min(end-step.firstTask, len(step.tasks))
+		for k := from; k < to; k++ {
+			tasks = append(tasks, step.tasks[k].progress())
+		}
+	}
+	return tasks
+}
+
+// takeRemovals removes what a settled job needs no more: its specification and the
+// records beyond the first.
+func (j *jobState) takeRemovals() []journal.Record {
+	var removals []journal.Record
+	if !j.specRemoved {
+		removals = append(removals, journal.Record{Key: keySpec + string(j.spec.ID)})
+	}
+	for number := range j.parts.stored {
+		removals = append(removals, journal.Record{Key: partKey(j.spec.ID, number+1)})
+	}
+	j.specRemoved, j.parts.stored = true, 0
+	return removals
+}
+
+// partKey is the key of a record beyond the first of a job's progress.
+func partKey(id job.ID, number int) string {
+	return keyProgress + string(id) + "/" + strconv.Itoa(number)
+}
+
+// parseProgressKey splits the key of a progress record, without its prefix, into the
+// job and the number of the record.
+func parseProgressKey(key string) (id job.ID, number int, ok bool) {
+	name, text, isPart := strings.Cut(key, "/")
+	if !isPart {
+		return job.ID(name), 0, true
+	}
+	number, err := strconv.Atoi(text)
+	return job.ID(name), number, err == nil && number > 0
+}
+
+// storedProgress is what Load has read of a job's progress.
+type storedProgress struct {
+	first *job.Progress            // nil: not stored
+	parts map[int]job.ProgressPart // by number
+}
+
+// lastPart returns the highest number of a stored part; 0: there is none.
+func (s *storedProgress) lastPart() int {
+	last := 0
+	for number := range s.parts {
+		last = max(last, number)
+	}
+	return last
+}
+
+// finished reports whether only the state of the job is valid: all other records of it
+// were to be removed.
+func (s *storedProgress) finished() bool {
+	return s.first != nil && s.first.State.Final() && len(s.first.Tasks) == 0
+}
+
+// merged returns the stored tasks of a job with a number of tasks.
+func (s *storedProgress) merged(count int) []job.TaskProgress {
+	tasks := make([]job.TaskProgress, count)
+	if s.first != nil {
+		copy(tasks, s.first.Tasks)
+	}
+	for _, number := range slices.Sorted(maps.Keys(s.parts)) {
+		if part := s.parts[number]; part.First >= 0 && part.First < count {
+			copy(tasks[part.First:], part.Tasks)
+		}
+	}
+	return tasks
+}
+
+// layout returns how the stored tasks of a job are divided into records. A division that
+// is the same in all records and fits is kept. Otherwise the smallest one in use replaces
+// it with the job's next change, which then writes all records.
+func (s *storedProgress) layout(count, most int) progressParts {
+	divisions := s.divisions(count, most)
+	perRecord := slices.Min(append(divisions, max(most, 1)))
+	parts := newProgressParts(count, perRecord)
+	parts.stored = s.lastPart()
+	if slices.ContainsFunc(divisions, func(tasks int) bool { return tasks != perRecord }) {
+		parts.markAllChanged()
+	}
+	return parts
+}
+
+// divisions returns the numbers of tasks in each record by which the stored records were
+// divided; none if all tasks fit one record.
+func (s *storedProgress) divisions(count, most int) []int {
+	var divisions []int
+	if s.first != nil && len(s.first.Tasks) > 0 && (len(s.first.Tasks) < count || len(s.parts) > 0 || count > most) {
+		divisions = append(divisions, len(s.first.Tasks))
+	}
+	for number, part := range s.parts {
+		divisions = append(divisions, max(part.First/number, 1))
+	}
+	return divisions
+}
--- a/internal/schedule/owner/report.go
+++ b/internal/schedule/owner/report.go
@@ -209,9 +209,7 @@
 	o.updateProgress(r, row)
 	r.usage = row.Usage
 	r.reportedAt = o.now
-	if row.Checkpoint != "" && row.Checkpoint != r.task.checkpoint {
-		r.task.checkpoint = row.Checkpoint // recorded with the job's next change
-	}
+	o.keepCheckpoint(r.task, row.Checkpoint)
 	switch r.stage {
 	case stageInherited, stageOrdered:
 		o.confirmStart(r)
@@ -222,6 +220,20 @@
 	}
 }
 
+// keepCheckpoint keeps a checkpoint, which is recorded with the next change of a task in
+// the same record. One that is longer than a record has room for is not kept: the task
+// goes on from an earlier one.
+func (o *Owner) keepCheckpoint(task *taskState, checkpoint string) {
+	if len(checkpoint) > job.MaxCheckpointBytes {
+		o.options.Log.Debug().Str("event", "checkpoint_too_long").Str("job", string(task.job.spec.ID)).Int("step", task.step).
+			Int("index", task.index).Int("bytes", len(checkpoint)).Int("limit", job.MaxCheckpointBytes).Send()
+		return
+	}
+	if checkpoint != "" {
+		task.checkpoint = checkpoint
+	}
+}
+
 // stopStray stops a run that a worker lists but should not have: a later run of
 // its task was recorded, or its job is unknown.
 func (o *Owner) stopStray(w *worker, row fleet.Run) {
@@ -268,16 +280,14 @@
 func (o *Owner) endRun(r *run, end runEnd, by proof, checkpoint string) {
 	task, j := r.task, r.task.job
 	step := &j.steps[task.step]
-	if checkpoint != "" {
-		task.checkpoint = checkpoint
-	}
+	o.keepCheckpoint(task, checkpoint)
 	o.options.Metrics.Ended(end.String())
 	o.logRun("run_ended", r).Str("cause", end.String()).
 		Str("reason", r.stopReason).Int64("ran_ms", int64(age(r.startedAt, o.now))).Int64("contact_age_ms", int64(o.contactAge(r.worker))).
 		Str("evidence", by.evidence.String()).Int64("evidence_age_ms", int64(age(by.at, o.now))).Int64("epoch", o.options.Epoch).Send()
 	o.updateWorkerHistory(r, end)
 	o.detach(r)
-	o.markChanged(j)
+	o.markTaskChanged(task)
 	o.placementDue = true
 	j.lastPlacementChangeAt = o.now
 	if end == endDone && !step.spec.Lasting {
--- a/internal/schedule/owner/simulation_test.go
+++ b/internal/schedule/owner/simulation_test.go
@@ -41,6 +41,7 @@
 	claims    int64 // owners that have claimed the cell
 	epoch     int64 // of the newest owner that has fenced the earlier ones
 	storeDown bool
+	limits    journal.Limits // of the store and of each append; zero: none, and the defaults for owners
 
 	// times between steps that are one instant by default
 	drawTakeover func() takeoverSteps // steps of a takeover; nil: at one instant
@@ -178,7 +179,7 @@
 	sim.owners = append(sim.owners, s)
 	s.owner = New(Options{
 		Epoch: s.epoch, Now: func() clock.Millis { return sim.now }, WallClock: func() int64 { return 1_700_000_000_000 + int64(sim.now) },
-		Times: sim.times, Log: sim.logOf(s).With().Int64("epoch", s.epoch).Logger(), Metrics: NewMetrics(metrics.NewSet()),
+		Times: sim.times, Limits: sim.limits, Log: sim.logOf(s).With().Int64("epoch", s.epoch).Logger(), Metrics: NewMetrics(metrics.NewSet()),
 		Effects: sim.effects(s),
 	})
 	sim.takeOver(s)
--- a/internal/schedule/owner/state.go
+++ b/internal/schedule/owner/state.go
@@ -22,6 +22,8 @@
 	runs                  int  // runs that may be executing
 	unfinished            int  // steps that are not done
 	changed               bool // it is in the batch for the next append
+	parts                 progressParts
+	refusals              int  // of its records by the store
 	specUnsent            bool // its specification is not in any append yet
 	deadlines             objective
 	acceptReplies         []func(Verdict) // callers that wait for its record
@@ -34,6 +36,7 @@
 type stepState struct {
 	spec         *job.Step
 	tasks        []taskState
+	firstTask    int            // tasks of the steps before it
 	ready        bool           // all steps before it are done
 	unfinished   int            // tasks that are not done
 	waiting      int            // tasks without a run that are not done
@@ -104,9 +107,12 @@
 func newJob(spec job.Spec) *jobState {
 	j := &jobState{spec: spec, unfinished: len(spec.Steps)}
 	j.steps = make([]stepState, len(spec.Steps))
+	first := 0
 	for i := range j.steps {
 		step := &j.steps[i]
 		step.spec = &j.spec.Steps[i]
+		step.firstTask = first
+		first += step.spec.Count
 		step.unfinished = step.spec.Count
 		step.waiting = step.spec.Count
 		step.tasks = make([]taskState, step.spec.Count)
@@ -158,21 +164,6 @@
 	return slices.ContainsFunc(j.spec.Steps, func(step job.Step) bool { return step.Lasting })
 }
 
-// progress returns the record of the job's state and tasks. The tasks are left
-// out once the job is final and has no runs.
-func (j *jobState) progress() job.Progress {
-	progress := job.Progress{State: j.state, EndedMS: j.endedMS, CancelAccepted: j.cancelled}
-	if j.state.Final() && j.runs == 0 {
-		return progress
-	}
-	for i := range j.steps {
-		for k := range j.steps[i].tasks {
-			progress.Tasks = append(progress.Tasks, j.steps[i].tasks[k].progress())
-		}
-	}
-	return progress
-}
-
 func (t *taskState) progress() job.TaskProgress {
 	recorded := job.TaskProgress{Phase: t.phase, Run: t.runNumber, Failures: t.failures}
 	if t.phase != job.Done {
--- a/internal/schedule/owner/submit.go
+++ b/internal/schedule/owner/submit.go
@@ -44,6 +44,7 @@
 		o.replyWhenRecorded(known, reply)
 		return
 	}
+	spec.AcceptedMS = o.options.WallClock()
 	if verdict := o.admit(spec); verdict.Ruling != Recorded {
 		o.options.Log.Info().Str("event", "job_refused").Str("job", string(spec.ID)).Str("queue", spec.Queue).
 			Str("ruling", verdict.Ruling.String()).Str("reason", verdict.Reason).
@@ -52,7 +53,6 @@
 		reply(verdict)
 		return
 	}
-	spec.AcceptedMS = o.options.WallClock()
 	j := newJob(spec)
 	j.specUnsent = true
 	j.submittedAt = o.now
@@ -80,8 +80,8 @@
 
 // reportAccepted replies to the callers of a job that is now recorded.
 func (o *Owner) reportAccepted(j *jobState) {
-	if o.jobs[j.spec.ID] != j {
-		return // refused before an append carried it
+	if o.jobs[j.spec.ID] != j || j.refusals > 0 {
+		return // refused before an append carried it, or by the store
 	}
 	o.options.Metrics.Accepted.Inc()
 	o.options.Metrics.AcceptTime.Observe(o.now - j.submittedAt)
@@ -113,6 +113,9 @@
 	if queue.ExternallyPlaced {
 		return Verdict{Ruling: Unsupported, Reason: "queues with a recommendation service are not supported"}
 	}
+	if err := spec.CheckRecordable(o.options.Limits.RecordBytes); err != nil {
+		return Verdict{Ruling: Invalid, Reason: err.Error()}
+	}
 	if o.tooLarge(queue.Pools, spec) {
 		return Verdict{Ruling: Invalid, Reason: "a task is larger than any worker of its pool"}
 	}
@@ -252,8 +255,9 @@
 	o.batch.jobs = remaining
 }
 
-// removeRecords deletes the progress record of a job; its specification is
-// already deleted.
-func (o *Owner) removeRecords(id job.ID) {
-	o.batch.removals = append(o.batch.removals, journal.Record{Key: keyProgress + string(id)})
+// removeRecords deletes all records of a job but its specification, which is deleted
+// already. The first record goes last, as it says that the others are not valid.
+func (o *Owner) removeRecords(j *jobState) {
+	o.batch.removals = append(o.batch.removals, j.takeRemovals()...)
+	o.batch.removals = append(o.batch.removals, journal.Record{Key: keyProgress + string(j.spec.ID)})
 }
--- a/internal/schedule/owner/takeover_test.go
+++ b/internal/schedule/owner/takeover_test.go
@@ -24,6 +24,7 @@
 	first.deliverPending()
 	j := first.owner.jobs[spec.ID]
 	j.specUnsent = true
+	first.owner.markChanged(j)
 	var records []journal.Stored
 	for _, record := range append(first.owner.jobRecords(j), others...) {
 		records = append(records, journal.Stored{Record: record})
--- a/internal/schedule/owner/unresponsive.go
+++ b/internal/schedule/owner/unresponsive.go
@@ -1,10 +1,16 @@
 package owner
 
 import (
+	"maps"
+	"slices"
+	"strconv"
+	"strings"
+
 	"github.com/pkg/errors"
 
 	"github.com/oriolepier/oriolepier/internal/base/clock"
 	"github.com/oriolepier/oriolepier/internal/base/codec"
+	"github.com/oriolepier/oriolepier/internal/schedule/journal"
 )
 
 // An owner records which workers are unresponsive and how long their leases can
@@ -52,6 +58,15 @@
 	return sum
 }
 
+// plus adds the summary of another record of the list.
+func (l loadedList) plus(other loadedList) loadedList {
+	sum := loadedList{epoch: other.epoch, workers: l.workers + other.workers, leastRest: other.leastRest, mostRest: max(l.mostRest, other.mostRest)}
+	if other.workers == 0 || l.workers > 0 && l.leastRest < other.leastRest {
+		sum.leastRest = l.leastRest
+	}
+	return sum
+}
+
 // unresponsiveRecordPeriod is the time between records of the list while a
 // worker is unresponsive, as the remaining time of its leases decreases.
 const unresponsiveRecordPeriod clock.Millis = 500
@@ -81,14 +96,56 @@
 	return length + length*driftPercent/100 + o.options.Times.ClockSlack
 }
 
-// loadUnresponsive applies the list of a previous owner.
-func (o *Owner) loadUnresponsive(data []byte) error {
+// loadUnresponsiveLists applies the list of a previous owner, by key of its records.
+// Those of another epoch than the first one are left from an earlier list: an owner
+// writes all records of a list in one append.
+func (o *Owner) loadUnresponsiveLists(records map[string][]byte) error {
+	first, stored := records[keyUnresponsive]
+	if !stored {
+		return nil
+	}
+	if err := o.loadUnresponsive(first); err != nil {
+		return errors.WithMessagef(err, "load %s", keyUnresponsive)
+	}
+	for _, key := range slices.Sorted(maps.Keys(records)) {
+		number, isPart := strings.CutPrefix(key, keyUnresponsive+"/")
+		if !isPart {
+			continue
+		}
+		if count, err := strconv.Atoi(number); err == nil {
+			o.listRecords = max(o.listRecords, count)
+		}
+		list, err := decodeUnresponsive(records[key])
+		if err != nil {
+			return errors.WithMessagef(err, "load %s", key)
+		}
+		if list.Epoch == o.loadedList.epoch {
+			o.applyUnresponsive(list)
+		}
+	}
+	return nil
+}
+
+func decodeUnresponsive(data []byte) (unresponsiveList, error) {
 	var list unresponsiveList
-	if err := codec.Unmarshal(data, &list); err != nil {
-		return errors.WithMessage(err, "decode the list of unresponsive workers")
+	err := codec.Unmarshal(data, &list)
+	return list, errors.WithMessage(err, "decode the list of unresponsive workers")
+}
+
+// loadUnresponsive applies the first record of a previous owner's list.
+func (o *Owner) loadUnresponsive(data []byte) error {
+	list, err := decodeUnresponsive(data)
+	if err != nil {
+		return err
 	}
-	o.loadedList = list.summary()
 	o.unresponsiveListCurrent = list.Epoch == o.options.Epoch-1
+	o.applyUnresponsive(list)
+	return nil
+}
+
+// applyUnresponsive applies one record of a previous owner's list.
+func (o *Owner) applyUnresponsive(list unresponsiveList) {
+	o.loadedList = o.loadedList.plus(list.summary())
 	for _, recorded := range list.Workers {
 		w := o.inheritedWorker(recorded.ID, 0)
 		w.unresponsive = true
@@ -96,7 +153,6 @@
 		w.recordedRest = recorded.Remaining
 		w.limitRunsEnd(proof{evidence: evidenceRecordedRest, at: o.fencedAt}, recorded.Remaining)
 	}
-	return nil
 }
 
 // StopEvidence is what shows that the previous owner of a cell has stopped.
@@ -158,12 +214,47 @@
 	o.unresponsiveChanged = false
 	o.unresponsiveEncodedAt = o.now
 	o.listsEncoded++
-	data, err := codec.Marshal(o.unresponsiveList())
+	records, err := o.unresponsiveRecords(o.unresponsiveList())
 	if err != nil {
 		o.options.Log.Error().Err(err).Msg("cannot encode the list of unresponsive workers")
 		return
 	}
-	o.batch.unresponsiveList, o.batch.listNumber = data, o.listsEncoded
+	o.batch.unresponsiveList, o.batch.listNumber = records, o.listsEncoded
+}
+
+// unresponsiveRecords encodes a list as records that the store takes, and removes those
+// that a longer list had.
+func (o *Owner) unresponsiveRecords(list unresponsiveList) ([]journal.Record, error) {
+	const framePerWorker = 24 // bytes besides the id: lengths and the remaining time
+	limit := o.options.Limits.RecordBytes - recordReserve
+	var records []journal.Record
+	for rest := list.Workers; len(records) == 0 || len(rest) > 0; {
+		count, size := 0, 0
+		for count < len(rest) && (count == 0 || size+len(rest[count].ID)+framePerWorker <= limit) {
+			size += len(rest[count].ID) + framePerWorker
+			count++
+		}
+		data, err := codec.Marshal(unresponsiveList{Epoch: list.Epoch, Workers: rest[:count]})
+		if err != nil {
+			return nil, err
+		}
+		records = append(records, journal.Record{Key: listKey(len(records)), Value: data})
+		rest = rest[count:]
+	}
+	written := len(records) - 1
+	for number := written + 1; number <= o.listRecords; number++ {
+		records = append(records, journal.Record{Key: listKey(number)})
+	}
+	o.listRecords = max(written, o.listRecords)
+	return records, nil
+}
+
+// listKey is the key of a record of the list.
+func listKey(number int) string {
+	if number == 0 {
+		return keyUnresponsive
+	}
+	return keyUnresponsive + "/" + strconv.Itoa(number)
 }
 
 // noteListRecorded handles the acknowledgement of the list in a batch, if it has one.
--- a/internal/schedule/owner/workers.go
+++ b/internal/schedule/owner/workers.go
@@ -262,7 +262,7 @@
 // adopt moves a run to the present incarnation of its worker, also for later owners.
 func (o *Owner) adopt(r *run) {
 	r.incarnation = r.worker.incarnation
-	o.markChanged(r.task.job)
+	o.markTaskChanged(r.task)
 }
 
 // stopUncertainStarts sends stops for the unanswered starts of a worker's
--- a/internal/site/daemon/daemon.go
+++ b/internal/site/daemon/daemon.go
@@ -169,6 +169,7 @@
 	pool := d.newPool(epoch)
 	run := runtime.New(runtime.Options{
 		Epoch: epoch, Topic: platform.Topic(cellTopic), Clock: d.clock, Log: d.store.Log(),
+		Limits:     d.settings.Store.Limits(),
 		Dispatcher: pool.Dispatch(),
 		Times:      owner.DefaultTimes(d.settings.Bounds.MaxLease, d.settings.Bounds.StatusKept),
 		Cores:      d.settings.Limits.Cores,
--- a/internal/site/daemon/serve.go
+++ b/internal/site/daemon/serve.go
@@ -225,7 +225,7 @@
 			}
 			return peer.WaitingAnswer{Ruling: owner.NotOwner}
 		},
-		Tables: func(context.Context, struct{}) peer.TablesAnswer {
+		Tables: func(context.Context) peer.TablesAnswer {
 			copied := d.tables.Snapshot()
 			return peer.TablesAnswer{End: copied.End, Records: copied.Records}
 		},
--- a/internal/site/peer/client.go
+++ b/internal/site/peer/client.go
@@ -71,11 +71,6 @@
 	return call[WaitingAnswer](ctx, c, address, methodWaiting, query)
 }
 
-// Tables queries the entry's copy of the operators' topic.
-func (c *Client) Tables(ctx context.Context, address string) (TablesAnswer, error) {
-	return call[TablesAnswer](ctx, c, address, methodTables, struct{}{})
-}
-
 // Close closes all connections.
 func (c *Client) Close() {
 	c.mu.Lock()
--- a/internal/site/peer/peer.go
+++ b/internal/site/peer/peer.go
@@ -23,7 +23,6 @@
 
 	"github.com/oriolepier/oriolepier/internal/base/clock"
 	"github.com/oriolepier/oriolepier/internal/schedule/job"
-	"github.com/oriolepier/oriolepier/internal/schedule/journal"
 	"github.com/oriolepier/oriolepier/internal/schedule/owner"
 )
 
@@ -120,12 +119,6 @@
 	Queue string `json:"queue"`
 }
 
-// TablesAnswer is an entry's copy of the operators' topic.
-type TablesAnswer struct {
-	End     int64            `json:"end"`
-	Records []journal.Record `json:"records"`
-}
-
 // WaitingAnswer holds the number of jobs of a queue that have not begun.
 type WaitingAnswer struct {
 	Ruling owner.Ruling `json:"ruling"`
--- a/internal/site/peer/server.go
+++ b/internal/site/peer/server.go
@@ -24,7 +24,7 @@
 	Cancel       func(ctx context.Context, query JobQuery) owner.Verdict
 	Lookup       func(ctx context.Context, query JobQuery) owner.LookupResult
 	CountWaiting func(ctx context.Context, query QueueQuery) WaitingAnswer
-	Tables       func(ctx context.Context, query struct{}) TablesAnswer
+	Tables       func(ctx context.Context) TablesAnswer // the whole copy; the server divides it into pages
 	// OpenLink serves a link session until it ends; nil if this entry does not serve as a link.
 	OpenLink func(ctx context.Context, query linkshard.OpenRequest, line linkshard.ServerConn) error
 }
@@ -143,7 +143,9 @@
 	case methodWaiting:
 		return callHandler(ctx, request, s.handlers.CountWaiting)
 	case methodTables:
-		return callHandler(ctx, request, s.handlers.Tables)
+		return callHandler(ctx, request, func(ctx context.Context, query TablesQuery) TablesAnswer {
+			return pageOf(query, s.handlers.Tables(ctx))
+		})
 	case methodOrders:
 		return nil, s.queueOrders(ctx, request)
 	}
--- a/internal/site/runtime/fence_test.go
+++ b/internal/site/runtime/fence_test.go
@@ -23,7 +23,7 @@
 			return nil
 		})
 	}
-	return newWriter(Options{Epoch: epoch, Topic: "cell", Clock: clock.New(), Log: log, Logger: zerolog.Nop()}, spawn, func(journal.Outcome) {})
+	return newWriter(Options{Epoch: epoch, Topic: "cell", Clock: clock.New(), Log: log, Logger: zerolog.Nop()}, spawn, func(journal.Outcome, []string) {})
 }
 
 // A fence whose answer is lost is repeated with its number, and appended once.
--- a/internal/site/runtime/runtime.go
+++ b/internal/site/runtime/runtime.go
@@ -45,6 +45,7 @@
 	Topic      string // of the cell's records
 	Clock      clock.Clock
 	Log        journal.Log
+	Limits     journal.Limits // of the store; zero: the defaults
 	Dispatcher fleet.Dispatch // sends orders to workers
 	Times      owner.Times
 	Cores      float64 // of this process; 0 if unknown
@@ -92,6 +93,7 @@
 
 // New returns a runtime for an owner that has just claimed its cell.
 func New(options Options) *Runtime {
+	options.Limits = options.Limits.OrDefault()
 	r := &Runtime{
 		options:  options,
 		inbox:    make(chan func(), inboxSize),
@@ -101,6 +103,7 @@
 	r.stateMachine = owner.New(owner.Options{
 		Epoch: options.Epoch, PreviousOwner: options.PreviousOwner, Now: options.Clock.Now,
 		WallClock: func() int64 { return time.Now().UnixMilli() },
+		Limits:    options.Limits,
 		Times:     options.Times, Cores: options.Cores, Log: options.Logger, Metrics: options.Metrics,
 		Effects: owner.Effects{
 			Append: r.append, Start: r.start, Stop: r.stop, Pace: r.pace, Hold: r.hold, Resign: r.resign,
@@ -117,8 +120,11 @@
 	groupCtx, cancel := context.WithCancel(groupCtx)
 	defer cancel()
 	r.group, r.ctx = group, groupCtx
-	r.writer = newWriter(r.options, r.spawn, func(outcome journal.Outcome) {
-		r.post(func() { r.stateMachine.Appended(outcome) })
+	r.writer = newWriter(r.options, r.spawn, func(outcome journal.Outcome, refused []string) {
+		r.post(func() {
+			r.stateMachine.RecordsRefused(refused)
+			r.stateMachine.Appended(outcome)
+		})
 	})
 	if err := r.load(ctx); err != nil {
 		return err
--- a/internal/site/runtime/writer.go
+++ b/internal/site/runtime/writer.go
@@ -26,19 +26,24 @@
 // keyEpoch is the key of the record by which an owner fences previous owners.
 const keyEpoch = "epoch"
 
-// maxAppendBytes bounds the records of one append, well below the store's limit.
+// maxAppendBytes bounds the records of one append where the store's limit is higher.
 const maxAppendBytes = 1 << 20
 
 // writerName is the writer name of a cell's owners. All owners share it, so that
 // the store compares their epochs.
 const writerName = "owner"
 
+// completion is called after each enqueued append, unless the context has ended. It
+// gets the keys of the records that the store has refused for their form; all others
+// have been appended if the outcome is Done.
+type completion func(outcome journal.Outcome, refused []string)
+
 // writer appends the owner's records in order. Each append is repeated with the
 // same sequence number until the store confirms or rejects it.
 type writer struct {
 	options        Options
-	spawn          func(func())                  // starts a goroutine in the runtime's group
-	complete       func(outcome journal.Outcome) // called after each enqueued append, unless the context has ended
+	spawn          func(func()) // starts a goroutine in the runtime's group
+	complete       completion
 	pending        chan []journal.Record
 	sequence       int64
 	attempts       int          // attempts of the newest append, those in parallel included
@@ -46,7 +51,8 @@
 	lastConfirmed  atomic.Int64 // time at which the newest confirmed append was first sent
 }
 
-func newWriter(options Options, spawn func(func()), complete func(journal.Outcome)) *writer {
+func newWriter(options Options, spawn func(func()), complete completion) *writer {
+	options.Limits = options.Limits.OrDefault()
 	w := &writer{
 		options: options, spawn: spawn, complete: complete,
 		pending: make(chan []journal.Record, 1), typicalLatency: minHedgeDelay / hedgeLatencyFactor,
@@ -64,7 +70,7 @@
 // fence appends the owner's epoch, after which the store rejects appends of earlier
 // epochs. It returns the number of attempts.
 func (w *writer) fence(ctx context.Context) (attempts int, err error) {
-	outcome := w.append(ctx, []journal.Record{{Key: keyEpoch, Value: strconv.AppendInt(nil, w.options.Epoch, 10)}})
+	outcome := w.append(ctx, []journal.Record{w.epochRecord()})
 	if outcome != journal.Done {
 		return w.attempts, errors.WithMessage(ErrOwnershipLost, "fence: "+outcome.String())
 	}
@@ -78,33 +84,69 @@
 		case <-ctx.Done():
 			return nil
 		case records := <-w.pending:
-			outcome := w.appendAll(ctx, records)
+			outcome, refused := w.appendAll(ctx, records)
 			if ctx.Err() == nil {
-				w.complete(outcome)
+				w.complete(outcome, refused)
 			}
 		}
 	}
 }
 
-// appendAll appends records in calls of at most maxAppendBytes, or of one larger
-// record.
-func (w *writer) appendAll(ctx context.Context, records []journal.Record) journal.Outcome {
+// appendAll appends records in calls of at most maxAppendBytes and the store's limit,
+// or of one larger record. Records that the store refuses for their form are left out.
+// If it refused all of them, the epoch is appended again: only an append shows that the
+// ownership still holds.
+func (w *writer) appendAll(ctx context.Context, records []journal.Record) (outcome journal.Outcome, refused []string) {
+	total := len(records)
+	limit := min(maxAppendBytes, w.options.Limits.RequestBytes)
 	for len(records) > 0 {
 		count, size := 0, 0
-		for count < len(records) && (count == 0 || size+len(records[count].Value) < maxAppendBytes) {
-			size += len(records[count].Value)
+		for count < len(records) && (count == 0 || size+records[count].Bytes() <= limit) {
+			size += records[count].Bytes()
 			count++
 		}
-		if outcome := w.append(ctx, records[:count]); outcome != journal.Done {
-			return outcome
+		outcome, left := w.appendIsolating(ctx, records[:count])
+		refused = append(refused, left...)
+		if outcome != journal.Done {
+			return outcome, refused
 		}
 		records = records[count:]
 	}
-	return journal.Done
+	if len(refused) == total {
+		return w.append(ctx, []journal.Record{w.epochRecord()}), refused
+	}
+	return journal.Done, refused
 }
 
-// append repeats one append until the store confirms or rejects it, or the context
-// ends.
+// appendIsolating appends records. If the store refuses them for their form, it appends
+// the first half and then the second one, until each refused record is found; no append
+// is repeated as it was refused, and the other records keep their sequence.
+func (w *writer) appendIsolating(ctx context.Context, records []journal.Record) (outcome journal.Outcome, refused []string) {
+	outcome = w.append(ctx, records)
+	if outcome != journal.Refused {
+		return outcome, nil
+	}
+	if len(records) == 1 {
+		w.options.Logger.Error().Str("event", "record_refused").Str("key", records[0].Key).Int("bytes", records[0].Bytes()).
+			Int64("epoch", w.options.Epoch).Int("record_bytes", w.options.Limits.RecordBytes).Send()
+		return journal.Done, []string{records[0].Key}
+	}
+	middle := len(records) / 2
+	outcome, refused = w.appendIsolating(ctx, records[:middle])
+	if outcome != journal.Done {
+		return outcome, refused
+	}
+	outcome, rest := w.appendIsolating(ctx, records[middle:])
+	return outcome, append(refused, rest...)
+}
+
+// epochRecord is the record that fences previous owners.
+func (w *writer) epochRecord() journal.Record {
+	return journal.Record{Key: keyEpoch, Value: strconv.AppendInt(nil, w.options.Epoch, 10)}
+}
+
+// append repeats one append until the store confirms, rejects or refuses it, or the
+// context ends.
 func (w *writer) append(ctx context.Context, records []journal.Record) journal.Outcome {
 	w.sequence++
 	w.attempts = 0
@@ -126,6 +168,9 @@
 			return journal.Done
 		case journal.Superseded, journal.OutOfOrder:
 			return answer.Outcome
+		case journal.Refused:
+			w.sequence-- // the store has not counted it
+			return answer.Outcome
 		}
 		if err := w.options.Clock.Sleep(ctx, retryDelay); err != nil {
 			break
--- a/internal/standin/store/store.go
+++ b/internal/standin/store/store.go
@@ -1,5 +1,6 @@
 // Package store is an in-memory stand-in of the platform's log store: keyed
-// topics with conditional appends, fenced writers and long polls.
+// topics with conditional appends, fenced writers, long polls, and limits on the size
+// of records and appends.
 //
 // # Usage
 //
@@ -23,6 +24,7 @@
 
 // Store holds topics. It is safe for concurrent use.
 type Store struct {
+	limits   journal.Limits
 	mu       sync.Mutex
 	topics   map[string]*topic
 	down     bool
@@ -44,9 +46,12 @@
 	answers  map[int64]journal.Answer // by sequence
 }
 
-// New returns an empty store.
-func New() *Store {
-	return &Store{topics: map[string]*topic{}, appended: make(chan struct{})}
+// New returns an empty store with the default limits.
+func New() *Store { return NewLimited(journal.DefaultLimits) }
+
+// NewLimited returns an empty store that refuses appends above some limits.
+func NewLimited(limits journal.Limits) *Store {
+	return &Store{limits: limits, topics: map[string]*topic{}, appended: make(chan struct{})}
 }
 
 // Log returns the calls of the store.
@@ -84,6 +89,9 @@
 	if s.down {
 		return journal.Answer{Outcome: journal.NotDone}
 	}
+	if !s.limits.Allow(call.Records) {
+		return journal.Answer{Outcome: journal.Refused}
+	}
 	t := s.topic(call.Topic)
 	if call.Writer.Name != "" {
 		if answer, decided := t.answerByWriter(call.Writer); decided {
