Consider each waiting job, however many steps cannot be placed

Cause: a placement pass ended after 200 steps without a worker, and each pass began with the same ones. The bound is now one on the cost of a pass, in workers rated in vain. Jobs that a pass does not reach are considered in turn by the second part of each pass, which is followed by another one after 50 ms.

--- a/internal/schedule/owner/batch_share.go
+++ b/internal/schedule/owner/batch_share.go
@@ -20,6 +20,7 @@
 // milli-CPU.
 type poolCapacity struct {
 	workers     []*worker
+	changed     []*worker // of these, those that changed since the last placement pass; nil unless a step may be skipped by it
 	totalCPU    int64
 	longRunning int64   // committed to long-running tasks
 	batchCPU    int64   // committed to batch tasks, or requested by waiting tasks of unexpired jobs that prefer this pool
--- a/internal/schedule/owner/bench_test.go
+++ b/internal/schedule/owner/bench_test.go
@@ -124,3 +124,37 @@
 	}
 	return harness
 }
+
+// BenchmarkBlocked measures a placement pass over 400 jobs whose next task no worker may
+// take by its limit per worker.
+func BenchmarkBlocked(b *testing.B) {
+	for _, workers := range []int{66, 490, 1190} {
+		b.Run(fmt.Sprint(workers, "workers"), func(b *testing.B) {
+			harness := blockedHarness(workers)
+			for b.Loop() {
+				harness.owner.now += 25
+				harness.owner.ownershipConfirmedAt = harness.owner.now
+				harness.owner.runPlacementPass()
+			}
+		})
+	}
+}
+
+// blockedHarness returns an owner with 400 jobs of tasks that may run once on each worker,
+// and one task too many.
+func blockedHarness(workers int) *ownerHarness {
+	harness := loadedHarness(workers)
+	harness.owner.beginInput()
+	for i := range 400 {
+		spec := jobSpec(fmt.Sprintf("%016x", 1000+i), job.Step{Count: workers + 1, MilliCPU: 1, PerWorker: 1, Lasting: true})
+		harness.owner.Submit(spec, func(Verdict) {})
+		step := &harness.owner.jobs[spec.ID].steps[0]
+		for _, w := range harness.owner.sortedWorkers {
+			step.runsByWorker[w.id] = 1
+		}
+	}
+	for _, w := range harness.owner.sortedWorkers {
+		w.lastReportAt, w.clockReadAt = harness.now+clock.Hour, harness.now
+	}
+	return harness
+}
--- a/internal/schedule/owner/owner.go
+++ b/internal/schedule/owner/owner.go
@@ -121,6 +121,11 @@
 	nextBlockedLogAt         clock.Millis              // earliest next such line
 	failureRate              failureRate
 	resigned                 bool         // the ownership is lost; no input is handled any more
+	passes                   int          // placement passes with usable workers
+	passCost                 int          // cost of the present pass so far
+	sweep                    int          // number of the present sweep over all waiting jobs
+	offersPass               int          // pass in which worker.lastOffer was read
+	hasBlockedSearches       bool         // a step may be skipped in the next pass
 	placementDue             bool         // a placement pass is due because some input may let a task start
 	nextPassAt               clock.Millis // next placement pass that is due by time alone
 	nextExpiryAt             clock.Millis // next removal of expired final states
@@ -147,6 +152,7 @@
 		failureRate:          initialFailureRate,
 		batchDemands:         map[string]batchDemand{},
 		relocations:          map[*taskState]relocating{},
+		sweep:                1,
 	}
 }
 
--- a/internal/schedule/owner/place.go
+++ b/internal/schedule/owner/place.go
@@ -16,10 +16,6 @@
 // changes.
 const placementInterval clock.Millis = 200
 
-// maxUnplacedPerPass is the number of steps without a suitable worker after
-// which a placement pass ends. It is checked after each job.
-const maxUnplacedPerPass = 200
-
 // runPlacementPass runs a placement pass: it finds workers for the tasks that
 // could start, most urgent first.
 func (o *Owner) runPlacementPass() {
@@ -32,29 +28,17 @@
 	o.expireReservations()
 	jobs := o.queue()
 	o.updateBatchShares(usablePools, jobs)
-	failures := placementFailures{}
-	unplaced := 0
-	var blocked blockedTasks
-	for _, queued := range jobs {
-		j := queued.job
-		for i := range j.steps {
-			if step := &j.steps[i]; step.ready && step.waiting > 0 {
-				if o.placeStep(j, step, queued.pools, usablePools, failures) {
-					continue
-				}
-				unplaced++
-				blocked.add(step)
-			}
-		}
-		if unplaced > maxUnplacedPerPass {
-			break
-		}
-	}
-	o.reportBlocked(blocked)
-	if unplaced > 0 {
+	o.beginPass(usablePools)
+	pass := placementPass{owner: o, pools: usablePools, failures: placementFailures{}}
+	pass.run(jobs)
+	o.reportBlocked(pass.blocked)
+	if pass.unplaced > 0 {
 		o.relocate(jobs)
 		o.scheduleNextPass()
 	}
+	if pass.cut {
+		o.timers.add(o.now+resumeInterval, func() { o.placementDue = true })
+	}
 }
 
 // scheduleNextPass plans another placement pass, because the constraints on a
@@ -108,13 +92,18 @@
 		request := o.requestOf(task.job, step)
 		if known, covered := failures.covering(name, step, request); covered {
 			request.rejections = known.rejections
+		} else if known, blocked := o.stillBlocked(task, step, i, name, pool); blocked {
+			rejected = rejected.plus(known)
+			continue
 		} else {
 			if w := o.chooseWorker(&ratings[i], task, step, pool.workers); w != nil {
 				pool.addAssigned(step)
 				return w
 			}
 			request.rejections = ratings[i].countRejections()
+			o.passCost += len(pool.workers)
 			failures.record(name, step, request)
+			o.noteBlocked(task, step, i, name, usablePools, request.rejections)
 		}
 		rejected = rejected.plus(request.rejections)
 		o.reserveWorker(task.job, step, pool.workers)
--- a/internal/schedule/owner/placement_failures.go
+++ b/internal/schedule/owner/placement_failures.go
@@ -16,6 +16,7 @@
 type failureClass struct {
 	pool       string
 	image      string
+	label      string // that a worker must have; empty: none
 	bestEffort bool
 }
 
@@ -44,14 +45,14 @@
 }
 
 func failureClassOf(pool string, step *stepState) failureClass {
-	return failureClass{pool: pool, image: step.spec.Image, bestEffort: step.spec.Fills}
+	return failureClass{pool: pool, image: step.spec.Image, label: step.spec.Label, bestEffort: step.spec.Fills}
 }
 
 // record adds a request of a step for which a pool has no worker. Steps with a
-// label or a per-worker limit are left out, because their failure does not
-// apply to other steps.
+// per-worker limit are left out, because their failure does not apply to other
+// steps.
 func (m placementFailures) record(pool string, step *stepState, request failedRequest) {
-	if step.spec.PerWorker > 0 || step.spec.Label != "" {
+	if step.spec.PerWorker > 0 {
 		return
 	}
 	class := failureClassOf(pool, step)
@@ -64,7 +65,16 @@
 	if step.reserved > 0 {
 		return failedRequest{}, false
 	}
-	failed := m[failureClassOf(pool, step)]
+	class := failureClassOf(pool, step)
+	if known, ok = m.coveringIn(class, request); ok || class.label == "" {
+		return known, ok
+	}
+	class.label = "" // a request without the label is not harder to place
+	return m.coveringIn(class, request)
+}
+
+func (m placementFailures) coveringIn(class failureClass, request failedRequest) (known failedRequest, ok bool) {
+	failed := m[class]
 	i := slices.IndexFunc(failed, func(known failedRequest) bool { return known.isAtMostAsHardAs(request) })
 	if i < 0 {
 		return failedRequest{}, false
--- a/internal/schedule/owner/reserve.go
+++ b/internal/schedule/owner/reserve.go
@@ -72,6 +72,7 @@
 		return
 	}
 	required := committedRoom(step.spec)
+	o.passCost += len(workers)
 	var best *worker
 	for _, w := range workers {
 		if w.reserved != nil || !constraintsAllow(step, w) || !required.FitsIn(w.freeWithoutBatch()) {
--- a/internal/schedule/owner/state.go
+++ b/internal/schedule/owner/state.go
@@ -29,6 +29,7 @@
 	acceptReplies         []func(Verdict) // callers that wait for its record
 	submittedAt           clock.Millis    // when it was submitted
 	lastPlacementChangeAt clock.Millis    // when a task was last placed or ended, or it was submitted or loaded; the job's wait counts from here
+	sweep                 int             // Owner.sweep when a placement pass last considered it
 	specRemoved           bool            // the record of its specification was removed
 }
 
@@ -36,13 +37,14 @@
 type stepState struct {
 	spec         *job.Step
 	tasks        []taskState
-	firstTask    int            // tasks of the steps before it
-	ready        bool           // all steps before it are done
-	unfinished   int            // tasks that are not done
-	waiting      int            // tasks without a run that are not done
-	runsByWorker map[string]int // runs by worker id; nil unless the step limits runs per worker
-	reserved     int            // workers reserved for its tasks
-	rejections   rejections     // workers by the reason why they could not run its next task, in the last pass that found none
+	firstTask    int             // tasks of the steps before it
+	ready        bool            // all steps before it are done
+	unfinished   int             // tasks that are not done
+	waiting      int             // tasks without a run that are not done
+	runsByWorker map[string]int  // runs by worker id; nil unless the step limits runs per worker
+	reserved     int             // workers reserved for its tasks
+	blocked      []blockedSearch // by index of its queue's pools
+	rejections   rejections      // workers by the reason why they could not run its next task, in the last pass that found none
 }
 
 // taskState is the in-memory state of a task.
--- a/internal/schedule/owner/workers.go
+++ b/internal/schedule/owner/workers.go
@@ -21,6 +21,8 @@
 	sortedCache []*run // runs in a deterministic order; nil: to be sorted again
 	committed   fleet.Room
 	longRunning fleet.Room   // the part of committed that belongs to long-running tasks
+	runsEnded   int          // runs that were detached from it
+	lastOffer   workerState  // in the last placement pass that needed it
 	promised    fleet.Room   // held for long-running tasks that are being relocated here
 	reserved    *reservation // step that this worker is reserved for; nil: none
 
@@ -329,6 +331,7 @@
 func (o *Owner) detach(r *run) {
 	w := r.worker
 	delete(w.runs, r)
+	w.runsEnded++
 	w.planValid, w.sortedCache = false, nil
 	r.task.run = nil
 	r.task.job.runs--
