Keep the one record of each job that fits it

An entry of an earlier version, taking over during an update, could not load the cell where a job of more than 456 tasks existed, also if all of its progress fitted one record: it cannot decode further records. Such jobs were divided from their first record on.

The progress of a job is now divided only once it does not fit one record. The first change after that writes all records, in the sequence of a new division.

TestJobThatFitsKeepsItsForm fails if jobs are divided by their number of tasks, as before. TestTakeoverBetweenAppendsOfOneBatch covers the change from one record to several.

--- a/internal/schedule/owner/load.go
+++ b/internal/schedule/owner/load.go
@@ -49,7 +49,7 @@
 	runs := 0
 	for _, j := range o.jobs {
 		if len(j.parts.changed) == 0 { // no record of its progress
-			j.parts = newProgressParts(j.spec.TaskCount(), o.tasksPerRecord())
+			j.parts = undividedProgress(j.spec.TaskCount())
 		}
 		j.durable = true
 		j.submittedAt = o.now - o.timeSince(j.spec.AcceptedMS)
--- a/internal/schedule/owner/owner.go
+++ b/internal/schedule/owner/owner.go
@@ -87,6 +87,7 @@
 	sortedWorkers []*worker          // sorted by id, so that decisions are deterministic
 	workersKnown  bool               // a list of workers was received
 
+	undividedBytes       int    // size up to which the progress of a job is one record, as earlier versions write and read it
 	batch                batch  // changes for the next append
 	inFlight             *batch // changes in the append under way; nil: none
 	appendSentAt         clock.Millis
@@ -138,6 +139,7 @@
 	now := options.Now()
 	return &Owner{
 		options:              options,
+		undividedBytes:       options.Limits.RecordBytes,
 		now:                  now,
 		claimedAt:            now,
 		fencedAt:             now,
--- a/internal/schedule/owner/progress_parts.go
+++ b/internal/schedule/owner/progress_parts.go
@@ -11,9 +11,9 @@
 )
 
 // A record of the store has a largest size, so the progress of a job with many tasks is
-// split over several records: the first one, with the job's state and its first tasks,
-// and parts with a fixed number of tasks each, which fit at their largest. Only the
-// records with changed tasks are written.
+// split over several records once it does not fit one: the first one, with the job's
+// state and its first tasks, and parts with a fixed number of tasks each, which fit at
+// their largest. Only the records with changed tasks are written.
 //
 // A batch above the largest append goes over several appends, so a later owner may find
 // some records of a job without the others. Ends are acknowledged to workers, runs
@@ -35,10 +35,15 @@
 	stored  int    // records beyond the first that may be stored
 }
 
-// newProgressParts divides a number of tasks; an empty job has one record.
+// newProgressParts divides a number of tasks.
 func newProgressParts(count, tasksPerRecord int) progressParts {
 	perRecord := max(tasksPerRecord, 1)
-	return progressParts{tasks: perRecord, changed: make([]bool, max((count+perRecord-1)/perRecord, 1))}
+	return progressParts{tasks: perRecord, changed: make([]bool, (count+perRecord-1)/perRecord)}
+}
+
+// undividedProgress is one record for all tasks of a job.
+func undividedProgress(count int) progressParts {
+	return progressParts{tasks: max(count, 1), changed: make([]bool, 1)}
 }
 
 // markAllChanged makes the next change write all records.
@@ -48,13 +53,13 @@
 	}
 }
 
-// tasksPerRecord is the number of tasks in each record of a new job's progress.
+// tasksPerRecord is the number of tasks in each record of a job that is split.
 func (o *Owner) tasksPerRecord() int { return job.TasksPerRecord(o.options.Limits.RecordBytes) }
 
 // markChanged adds the state of a job to the batch for the next append.
 func (o *Owner) markChanged(j *jobState) {
 	if len(j.parts.changed) == 0 {
-		j.parts = newProgressParts(j.spec.TaskCount(), o.tasksPerRecord())
+		j.parts = undividedProgress(j.spec.TaskCount())
 	}
 	j.parts.changed[0] = true
 	o.addToBatch(j)
@@ -64,7 +69,7 @@
 func (o *Owner) markTaskChanged(task *taskState) {
 	j := task.job
 	if len(j.parts.changed) == 0 {
-		j.parts = newProgressParts(j.spec.TaskCount(), o.tasksPerRecord())
+		j.parts = undividedProgress(j.spec.TaskCount())
 	}
 	j.parts.changed[(j.steps[task.step].firstTask+task.index)/j.parts.tasks] = true
 	o.addToBatch(j)
@@ -89,6 +94,14 @@
 		clear(j.parts.changed)
 		return append([]journal.Record{o.firstRecord(j)}, j.takeRemovals()...)
 	}
+	if count := j.spec.TaskCount(); len(j.parts.changed) == 1 && count > o.tasksPerRecord() {
+		if first := o.firstRecord(j); first.Bytes() <= o.undividedBytes {
+			j.parts.changed[0] = false
+			return []journal.Record{first}
+		}
+		j.parts = newProgressParts(count, o.tasksPerRecord())
+		j.parts.markAllChanged()
+	}
 	var records []journal.Record
 	for number, changed := range slices.Backward(j.parts.changed) {
 		j.parts.changed[number] = false
@@ -207,8 +220,11 @@
 // is the same in all records and fits is kept. Otherwise the smallest one in use replaces
 // it with the job's next change, which then writes all records.
 func (s *storedProgress) layout(count, most int) progressParts {
-	divisions := s.divisions(count, most)
-	perRecord := slices.Min(append(divisions, max(most, 1)))
+	divisions := s.divisions(count)
+	if len(divisions) == 0 {
+		return undividedProgress(count)
+	}
+	perRecord := max(min(slices.Min(divisions), most), 1)
 	parts := newProgressParts(count, perRecord)
 	parts.stored = s.lastPart()
 	if slices.ContainsFunc(divisions, func(tasks int) bool { return tasks != perRecord }) {
@@ -218,10 +234,10 @@
 }
 
 // divisions returns the numbers of tasks in each record by which the stored records were
-// divided; none if all tasks fit one record.
-func (s *storedProgress) divisions(count, most int) []int {
+// divided; none if the first one has all tasks.
+func (s *storedProgress) divisions(count int) []int {
 	var divisions []int
-	if s.first != nil && len(s.first.Tasks) > 0 && (len(s.first.Tasks) < count || len(s.parts) > 0 || count > most) {
+	if s.first != nil && len(s.first.Tasks) > 0 && (len(s.first.Tasks) < count || len(s.parts) > 0) {
 		divisions = append(divisions, len(s.first.Tasks))
 	}
 	for number, part := range s.parts {
--- a/internal/schedule/owner/progress_parts_test.go
+++ b/internal/schedule/owner/progress_parts_test.go
@@ -19,6 +19,18 @@
 // for two or three records.
 var twoTasksPerRecord = journal.Limits{RecordBytes: 1300, RequestBytes: 160}
 
+// dividedAbove is the size of an undivided record where tests divide small jobs.
+const dividedAbove = 40
+
+// setLimits sets the limits of the store; below the default ones also small jobs are
+// divided.
+func (m *manualOwner) setLimits(limits journal.Limits) {
+	m.owner.options.Limits = limits.OrDefault()
+	if limits.RecordBytes > 0 {
+		m.owner.undividedBytes = dividedAbove
+	}
+}
+
 // manyTasks is a job with more tasks than fit one record in any form.
 func manyTasks() job.Spec {
 	spec := jobSpec(bestEffortJob)
@@ -157,7 +169,7 @@
 func splitJob(t *testing.T, limits journal.Limits) *manualOwner {
 	t.Helper()
 	m := newManualOwner(t, 1, clock.Hour)
-	m.owner.options.Limits = limits
+	m.setLimits(limits)
 	m.list(1, "w:1")
 	m.advance(25)
 	m.acknowledge()
@@ -179,6 +191,18 @@
 	m.owner.Report("w", fleet.Report{ClockMS: int64(m.now), Incarnation: 1, Truncated: true, Ended: []fleet.End{{Number: number, Task: task, Run: 1, Cause: cause}}})
 }
 
+// A job that fits one record must keep the form that earlier versions read.
+func TestJobThatFitsKeepsItsForm(t *testing.T) {
+	m := splitJob(t, journal.Limits{}).reload(twoTasksPerRecord)
+	m.owner.undividedBytes = twoTasksPerRecord.RecordBytes
+	m.end(5, job.Task{Step: 1, Index: 1}, fleet.EndDone)
+	m.advance(25)
+	m.acknowledge()
+	if diff := cmp.Diff(map[string]int{"first": 7}, m.partsOf(bestEffortJob)); diff != "" {
+		t.Errorf("tasks by record (-want +got):\n%s", diff)
+	}
+}
+
 // Only the records with changed tasks are written, and all are removed with the job.
 func TestOnlyChangedPartsAreWritten(t *testing.T) {
 	m := splitJob(t, twoTasksPerRecord)
@@ -221,7 +245,7 @@
 	for name, ends := range changes {
 		for _, before := range []journal.Limits{twoTasksPerRecord, {RecordBytes: 1900}, {}} {
 			t.Run(fmt.Sprint(name, before.RecordBytes), func(t *testing.T) {
-				m := splitJob(t, before.OrDefault()).reload(twoTasksPerRecord)
+				m := splitJob(t, before).reload(twoTasksPerRecord)
 				old := m.taskStates(bestEffortJob)
 				for number, task := range ends {
 					m.end(int64(number+5), task, fleet.EndDone)
@@ -241,7 +265,7 @@
 func (m *manualOwner) reload(limits journal.Limits) *manualOwner {
 	m.t.Helper()
 	next := newManualOwner(m.t, m.owner.options.Epoch+1, m.now)
-	next.owner.options.Limits = limits
+	next.setLimits(limits)
 	next.load(m)
 	next.list(1, "w:1")
 	next.advance(25)
@@ -259,7 +283,7 @@
 		m.recorded = maps.Clone(base)
 		m.record(m.pending[:count])
 		next := newManualOwner(t, m.owner.options.Epoch+1, m.now)
-		next.owner.options.Limits = twoTasksPerRecord
+		next.setLimits(twoTasksPerRecord)
 		next.load(m)
 		state := next.owner.jobs[bestEffortJob].state
 		if state.Final() {
--- a/internal/schedule/owner/simulation_test.go
+++ b/internal/schedule/owner/simulation_test.go
@@ -182,6 +182,9 @@
 		Times: sim.times, Limits: sim.limits, Log: sim.logOf(s).With().Int64("epoch", s.epoch).Logger(), Metrics: NewMetrics(metrics.NewSet()),
 		Effects: sim.effects(s),
 	})
+	if sim.limits.RecordBytes > 0 {
+		s.owner.undividedBytes = dividedAbove
+	}
 	sim.takeOver(s)
 	return s
 }
