--- a/internal/schedule/owner/owner.go
+++ b/internal/schedule/owner/owner.go
@@ -62,7 +62,8 @@
 	Now           func() clock.Millis // monotonic clock; must include time spent suspended
 	WallClock     func() int64        // Unix milliseconds; may jump, so it is used only for the age of jobs and final states across owners
 	Times         Times
-	Cores         float64 // processor cores of this process; 0: unknown
+	Limits        journal.Limits // of the store; zero: the defaults
+	Cores         float64        // processor cores of this process; 0: unknown
 	Effects       Effects
 	Log           zerolog.Logger
 	Metrics       *Metrics
@@ -87,6 +88,7 @@
 	sortedWorkers []*worker          // sorted by id, so that decisions are deterministic
 	workersKnown  bool               // a list of workers was received
 
+	undividedBytes       int    // size up to which the progress of a job is one record, as earlier versions write and read it
 	batch                batch  // changes for the next append
 	inFlight             *batch // changes in the append under way; nil: none
 	appendSentAt         clock.Millis
@@ -105,6 +107,7 @@
 	unresponsiveEncodedAt   clock.Millis         // when the list of unresponsive workers was last encoded; its append may be pending
 	encodedUnresponsive     []unresponsiveWorker // the list as last encoded
 	unresponsiveChanged     bool                 // the list must be recorded again
+	listRecords             int                  // records of the list beyond the first that may be stored
 	listsEncoded            int                  // number of the newest encoded list of unresponsive workers; 0: the loaded one
 	listsRecorded           int                  // number of the newest acknowledged one
 
@@ -127,6 +130,11 @@
 	turn                     turn                   // of the customer whose job is being placed
 	waitingWork              map[string]waitingWork // by pool, while there are customers
 	resigned                 bool                   // the ownership is lost; no input is handled any more
+	passes                   int                    // placement passes with usable workers
+	passCost                 int                    // cost of the present pass so far
+	sweep                    int                    // number of the present sweep over all waiting jobs
+	offersPass               int                    // pass in which worker.lastOffer was read
+	hasBlockedSearches       bool                   // a step may be skipped in the next pass
 	placementDue             bool                   // a placement pass is due because some input may let a task start
 	nextPassAt               clock.Millis           // next placement pass that is due by time alone
 	nextExpiryAt             clock.Millis           // next removal of expired final states
@@ -135,9 +143,11 @@
 
 // New returns an owner without jobs or workers. Its ownership counts from now.
 func New(options Options) *Owner {
+	options.Limits = options.Limits.OrDefault()
 	now := options.Now()
 	return &Owner{
 		options:              options,
+		undividedBytes:       options.Limits.RecordBytes,
 		now:                  now,
 		claimedAt:            now,
 		fencedAt:             now,
@@ -154,6 +164,7 @@
 		customers:            map[string]*customer{},
 		batchDemands:         map[string]batchDemand{},
 		relocations:          map[*taskState]relocating{},
+		sweep:                1,
 	}
 }
 
--- a/internal/schedule/owner/place.go
+++ b/internal/schedule/owner/place.go
@@ -16,10 +16,6 @@
 // changes.
 const placementInterval clock.Millis = 200
 
-// maxUnplacedPerPass is the number of steps without a suitable worker after
-// which a placement pass ends. It is checked after each job.
-const maxUnplacedPerPass = 200
-
 // runPlacementPass runs a placement pass: it finds workers for the tasks that
 // could start, most urgent first.
 func (o *Owner) runPlacementPass() {
@@ -33,32 +29,17 @@
 	jobs := o.queue()
 	o.updateBatchShares(usablePools, jobs)
 	o.updateExcess(jobs, usablePools)
-	failures := placementFailures{}
-	unplaced := 0
-	var blocked blockedTasks
-	for queued := range o.inTurns(jobs, usablePools) {
-		j := queued.job
-		for i := o.turn.firstStep; i < len(j.steps) && !o.turn.over; i++ {
-			if step := &j.steps[i]; step.ready && step.waiting > 0 {
-				if o.placeStep(j, step, queued.pools, usablePools, failures) {
-					continue
-				}
-				o.blameShare(queued, step)
-				blocked.add(step)
-				if !step.heldByQuota() {
-					unplaced++
-				}
-			}
-		}
-		if unplaced > maxUnplacedPerPass {
-			break
-		}
-	}
-	o.reportBlocked(blocked)
-	if unplaced > 0 {
+	o.beginPass(usablePools)
+	pass := placementPass{owner: o, pools: usablePools, failures: placementFailures{}}
+	pass.run(jobs)
+	o.reportBlocked(pass.blocked)
+	if pass.unplaced > 0 {
 		o.relocate(jobs)
 		o.scheduleNextPass()
 	}
+	if pass.cut {
+		o.timers.add(o.now+resumeInterval, func() { o.placementDue = true })
+	}
 }
 
 // scheduleNextPass plans another placement pass, because the constraints on a
@@ -119,13 +100,18 @@
 		request := o.requestOf(task.job, step)
 		if known, covered := failures.covering(name, step, request); covered {
 			request.rejections = known.rejections
+		} else if known, blocked := o.stillBlocked(task, step, i, name, pool); blocked {
+			rejected = rejected.plus(known)
+			continue
 		} else {
 			if w := o.chooseWorker(&ratings[i], task, step, pool.workers); w != nil {
 				pool.addAssigned(step)
 				return w
 			}
 			request.rejections = ratings[i].countRejections()
+			o.passCost += len(pool.workers)
 			failures.record(name, step, request)
+			o.noteBlocked(task, step, i, name, usablePools, request.rejections)
 		}
 		rejected = rejected.plus(request.rejections)
 		o.reserveWorker(task.job, step, pool.workers)
--- a/internal/schedule/owner/quota_test.go
+++ b/internal/schedule/owner/quota_test.go
@@ -79,7 +79,8 @@
 	var log bytes.Buffer
 	b.owner.options.Log = zerolog.New(&log)
 	b.setCustomers(manifest.Customer{Name: "a", Limit: fleet.Room{MilliCPU: 2000}}, manifest.Customer{Name: "b"})
-	for i := range 2 * maxUnplacedPerPass {
+	const held = 400 // more than a pass rated in vain before its bound was one of cost
+	for i := range held {
 		b.submitFor("a", i+1, job.Step{Count: 1, MilliCPU: 1000, Fills: i%2 == 0})
 	}
 	b.submitFor("b", 5000, job.Step{Count: 3, MilliCPU: 1000})
--- a/internal/schedule/owner/submit.go
+++ b/internal/schedule/owner/submit.go
@@ -150,8 +150,8 @@
 
 // reportAccepted replies to the callers of a job that is now recorded.
 func (o *Owner) reportAccepted(j *jobState) {
-	if o.jobs[j.spec.ID] != j {
-		return // refused before an append carried it
+	if o.jobs[j.spec.ID] != j || j.refusals > 0 {
+		return // refused before an append carried it, or by the store
 	}
 	o.options.Metrics.Accepted.Inc()
 	if c := o.customerOf(j.account); c != nil {
@@ -186,6 +186,9 @@
 	if queue.ExternallyPlaced {
 		return Verdict{Ruling: Unsupported, Reason: "queues with a recommendation service are not supported"}
 	}
+	if err := spec.CheckRecordable(o.options.Limits.RecordBytes); err != nil {
+		return Verdict{Ruling: Invalid, Reason: err.Error()}
+	}
 	account := o.quotas.Account(spec.Customer)
 	if exceedsQuota(account, &spec) {
 		return Verdict{Ruling: Invalid, Reason: "a task is larger than the limit of its customer"}
@@ -338,12 +341,13 @@
 	o.batch.jobs = remaining
 }
 
-// removeRecords deletes the records of a final job. The specification is already deleted
-// unless it holds the job's customer.
+// removeRecords deletes all records of a final job. Its specification is deleted already
+// unless it holds the job's customer. The first record of its progress goes after the
+// others, as it says that they are not valid.
 func (o *Owner) removeRecords(j *jobState) {
-	id := string(j.spec.ID)
-	o.batch.removals = append(o.batch.removals, journal.Record{Key: keyProgress + id})
+	o.batch.removals = append(o.batch.removals, o.takeRemovals(j)...)
+	o.batch.removals = append(o.batch.removals, journal.Record{Key: keyProgress + string(j.spec.ID)})
 	if j.spec.Customer != "" {
-		o.batch.removals = append(o.batch.removals, journal.Record{Key: keySpec + id})
+		o.batch.removals = append(o.batch.removals, journal.Record{Key: keySpec + string(j.spec.ID)})
 	}
 }
