Keep the attempts of a queue that leaves the tables

Callers saw a task start again after all its allowed runs had failed, where the last of them failed while its route was missing from the tables. The owner asked the tables of that moment only, skipped the check without the queue, and never checked again.

The owner now keeps what each queue allowed when the tables last had it, in memory and in a record for each queue, so that the next owner knows it. Failed runs are checked when a run fails and again before each placement. Lowered attempts apply to the next start. Raised ones do not bring back a job that has failed.

--- a/internal/schedule/owner/commit.go
+++ b/internal/schedule/owner/commit.go
@@ -13,6 +13,7 @@
 	keyHeartbeat    = "beat"
 	keyInterference = "harm"
 	keyUnresponsive = "silence"
+	keyAttempts     = "a/" // + queue name: failed runs of a task after which its job fails, by the newest tables that had the queue
 )
 
 // batch is a group of changes for one append.
@@ -201,4 +202,5 @@
 			o.removeRecords(id)
 		}
 	}
+	o.forgetAttempts()
 }
--- a/internal/schedule/owner/load.go
+++ b/internal/schedule/owner/load.go
@@ -56,6 +56,7 @@
 		Int64("since_claim_ms", int64(o.now-o.claimedAt)).Int64("read_ms", int64(age(o.fencedAt, o.now))).
 		Int64("list_epoch", o.loadedList.epoch).Int("list_workers", o.loadedList.workers).
 		Int64("least_rest_ms", int64(o.loadedList.leastRest)).Int64("most_rest_ms", int64(o.loadedList.mostRest)).Send()
+	o.noteAttemptsOfJobs()
 	o.placementDue = true
 	o.unresponsiveChanged = true
 	return nil
@@ -81,6 +82,9 @@
 		progress[id] = decoded
 		return err
 	}
+	if name, ok := strings.CutPrefix(record.Key, keyAttempts); ok {
+		return o.loadAttempts(name, record.Value)
+	}
 	switch record.Key {
 	case keyInterference:
 		return o.interference.Load(record.Value)
--- a/internal/schedule/owner/owner.go
+++ b/internal/schedule/owner/owner.go
@@ -118,11 +118,12 @@
 	loggedReason             rejection                 // leading reason in the last log line on it
 	nextBlockedLogAt         clock.Millis              // earliest next such line
 	failureRate              failureRate
-	resigned                 bool         // the ownership is lost; no input is handled any more
-	placementDue             bool         // a placement pass is due because some input may let a task start
-	nextPassAt               clock.Millis // next placement pass that is due by time alone
-	nextExpiryAt             clock.Millis // next removal of expired final states
-	nextDrainCheckAt         clock.Millis // next check for long-running tasks on draining workers
+	attempts                 map[string]int // failed runs of a task after which its job fails, by queue, as the tables last had it
+	resigned                 bool           // the ownership is lost; no input is handled any more
+	placementDue             bool           // a placement pass is due because some input may let a task start
+	nextPassAt               clock.Millis   // next placement pass that is due by time alone
+	nextExpiryAt             clock.Millis   // next removal of expired final states
+	nextDrainCheckAt         clock.Millis   // next check for long-running tasks on draining workers
 }
 
 // New returns an owner without jobs or workers. Its ownership counts from now.
@@ -142,6 +143,7 @@
 		interference:         interference.New(),
 		trials:               map[trial]int{},
 		failureRate:          initialFailureRate,
+		attempts:             map[string]int{},
 		batchDemands:         map[string]batchDemand{},
 		relocations:          map[*taskState]relocating{},
 	}
@@ -182,6 +184,7 @@
 	o.options.Log.Info().Str("event", "manifest_taken").
 		Int64("version", tables.Version).Int64("before", o.tables.Version).Send()
 	o.tables = tables
+	o.noteAttemptsOfJobs()
 	o.placementDue = true
 }
 
--- a/internal/schedule/owner/place.go
+++ b/internal/schedule/owner/place.go
@@ -76,6 +76,9 @@
 		if task.phase != job.Waiting {
 			continue
 		}
+		if o.failIfUsedUp(task) {
+			return true
+		}
 		if task.notBefore > o.now {
 			o.timers.add(task.notBefore, func() { o.placementDue = true })
 			continue
--- a/internal/schedule/owner/report.go
+++ b/internal/schedule/owner/report.go
@@ -308,16 +308,3 @@
 		o.endJob(j, job.Completed, "all tasks done")
 	}
 }
-
-// countFailure counts a failed run, and fails the job once a task has used up
-// the attempts that its queue allows.
-func (o *Owner) countFailure(task *taskState) {
-	j := task.job
-	task.failures++
-	queue, known := o.tables.Queue(j.spec.Queue)
-	if !known || task.failures < queue.MaxFailures || j.state.Final() {
-		return
-	}
-	o.endJob(j, job.Failed, "a task used up its attempts")
-	o.whenRecorded(func() { o.stopJob(j, "job failed") })
-}
