Do not blame workers for jobs that fail everywhere

After two jobs whose own runs failed, all workers that had run them were marked as failing. Each then took one task at a time, and a task of ten minutes kept everything else off its worker until it ended: urgent jobs waited beside idle processors.

Two failures in a row were evidence against the worker, whatever their jobs did elsewhere. A failed run now counts only if its job and its image do not fail on other workers at least as often as they are done or run on there, and marks are cleared when that shows later. A job's failures count once for its image. A run keeps others off a marked worker for 3 s at most, and one that outlives the failed runs clears the mark.

TestJobsThatFailEverywhereMarkNoWorker and TestLongTrialKeepsOtherWorkOffForAShortTime fail before the change. TestWorkersThatFailLongTasksStandOut guards the other side, and passes with the same 8 failed runs of 40 tasks before and after.

--- a/internal/schedule/owner/owner.go
+++ b/internal/schedule/owner/owner.go
@@ -118,12 +118,14 @@
 	loggedReason             rejection                 // leading reason in the last log line on it
 	nextBlockedLogAt         clock.Millis              // earliest next such line
 	failureRate              failureRate
-	attempts                 map[string]int // failed runs of a task after which its job fails, by queue, as the tables last had it
-	resigned                 bool           // the ownership is lost; no input is handled any more
-	placementDue             bool           // a placement pass is due because some input may let a task start
-	nextPassAt               clock.Millis   // next placement pass that is due by time alone
-	nextExpiryAt             clock.Millis   // next removal of expired final states
-	nextDrainCheckAt         clock.Millis   // next check for long-running tasks on draining workers
+	nextOutcomesCheckAt      clock.Millis            // earliest next removal of old outcomes
+	outcomes                 map[runSource]*outcomes // ends of the runs of jobs and images that have failed lately
+	attempts                 map[string]int          // failed runs of a task after which its job fails, by queue, as the tables last had it
+	resigned                 bool                    // the ownership is lost; no input is handled any more
+	placementDue             bool                    // a placement pass is due because some input may let a task start
+	nextPassAt               clock.Millis            // next placement pass that is due by time alone
+	nextExpiryAt             clock.Millis            // next removal of expired final states
+	nextDrainCheckAt         clock.Millis            // next check for long-running tasks on draining workers
 }
 
 // New returns an owner without jobs or workers. Its ownership counts from now.
@@ -143,6 +145,7 @@
 		interference:         interference.New(),
 		trials:               map[trial]int{},
 		failureRate:          initialFailureRate,
+		outcomes:             map[runSource]*outcomes{},
 		attempts:             map[string]int{},
 		batchDemands:         map[string]batchDemand{},
 		relocations:          map[*taskState]relocating{},
--- a/internal/schedule/owner/place.go
+++ b/internal/schedule/owner/place.go
@@ -272,11 +272,11 @@
 	w := r.worker
 	switch cause {
 	case endDone:
-		o.noteOutcome(w, false)
+		o.noteOutcome(r, false)
 		w.stallsInARow = 0
 		w.lastDoneAt = o.now
 	case endFailed:
-		o.noteOutcome(w, true)
+		o.noteOutcome(r, true)
 		r.task.avoidWorker = w.id
 	case endLeaseLapsed, endWorkerRestarted, endStopped, endNotStarted:
 		r.task.avoidWorker = w.id
--- a/internal/schedule/owner/rating.go
+++ b/internal/schedule/owner/rating.go
@@ -83,7 +83,7 @@
 	switch {
 	case !committedRoom(step.spec).FitsIn(w.freeRoom()):
 		return unsuitable, rejectedRoom
-	case w.isOnTrial():
+	case o.isOnTrial(w):
 		return unsuitable, rejectedFailing
 	case !constraintsAllow(step, w):
 		return unsuitable, rejectedLimits
--- a/internal/schedule/owner/report.go
+++ b/internal/schedule/owner/report.go
@@ -123,6 +123,7 @@
 	if !report.Truncated {
 		o.handleMissing(w, listed)
 	}
+	o.endTrial(w)
 	if o.inStallBackoff(w) {
 		return // tail latencies on a stalled worker are no evidence of interference
 	}
--- a/internal/schedule/owner/workers.go
+++ b/internal/schedule/owner/workers.go
@@ -47,7 +47,10 @@
 	endsRecorded           int64            // highest number of an applied end that is recorded
 	backoffUntil           clock.Millis     // no new runs are placed before it
 	failuresInARow         int              // consecutive failed runs
-	failing                bool             // its consecutive failures are too many to be by chance; valid while failuresInARow is not 0
+	failedRuns             []failedRun      // the newest of them
+	longestFailure         clock.Millis     // the longest time that one of them lived
+	lastFailureAt          clock.Millis     // when a run last failed
+	failing                bool             // its consecutive failures are too many to be by chance, and do not lie with their jobs
 	stallsInARow           int              // consecutive stalls without a completed run
 	lastDoneAt             clock.Millis     // when it last reported a completed run
 	workDone, workExpected float64          // recent work of its batch runs in ms, decayed: done, and expected
