Conclude no stall from percentages that cannot show it

Tasks of ten minutes without an estimate were stopped after 2 to 3 s, started elsewhere from the beginning, and so on without end; their workers were left unused for up to 16 s each time. The same with an estimate that was 20 times too small. Progress is reported in whole percent, so such a task shows no change for 6 s, and 0.7 s or 15% of the estimate were the limit.

The next whole percent is now expected by the pace that the run has shown since its second change. Before that, a busy run gets half of its estimate, which covers 50 times too small ones. Without an estimate, only a run that no longer uses its processors, or misses its own pace, is evidence, and one that uses them stays also on a worker that is stalled by other runs. Each stop doubles the limit of a task. A worker counts as slow only by runs whose whole percents are close enough together.

--- a/internal/schedule/owner/report.go
+++ b/internal/schedule/owner/report.go
@@ -209,6 +209,7 @@
 func (o *Owner) updateRun(r *run, row fleet.Run) {
 	o.updateProgress(r, row)
 	r.usage = row.Usage
+	r.hasUsed = r.hasUsed || usesProcessors(r.task.spec(), row.Usage)
 	r.reportedAt = o.now
 	if row.Checkpoint != "" && row.Checkpoint != r.task.checkpoint {
 		r.task.checkpoint = row.Checkpoint // recorded with the job's next change
--- a/internal/schedule/owner/stall.go
+++ b/internal/schedule/owner/stall.go
@@ -12,17 +12,26 @@
 // progress. Only its report shows it: the completed percentage of runs that are
 // not long-running hardly grows although they use their processors, and long-running tasks stop
 // serving their users.
+//
+// The percentage is a whole number, so a run that takes long shows no change for long.
+// How long is known from the changes that it has shown, and estimated from its estimate,
+// which may be far too small. A run with neither is no evidence while it uses its
+// processors.
 
 // Limits for detecting stalled workers.
 const (
 	stallTimeout        clock.Millis = 700              // time without progress after which a run counts as stalled
 	stallTimeoutShare                = 0.15             // share of the estimated duration of a task that is not long-running, which replaces stallTimeout where it is longer
+	unshownTimeoutShare              = 0.5              // the same for a busy run that has not shown its pace; covers the first percent of a task that takes up to 50 times its estimate
+	stalledIntervals    clock.Millis = 3                // intervals between whole percents that a run has shown, without which it counts as stalled, after stallTimeout
+	idleTimeout         clock.Millis = 5 * clock.Second // time without progress and processor use from which a run without an estimate and a shown pace counts as stalled
+	maxLimitDoublings                = 5                // how often the limit of a task doubles, with each of its runs that was stopped as stalled
 	minRelativeSpeed                 = 0.35             // done over expected work of a worker's runs that are not long-running, below which the worker is slow
 	minExpectedWork                  = 400.0            // milliseconds of expected work below which no worker counts as slow
 	speedDecay                       = 1000.0           // time constant of the exponential decay of done and expected work, in ms
 	startupGrace        clock.Millis = 900              // age at which a run must begin to show progress; restoring a checkpoint takes about so long
 	stalledTailRatio                 = 20.0             // tail latency over target from which a long-running task counts as not serving; such a tail comes from a stall, not from interference
-	minProgressUsage                 = 0.25             // share of its requested processors from which a best-effort run is expected to progress
+	minProgressUsage                 = 0.25             // share of its requested processors from which a best-effort run is expected to progress, and any run counts as busy
 	stallBackoff        clock.Millis = 4 * clock.Second // first backoff of a stalled worker, without new runs
 	maxBackoffDoublings              = 2                // how often the backoff doubles while the worker keeps stalling
 )
@@ -34,7 +43,10 @@
 	spec := r.task.spec()
 	o.addSpeedSample(r, row)
 	progressed := row.Percent != r.percentDone
-	r.progressKnown = r.pace == fullPace && (!spec.Fills || float64(row.Usage) >= minProgressUsage*float64(spec.MilliCPU))
+	if progressed && r.reportedAt != 0 {
+		r.notePercent(row.Percent, o.now)
+	}
+	r.progressKnown = r.pace == fullPace && (!spec.Fills || usesProcessors(spec, row.Usage))
 	if spec.Lasting {
 		r.progressKnown = spec.TargetMS > 0
 		progressed = float64(row.Usage) < stalledTailRatio*float64(spec.TargetMS)
@@ -46,20 +58,64 @@
 	}
 }
 
+// notePercent notes a change of a run's percentage.
+func (r *run) notePercent(percent int, now clock.Millis) {
+	if r.firstChangeAt == 0 {
+		r.firstChangeAt, r.firstChangePercent = now, percent
+	}
+	r.lastChangeAt = now
+}
+
+// percentInterval returns the time that a run has taken for a whole percent, or 0
+// before its second change: it may have been anywhere within the first percent when
+// it was first reported.
+func (r *run) percentInterval() clock.Millis {
+	percents := r.percentDone - r.firstChangePercent
+	if r.firstChangeAt == 0 || percents <= 0 {
+		return 0
+	}
+	return (r.lastChangeAt - r.firstChangeAt) / clock.Millis(percents)
+}
+
+// usesProcessors reports whether a processor use is large enough for progress.
+func usesProcessors(step *job.Step, usage int64) bool {
+	return float64(usage) >= minProgressUsage*float64(step.MilliCPU)
+}
+
+// isIdle reports whether a run that has used its processors no longer does. Not
+// all workers report the use.
+func (r *run) isIdle() bool { return r.hasUsed && !usesProcessors(r.task.spec(), r.usage) }
+
+// worksUnseen reports whether a run may work although its percentage stays the
+// same: it has no estimate, and uses its processors or has shown neither its use nor
+// its pace.
+func (r *run) worksUnseen() bool {
+	spec := r.task.spec()
+	if spec.Lasting || spec.EstimateMS > 0 {
+		return false
+	}
+	return usesProcessors(spec, r.usage) || !r.hasUsed && r.percentInterval() == 0
+}
+
 // addSpeedSample adds the work that a run that is not long-running did since its last report, and
 // the work expected for the processors it got, to the sums of its worker. Runs
-// without an estimate are left out, as no work can be expected of them.
+// without an estimate are left out, as no work can be expected of them, and so are
+// runs whose whole percents are further apart than the sums reach back.
 func (o *Owner) addSpeedSample(r *run, row fleet.Run) {
 	spec := r.task.spec()
 	if spec.Lasting || spec.EstimateMS == 0 || r.reportedAt == 0 || !r.progressKnown || o.now < r.startedAt+startupGrace {
 		return
 	}
+	const wholePercent = 100.0
+	interval := max(float64(spec.EstimateMS)/wholePercent, float64(r.percentInterval()))
+	if interval > speedDecay {
+		return
+	}
 	share := 1.0
 	if spec.Fills {
 		share = min(float64(row.Usage)/float64(max(spec.MilliCPU, 1)), 1)
 	}
-	const wholePercent = 100.0
-	r.worker.workDone += float64(row.Percent-r.percentDone) / wholePercent * float64(spec.EstimateMS)
+	r.worker.workDone += float64(row.Percent-r.percentDone) * interval
 	r.worker.workExpected += float64(o.now-r.reportedAt) * share
 }
 
@@ -78,13 +134,30 @@
 	return w.workExpected >= minExpectedWork && w.workDone < minRelativeSpeed*w.workExpected
 }
 
-// stalled reports whether a run has shown no progress for too long.
-func (o *Owner) stalled(r *run) bool {
-	limit := stallTimeout
-	if spec := r.task.spec(); !spec.Lasting {
-		limit = max(limit, clock.Millis(stallTimeoutShare*float64(spec.EstimateMS)))
+// stallLimit returns the time without progress after which a run counts as
+// stalled, or false if the report cannot show it. It doubles with each run of the
+// task that was stopped as stalled elsewhere.
+func (o *Owner) stallLimit(r *run) (limit clock.Millis, known bool) {
+	spec := r.task.spec()
+	if spec.Lasting {
+		return stallTimeout, true
+	}
+	interval := r.percentInterval()
+	share := stallTimeoutShare
+	switch {
+	case interval > 0 || r.isIdle() && spec.EstimateMS > 0:
+	case spec.EstimateMS > 0:
+		share = unshownTimeoutShare
+	case r.isIdle():
+		limit = idleTimeout
+	default:
+		return 0, false
+	}
+	limit = max(limit, stallTimeout, clock.Millis(share*float64(spec.EstimateMS)))
+	if interval > 0 {
+		limit = max(limit, stallTimeout+stalledIntervals*interval)
 	}
-	return o.now-r.progressedAt >= limit
+	return limit << min(r.task.stalls, maxLimitDoublings), true
 }
 
 // stallCounts counts the runs of a worker by progress.
@@ -92,6 +165,7 @@
 	notLongRunning     int // runs that are not long-running
 	progressKnown      int // of these, runs whose progress the report shows
 	stalledBatch       int // of those, runs that make no progress
+	unseenBatch        int // runs that are not long-running and may work, but have shown no progress for idleTimeout
 	stalledLongRunning int // long-running runs that do not serve their users
 }
 
@@ -99,31 +173,41 @@
 func (o *Owner) stallCounts(w *worker) stallCounts {
 	var sum stallCounts
 	for _, r := range w.sortedRuns() {
-		longRunning := r.task.spec().Lasting
-		if !longRunning {
+		if !r.task.spec().Lasting {
 			sum.notLongRunning++
 		}
-		if r.stage != stageConfirmed || r.reportedAt != o.now || !r.progressKnown || o.now < r.startedAt+startupGrace {
-			continue
+		if r.stage == stageConfirmed && r.reportedAt == o.now && r.progressKnown && o.now >= r.startedAt+startupGrace {
+			o.addStallCount(&sum, r)
 		}
-		stalled := o.stalled(r)
-		switch {
-		case longRunning && stalled:
+	}
+	return sum
+}
+
+// addStallCount counts a run that is expected to progress.
+func (o *Owner) addStallCount(sum *stallCounts, r *run) {
+	limit, known := o.stallLimit(r)
+	unchanged := o.now - r.progressedAt
+	stalled := known && unchanged >= limit
+	switch {
+	case r.task.spec().Lasting:
+		if stalled {
 			sum.stalledLongRunning++
-		case longRunning:
-		default:
-			sum.progressKnown++
-			if stalled {
-				sum.stalledBatch++
-			}
+		}
+	case r.worksUnseen() && (stalled || !known):
+		if unchanged >= idleTimeout {
+			sum.unseenBatch++
+		}
+	default:
+		sum.progressKnown++
+		if stalled {
+			sum.stalledBatch++
 		}
 	}
-	return sum
 }
 
 // isStalled reports whether a worker is stalled: none of its runs that are not
 // long-running progresses, or long-running runs do not serve their users and the
-// other runs are slow or absent. Long-running runs that fail beside progressing
+// other runs are slow or absent, or cannot show whether they work. Long-running runs that fail beside progressing
 // ones may suffer from interference instead. Only runs with known progress
 // count, and a run done within stallTimeout rules out a stall.
 func (o *Owner) isStalled(w *worker, sum stallCounts) bool {
@@ -131,13 +215,14 @@
 	case w.lastDoneAt != 0 && o.now-w.lastDoneAt < stallTimeout:
 		return false
 	case sum.notLongRunning > 0:
-		return sum.progressKnown > 0 && sum.stalledBatch == sum.progressKnown || sum.stalledLongRunning > 0 && w.isSlow()
+		unseenOnly := sum.progressKnown == 0 && sum.unseenBatch > 0
+		return sum.progressKnown > 0 && sum.stalledBatch == sum.progressKnown || sum.stalledLongRunning > 0 && (w.isSlow() || unseenOnly)
 	}
 	return sum.stalledLongRunning > 0
 }
 
-// moveOffStalled moves the runs off a stalled worker and gives it no new ones
-// until its backoff ends. The logged limit_ms is the lower bound of the limit of
+// moveOffStalled moves the runs off a stalled worker, but for those that may work
+// unseen, and gives it no new ones until its backoff ends. The logged limit_ms is the lower bound of the limit of
 // a run.
 func (o *Owner) moveOffStalled(w *worker, sum stallCounts) {
 	backoff := stallBackoff << min(w.stallsInARow, maxBackoffDoublings)
@@ -145,11 +230,13 @@
 	w.backoffUntil = o.now + backoff
 	o.options.Metrics.Stalls.Inc()
 	o.options.Log.Warn().Str("event", "worker_stalled").Str("worker", w.id).Int("runs", len(w.runs)).
-		Int("batch_runs", sum.notLongRunning).Int("stalled_batch_runs", sum.stalledBatch).Int("stalled_long_running_runs", sum.stalledLongRunning).
+		Int("batch_runs", sum.notLongRunning).Int("stalled_batch_runs", sum.stalledBatch).Int("known_batch_runs", sum.progressKnown).
+		Int("unseen_batch_runs", sum.unseenBatch).Int("stalled_long_running_runs", sum.stalledLongRunning).
 		Float64("work_done_ms", w.workDone).Float64("work_expected_ms", w.workExpected).
 		Int64("done_age_ms", int64(o.now-w.lastDoneAt)).Int("stalls_in_a_row", w.stallsInARow).Int64("backoff_ms", int64(backoff)).Int64("limit_ms", int64(stallTimeout)).Send()
 	for _, r := range w.sortedRuns() {
-		if r.stage == stageConfirmed && mayStopOnSuspicion(r.task.spec()) {
+		if r.stage == stageConfirmed && mayStopOnSuspicion(r.task.spec()) && !r.worksUnseen() {
+			r.task.stalls++
 			o.stopRun(r, "its worker stands still")
 		}
 	}
--- a/internal/schedule/owner/state.go
+++ b/internal/schedule/owner/state.go
@@ -54,6 +54,7 @@
 	run          *run         // current run; nil unless assigned
 	waitingSince clock.Millis // since when it could have been placed; 0: since before this ownership
 	notBefore    clock.Millis // earliest next placement, after a refused start
+	stalls       int          // runs stopped by this owner because their worker seemed stalled
 	avoidWorker  string       // id of the worker to avoid, where the last run went wrong
 }
 
@@ -72,25 +73,28 @@
 // run is one start of a task on a worker. It may be executing until it is
 // detached from the worker.
 type run struct {
-	task            *taskState
-	runNumber       int
-	worker          *worker
-	incarnation     int64 // incarnation of the worker that it was placed on
-	stage           stage
-	startUnanswered bool         // a start order got no answer, so the run may begin late
-	startsSent      int          // start orders sent
-	startsOpen      int          // start orders sent and not answered yet
-	orderSentAt     clock.Millis // when the newest start or stop order was sent; 0: never
-	confirmedAt     clock.Millis // when the start, or in stageStopped the stop, was confirmed
-	startedAt       clock.Millis // when the first start order was sent; inherited runs: when confirmed
-	usage           int64        // last reported: tail latency in ms with a target, else milli-CPU in use
-	reportedAt      clock.Millis // when usage was reported; 0: never
-	percentDone     int          // last reported share of its work that is done
-	progressKnown   bool         // the last report shows whether it makes progress
-	progressedAt    clock.Millis // time of its last progress, or the end of startupGrace if later; 0: never reported
-	overTargetSince clock.Millis // since when a long-running task has been above overTargetRatio of its target; 0: it is not
-	pace            int          // ordered share of its speed in percent; fullPace: not slowed
-	stopReason      string       // why it was stopped or not started
+	task                        *taskState
+	runNumber                   int
+	worker                      *worker
+	incarnation                 int64 // incarnation of the worker that it was placed on
+	stage                       stage
+	startUnanswered             bool         // a start order got no answer, so the run may begin late
+	startsSent                  int          // start orders sent
+	startsOpen                  int          // start orders sent and not answered yet
+	orderSentAt                 clock.Millis // when the newest start or stop order was sent; 0: never
+	confirmedAt                 clock.Millis // when the start, or in stageStopped the stop, was confirmed
+	startedAt                   clock.Millis // when the first start order was sent; inherited runs: when confirmed
+	usage                       int64        // last reported: tail latency in ms with a target, else milli-CPU in use
+	reportedAt                  clock.Millis // when usage was reported; 0: never
+	percentDone                 int          // last reported share of its work that is done
+	hasUsed                     bool         // a report showed that it uses its processors
+	firstChangeAt, lastChangeAt clock.Millis // when its percentage was seen to change first and last; 0: never
+	firstChangePercent          int          // percentDone after the first change
+	progressKnown               bool         // the last report shows whether it makes progress
+	progressedAt                clock.Millis // time of its last progress, or the end of startupGrace if later; 0: never reported
+	overTargetSince             clock.Millis // since when a long-running task has been above overTargetRatio of its target; 0: it is not
+	pace                        int          // ordered share of its speed in percent; fullPace: not slowed
+	stopReason                  string       // why it was stopped or not started
 }
 
 // key returns the key that identifies the task in orders and reports.
