End pauses of best-effort tasks that do not help

Best-effort jobs never started where a long-running task on each worker was over its target by its own load: the tasks beside it were paused until it came under its target, no others were placed there, and the pair of images was learned as incompatible.

A task that is reported over its target after nothing has worked beside it for 1.5 s is now over it by its own load. The pause ends, placement no longer counts that task's headroom, nothing is learned from it, and what was learned since it went over its target is forgotten. That holds for 2.5 s, since the load may fall and the tasks beside become the cause; after that they are paused again to see.

--- a/internal/schedule/interference/interference.go
+++ b/internal/schedule/interference/interference.go
@@ -23,6 +23,7 @@
 
 import (
 	"cmp"
+	"maps"
 	"math"
 	"slices"
 
@@ -143,6 +144,27 @@
 	}
 }
 
+// Kept is what was known about one image of long-running tasks at some time.
+type Kept struct {
+	serving string
+	model   *model
+}
+
+// Keep returns a copy of what is known about an image of long-running tasks.
+func (e *Estimator) Keep(serving string) *Kept {
+	kept := &Kept{serving: serving, model: newModel()}
+	if m := e.models[serving]; m != nil {
+		kept.model = m.clone()
+	}
+	return kept
+}
+
+// Restore forgets what was learned about an image since Keep.
+func (e *Estimator) Restore(kept *Kept) {
+	e.models[kept.serving] = kept.model.clone()
+	e.changed = true
+}
+
 // observeLevel adds a level derived from a report to the trend of the group. It
 // counts the more, the smaller the share and the loss of the best-effort tasks.
 func (e *Estimator) observeLevel(sample Sample, level, expectedLoss, totalShare float64) {
@@ -165,6 +187,14 @@
 
 func newModel() *model { return &model{index: map[string]int{}} }
 
+func (m *model) clone() *model {
+	clone := &model{index: maps.Clone(m.index), weights: slices.Clone(m.weights)}
+	for _, row := range m.covariance {
+		clone.covariance = append(clone.covariance, slices.Clone(row))
+	}
+	return clone
+}
+
 func (m *model) estimate(bestEffort string) Estimate {
 	i, seen := m.index[bestEffort]
 	if !seen {
--- a/internal/schedule/interference/interference_test.go
+++ b/internal/schedule/interference/interference_test.go
@@ -113,3 +113,27 @@
 		_ = New().Load(data) // must return an error or load the record, without a panic
 	})
 }
+
+// What was learned about an image while another cause was at work must be forgotten
+// as a whole, and nothing of other images with it.
+func TestRestoreForgetsWhatWasLearnedSinceKeep(t *testing.T) {
+	estimator := New()
+	observe := func(serving string, headroom float64) {
+		const reports = 20
+		for range reports {
+			estimator.Observe(Sample{Serving: serving, Group: "g", Headroom: headroom, Loads: []Load{{Image: "f", Share: 0.1}}})
+		}
+	}
+	observe("a", InitialHeadroom)
+	kept, want := estimator.Keep("a"), estimator.Pair("a", "f")
+	observe("a", InitialHeadroom/2)
+	observe("b", InitialHeadroom/2)
+	other := estimator.Pair("b", "f")
+	if !estimator.Pair("a", "f").Incompatible() {
+		t.Fatalf("the estimate does not show what was observed: %+v", estimator.Pair("a", "f"))
+	}
+	estimator.Restore(kept)
+	if diff := cmp.Diff([]Estimate{want, other}, []Estimate{estimator.Pair("a", "f"), estimator.Pair("b", "f")}); diff != "" {
+		t.Errorf("estimates (-want +got):\n%s", diff)
+	}
+}
--- a/internal/schedule/owner/colocate.go
+++ b/internal/schedule/owner/colocate.go
@@ -43,8 +43,9 @@
 // bestEffortPlan is a worker's capacity for best-effort tasks. It is cached
 // until a run is attached or detached, or the worker reports.
 type bestEffortPlan struct {
-	idleShare float64 // share of the worker's processors that is not used
-	serving   []servingGroup
+	idleShare float64        // share of the worker's processors that is not used
+	serving   []servingGroup // without tasks that are over their target by their own load
+	shared    bool           // the worker has serving tasks, those included
 }
 
 // servingGroup sums up a worker's serving tasks of one job, which share their
@@ -59,6 +60,7 @@
 	unreportedLoss float64 // part of loss that the report does not cover yet
 	taskCount      int
 	warmedUp       bool     // all its tasks have run for tailWarmup, so the tail latency is meaningful
+	inDoubt        bool     // a task was over its target by its own load a moment ago, and has not been within it since
 	unknownImages  []string // best-effort images on the worker whose interference with this image is not known
 }
 
@@ -71,7 +73,10 @@
 		switch {
 		case spec.TargetMS > 0:
 			plan.idleShare -= requested * o.servingCPUUse(r)
-			plan.addServing(r, o.tailRatio(r), o.now)
+			plan.shared = true
+			if !o.overByOwnLoad(r) {
+				plan.addServing(r, o.tailRatio(r), o.now)
+			}
 		case spec.Fills:
 			plan.idleShare -= requested * float64(r.pace) / fullPace
 		default:
@@ -96,6 +101,7 @@
 	group := &p.serving[i]
 	group.headroom += tailRatio
 	group.taskCount++
+	group.inDoubt = group.inDoubt || r.aloneAt != 0
 	group.warmedUp = group.warmedUp && r.stage == stageConfirmed && now-r.startedAt > tailWarmup
 }
 
@@ -213,7 +219,7 @@
 		}
 		maxLoss = max(maxLoss, taskLoss)
 	}
-	if len(plan.serving) > 0 && plan.idleShare-requested < task.spareShare && !relaxed {
+	if plan.shared && plan.idleShare-requested < task.spareShare && !relaxed {
 		return 0, rejectedIdle
 	}
 	speed := min(max(plan.idleShare, 0)/max(requested, minRequestedShare), 1)
@@ -224,7 +230,7 @@
 		return 0, rejectedIdle
 	}
 	score = weightSpeed*speed - weightLoss*maxLoss
-	if len(plan.serving) > 0 {
+	if plan.shared {
 		score += weightIdle * min(plan.idleShare-requested, ampleIdleShare)
 	} else {
 		score += weightIdle*ampleIdleShare + weightNoServing*(task.incompatibleShare-typicalIncompatibleShare)
--- a/internal/schedule/owner/interference.go
+++ b/internal/schedule/owner/interference.go
@@ -30,12 +30,13 @@
 // and moves best-effort tasks off the worker or pauses them when a long-running
 // task comes near its latency target.
 func (o *Owner) handleInterference(w *worker) {
+	o.updateOwnLoad(w)
 	w.planValid = false
 	bestEffortLoads := o.bestEffortLoads(w)
 	lowest := interference.MaxHeadroom
 	for _, group := range o.plan(w).serving {
 		lowest = min(lowest, group.headroom)
-		if group.warmedUp && group.headroom > 1/stalledTailRatio {
+		if group.warmedUp && !group.inDoubt && group.headroom > 1/stalledTailRatio {
 			o.interference.Observe(interference.Sample{Serving: group.image, Group: group.name, At: o.now, Headroom: group.headroom, Loads: bestEffortLoads})
 		}
 	}
@@ -98,7 +99,8 @@
 }
 
 // updateOverTarget updates overTargetSince from a worker's report and returns
-// the longest time that a single task has been over its target. Tasks are checked one by one because the
+// the longest time that a single task has been over its target, but not by its
+// own load. Tasks are checked one by one because the
 // mean of a job may hide one.
 func (o *Owner) updateOverTarget(w *worker) clock.Millis {
 	longest := clock.Millis(0)
@@ -109,8 +111,11 @@
 		switch {
 		case o.tailRatio(r) < overTargetRatio:
 			r.overTargetSince = 0
+		case o.overByOwnLoad(r):
+			r.overTargetSince = r.aloneAt
 		case r.overTargetSince == 0:
 			r.overTargetSince = o.now
+			o.keepModel(r.task.spec().Image)
 		default:
 			longest = max(longest, o.now-r.overTargetSince)
 		}
@@ -146,7 +151,7 @@
 	o.options.Metrics.Paces.Inc()
 	o.logRun("run_paced", r).Int("percent", percent).
 		Int("before", r.pace).Int64("over_target_ms", int64(overTarget)).Int64("report_age_ms", int64(age(r.reportedAt, o.now))).Send()
-	r.pace = percent
+	r.pace, r.paceConfirmed = percent, false
 	o.options.Effects.Pace(fleet.Pace{
 		To: r.worker.address(), Task: r.task.key(), Run: r.runNumber, Percent: percent, Token: o.options.Epoch,
 	})
@@ -159,7 +164,11 @@
 		return
 	}
 	r := o.currentRun(order.Task, order.Run)
-	if r == nil || answer.Outcome == fleet.Accepted || r.pace != order.Percent {
+	if r == nil || r.pace != order.Percent {
+		return
+	}
+	if answer.Outcome == fleet.Accepted {
+		r.paceConfirmed = true
 		return
 	}
 	r.pace = unknownPace
--- a/internal/schedule/owner/owner.go
+++ b/internal/schedule/owner/owner.go
@@ -106,6 +106,7 @@
 
 	timers                   timers
 	interference             *interference.Estimator
+	keptModels               map[string]keptModel      // interference with images of long-running tasks that are over their target, as known before
 	trials                   map[trial]int             // tasks placed to learn an unknown pair of images, by pair
 	trialsStarted            int                       // trials begun so far, one for each unknown pair beside a placed task
 	ratings                  []rating                  // worker scores for the step being placed, by pool
@@ -144,6 +145,7 @@
 		cancelReplies:        map[int]func(Verdict){},
 		interference:         interference.New(),
 		trials:               map[trial]int{},
+		keptModels:           map[string]keptModel{},
 		failureRate:          initialFailureRate,
 		outcomes:             map[runSource]*outcomes{},
 		attempts:             map[string]int{},
--- a/internal/schedule/owner/state.go
+++ b/internal/schedule/owner/state.go
@@ -93,6 +93,8 @@
 	progressKnown               bool         // the last report shows whether it makes progress
 	progressedAt                clock.Millis // time of its last progress, or the end of startupGrace if later; 0: never reported
 	overTargetSince             clock.Millis // since when a long-running task has been above overTargetRatio of its target; 0: it is not
+	aloneAt                     clock.Millis // when it was last reported over its target with nothing at work beside it; 0: not since it was within its target
+	paceConfirmed               bool         // its worker has carried out the newest pace order
 	pace                        int          // ordered share of its speed in percent; fullPace: not slowed
 	stopReason                  string       // why it was stopped or not started
 }
--- a/internal/schedule/owner/workers.go
+++ b/internal/schedule/owner/workers.go
@@ -58,6 +58,7 @@
 	uncertainStarts        []uncertainStart // unanswered starts that may still be executed
 	pace                   int              // pace of its best-effort tasks in percent
 	paceChangedAt          clock.Millis     // when pace last changed
+	quietSince             clock.Millis     // since when no best-effort task has worked on it, by its reports; 0: one works
 	usesLowHeadroomWait    bool             // a long-running task has little headroom, so holds use the wait for low headroom
 	plan                   bestEffortPlan   // summary for best-effort placement, valid if planValid is set
 	planValid              bool
@@ -333,6 +334,9 @@
 	w := r.worker
 	delete(w.runs, r)
 	w.planValid, w.sortedCache = false, nil
+	if r.task.spec().Fills {
+		w.quietSince = 0 // the next report covers a time in which it may have worked
+	}
 	r.task.run = nil
 	r.task.job.runs--
 	w.commitRoom(r.task.spec(), -1)
