Count failures that are reported after a lapse

A task started once more than its queue allows where a run failed while its worker was out of contact: the owner had ended the run as lapsed, and ignored the failure that the worker reported when it was back.

The owner now remembers the numbers of the last runs of a task that it ended as lapsed without their worker, and counts their failures once. The next owner does not know these numbers.

TestFailureReportedAfterTheLapseCounts fails before the change with three starts where two attempts are allowed.

--- a/internal/schedule/owner/attempts.go
+++ b/internal/schedule/owner/attempts.go
@@ -1,7 +1,10 @@
 package owner
 
 import (
+	"slices"
+
 	"github.com/oriolepier/oriolepier/internal/base/codec"
+	"github.com/oriolepier/oriolepier/internal/schedule/fleet"
 	"github.com/oriolepier/oriolepier/internal/schedule/job"
 	"github.com/oriolepier/oriolepier/internal/schedule/journal"
 )
@@ -79,3 +82,30 @@
 	o.whenRecorded(func() { o.stopJob(j, "job failed") })
 	return true
 }
+
+// maxLapsedRuns bounds the lapsed runs of a task whose late failures are counted.
+const maxLapsedRuns = 8
+
+// noteLapse keeps the number of a run that was ended as lapsed.
+func (t *taskState) noteLapse(runNumber int) {
+	t.lapsedRuns = append(t.lapsedRuns, runNumber)
+	t.lapsedRuns = t.lapsedRuns[max(len(t.lapsedRuns)-maxLapsedRuns, 0):]
+}
+
+// countLateFailure counts a failed run that this owner has ended before as lapsed,
+// as its worker was out of contact. Ends that workers repeat were counted before.
+func (o *Owner) countLateFailure(w *worker, end fleet.End) {
+	task := o.task(end.Task)
+	if task == nil || end.Cause != fleet.EndFailed || end.Number <= w.endsApplied || task.spec().Lasting {
+		return
+	}
+	i := slices.Index(task.lapsedRuns, end.Run)
+	if i < 0 {
+		return
+	}
+	task.lapsedRuns = slices.Delete(task.lapsedRuns, i, i+1)
+	if task.phase != job.Done {
+		o.markChanged(task.job)
+		o.countFailure(task)
+	}
+}
--- a/internal/schedule/owner/attempts_test.go
+++ b/internal/schedule/owner/attempts_test.go
@@ -108,3 +108,29 @@
 		}
 	}
 }
+
+// A run that fails on a worker out of contact is an attempt, too: its owner has
+// ended it as lapsed when the worker reports the failure. Repeated reports of it
+// count once.
+func TestFailureReportedAfterTheLapseCounts(t *testing.T) {
+	m := newManualOwner(t, 1, clock.Hour)
+	m.setAttempts(2, 2)
+	m.startRun()
+	m.timeToEnd(m.now)
+	m.acknowledge()
+	failed := fleet.Report{ClockMS: int64(m.now), Incarnation: 1, Ended: []fleet.End{{Number: 1, Task: manualTask, Run: 1, Cause: fleet.EndFailed}}}
+	m.owner.Report("w", failed)
+	m.owner.Report("w", failed)
+	if diff := cmp.Diff(1, m.owner.task(manualTask).failures); diff != "" {
+		t.Errorf("failures (-want +got):\n%s", diff)
+	}
+	m.serve(5 * clock.Second)
+	m.failRun()
+	m.serve(10 * clock.Second)
+	if diff := cmp.Diff(2, len(m.starts)); diff != "" {
+		t.Errorf("starts (-want +got):\n%s", diff)
+	}
+	if diff := cmp.Diff(job.Failed, m.owner.jobs[bestEffortJob].state); diff != "" {
+		t.Errorf("state of the job (-want +got):\n%s", diff)
+	}
+}
--- a/internal/schedule/owner/report.go
+++ b/internal/schedule/owner/report.go
@@ -143,6 +143,7 @@
 		r := o.currentRun(end.Task, end.Run)
 		if r == nil || r.worker != w {
 			o.noteLateEnd(w, end)
+			o.countLateFailure(w, end)
 			continue // the run was ended earlier
 		}
 		o.applyEnd(r, end)
@@ -289,6 +290,9 @@
 	task.phase = job.Waiting
 	task.waitingSince = o.now
 	step.waiting++
+	if end == endLeaseLapsed && by.evidence != evidenceReported {
+		task.noteLapse(r.runNumber)
+	}
 	if end == endFailed && !step.spec.Lasting {
 		o.countFailure(task)
 	}
--- a/internal/schedule/owner/state.go
+++ b/internal/schedule/owner/state.go
@@ -55,6 +55,7 @@
 	waitingSince clock.Millis // since when it could have been placed; 0: since before this ownership
 	notBefore    clock.Millis // earliest next placement, after a refused start
 	stalls       int          // runs stopped by this owner because their worker seemed stalled
+	lapsedRuns   []int        // runs that this owner ended without their workers; one of them may have failed
 	avoidWorker  string       // id of the worker to avoid, where the last run went wrong
 }
 
