Test that coarse percentages do not count for a worker's speed

Guards the part of the change of stall detection that no other test covers: a run whose whole percents are seconds apart, beside a long-running task that does not serve its users.

--- a/internal/schedule/owner/stall_test.go
+++ b/internal/schedule/owner/stall_test.go
@@ -116,6 +116,20 @@
 	}
 }
 
+// Whole percents that are further apart than the sums of a worker's speed reach back
+// must not count for it: a run at full speed would count as slow between them.
+func TestCoarseProgressDoesNotCountForWorkerSpeed(t *testing.T) {
+	o := newHarness(testEntry("w")).owner
+	w := o.workers["w"]
+	spec := jobSpec(bestEffortJob, job.Step{Count: 1, MilliCPU: 2000, EstimateMS: 600000})
+	r := &run{task: &newJob(spec).steps[0].tasks[0], worker: w, progressKnown: true, reportedAt: o.now, pace: fullPace}
+	o.now += 5 * clock.Second
+	o.updateProgress(r, fleet.Run{Percent: 0, Usage: 2000})
+	if w.isSlow() || w.workExpected != 0 {
+		t.Errorf("%g ms of work are expected of the worker, want 0", w.workExpected)
+	}
+}
+
 func TestSlowProgressIsNotAStall(t *testing.T) {
 	got := stoppedJobs(t, func(task job.Task, after clock.Millis) fleet.Run {
 		if task.Job == bestEffortJob {
