Keep the objectives of jobs at a takeover

After a takeover, jobs counted as late and expired by the bare length of their tasks: the new owner computes the deadlines of the jobs that it loads before it has the tables, and did not repeat that when they came. Expired jobs are placed after all others.

The deadlines are now computed again for jobs whose queue is new in the tables.

TestDeadlinesAreKeptAtTakeover fails before the change.

--- a/internal/schedule/owner/objective.go
+++ b/internal/schedule/owner/objective.go
@@ -3,6 +3,7 @@
 import (
 	"github.com/oriolepier/oriolepier/internal/base/clock"
 	"github.com/oriolepier/oriolepier/internal/schedule/job"
+	"github.com/oriolepier/oriolepier/internal/schedule/manifest"
 )
 
 // defaultTaskLength is assumed for a task without an estimate.
@@ -27,6 +28,17 @@
 	return objective{dueAt: j.submittedAt + length, expiresAt: j.submittedAt + expiryFactor*length}
 }
 
+// completeObjectives computes the deadlines of jobs whose queue is new in the tables:
+// those that were loaded at a takeover, before the tables, or whose queue was removed.
+func (o *Owner) completeObjectives(before manifest.Manifest) {
+	for _, j := range o.jobs {
+		_, had := before.Queue(j.spec.Queue)
+		if _, has := o.tables.Queue(j.spec.Queue); has && !had {
+			j.deadlines = o.objective(j)
+		}
+	}
+}
+
 // ampleSlack is the slack from which a job is not urgent at all.
 const ampleSlack clock.Millis = 2500
 
--- a/internal/schedule/owner/objective_test.go
+++ b/internal/schedule/owner/objective_test.go
@@ -7,6 +7,7 @@
 
 	"github.com/oriolepier/oriolepier/internal/base/clock"
 	"github.com/oriolepier/oriolepier/internal/schedule/job"
+	"github.com/oriolepier/oriolepier/internal/schedule/manifest"
 )
 
 // A job of two steps of 2 s each is the more urgent, the closer its objective is
@@ -37,3 +38,21 @@
 		})
 	}
 }
+
+// A new owner loads the jobs before it has the tables. Their deadlines must be those
+// of their queue all the same, or accepted jobs count as expired after a takeover.
+func TestDeadlinesAreKeptAtTakeover(t *testing.T) {
+	queues := []manifest.Queue{{Name: "q", Pools: []string{"pool"}, MaxFailures: 4, ObjectiveFactor: 3, ObjectiveAllowance: 2000}}
+	tables := manifest.New(2, queues, []manifest.Pool{{Name: "pool"}}, manifest.Limits{})
+	m := newManualOwner(t, 1, clock.Hour)
+	m.owner.SetManifest(tables)
+	m.startRun()
+	m.acknowledge()
+	next := newManualOwner(t, 2, m.now)
+	next.owner.tables = manifest.Manifest{}
+	next.load(m)
+	next.owner.SetManifest(tables)
+	if diff := cmp.Diff(m.owner.jobs[bestEffortJob].deadlines, next.owner.jobs[bestEffortJob].deadlines, cmp.AllowUnexported(objective{})); diff != "" {
+		t.Errorf("deadlines (-first owner +next):\n%s", diff)
+	}
+}
--- a/internal/schedule/owner/owner.go
+++ b/internal/schedule/owner/owner.go
@@ -188,8 +188,10 @@
 	}
 	o.options.Log.Info().Str("event", "manifest_taken").
 		Int64("version", tables.Version).Int64("before", o.tables.Version).Send()
+	before := o.tables
 	o.tables = tables
 	o.noteAttemptsOfJobs()
+	o.completeObjectives(before)
 	o.placementDue = true
 }
 
