Request reports sooner beside tasks over their own load

While a long-running task counted as over its target by its own load, its worker was asked for reports at the usual period of 0.8 s only. The time until harm by the tasks beside it is noticed counts from a report.

TestOwnLoadDoesNotPauseBestEffortTasks checks it, and failed before with 70 to 85 of the reports of each case.

--- a/internal/schedule/owner/interference.go
+++ b/internal/schedule/owner/interference.go
@@ -42,7 +42,7 @@
 	}
 	w.planValid = false
 	overTarget := o.updateOverTarget(w)
-	w.usesLowHeadroomWait = lowest < watchHeadroom || overTarget > 0
+	w.usesLowHeadroomWait = lowest < watchHeadroom || overTarget > 0 || w.hasOwnLoad()
 	if lowest < lowHeadroom {
 		o.moveInterfering(w)
 	}
--- a/internal/schedule/owner/own_load.go
+++ b/internal/schedule/owner/own_load.go
@@ -77,6 +77,17 @@
 // its own load.
 func (o *Owner) overByOwnLoad(r *run) bool { return r.aloneAt != 0 && o.now-r.aloneAt < ownLoadKept }
 
+// hasOwnLoad reports whether a long-running task on a worker has been over its target
+// since it was so by its own load.
+func (w *worker) hasOwnLoad() bool {
+	for r := range w.runs {
+		if r.aloneAt != 0 {
+			return true
+		}
+	}
+	return false
+}
+
 // keptModel is what was known about the interference with an image when one of its
 // tasks went over its target.
 type keptModel struct {
--- a/internal/schedule/owner/own_load_test.go
+++ b/internal/schedule/owner/own_load_test.go
@@ -29,6 +29,7 @@
 	shortestGap clock.Millis // shortest time from the end of a pause to the next
 	longestHarm clock.Millis // longest time over the target, only because of working best-effort tasks
 	blamed      bool         // the pair counts as incompatible
+	unwatched   int          // reports over the target after which the next is not requested sooner
 }
 
 const harmPlayTasks = 3 // best-effort
@@ -93,6 +94,9 @@
 			working++
 			return 2000
 		})
+		if tail > 1 && b.now-begun > 2*clock.Second && !b.owner.workers["w"].usesLowHeadroomWait {
+			result.unwatched++
+		}
 		if b.now-begun > clock.Second {
 			steps++
 			worked += working
@@ -122,7 +126,7 @@
 		result := play.run()
 		t.Logf("%s: %+v", name, result)
 		const minWorkShare, minGap = 0.5, 2 * clock.Second
-		if result.workShare < minWorkShare || result.shortestGap < minGap || result.blamed {
+		if result.workShare < minWorkShare || result.shortestGap < minGap || result.blamed || result.unwatched > 0 {
 			t.Errorf("%s: %+v", name, result)
 		}
 	}
