--- a/internal/schedule/owner/commit.go
+++ b/internal/schedule/owner/commit.go
@@ -16,6 +16,7 @@
 	keyHeartbeat    = "beat"
 	keyInterference = "harm"
 	keyUnresponsive = "silence" // + "/" + number: a further record of the list
+	keyAttempts     = "a/"      // + queue name: failed runs of a task after which its job fails, by the newest tables that had the queue
 )
 
 // batch is a group of changes for one append.
@@ -245,4 +246,5 @@
 			o.removeRecords(j)
 		}
 	}
+	o.forgetAttempts()
 }
--- a/internal/schedule/owner/owner.go
+++ b/internal/schedule/owner/owner.go
@@ -113,6 +113,7 @@
 
 	timers                   timers
 	interference             *interference.Estimator
+	keptModels               map[string]keptModel      // interference with images of long-running tasks that are over their target, as known before
 	trials                   map[trial]int             // tasks placed to learn an unknown pair of images, by pair
 	trialsStarted            int                       // trials begun so far, one for each unknown pair beside a placed task
 	ratings                  []rating                  // worker scores for the step being placed, by pool
@@ -125,20 +126,23 @@
 	loggedReason             rejection                 // leading reason in the last log line on it
 	nextBlockedLogAt         clock.Millis              // earliest next such line
 	failureRate              failureRate
-	quotas                   *quota.Ledger          // what customers may have running
-	customers                map[string]*customer   // by name
-	turn                     turn                   // of the customer whose job is being placed
-	waitingWork              map[string]waitingWork // by pool, while there are customers
-	resigned                 bool                   // the ownership is lost; no input is handled any more
-	passes                   int                    // placement passes with usable workers
-	passCost                 int                    // cost of the present pass so far
-	sweep                    int                    // number of the present sweep over all waiting jobs
-	offersPass               int                    // pass in which worker.lastOffer was read
-	hasBlockedSearches       bool                   // a step may be skipped in the next pass
-	placementDue             bool                   // a placement pass is due because some input may let a task start
-	nextPassAt               clock.Millis           // next placement pass that is due by time alone
-	nextExpiryAt             clock.Millis           // next removal of expired final states
-	nextDrainCheckAt         clock.Millis           // next check for long-running tasks on draining workers
+	nextOutcomesCheckAt      clock.Millis            // earliest next removal of old outcomes
+	outcomes                 map[runSource]*outcomes // ends of the runs of jobs and images that have failed lately
+	attempts                 map[string]int          // failed runs of a task after which its job fails, by queue, as the tables last had it
+	quotas                   *quota.Ledger           // what customers may have running
+	customers                map[string]*customer    // by name
+	turn                     turn                    // of the customer whose job is being placed
+	waitingWork              map[string]waitingWork  // by pool, while there are customers
+	resigned                 bool                    // the ownership is lost; no input is handled any more
+	passes                   int                     // placement passes with usable workers
+	passCost                 int                     // cost of the present pass so far
+	sweep                    int                     // number of the present sweep over all waiting jobs
+	offersPass               int                     // pass in which worker.lastOffer was read
+	hasBlockedSearches       bool                    // a step may be skipped in the next pass
+	placementDue             bool                    // a placement pass is due because some input may let a task start
+	nextPassAt               clock.Millis            // next placement pass that is due by time alone
+	nextExpiryAt             clock.Millis            // next removal of expired final states
+	nextDrainCheckAt         clock.Millis            // next check for long-running tasks on draining workers
 }
 
 // New returns an owner without jobs or workers. Its ownership counts from now.
@@ -159,9 +163,12 @@
 		cancelReplies:        map[int]func(Verdict){},
 		interference:         interference.New(),
 		trials:               map[trial]int{},
+		keptModels:           map[string]keptModel{},
 		failureRate:          initialFailureRate,
 		quotas:               quota.New(),
 		customers:            map[string]*customer{},
+		outcomes:             map[runSource]*outcomes{},
+		attempts:             map[string]int{},
 		batchDemands:         map[string]batchDemand{},
 		relocations:          map[*taskState]relocating{},
 		sweep:                1,
@@ -204,9 +211,11 @@
 	}
 	o.options.Log.Info().Str("event", "manifest_taken").
 		Int64("version", tables.Version).Int64("before", o.tables.Version).Send()
-	first := o.tables.Version == 0
+	before := o.tables
 	o.tables = tables
-	o.setCustomers(first)
+	o.setCustomers()
+	o.noteAttemptsOfJobs()
+	o.completeObjectives(before)
 	o.placementDue = true
 }
 
--- a/internal/schedule/owner/place.go
+++ b/internal/schedule/owner/place.go
@@ -62,6 +62,9 @@
 		if task.phase != job.Waiting {
 			continue
 		}
+		if o.failIfUsedUp(task) {
+			return true
+		}
 		if task.notBefore > o.now {
 			o.timers.add(task.notBefore, func() { o.placementDue = true })
 			continue
@@ -268,11 +271,11 @@
 	w := r.worker
 	switch cause {
 	case endDone:
-		o.noteOutcome(w, false)
+		o.noteOutcome(r, false)
 		w.stallsInARow = 0
 		w.lastDoneAt = o.now
 	case endFailed:
-		o.noteOutcome(w, true)
+		o.noteOutcome(r, true)
 		r.task.avoidWorker = w.id
 	case endLeaseLapsed, endWorkerRestarted, endStopped, endNotStarted:
 		r.task.avoidWorker = w.id
--- a/internal/schedule/owner/placement_pass.go
+++ b/internal/schedule/owner/placement_pass.go
@@ -125,11 +125,12 @@
 	labels    []string
 }
 
-func (w *worker) offer(pass int) workerState {
+// offer reads what a worker offers in the present pass.
+func (o *Owner) offer(w *worker) workerState {
 	free := w.freeRoom()
 	return workerState{
-		pass: pass, free: [3]int64{free.MilliCPU, free.MemoryMB, free.GPUs},
-		runsEnded: w.runsEnded, reserved: w.reserved, onTrial: w.isOnTrial(), labels: w.entry.Labels,
+		pass: o.passes, free: [3]int64{free.MilliCPU, free.MemoryMB, free.GPUs},
+		runsEnded: w.runsEnded, reserved: w.reserved, onTrial: o.isOnTrial(w), labels: w.entry.Labels,
 	}
 }
 
@@ -148,7 +149,7 @@
 	}
 	for _, pool := range pools {
 		for _, w := range pool.workers {
-			if w.lastOffer.pass != o.passes-1 || !w.offer(o.passes).same(w.lastOffer) {
+			if w.lastOffer.pass != o.passes-1 || !o.offer(w).same(w.lastOffer) {
 				pool.changed = append(pool.changed, w)
 			}
 		}
@@ -161,7 +162,7 @@
 func (o *Owner) readOffers(pools map[string]*poolCapacity) {
 	for _, pool := range pools {
 		for _, w := range pool.workers {
-			w.lastOffer = w.offer(o.passes)
+			w.lastOffer = o.offer(w)
 		}
 	}
 	o.offersPass = o.passes
--- a/internal/schedule/owner/quota.go
+++ b/internal/schedule/owner/quota.go
@@ -55,20 +55,13 @@
 }
 
 // setCustomers applies the customers of new tables.
-func (o *Owner) setCustomers(first bool) {
+func (o *Owner) setCustomers() {
 	listed := o.tables.Customers()
 	if len(listed) == 0 && o.quotas.Empty() {
 		return
 	}
 	o.quotas.SetCustomers(listed)
 	o.labelCustomers(listed)
-	for _, j := range o.jobs {
-		// The first tables arrive after the recorded state. A later limit does not
-		// change the objective of jobs that were accepted under an earlier one.
-		if first && j.account != nil {
-			j.deadlines = o.objective(j)
-		}
-	}
 }
 
 // holdsBack reports whether a customer's limit keeps the next task of a step
--- a/internal/schedule/owner/report.go
+++ b/internal/schedule/owner/report.go
@@ -126,6 +126,7 @@
 	if !report.Truncated {
 		o.handleMissing(w, listed)
 	}
+	o.endTrial(w)
 	if o.inStallBackoff(w) {
 		return // tail latencies on a stalled worker are no evidence of interference
 	}
@@ -145,6 +146,7 @@
 		r := o.currentRun(end.Task, end.Run)
 		if r == nil || r.worker != w {
 			o.noteLateEnd(w, end)
+			o.countLateFailure(w, end)
 			continue // the run was ended earlier
 		}
 		o.applyEnd(r, end)
@@ -211,6 +213,7 @@
 func (o *Owner) updateRun(r *run, row fleet.Run) {
 	o.updateProgress(r, row)
 	r.usage = row.Usage
+	r.hasUsed = r.hasUsed || usesProcessors(r.task.spec(), row.Usage)
 	r.reportedAt = o.now
 	o.keepCheckpoint(r.task, row.Checkpoint)
 	switch r.stage {
@@ -302,6 +305,9 @@
 	task.phase = job.Waiting
 	task.waitingSince = o.now
 	step.waiting++
+	if end == endLeaseLapsed && by.evidence != evidenceReported {
+		task.noteLapse(r.runNumber)
+	}
 	if end == endFailed && !step.spec.Lasting {
 		o.countFailure(task)
 	}
@@ -323,16 +329,3 @@
 		o.endJob(j, job.Completed, "all tasks done")
 	}
 }
-
-// countFailure counts a failed run, and fails the job once a task has used up
-// the attempts that its queue allows.
-func (o *Owner) countFailure(task *taskState) {
-	j := task.job
-	task.failures++
-	queue, known := o.tables.Queue(j.spec.Queue)
-	if !known || task.failures < queue.MaxFailures || j.state.Final() {
-		return
-	}
-	o.endJob(j, job.Failed, "a task used up its attempts")
-	o.whenRecorded(func() { o.stopJob(j, "job failed") })
-}
--- a/internal/schedule/owner/undecided_test.go
+++ b/internal/schedule/owner/undecided_test.go
@@ -89,9 +89,7 @@
 	verdicts := m.submitTo("q")
 	m.advance(m.owner.options.Times.StoreTimeout + 25)
 	before := len(*verdicts)
-	m.acknowledge()
-	m.advance(25)
-	m.acknowledge()
+	m.settle()
 	if diff := cmp.Diff([]Ruling{Recorded}, *verdicts); diff != "" || before > 0 {
 		t.Errorf("%d rulings before the store was back; rulings (-want +got):\n%s", before, diff)
 	}
--- a/internal/schedule/owner/workers.go
+++ b/internal/schedule/owner/workers.go
@@ -51,7 +51,10 @@
 	endsRecorded           int64            // highest number of an applied end that is recorded
 	backoffUntil           clock.Millis     // no new runs are placed before it
 	failuresInARow         int              // consecutive failed runs
-	failing                bool             // its consecutive failures are too many to be by chance; valid while failuresInARow is not 0
+	failedRuns             []failedRun      // the newest of them
+	longestFailure         clock.Millis     // the longest time that one of them lived
+	lastFailureAt          clock.Millis     // when a run last failed
+	failing                bool             // its consecutive failures are too many to be by chance, and do not lie with their jobs
 	stallsInARow           int              // consecutive stalls without a completed run
 	lastDoneAt             clock.Millis     // when it last reported a completed run
 	workDone, workExpected float64          // recent work of its batch runs in ms, decayed: done, and expected
@@ -61,6 +64,7 @@
 	uncertainGrant         uncertainGrant   // leases of unanswered orders that may still be executed
 	pace                   int              // pace of its best-effort tasks in percent
 	paceChangedAt          clock.Millis     // when pace last changed
+	quietSince             clock.Millis     // since when no best-effort task has worked on it, by its reports; 0: one works
 	usesLowHeadroomWait    bool             // a long-running task has little headroom, so holds use the wait for low headroom
 	plan                   bestEffortPlan   // summary for best-effort placement, valid if planValid is set
 	planValid              bool
@@ -376,6 +380,9 @@
 	delete(w.runs, r)
 	w.runsEnded++
 	w.planValid, w.sortedCache = false, nil
+	if r.task.spec().Fills {
+		w.quietSince = 0 // the next report covers a time in which it may have worked
+	}
 	r.task.run = nil
 	r.task.job.runs--
 	w.commitRoom(r.task.spec(), -1)
