--- a/internal/operator/crowd/crowd_test.go
+++ b/internal/operator/crowd/crowd_test.go
@@ -48,11 +48,10 @@
 	for number := range clients {
 		group.Go(func() error {
 			conn, err := net.DialTimeout("tcp", address, sendTimeout)
-			if err != nil {
-				return nil // the entry may refuse connections
+			if err == nil { // else the entry refuses connections, which it may
+				conns[number] = conn
+				behave(&client{number: number, conn: conn})
 			}
-			conns[number] = conn
-			behave(&client{number: number, conn: conn})
 			return nil
 		})
 	}
