Bound what callers can make an entry hold

Operators saw an entry of 284 MB grow to 587 MB under 1,500 connections whose bodies stop one byte short: each body was read into memory without a bound over all connections, without a deadline, on a listener without a bound.

Package budget owns connections, bytes of bodies, requests that other entries forward and the memory for the owner's jobs, from memory_mb and file_descriptors. The body or connection that has held the most for the longest time is refused first; a refusal is 503 with Retry-After before anything is forwarded, or 408, and the connection ends.

--- a/internal/schedule/owner/submit.go
+++ b/internal/schedule/owner/submit.go
@@ -3,6 +3,8 @@
 import (
 	"slices"
 
+	"github.com/samber/lo"
+
 	"github.com/oriolepier/oriolepier/internal/base/clock"
 	"github.com/oriolepier/oriolepier/internal/schedule/job"
 	"github.com/oriolepier/oriolepier/internal/schedule/journal"
@@ -119,9 +121,17 @@
 	if o.lacksLongRunningCapacity(queue.Pools, spec) {
 		return Verdict{Ruling: Refused, Reason: "no room for more lasting tasks", RetryAfter: longRunningRetryAfter}
 	}
+	if o.options.AdmitTasks != nil && !o.options.AdmitTasks(taskCount(spec)) {
+		return Verdict{Ruling: Refused, Reason: "the owner's memory for jobs is in use", RetryAfter: clock.Second}
+	}
 	return Verdict{Ruling: Recorded}
 }
 
+// taskCount returns the number of tasks of a job.
+func taskCount(spec job.Spec) int {
+	return lo.SumBy(spec.Steps, func(step job.Step) int { return step.Count })
+}
+
 // tooLarge reports whether some step's tasks fit on no known worker of some
 // pools. It is false while no worker of these pools is known.
 func (o *Owner) tooLarge(pools []string, spec job.Spec) bool {
--- a/internal/site/daemon/daemon.go
+++ b/internal/site/daemon/daemon.go
@@ -31,6 +31,7 @@
 	"github.com/oriolepier/oriolepier/internal/base/clock"
 	"github.com/oriolepier/oriolepier/internal/base/logline"
 	"github.com/oriolepier/oriolepier/internal/schedule/owner"
+	"github.com/oriolepier/oriolepier/internal/site/budget"
 	"github.com/oriolepier/oriolepier/internal/site/linkshard"
 	"github.com/oriolepier/oriolepier/internal/site/ownership"
 	"github.com/oriolepier/oriolepier/internal/site/peer"
@@ -89,6 +90,7 @@
 	logger        zerolog.Logger
 	sink          *logline.Sink
 	metrics       *metrics.Set
+	budget        *budget.Budget
 	ownerMetrics  *owner.Metrics
 	linkMetrics   *linkshard.Metrics
 	store         platform.Store
@@ -171,8 +173,8 @@
 		Epoch: epoch, Topic: platform.Topic(cellTopic), Clock: d.clock, Log: d.store.Log(),
 		Dispatcher: pool.Dispatch(),
 		Times:      owner.DefaultTimes(d.settings.Bounds.MaxLease, d.settings.Bounds.StatusKept),
-		Cores:      d.settings.Limits.Cores,
-		Logger:     d.logger, Metrics: d.ownerMetrics, Tables: d.tables.Since, Workers: d.listWorkers(pool),
+		Cores:      d.settings.Limits.Cores, AdmitTasks: d.budget.Jobs.Admit,
+		Logger: d.logger, Metrics: d.ownerMetrics, Tables: d.tables.Since, Workers: d.listWorkers(pool),
 		PreviousOwner: previousOwner.Name, PreviousOwnerStopped: previousOwner.Stopped,
 	})
 	d.previousOwner.Store(&previousOwner)
--- a/internal/site/daemon/serve.go
+++ b/internal/site/daemon/serve.go
@@ -18,6 +18,7 @@
 	"github.com/oriolepier/oriolepier/internal/schedule/job"
 	"github.com/oriolepier/oriolepier/internal/schedule/manifest"
 	"github.com/oriolepier/oriolepier/internal/schedule/owner"
+	"github.com/oriolepier/oriolepier/internal/site/budget"
 	"github.com/oriolepier/oriolepier/internal/site/front"
 	"github.com/oriolepier/oriolepier/internal/site/gateway"
 	"github.com/oriolepier/oriolepier/internal/site/peer"
@@ -30,7 +31,7 @@
 const (
 	headerTimeout  = 3 * time.Second
 	idleTimeout    = 60 * time.Second
-	maxHeaderBytes = 64 << 10
+	maxHeaderBytes = 32 << 10 // twice the header_bytes of the manifests
 )
 
 // service is a part run by the supervisor.
@@ -54,6 +55,7 @@
 		Timeout: d.shutdownPlan().serving + time.Second,
 	})
 	parts := []service{
+		{name: "budget", run: d.budget.Serve},
 		{name: "tables", run: d.tables.Serve},
 		{name: "ownership", run: d.elector.Serve},
 		{name: "peers", run: d.servePeers},
@@ -79,12 +81,12 @@
 
 func (d *Daemon) serveCallers(ctx context.Context) error {
 	ownerRelay := relay.New(relay.Options{Clock: d.clock, Current: d.elector.Current, LocalOwner: d.owner, Peers: d.peers})
-	return d.serveHTTP(ctx, d.settings.Consumer, front.New(front.Options{
+	return d.serveHTTP(ctx, d.settings.Consumer, d.budget.Callers, front.New(front.Options{
 		Clock: d.clock, Logger: d.logger, Metrics: d.metrics,
 		Manifest:      func() manifest.Manifest { return d.tables.Current().Manifest },
 		Client:        ownerRelay,
 		CallerTimeout: platform.CallerTimeout,
-		Decode:        platform.DecodeSubmission,
+		Decode:        d.decodeSubmission,
 		State:         func(state job.State) any { return platform.EncodeState(state) },
 		Count:         func(waiting int) any { return platform.CountBody{Waiting: waiting} },
 		Proxy:         d.requestHandler(),
@@ -99,10 +101,16 @@
 	return d.proxy
 }
 
+// decodeSubmission decodes the body of a submission within the budget.
+func (d *Daemon) decodeSubmission(data []byte) (spec job.Spec, err error) {
+	d.budget.Decode(data, func() { spec, err = platform.DecodeSubmission(data) })
+	return spec, err
+}
+
 func (d *Daemon) serveReadiness(ctx context.Context) error {
 	mux := http.NewServeMux()
 	mux.HandleFunc("GET "+platform.PathReady, d.handleReadiness)
-	return d.serveHTTP(ctx, d.settings.Ready, mux)
+	return d.serveHTTP(ctx, d.settings.Ready, d.budget.Side, mux)
 }
 
 // requireToken answers 401 to requests without the operators' token, if one is
@@ -145,32 +153,39 @@
 		_, _ = writer.Write(data) // the client may have disconnected
 	})
 	mux.HandleFunc("GET /ready", d.handleReadiness)
-	return d.serveHTTP(ctx, d.operatorAddress(), d.requireToken(mux))
+	return d.serveHTTP(ctx, d.operatorAddress(), d.budget.Side, d.requireToken(mux))
 }
 
 // serveHTTP listens on an address and serves until the context ends, with a
-// graceful shutdown.
-func (d *Daemon) serveHTTP(ctx context.Context, address string, handler http.Handler) error {
-	listener, err := new(net.ListenConfig).Listen(ctx, "tcp", address)
+// graceful shutdown. What its peers can make it hold is bounded by bound.
+func (d *Daemon) serveHTTP(ctx context.Context, address string, bound func(net.Listener) *budget.Listener, handler http.Handler) error {
+	tcp, err := budget.ListenConfig().Listen(ctx, "tcp", address)
 	if err != nil {
 		return fault.New(fault.NotRun, "listen", address, err)
 	}
+	bounded := bound(tcp)
+	var listener net.Listener = bounded
 	if d.options.Standalone != nil && d.options.Standalone.Keys != nil {
 		listener = tls.NewListener(listener, d.options.Standalone.Keys.Server())
 	}
-	return serveUntil(ctx, listener, handler, d.shutdownPlan().serving)
+	return serveUntil(ctx, listener, bounded.Handler(handler), d.shutdownPlan().serving, func(server *http.Server) {
+		server.ConnContext, server.ConnState = bounded.ConnContext, bounded.ConnState
+	})
 }
 
 // serveUntil serves until the context ends, and then gives in-flight requests
 // the serving time to complete. The contexts of requests still in flight are
 // cancelled abortMargin before its end, so that their callers still get an answer.
-func serveUntil(ctx context.Context, listener net.Listener, handler http.Handler, serving time.Duration) error {
+func serveUntil(ctx context.Context, listener net.Listener, handler http.Handler, serving time.Duration, settings ...func(*http.Server)) error {
 	requestsCtx, abortRequests := context.WithCancel(context.WithoutCancel(ctx))
 	defer abortRequests()
 	server := &http.Server{
 		Handler: handler, ReadHeaderTimeout: headerTimeout, IdleTimeout: idleTimeout, MaxHeaderBytes: maxHeaderBytes,
 		BaseContext: func(net.Listener) context.Context { return requestsCtx },
 	}
+	for _, set := range settings {
+		set(server)
+	}
 	group, serverCtx := errgroup.WithContext(context.WithoutCancel(ctx))
 	group.Go(func() error { return server.Serve(listener) })
 	address := listener.Addr().String()
@@ -231,7 +246,7 @@
 		},
 		OpenLink: d.shard.Serve,
 	})
-	return server.Serve(ctx, listener)
+	return server.WithBudget(d.budget).Serve(ctx, listener)
 }
 
 // notOwner is the answer of an entry that does not own the cell.
--- a/internal/site/daemon/wire.go
+++ b/internal/site/daemon/wire.go
@@ -18,6 +18,7 @@
 	"github.com/oriolepier/oriolepier/internal/schedule/fleet"
 	"github.com/oriolepier/oriolepier/internal/schedule/journal"
 	"github.com/oriolepier/oriolepier/internal/schedule/owner"
+	"github.com/oriolepier/oriolepier/internal/site/budget"
 	"github.com/oriolepier/oriolepier/internal/site/linkshard"
 	"github.com/oriolepier/oriolepier/internal/site/ownership"
 	"github.com/oriolepier/oriolepier/internal/site/peer"
@@ -40,6 +41,7 @@
 	do.ProvideValue(injector, platform.NewWorkers(settings.Limits.Cores))
 	do.ProvideValue(injector, peer.NewClient(options.security()))
 	do.Provide(injector, newLogger)
+	do.Provide(injector, newBudget)
 	do.Provide(injector, newLinkMetrics)
 	do.Provide(injector, newShard)
 	do.Provide(injector, newTables)
@@ -113,6 +115,14 @@
 	}), nil
 }
 
+func newBudget(injector do.Injector) (*budget.Budget, error) {
+	limits := do.MustInvoke[platform.Settings](injector).Limits
+	derived := budget.Derive(limits.MemoryMB, limits.Descriptors).With(budget.Limits{
+		Connections: limits.CallerConnections, BodyBytes: limits.CallerBodyBytes, BodyRate: limits.CallerBodyRate,
+	})
+	return budget.New(derived, clock.New(), do.MustInvoke[zerolog.Logger](injector), do.MustInvoke[*metrics.Set](injector)), nil
+}
+
 func newLinkMetrics(injector do.Injector) (*linkshard.Metrics, error) {
 	return linkshard.NewMetrics(do.MustInvoke[*metrics.Set](injector)), nil
 }
@@ -136,6 +146,7 @@
 		logger:       do.MustInvoke[zerolog.Logger](injector),
 		sink:         do.MustInvoke[*logline.Sink](injector),
 		metrics:      set,
+		budget:       do.MustInvoke[*budget.Budget](injector),
 		ownerMetrics: owner.NewMetrics(set),
 		store:        do.MustInvoke[platform.Store](injector),
 		linkMetrics:  do.MustInvoke[*linkshard.Metrics](injector),
--- a/internal/site/front/front.go
+++ b/internal/site/front/front.go
@@ -1,7 +1,7 @@
 // Package front serves the job API over HTTP: it matches a request to a queue,
 // decodes it, sends it to the owner, and maps the reply to a status.
 //
-//	POST   PREFIX + ID   submit a job        200 | 400 | 404 | 413 | 422 | 501 | 503 | 504
+//	POST   PREFIX + ID   submit a job        200 | 400 | 404 | 408 | 413 | 422 | 501 | 503 | 504
 //	GET    PREFIX + ID   state of a job      200 | 400 | 404 | 410 | 503
 //	DELETE PREFIX + ID   cancel a job        200 | 400 | 404 | 410 | 503 | 504
 //	GET    PREFIX        count waiting jobs  200 | 404 | 503
@@ -81,6 +81,7 @@
 	body       any // nil: an reasonBody with the reason
 	reason     string
 	retryAfter clock.Millis
+	closes     bool // the connection ends with this answer
 }
 
 // reasonBody is the body of an answer that carries only a reason.
@@ -104,7 +105,7 @@
 		return
 	}
 	x := &exchange{request: request, started: h.options.Clock.Now(), tables: h.options.Manifest()}
-	timeout := max(h.options.CallerTimeout(request, defaultTimeout)-answerMargin, minTimeout)
+	timeout := min(max(h.options.CallerTimeout(request, defaultTimeout)-answerMargin, minTimeout), maxTimeout)
 	ctx, cancel := context.WithTimeout(request.Context(), timeout.Duration())
 	defer cancel()
 	result := h.answer(ctx, x)
@@ -179,12 +180,8 @@
 		limit = defaultBodyBytes
 	}
 	data, err := io.ReadAll(http.MaxBytesReader(nil, x.request.Body, limit))
-	var tooLarge *http.MaxBytesError
-	if errors.As(err, &tooLarge) {
-		return spec, answer{status: http.StatusRequestEntityTooLarge, reason: "the body is over " + strconv.FormatInt(limit, 10) + " bytes"}
-	}
 	if err != nil {
-		return spec, answer{status: http.StatusBadRequest, reason: "the body could not be read"}
+		return spec, bodyFailure(err, limit)
 	}
 	spec, err = h.options.Decode(data)
 	if err != nil {
@@ -266,6 +263,9 @@
 		seconds := (result.retryAfter + clock.Second - 1) / clock.Second
 		header.Set("Retry-After", strconv.FormatInt(int64(seconds), 10))
 	}
+	if result.closes {
+		header.Set("Connection", "close")
+	}
 	writer.WriteHeader(result.status)
 	_, _ = writer.Write(data) // the caller may have disconnected
 }
--- a/internal/site/peer/server.go
+++ b/internal/site/peer/server.go
@@ -13,6 +13,7 @@
 
 	"github.com/oriolepier/oriolepier/internal/base/fault"
 	"github.com/oriolepier/oriolepier/internal/schedule/owner"
+	"github.com/oriolepier/oriolepier/internal/site/budget"
 	"github.com/oriolepier/oriolepier/internal/site/linkshard"
 )
 
@@ -34,11 +35,20 @@
 	security        Security
 	handlers        Handlers
 	openConnections atomic.Int64
+	connections     int64        // largest number
+	forwarded       *budget.Pool // bytes of requests of callers that are not answered; nil: no limit
 }
 
 // NewServer returns a server; Serve accepts its connections.
 func NewServer(security Security, handlers Handlers) *Server {
-	return &Server{security: security, handlers: handlers}
+	return &Server{security: security, handlers: handlers, connections: maxConnections}
+}
+
+// WithBudget bounds the connections and the requests of callers that are not
+// answered, and returns the server. It is called before Serve.
+func (s *Server) WithBudget(bounds *budget.Budget) *Server {
+	s.connections, s.forwarded = int64(bounds.Limits().PeerConnections), bounds.Forwarded
+	return s
 }
 
 // Serve accepts connections until the context ends; it closes the listener.
@@ -60,7 +70,7 @@
 			if err != nil {
 				return fault.New(fault.NotRun, "accept peer", listener.Addr().String(), err)
 			}
-			if s.openConnections.Load() >= maxConnections {
+			if s.openConnections.Load() >= s.connections {
 				_ = conn.Close()
 				continue
 			}
@@ -78,7 +88,7 @@
 func (s *Server) handle(ctx context.Context, conn net.Conn) {
 	ctx, cancel := context.WithCancel(ctx)
 	defer cancel()
-	ses := &session{token: s.security.Token, handlers: s.handlers, orderBatches: make(chan []byte, maxQueuedBatches)}
+	ses := &session{token: s.security.Token, handlers: s.handlers, forwarded: s.forwarded, orderBatches: make(chan []byte, maxQueuedBatches)}
 	ses.authenticated.Store(s.security.Token == "")
 	handler := jsonrpc2.AsyncHandler(ses)
 	rpc := jsonrpc2.NewConn(ctx, jsonrpc2.NewBufferedStream(conn, boundedCodec{}), handler, discardLog)
@@ -93,6 +103,7 @@
 type session struct {
 	token         string
 	handlers      Handlers
+	forwarded     *budget.Pool
 	authenticated atomic.Bool // the caller has presented the token, or none is required
 	linkOpened    atomic.Bool // a link session was opened
 	orderBatches  chan []byte // received for the link session
@@ -135,13 +146,13 @@
 	case methodHeard:
 		return callHandler(ctx, request, s.handlers.OwnerContact)
 	case methodSubmit:
-		return callHandler(ctx, request, s.handlers.Submit)
+		return callBounded(ctx, s, request, s.handlers.Submit)
 	case methodCancel:
-		return callHandler(ctx, request, s.handlers.Cancel)
+		return callBounded(ctx, s, request, s.handlers.Cancel)
 	case methodLookup:
-		return callHandler(ctx, request, s.handlers.Lookup)
+		return callBounded(ctx, s, request, s.handlers.Lookup)
 	case methodWaiting:
-		return callHandler(ctx, request, s.handlers.CountWaiting)
+		return callBounded(ctx, s, request, s.handlers.CountWaiting)
 	case methodTables:
 		return callHandler(ctx, request, s.handlers.Tables)
 	case methodOrders:
@@ -160,6 +171,27 @@
 	return credentials{}, nil
 }
 
+// Memory of a request of a caller until it is answered: a goroutine, and its
+// parameters as received and as decoded.
+const (
+	forwardedBytes  = 4 << 10
+	forwardedFactor = 3
+)
+
+// callBounded is callHandler within the budget. A request beyond it is not carried
+// out; the error tells its sender so.
+func callBounded[Query, Answer any](ctx context.Context, s *session, request *jsonrpc2.Request, handler func(context.Context, Query) Answer) (any, error) {
+	size := int64(forwardedBytes)
+	if request.Params != nil {
+		size += forwardedFactor * int64(len(*request.Params))
+	}
+	if err := s.forwarded.Take(size); err != nil {
+		return nil, err
+	}
+	defer s.forwarded.Return(size)
+	return callHandler(ctx, request, handler)
+}
+
 func callHandler[Query, Answer any](ctx context.Context, request *jsonrpc2.Request, handler func(context.Context, Query) Answer) (any, error) {
 	query, err := decode[Query](request.Params)
 	if err != nil {
