Close refused connections for new ones, and read the clock less often

A refused connection stays half open for 500 ms so that its caller reads the refusal; a flood of them delayed new connections by 250 ms. They now make room after 50 ms, and at once if the caller is gone.

--- a/internal/site/budget/body.go
+++ b/internal/site/budget/body.go
@@ -33,7 +33,7 @@
 			return
 		}
 		if request.ContentLength == 0 {
-			c.enter(serving)
+			c.proceed(serving)
 			defer c.enter(ending)
 			inner.ServeHTTP(writer, request)
 			return
@@ -86,7 +86,7 @@
 		return count, nil
 	case err == io.EOF:
 		b.left.Store(false)
-		b.conn.enter(serving)
+		b.conn.proceed(serving)
 	case b.conn.refused.Load():
 		return count, ErrRefused
 	case b.conn.slow.Load():
--- a/internal/site/budget/listener.go
+++ b/internal/site/budget/listener.go
@@ -21,6 +21,7 @@
 	acceptPause  clock.Millis = 10  // between two searches for a connection to close
 	reserveWait  clock.Millis = 500 // longest wait for the memory of refused bodies
 	reservePause clock.Millis = 2   // between two checks of it
+	minLinger    clock.Millis = 50  // a refused connection is closed for a new one after it
 	lingerTime   clock.Millis = 500 // for the caller to read a refusal before the connection is reset
 )
 
@@ -165,7 +166,11 @@
 	var worstScore int64
 	for c := range l.conns {
 		waited := now - clock.Millis(c.since.Load())
-		if phase(c.phase.Load()) == serving || waited < age || eligible != nil && !eligible(c) {
+		least := age
+		if c.lingering.Load() {
+			least = min(age, minLinger)
+		}
+		if phase(c.phase.Load()) == serving || waited < least || eligible != nil && !eligible(c) {
 			continue
 		}
 		if score := int64(waited+1) * (connectionWeight + c.held.Load()); score > worstScore {
@@ -258,7 +263,7 @@
 	*net.TCPConn
 	listener  *Listener
 	phase     atomic.Int32
-	since     atomic.Int64 // time of the newest change of the phase
+	since     atomic.Int64 // time of the newest change of the phase by enter
 	held      atomic.Int64 // bytes reserved for the body
 	leaving   atomic.Int64 // part of held that is free once the refused request has ended
 	refused   atomic.Bool  // the body must not be read on, for lack of memory
@@ -267,7 +272,11 @@
 	body      body
 }
 
-// enter changes the phase.
+// proceed changes the phase without its time. A connection in the phase serving is
+// ended for no other one, and one that becomes idle has just ended its answer.
+func (c *conn) proceed(next phase) { c.phase.Store(int32(next)) }
+
+// enter changes the phase, as of now.
 func (c *conn) enter(next phase) {
 	c.since.Store(int64(c.listener.budget.clock.Now()))
 	c.phase.Store(int32(next))
@@ -296,7 +305,9 @@
 	unread := c.refused.Load() || c.slow.Load() || c.body.left.Load()
 	if unread && c.lingering.CompareAndSwap(false, true) {
 		c.enter(ending)
-		return c.CloseWrite()
+		if err := c.CloseWrite(); err == nil {
+			return nil
+		} // else the caller is gone
 	}
 	l := c.listener
 	l.mu.Lock()
@@ -319,7 +330,7 @@
 // ConnState is a field of http.Server.
 func (l *Listener) ConnState(served net.Conn, state http.ConnState) {
 	if c := connOf(served); c != nil && state == http.StateIdle {
-		c.enter(idle)
+		c.proceed(idle)
 	}
 }
 
