Settings, metrics and pages of the bounds of callers

The bounds of connections, bodies and their rate can be set, in the platform's settings and in those of an entry, and are checked. Each has a gauge of its use and limit and a counter. A line names the peers that were refused. The proxy takes its limit of buffered bodies from the same figure, and answers 503 where the budget refuses a body.

--- a/internal/base/fault/fault.go
+++ b/internal/base/fault/fault.go
@@ -29,6 +29,13 @@
 	Answered Outcome = "answered"
 )
 
+// Reasons for which the body of a caller's request is not read on. The request has
+// not run.
+var (
+	ErrNoMemory = errors.New("the entry's memory for bodies is in use")
+	ErrTooSlow  = errors.New("the body arrives too slowly")
+)
+
 // DidNotRun reports whether the outcome guarantees that the work did not run.
 func (o Outcome) DidNotRun() bool { return o == NotSent || o == NotRun }
 
--- a/internal/config/setting/parse.go
+++ b/internal/config/setting/parse.go
@@ -39,6 +39,7 @@
 	{Prototype: Listen{}, Required: []string{"callers", "operators", "peers"}},
 	{Prototype: Platform{}, Required: []string{"store"}},
 	{Prototype: Peer{}, Required: []string{"name", "failure_domain", "address"}},
+	{Prototype: Limits{}},
 	{Prototype: TLS{}, Required: []string{"cert", "key", "ca"}},
 }
 
@@ -136,6 +137,7 @@
 	c.within("notice_ms", entry.NoticeMS, 1, maxNotice)
 	c.token(entry)
 	c.tls(entry.TLS)
+	c.limits(entry.Limits)
 	return c.findings
 }
 
@@ -239,6 +241,38 @@
 	}
 }
 
+// Largest bounds of callers, as shares of the process's resources.
+const (
+	maxMemoryMB           = 1 << 20
+	maxDescriptors        = 1 << 20
+	callerConnectionParts = 4 // three of four parts of the descriptors
+	callerMemoryParts     = 4 // one of four parts of the memory
+)
+
+func (c *checker) limits(limits *Limits) {
+	if limits == nil {
+		return
+	}
+	descriptors, memory := int64(maxDescriptors), int64(maxMemoryMB)
+	c.upTo("limits.memory_mb", int64(limits.MemoryMB), memory)
+	c.upTo("limits.file_descriptors", int64(limits.FileDescriptors), descriptors)
+	if limits.FileDescriptors > 0 {
+		descriptors = int64(limits.FileDescriptors)
+	}
+	if limits.MemoryMB > 0 {
+		memory = int64(limits.MemoryMB)
+	}
+	c.upTo("limits.caller_connections", int64(limits.CallerConnections), descriptors*(callerConnectionParts-1)/callerConnectionParts)
+	c.upTo("limits.caller_body_bytes", limits.CallerBodyBytes, memory<<20/callerMemoryParts)
+	c.upTo("limits.caller_body_bytes_per_s", limits.CallerBodyRate, 1<<30)
+}
+
+func (c *checker) upTo(field string, value, maximum int64) {
+	if value < 0 || value > maximum {
+		c.addf(field, "must be between 0 and %d, not %d", maximum, value)
+	}
+}
+
 func (c *checker) tls(files *TLS) {
 	if files == nil {
 		return
--- a/internal/config/setting/setting.go
+++ b/internal/config/setting/setting.go
@@ -27,6 +27,7 @@
 	Token         string       `json:"token"`      // shared by operators and entries
 	TokenFile     string       `json:"token_file"` // file that holds the token, relative to the settings file
 	TLS           *TLS         `json:"tls"`
+	Limits        *Limits      `json:"limits"` // nil: defaults
 }
 
 // Listen holds the addresses that an entry listens on, each ip:port.
@@ -56,6 +57,16 @@
 	CA   string `json:"ca"`
 }
 
+// Limits are the resources of the process, and the bounds of its callers. 0: the
+// default, which is derived from the resources.
+type Limits struct {
+	MemoryMB          int   `json:"memory_mb"`
+	FileDescriptors   int   `json:"file_descriptors"`
+	CallerConnections int   `json:"caller_connections"`
+	CallerBodyBytes   int64 `json:"caller_body_bytes"`
+	CallerBodyRate    int64 `json:"caller_body_bytes_per_s"`
+}
+
 // WithToken returns a copy of the settings with the given token.
 func (entry Entry) WithToken(token string) Entry {
 	entry.Token = token
--- a/internal/config/setting/setting_test.go
+++ b/internal/config/setting/setting_test.go
@@ -47,6 +47,24 @@
 	}
 }
 
+// Bounds of callers that would leave too little for the rest of the process are
+// refused.
+func TestLimits(t *testing.T) {
+	for text, valid := range map[string]bool{
+		`{"memory_mb": 64, "file_descriptors": 400, "caller_connections": 300}`: true,
+		`{"memory_mb": 64, "file_descriptors": 400, "caller_connections": 301}`: false,
+		`{"memory_mb": 64, "caller_body_bytes": 16777216}`:                      true,
+		`{"memory_mb": 64, "caller_body_bytes": 16777217}`:                      false,
+		`{"caller_body_bytes_per_s": -1}`:                                       false,
+	} {
+		_, findings := Parse("f", []byte(`{"name": "e1", "failure_domain": "a", "platform": {"store": "[::1]:1"}, "limits": `+text+`,
+			"listen": {"callers": "127.0.0.1:0", "operators": "127.0.0.1:0", "peers": "127.0.0.1:0"}}`))
+		if (len(findings) == 0) != valid {
+			t.Errorf("%s: %v", text, findings)
+		}
+	}
+}
+
 // Settings that Parse accepts have no findings when they are checked again.
 func FuzzSettings(f *testing.F) {
 	data, err := os.ReadFile(example)
--- a/internal/operator/entry/entry.go
+++ b/internal/operator/entry/entry.go
@@ -61,10 +61,15 @@
 
 // platformSettings converts an entry's own settings to those of the platform.
 func platformSettings(settings setting.Entry) platform.Settings {
+	limits := lo.FromPtr(settings.Limits)
 	return platform.Settings{
 		Name: settings.Name, Domain: settings.FailureDomain,
 		Consumer: settings.Listen.Callers, Control: settings.Listen.Operators,
-		Store:  platform.StoreSettings{Address: settings.Platform.Store},
+		Store: platform.StoreSettings{Address: settings.Platform.Store},
+		Limits: platform.Limits{
+			MemoryMB: limits.MemoryMB, Descriptors: limits.FileDescriptors, CallerConnections: limits.CallerConnections,
+			CallerBodyBytes: limits.CallerBodyBytes, CallerBodyRate: limits.CallerBodyRate,
+		},
 		Bounds: platform.Bounds{MaxLease: maxLease, StatusKept: statusRetention},
 	}
 }
--- a/internal/site/budget/budget.go
+++ b/internal/site/budget/budget.go
@@ -22,7 +22,6 @@
 	"sync/atomic"
 
 	"github.com/VictoriaMetrics/metrics"
-	"github.com/pkg/errors"
 	"github.com/rs/zerolog"
 	"golang.org/x/sync/semaphore"
 
@@ -95,9 +94,9 @@
 // Reasons for which a body is refused.
 var (
 	// ErrRefused marks a body for which there is no memory. The request has not run.
-	ErrRefused = errors.New("the entry's memory for bodies is in use")
+	ErrRefused = fault.ErrNoMemory
 	// ErrSlow marks a body that arrives below the lowest rate. The request has not run.
-	ErrSlow = errors.New("the body arrives too slowly")
+	ErrSlow = fault.ErrTooSlow
 )
 
 // sweepPeriod is the time between two searches for slow bodies.
@@ -121,6 +120,7 @@
 	refusedBodies      *metrics.Counter
 	slowBodies         *metrics.Counter
 	logged             uint64 // refusals that a log line has reported
+	peers              refusedPeers
 }
 
 // New returns a budget of which nothing is in use.
@@ -135,6 +135,12 @@
 	gauge := func(limit string, inUse func() float64) {
 		set.GetOrCreateGauge(`oriolepier_budget_in_use{limit="`+limit+`"}`, inUse)
 	}
+	for limit, value := range map[string]int64{
+		"connections": int64(limits.Connections), "body_bytes": limits.BodyBytes, "body_rate": limits.BodyRate,
+		"forwarded_bytes": limits.ForwardedBytes, "job_bytes": limits.JobBytes,
+	} {
+		set.GetOrCreateGauge(`oriolepier_budget_limit{limit="`+limit+`"}`, func() float64 { return float64(value) })
+	}
 	gauge("connections", b.openConnections)
 	gauge("body_bytes", func() float64 { return float64(b.bodyBytes.Load()) })
 	gauge("forwarded_bytes", func() float64 { return float64(b.Forwarded.used.Load()) })
@@ -145,7 +151,7 @@
 // Limits returns the limits.
 func (b *Budget) Limits() Limits { return b.limits }
 
-// openConnections returns the number of connections of all listeners.
+// openConnections returns the number of connections of all HTTP listeners.
 func (b *Budget) openConnections() float64 {
 	b.mu.Lock()
 	defer b.mu.Unlock()
@@ -180,7 +186,7 @@
 	if total := connections + bodies + slow; total != b.logged {
 		b.logged = total
 		b.logger.Warn().Str("event", "callers_refused").Uint64("connections_total", connections).Uint64("body_bytes_total", bodies).
-			Uint64("body_rate_total", slow).Int64("body_bytes", b.bodyBytes.Load()).Int64("body_bytes_limit", b.limits.BodyBytes).Send()
+			Uint64("body_rate_total", slow).Strs("peers", b.peers.take()).Int64("body_bytes", b.bodyBytes.Load()).Int64("body_bytes_limit", b.limits.BodyBytes).Send()
 	}
 }
 
--- a/internal/site/budget/listener.go
+++ b/internal/site/budget/listener.go
@@ -121,6 +121,7 @@
 			return c, nil
 		}
 		l.budget.refusedConnections.Inc()
+		l.budget.peers.add(tcp)
 		_ = tcp.Close()
 	}
 }
@@ -149,6 +150,7 @@
 		return false
 	}
 	l.budget.refusedConnections.Inc()
+	l.budget.peers.add(victim)
 	delete(l.conns, victim)
 	_ = victim.TCPConn.Close()
 	l.conns[c] = struct{}{}
@@ -192,6 +194,7 @@
 			allowed := limits.BodyGrace + clock.Millis(c.body.received.Load()*int64(clock.Second)/limits.BodyRate)
 			if waited > allowed && c.slow.CompareAndSwap(false, true) {
 				l.budget.slowBodies.Inc()
+				l.budget.peers.add(c)
 				c.stopReading()
 			}
 		case ending:
@@ -254,6 +257,7 @@
 func (l *Listener) refuse(c *conn) bool {
 	if c.refused.CompareAndSwap(false, true) {
 		l.budget.refusedBodies.Inc()
+		l.budget.peers.add(c)
 	}
 	return false
 }
--- a/internal/site/daemon/wire.go
+++ b/internal/site/daemon/wire.go
@@ -166,6 +166,7 @@
 		d.holder = view.NewHolder()
 		d.proxy = proxy.New(proxy.Options{
 			Holder: d.holder, Clock: d.clock, Log: d.logger, Entry: d.settings.Name, Seed: xxhash.Sum64String(d.settings.Name),
+			BufferedBytes: d.proxyBufferedBytes(),
 		})
 	}
 	return d, nil
@@ -179,6 +180,15 @@
 	return peer.Security{Token: o.Standalone.Token, Server: o.Standalone.Keys.PeerServer(), Client: o.Standalone.Keys.Client()}
 }
 
+// proxyBufferedBytes returns the limit of the proxy's bodies, or 0 for its default if
+// the settings do not name the memory of the process.
+func (d *Daemon) proxyBufferedBytes() int64 {
+	if d.settings.Limits.MemoryMB == 0 {
+		return 0
+	}
+	return d.budget.Limits().BodyBytes
+}
+
 // rank spreads entries evenly over [0, 1) by a hash of their names.
 func rank(name string) float64 {
 	hash := fnv.New32a()
--- a/internal/traffic/proxy/accept.go
+++ b/internal/traffic/proxy/accept.go
@@ -180,7 +180,7 @@
 	switch {
 	case errors.Is(err, errTooLarge):
 		return bodyTooLarge()
-	case errors.Is(err, errBufferFull):
+	case errors.Is(err, errBufferFull), errors.Is(err, fault.ErrNoMemory):
 		refusal := notRunProblem(stepAccept, http.StatusServiceUnavailable, "bodies in flight fill the entry's memory for them")
 		refusal.RetryAfter = overloadRetryAfter
 		return refusal
@@ -209,7 +209,7 @@
 		reserved = r.ContentLength
 	}
 	defer func() { proxy.bufferedBytes.Add(int64(len(body)) - reserved) }()
-	if proxy.bufferedBytes.Add(reserved) > maxBufferedBytes {
+	if proxy.bufferedBytes.Add(reserved) > orDefault(proxy.options.BufferedBytes, maxBufferedBytes) {
 		return nil, errBufferFull
 	}
 	var buffer bytes.Buffer
--- a/internal/traffic/proxy/proxy.go
+++ b/internal/traffic/proxy/proxy.go
@@ -46,7 +46,7 @@
 	maxRequestFields    = 128      // header fields
 	maxRequestHeader    = 64 << 10 // bytes
 	maxIDBytes          = 128
-	maxBufferedBytes    = 256 << 20       // bodies of all requests in this entry; above it, requests are refused
+	maxBufferedBytes    = 256 << 20       // default of Options.BufferedBytes
 	defaultRequestBytes = 1 << 20         // of the body, if the route sets no limit
 	defaultAnswerBytes  = 16 << 20        // of the body, if the route sets no limit
 	maxAttempts         = 8               // per request, guards' refusals included
@@ -68,6 +68,9 @@
 	Log    zerolog.Logger
 	Entry  string // VM name of this entry
 	Seed   uint64 // of the random number generators
+	// BufferedBytes limits the bodies of all requests in this entry; above it, requests
+	// are refused. 0: maxBufferedBytes.
+	BufferedBytes int64
 	// Dial opens connections to backend servers; nil for TCP.
 	Dial func(ctx context.Context, network, address string) (net.Conn, error)
 }
