--- a/internal/operator/crowd/crowd_test.go
+++ b/internal/operator/crowd/crowd_test.go
@@ -254,3 +254,46 @@
 	}
 	d.check()
 }
+
+// largestJob is a submission with the largest number of steps and tasks.
+func largestJob() []byte {
+	const steps, tasks = 64, 4096
+	return []byte(`{"steps":[` + strings.TrimSuffix(strings.Repeat(fmt.Sprintf(`{"count":%d,"cpu":1},`, tasks), steps), ",") + `]}`)
+}
+
+// labelledJob is a submission whose size stays the same when it is decoded.
+func labelledJob() []byte {
+	return []byte(`{"steps":[{"count":1,"requirements":"` + strings.Repeat("x", bodyBytes-100) + `"}]}`)
+}
+
+func submitWhole(body []byte) func(c *client) {
+	return func(c *client) {
+		c.head(http.MethodPost, fmt.Sprint("Content-Length: ", len(body)))
+		c.send(body)
+	}
+}
+
+// Guards against accepted jobs that are large without many tasks.
+func TestLargeJobs(t *testing.T) {
+	d := start(t)
+	load(t, d.callers, submitWhole(labelledJob()))
+	d.check()
+}
+
+// As TestLargestSubmissions, at an entry that forwards them to the owner.
+func TestLargestSubmissionsForwarded(t *testing.T) {
+	d := start(t)
+	second := d.another()
+	load(t, second.callers, submitWhole(largestJob()))
+	second.check()
+	d.check()
+}
+
+// As TestLargeJobs, at an entry that forwards them to the owner.
+func TestLargeJobsForwarded(t *testing.T) {
+	d := start(t)
+	second := d.another()
+	load(t, second.callers, submitWhole(labelledJob()))
+	second.check()
+	d.check()
+}
--- a/internal/operator/crowd/deployment_test.go
+++ b/internal/operator/crowd/deployment_test.go
@@ -62,6 +62,8 @@
 // deployment is a store, a worker and one entry, each a process.
 type deployment struct {
 	t         *testing.T
+	name      string
+	store     string
 	entry     *exec.Cmd
 	log       string // file with the entry's output
 	callers   string
@@ -76,11 +78,28 @@
 // start starts a deployment and waits until its entry accepts jobs.
 func start(t *testing.T) *deployment {
 	t.Helper()
-	d := &deployment{t: t}
-	store := d.startStandin("store")
-	d.startStandin("worker", "--store", store, "--name", "w0", "--pool", poolName, "--failure-domain", "a")
-	d.publish(store)
-	d.startEntry(store)
+	d := &deployment{t: t, name: "entry-0"}
+	d.store = d.startStandin("store")
+	d.startStandin("worker", "--store", d.store, "--name", "w0", "--pool", poolName, "--failure-domain", "a")
+	d.publish(d.store)
+	d.startEntry(d.store)
+	d.awaitReady()
+	return d
+}
+
+// another starts a second entry, which forwards to the owner in the first.
+func (d *deployment) another() *deployment {
+	d.t.Helper()
+	second := &deployment{t: d.t, name: "entry-1", store: d.store, jobs: 1 << 20}
+	second.startEntry(d.store)
+	second.awaitReady()
+	return second
+}
+
+// awaitReady waits until the entry accepts jobs.
+func (d *deployment) awaitReady() {
+	t := d.t
+	t.Helper()
 	await(t, "readiness", func() bool {
 		response, err := http.Get("http://" + d.readiness + platform.PathReady)
 		if err != nil {
@@ -92,7 +111,6 @@
 	if status := d.submit(); status != http.StatusOK {
 		t.Fatalf("a submission before the load is answered %d", status)
 	}
-	return d
 }
 
 func await(t *testing.T, subject string, reached func() bool) {
@@ -162,7 +180,7 @@
 	_, port, _ := net.SplitHostPort(d.peers)
 	peerPort, _ := strconv.Atoi(port)
 	data, err := platform.EncodeSettings(platform.Settings{
-		Name: "entry-0", Role: "entry", Domain: "a", Domains: []string{"a"}, IP: "127.0.0.1",
+		Name: d.name, Role: "entry", Domain: "a", Domains: []string{"a"}, IP: "127.0.0.1",
 		Consumer: d.callers, Ready: d.readiness, Control: d.operators, Ports: platform.PortSpan{First: peerPort, Last: peerPort},
 		Store: platform.StoreSettings{Address: store}, Limits: platform.Limits{Cores: 1, MemoryMB: memoryMB, Descriptors: descriptors},
 		Bounds: platform.Bounds{MaxLease: 6000, Stop: 900, Cancel: 3000, StatusKept: clock.Minute, Grace: 6 * clock.Second},
