Estimate the memory of a job by its bytes, not only its tasks

A job can be large by its labels with few tasks. The owner now asks with an estimate of tasks, steps and text.

--- a/internal/schedule/owner/owner.go
+++ b/internal/schedule/owner/owner.go
@@ -65,7 +65,7 @@
 	Effects       Effects
 	Log           zerolog.Logger
 	Metrics       *Metrics
-	AdmitTasks    func(count int) bool // whether the process has memory for a job with so many tasks; nil: always
+	AdmitBytes    func(count int64) bool // whether the process has memory for a job of so many bytes; nil: always
 }
 
 // Owner is the state of one cell. It is not safe for concurrent use.
--- a/internal/schedule/owner/submit.go
+++ b/internal/schedule/owner/submit.go
@@ -3,8 +3,6 @@
 import (
 	"slices"
 
-	"github.com/samber/lo"
-
 	"github.com/oriolepier/oriolepier/internal/base/clock"
 	"github.com/oriolepier/oriolepier/internal/schedule/job"
 	"github.com/oriolepier/oriolepier/internal/schedule/journal"
@@ -121,15 +119,26 @@
 	if o.lacksLongRunningCapacity(queue.Pools, spec) {
 		return Verdict{Ruling: Refused, Reason: "no room for more lasting tasks", RetryAfter: longRunningRetryAfter}
 	}
-	if o.options.AdmitTasks != nil && !o.options.AdmitTasks(taskCount(spec)) {
+	if o.options.AdmitBytes != nil && !o.options.AdmitBytes(heldBytes(spec)) {
 		return Verdict{Ruling: Refused, Reason: "the owner's memory for jobs is in use", RetryAfter: clock.Second}
 	}
 	return Verdict{Ruling: Recorded}
 }
 
-// taskCount returns the number of tasks of a job.
-func taskCount(spec job.Spec) int {
-	return lo.SumBy(spec.Steps, func(step job.Step) int { return step.Count })
+// Memory of an accepted job and its encoded records.
+const (
+	taskBytes  = 200 // 103 of the task's state
+	stepBytes  = 1024
+	textFactor = 2
+)
+
+// heldBytes estimates the memory of an accepted job.
+func heldBytes(spec job.Spec) int64 {
+	bytes := textFactor * len(spec.Text)
+	for _, step := range spec.Steps {
+		bytes += stepBytes + taskBytes*step.Count + textFactor*(len(step.Label)+len(step.Rack)+len(step.Image))
+	}
+	return int64(bytes)
 }
 
 // tooLarge reports whether some step's tasks fit on no known worker of some
--- a/internal/site/budget/budget_test.go
+++ b/internal/site/budget/budget_test.go
@@ -198,7 +198,7 @@
 	if !memory.Admit(1000) {
 		t.Error("a job within the limit is refused")
 	}
-	memory.limit = memory.inUse() + 100*taskBytes
+	memory.limit = memory.inUse() + 100
 	got := []bool{memory.Admit(101), memory.Admit(100), memory.Admit(1)}
 	pool := &Pool{limit: 100, refused: set.NewCounter("pool")}
 	got = append(got, pool.Take(60) == nil, pool.Take(60) == nil)
--- a/internal/site/budget/memory.go
+++ b/internal/site/budget/memory.go
@@ -7,10 +7,6 @@
 	vm "github.com/VictoriaMetrics/metrics"
 )
 
-// taskBytes is what the owner holds for one task of an accepted job, with its
-// encoded record.
-const taskBytes = 200
-
 // Names of the runtime's metrics.
 const (
 	metricLive   = "/gc/heap/live:bytes"
@@ -35,9 +31,9 @@
 	return m
 }
 
-// Admit reports whether a job with a number of tasks may be accepted, and counts it.
-func (m *Memory) Admit(tasks int) bool {
-	need := int64(tasks) * taskBytes
+// Admit reports whether a job that takes a number of bytes may be accepted, and
+// counts it.
+func (m *Memory) Admit(need int64) bool {
 	if m.inUse()+need > m.limit {
 		m.refused.Inc()
 		return false
--- a/internal/site/daemon/daemon.go
+++ b/internal/site/daemon/daemon.go
@@ -173,7 +173,7 @@
 		Epoch: epoch, Topic: platform.Topic(cellTopic), Clock: d.clock, Log: d.store.Log(),
 		Dispatcher: pool.Dispatch(),
 		Times:      owner.DefaultTimes(d.settings.Bounds.MaxLease, d.settings.Bounds.StatusKept),
-		Cores:      d.settings.Limits.Cores, AdmitTasks: d.budget.Jobs.Admit,
+		Cores:      d.settings.Limits.Cores, AdmitBytes: d.budget.Jobs.Admit,
 		Logger: d.logger, Metrics: d.ownerMetrics, Tables: d.tables.Since, Workers: d.listWorkers(pool),
 		PreviousOwner: previousOwner.Name, PreviousOwnerStopped: previousOwner.Stopped,
 	})
--- a/internal/site/runtime/runtime.go
+++ b/internal/site/runtime/runtime.go
@@ -50,8 +50,8 @@
 	Cores      float64 // of this process; 0 if unknown
 	Logger     zerolog.Logger
 	Metrics    *owner.Metrics
-	// AdmitTasks reports whether the process has memory for a job; nil: always.
-	AdmitTasks func(count int) bool
+	// AdmitBytes reports whether the process has memory for a job; nil: always.
+	AdmitBytes func(count int64) bool
 	// Tables returns the newest manifest and the failure domains that are out of
 	// service; Workers returns the newest list of workers. Both are called before
 	// the first tick and on each, and return false if nothing is known or nothing has changed since the
@@ -103,7 +103,7 @@
 	r.stateMachine = owner.New(owner.Options{
 		Epoch: options.Epoch, PreviousOwner: options.PreviousOwner, Now: options.Clock.Now,
 		WallClock: func() int64 { return time.Now().UnixMilli() },
-		Times:     options.Times, Cores: options.Cores, Log: options.Logger, Metrics: options.Metrics, AdmitTasks: options.AdmitTasks,
+		Times:     options.Times, Cores: options.Cores, Log: options.Logger, Metrics: options.Metrics, AdmitBytes: options.AdmitBytes,
 		Effects: owner.Effects{
 			Append: r.append, Start: r.start, Stop: r.stop, Pace: r.pace, Hold: r.hold, Resign: r.resign,
 		},
