--- a/internal/operator/crowd/crowd_test.go
+++ b/internal/operator/crowd/crowd_test.go
@@ -1,6 +1,7 @@
 package crowd
 
 import (
+	"bufio"
 	"bytes"
 	"fmt"
 	"net"
@@ -297,3 +298,22 @@
 	second.check()
 	d.check()
 }
+
+// Guards against a job whose tasks all start at once, each by a connection to its
+// worker. The process has memory for one such job.
+func TestManyStartsAtOnce(t *testing.T) {
+	const memory = 160
+	d := startWith(t, memory)
+	conn, err := net.Dial("tcp", d.callers)
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer func() { _ = conn.Close() }()
+	submitWhole(largestJob())(&client{number: 1, conn: conn})
+	_ = conn.SetReadDeadline(time.Now().Add(waitTimeout))
+	response, err := http.ReadResponse(bufio.NewReader(conn), nil)
+	if err != nil || response.StatusCode != http.StatusOK {
+		t.Fatalf("the job is answered %v %v", response, err)
+	}
+	d.check()
+}
--- a/internal/operator/crowd/deployment_test.go
+++ b/internal/operator/crowd/deployment_test.go
@@ -64,6 +64,7 @@
 	t         *testing.T
 	name      string
 	store     string
+	memory    int // MB
 	entry     *exec.Cmd
 	log       string // file with the entry's output
 	callers   string
@@ -78,7 +79,12 @@
 // start starts a deployment and waits until its entry accepts jobs.
 func start(t *testing.T) *deployment {
 	t.Helper()
-	d := &deployment{t: t, name: "entry-0"}
+	return startWith(t, memoryMB)
+}
+
+func startWith(t *testing.T, memory int) *deployment {
+	t.Helper()
+	d := &deployment{t: t, name: "entry-0", memory: memory}
 	d.store = d.startStandin("store")
 	d.startStandin("worker", "--store", d.store, "--name", "w0", "--pool", poolName, "--failure-domain", "a")
 	d.publish(d.store)
@@ -90,7 +96,7 @@
 // another starts a second entry, which forwards to the owner in the first.
 func (d *deployment) another() *deployment {
 	d.t.Helper()
-	second := &deployment{t: d.t, name: "entry-1", store: d.store, jobs: 1 << 20}
+	second := &deployment{t: d.t, name: "entry-1", store: d.store, memory: d.memory, jobs: 1 << 20}
 	second.startEntry(d.store)
 	second.awaitReady()
 	return second
@@ -182,7 +188,7 @@
 	data, err := platform.EncodeSettings(platform.Settings{
 		Name: d.name, Role: "entry", Domain: "a", Domains: []string{"a"}, IP: "127.0.0.1",
 		Consumer: d.callers, Ready: d.readiness, Control: d.operators, Ports: platform.PortSpan{First: peerPort, Last: peerPort},
-		Store: platform.StoreSettings{Address: store}, Limits: platform.Limits{Cores: 1, MemoryMB: memoryMB, Descriptors: descriptors},
+		Store: platform.StoreSettings{Address: store}, Limits: platform.Limits{Cores: 1, MemoryMB: d.memory, Descriptors: descriptors},
 		Bounds: platform.Bounds{MaxLease: 6000, Stop: 900, Cancel: 3000, StatusKept: clock.Minute, Grace: 6 * clock.Second},
 	})
 	if err != nil {
@@ -293,9 +299,9 @@
 		d.t.Fatalf("the entry has exited\n%s", d.lastLines())
 	}
 	peak, files := d.peakMB(), d.peakFiles.Load()
-	d.t.Logf("peak of memory %d MB of %d, of descriptors %d of %d", peak, memoryMB, files, descriptors)
-	if peak >= memoryMB {
-		d.t.Errorf("peak memory is %d MB, the process has %d", peak, memoryMB)
+	d.t.Logf("peak of memory %d MB of %d, of descriptors %d of %d", peak, d.memory, files, descriptors)
+	if peak >= d.memory {
+		d.t.Errorf("peak memory is %d MB, the process has %d", peak, d.memory)
 	}
 	if files >= descriptors {
 		d.t.Errorf("%d descriptors are open, the process has %d", files, descriptors)
