budget: leave nothing counted after a refusal at the end of a request

A reservation can refuse a body whose request is just ending; its bytes then stayed among those that leave, which raised the bound for good. They are returned again when the connection has left the set. Found in review, not seen in a run; the new test floods a server and expects zero. The front's refusals are tested for what their status promises.

--- a/internal/site/budget/body.go
+++ b/internal/site/budget/body.go
@@ -55,6 +55,8 @@
 func (b *body) begin(c *conn, inner io.ReadCloser) {
 	b.conn, b.inner, b.reserved = c, inner, 0
 	b.received.Store(0)
+	c.refused.Store(false)
+	c.slow.Store(false)
 	b.left.Store(true)
 	c.enter(reading)
 }
--- a/internal/site/budget/budget_test.go
+++ b/internal/site/budget/budget_test.go
@@ -14,6 +14,7 @@
 	"github.com/VictoriaMetrics/metrics"
 	"github.com/google/go-cmp/cmp"
 	"github.com/rs/zerolog"
+	"golang.org/x/sync/errgroup"
 
 	"github.com/oriolepier/oriolepier/internal/base/clock"
 )
@@ -49,7 +50,7 @@
 
 func serve(t *testing.T, limits Limits) *served {
 	t.Helper()
-	s := &served{t: t, metrics: metrics.NewSet(), errors: make(chan error, 100)}
+	s := &served{t: t, metrics: metrics.NewSet(), errors: make(chan error, 1000)}
 	s.budget = New(limits, clock.New(), zerolog.Nop(), s.metrics)
 	tcp, err := ListenConfig().Listen(t.Context(), "tcp", "127.0.0.1:0")
 	if err != nil {
@@ -140,6 +141,35 @@
 	}
 }
 
+// Guards against bytes that stay counted after bodies were refused at any moment.
+func TestFloodLeavesNothingInUse(t *testing.T) {
+	flood := limits()
+	flood.Connections = 64
+	s := serve(t, flood)
+	var group errgroup.Group
+	for sender := range 32 {
+		group.Go(func() error {
+			for i := range 20 {
+				missing := (sender + i) % 2
+				conn := s.send(http.MethodPost, 60_000, 60_000-missing)
+				time.Sleep(time.Millisecond)
+				_ = conn.Close()
+			}
+			return nil
+		})
+	}
+	_ = group.Wait()
+	if s.budget.refusedBodies.Get() == 0 {
+		t.Error("no body was refused")
+	}
+	for deadline := time.Now().Add(20 * time.Second); time.Now().Before(deadline) && s.budget.openConnections() > 0; time.Sleep(5 * time.Millisecond) {
+	}
+	got := []int64{int64(s.budget.openConnections()), s.budget.bodyBytes.Load(), s.budget.leavingBytes.Load()}
+	if diff := cmp.Diff([]int64{0, 0, 0}, got); diff != "" {
+		t.Errorf("connections, bytes and leaving bytes in use (-want +got):\n%s", diff)
+	}
+}
+
 // Guards against bodies that make progress without ever completing.
 func TestSlowBodyEnds(t *testing.T) {
 	slow := limits()
--- a/internal/site/budget/listener.go
+++ b/internal/site/budget/listener.go
@@ -152,6 +152,9 @@
 	l.budget.refusedConnections.Inc()
 	l.budget.peers.add(victim)
 	delete(l.conns, victim)
+	if victim.lingering.Load() {
+		victim.release()
+	}
 	_ = victim.TCPConn.Close()
 	l.conns[c] = struct{}{}
 	return true
@@ -200,6 +203,7 @@
 		case ending:
 			if waited > limits.BodyGrace || c.lingering.Load() && waited > lingerTime {
 				delete(l.conns, c)
+				c.release()
 				_ = c.TCPConn.Close()
 			}
 		case idle, serving:
@@ -292,7 +296,9 @@
 // stopReading ends reads of the connection, also one in progress.
 func (c *conn) stopReading() { _ = c.SetReadDeadline(longPast) }
 
-// release returns what the body holds, once its request has ended.
+// release returns what the body holds, once its request has ended. It is repeated
+// when the connection has left the set, since until then a reservation may refuse a
+// body whose request is just ending, and count it among those that leave.
 func (c *conn) release() {
 	if leaving := c.leaving.Swap(0); leaving != 0 {
 		c.listener.budget.leavingBytes.Add(-leaving)
@@ -317,6 +323,7 @@
 	l.mu.Lock()
 	delete(l.conns, c)
 	l.mu.Unlock()
+	c.release()
 	return c.TCPConn.Close()
 }
 
--- a/internal/site/front/bounded_test.go
+++ b/internal/site/front/bounded_test.go
@@ -99,6 +99,45 @@
 	_ = response.Body.Close()
 }
 
+// Guards against refusals that break what their status promises: a refused body is
+// answered with Retry-After and the end of the connection, and never reaches the owner.
+func TestServeHTTPRefusesBody(t *testing.T) {
+	submitted := make(chan job.Spec, 10)
+	handler := newHandler(acceptAll(func(spec job.Spec) { submitted <- spec }), 7)
+	for _, c := range []struct {
+		name       string
+		limits     budget.Limits
+		status     int
+		retryAfter string
+	}{
+		{"no memory", budget.Limits{BodyBytes: 1}, http.StatusServiceUnavailable, "1"},
+		{"too slow", budget.Limits{BodyRate: 1 << 20}, http.StatusRequestTimeout, ""},
+	} {
+		limits := budget.Derive(64, 500).With(c.limits)
+		limits.BodyGrace = 50
+		address, _ := serveBounded(t, limits, handler)
+		conn, err := net.Dial("tcp", address)
+		if err != nil {
+			t.Fatal(err)
+		}
+		defer func() { _ = conn.Close() }()
+		_ = conn.SetDeadline(time.Now().Add(20 * time.Second))
+		// The body is as large as what needs no reservation, and does not end.
+		_, _ = fmt.Fprintf(conn, "POST /q/%s HTTP/1.1\r\nHost: h.example\r\nTransfer-Encoding: chunked\r\n\r\n1000\r\n%s\r\n", id, bytes.Repeat([]byte(" "), 4096))
+		response, err := http.ReadResponse(bufio.NewReader(conn), nil)
+		if err != nil {
+			t.Fatalf("%s: %v", c.name, err)
+		}
+		if response.StatusCode != c.status || response.Header.Get("Retry-After") != c.retryAfter || !response.Close {
+			t.Errorf("%s: answer %d, Retry-After %q, last %v", c.name, response.StatusCode, response.Header.Get("Retry-After"), response.Close)
+		}
+		_ = response.Body.Close()
+	}
+	if len(submitted) != 0 {
+		t.Error("a refused body reached the owner")
+	}
+}
+
 // BenchmarkSubmitBounded reports the throughput of ordinary submissions within the
 // budget over that without it, as the median of rounds that alternate.
 func BenchmarkSubmitBounded(b *testing.B) {
