Keep connections of entries in use when strangers fill the peer listener

At its bound the peer server closed each new connection, so idle strangers kept other entries out. It now uses the budget's listener: the connection whose last request is longest ago makes room (TestPeerInUseIsKept). Connections are counted by listener.

--- a/internal/site/budget/budget.go
+++ b/internal/site/budget/budget.go
@@ -91,6 +91,13 @@
 	return l
 }
 
+// Names of the limits of connections.
+const (
+	callerLimit = "connections"
+	sideLimit   = "side_connections"
+	peerLimit   = "peer_connections"
+)
+
 // Reasons for which a body is refused.
 var (
 	// ErrRefused marks a body for which there is no memory. The request has not run.
@@ -116,7 +123,7 @@
 	mu        sync.Mutex
 	listeners []*Listener
 
-	refusedConnections *metrics.Counter
+	refusedConnections map[string]*metrics.Counter // by the name of the limit
 	refusedBodies      *metrics.Counter
 	slowBodies         *metrics.Counter
 	logged             uint64 // refusals that a log line has reported
@@ -129,19 +136,25 @@
 	refused := func(limit string) *metrics.Counter {
 		return set.GetOrCreateCounter(`oriolepier_budget_refused_total{limit="` + limit + `"}`)
 	}
-	b.refusedConnections, b.refusedBodies, b.slowBodies = refused("connections"), refused("body_bytes"), refused("body_rate")
+	b.refusedBodies, b.slowBodies = refused("body_bytes"), refused("body_rate")
+	b.refusedConnections = map[string]*metrics.Counter{}
+	for _, name := range []string{callerLimit, sideLimit, peerLimit} {
+		b.refusedConnections[name] = refused(name)
+	}
 	b.Forwarded = &Pool{limit: limits.ForwardedBytes, refused: refused("forwarded_bytes")}
 	b.Jobs = newMemory(limits.JobBytes, refused("job_bytes"))
 	gauge := func(limit string, inUse func() float64) {
 		set.GetOrCreateGauge(`oriolepier_budget_in_use{limit="`+limit+`"}`, inUse)
 	}
 	for limit, value := range map[string]int64{
-		"connections": int64(limits.Connections), "body_bytes": limits.BodyBytes, "body_rate": limits.BodyRate,
+		callerLimit: int64(limits.Connections), sideLimit: int64(limits.SideConnections), peerLimit: int64(limits.PeerConnections), "body_bytes": limits.BodyBytes, "body_rate": limits.BodyRate,
 		"forwarded_bytes": limits.ForwardedBytes, "job_bytes": limits.JobBytes,
 	} {
 		set.GetOrCreateGauge(`oriolepier_budget_limit{limit="`+limit+`"}`, func() float64 { return float64(value) })
 	}
-	gauge("connections", b.openConnections)
+	for _, name := range []string{callerLimit, sideLimit, peerLimit} {
+		gauge(name, func() float64 { return b.openConnections(name) })
+	}
 	gauge("body_bytes", func() float64 { return float64(b.bodyBytes.Load()) })
 	gauge("forwarded_bytes", func() float64 { return float64(b.Forwarded.used.Load()) })
 	gauge("job_bytes", func() float64 { return float64(b.Jobs.inUse()) })
@@ -151,13 +164,15 @@
 // Limits returns the limits.
 func (b *Budget) Limits() Limits { return b.limits }
 
-// openConnections returns the number of connections of all HTTP listeners.
-func (b *Budget) openConnections() float64 {
+// openConnections returns the number of connections of the listeners of a limit.
+func (b *Budget) openConnections(name string) float64 {
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	count := 0
 	for _, listener := range b.listeners {
-		count += listener.count()
+		if listener.name == name {
+			count += listener.count()
+		}
 	}
 	return float64(count)
 }
@@ -182,7 +197,11 @@
 
 // log reports refusals since the last line.
 func (b *Budget) log() {
-	connections, bodies, slow := b.refusedConnections.Get(), b.refusedBodies.Get(), b.slowBodies.Get()
+	var connections uint64
+	for _, refused := range b.refusedConnections {
+		connections += refused.Get()
+	}
+	bodies, slow := b.refusedBodies.Get(), b.slowBodies.Get()
 	if total := connections + bodies + slow; total != b.logged {
 		b.logged = total
 		b.logger.Warn().Str("event", "callers_refused").Uint64("connections_total", connections).Uint64("body_bytes_total", bodies).
--- a/internal/site/budget/budget_test.go
+++ b/internal/site/budget/budget_test.go
@@ -7,6 +7,7 @@
 	"io"
 	"net"
 	"net/http"
+	"os"
 	"strings"
 	"testing"
 	"time"
@@ -162,9 +163,9 @@
 	if s.budget.refusedBodies.Get() == 0 {
 		t.Error("no body was refused")
 	}
-	for deadline := time.Now().Add(20 * time.Second); time.Now().Before(deadline) && s.budget.openConnections() > 0; time.Sleep(5 * time.Millisecond) {
+	for deadline := time.Now().Add(20 * time.Second); time.Now().Before(deadline) && s.budget.openConnections(callerLimit) > 0; time.Sleep(5 * time.Millisecond) {
 	}
-	got := []int64{int64(s.budget.openConnections()), s.budget.bodyBytes.Load(), s.budget.leavingBytes.Load()}
+	got := []int64{int64(s.budget.openConnections(callerLimit)), s.budget.bodyBytes.Load(), s.budget.leavingBytes.Load()}
 	if diff := cmp.Diff([]int64{0, 0, 0}, got); diff != "" {
 		t.Errorf("connections, bytes and leaving bytes in use (-want +got):\n%s", diff)
 	}
@@ -203,7 +204,7 @@
 	if _, err := conns[0].Read(make([]byte, 1)); !errors.Is(err, io.EOF) {
 		t.Errorf("the connection that has been idle longest: %v", err)
 	}
-	if open := int(s.budget.openConnections()); open != s.budget.limits.Connections {
+	if open := int(s.budget.openConnections(callerLimit)); open != s.budget.limits.Connections {
 		t.Errorf("%d connections are open", open)
 	}
 }
@@ -238,3 +239,40 @@
 		t.Errorf("admitted (-want +got):\n%s", diff)
 	}
 }
+
+// Guards against idle strangers that keep other entries from connecting: the
+// connection whose last request is longest ago makes room.
+func TestPeerInUseIsKept(t *testing.T) {
+	b := New(Limits{PeerConnections: 2}, clock.New(), zerolog.Nop(), metrics.NewSet())
+	tcp, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	listener := b.Peers(tcp)
+	t.Cleanup(func() { _ = listener.Close() })
+	connect := func() (client, served net.Conn) {
+		client, err := net.Dial("tcp", tcp.Addr().String())
+		if err != nil {
+			t.Fatal(err)
+		}
+		t.Cleanup(func() { _ = client.Close() })
+		served, err = listener.Accept()
+		if err != nil {
+			t.Fatal(err)
+		}
+		return client, served
+	}
+	entry, served := connect()
+	time.Sleep(2 * time.Millisecond)
+	stranger, _ := connect()
+	time.Sleep(minAge.Duration() + 20*time.Millisecond)
+	Touch(served)
+	connect()
+	if _, err := stranger.Read(make([]byte, 1)); !errors.Is(err, io.EOF) {
+		t.Errorf("the idle connection: %v", err)
+	}
+	_ = entry.SetReadDeadline(time.Now().Add(20 * time.Millisecond))
+	if _, err := entry.Read(make([]byte, 1)); !errors.Is(err, os.ErrDeadlineExceeded) {
+		t.Errorf("the connection in use: %v", err)
+	}
+}
--- a/internal/site/budget/listener.go
+++ b/internal/site/budget/listener.go
@@ -10,6 +10,7 @@
 	"syscall"
 	"time"
 
+	"github.com/VictoriaMetrics/metrics"
 	"golang.org/x/sys/unix"
 
 	"github.com/oriolepier/oriolepier/internal/base/clock"
@@ -58,8 +59,10 @@
 // waited longest for its peer when a new one would exceed it.
 type Listener struct {
 	net.Listener
-	budget *Budget
-	limit  int
+	budget  *Budget
+	name    string // of its limit
+	limit   int
+	refused *metrics.Counter
 
 	mu    sync.Mutex
 	conns map[*conn]struct{}
@@ -67,16 +70,31 @@
 
 // Callers returns the listener of callers' connections.
 func (b *Budget) Callers(inner net.Listener) *Listener {
-	return b.listener(inner, b.limits.Connections)
+	return b.listener(inner, callerLimit, b.limits.Connections)
 }
 
 // Side returns the listener of another HTTP server of the process.
 func (b *Budget) Side(inner net.Listener) *Listener {
-	return b.listener(inner, b.limits.SideConnections)
+	return b.listener(inner, sideLimit, b.limits.SideConnections)
 }
 
-func (b *Budget) listener(inner net.Listener, limit int) *Listener {
-	l := &Listener{Listener: inner, budget: b, limit: limit, conns: map[*conn]struct{}{}}
+// Peers returns the listener of connections between entries. Touch notes their use.
+func (b *Budget) Peers(inner net.Listener) *Listener {
+	return b.listener(inner, peerLimit, b.limits.PeerConnections)
+}
+
+// Touch notes that a connection is in use, for servers other than those of net/http.
+func Touch(served net.Conn) {
+	if c := connOf(served); c != nil {
+		c.enter(idle)
+	}
+}
+
+func (b *Budget) listener(inner net.Listener, name string, limit int) *Listener {
+	l := &Listener{
+		Listener: inner, budget: b, name: name, limit: limit, refused: b.refusedConnections[name],
+		conns: map[*conn]struct{}{},
+	}
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	b.listeners = append(b.listeners, l)
@@ -120,7 +138,7 @@
 		if l.admit(c) {
 			return c, nil
 		}
-		l.budget.refusedConnections.Inc()
+		l.refused.Inc()
 		l.budget.peers.add(tcp)
 		_ = tcp.Close()
 	}
@@ -149,7 +167,7 @@
 	if victim == nil {
 		return false
 	}
-	l.budget.refusedConnections.Inc()
+	l.refused.Inc()
 	l.budget.peers.add(victim)
 	delete(l.conns, victim)
 	if victim.lingering.Load() {
--- a/internal/site/peer/server.go
+++ b/internal/site/peer/server.go
@@ -35,24 +35,27 @@
 	security        Security
 	handlers        Handlers
 	openConnections atomic.Int64
-	connections     int64        // largest number
-	forwarded       *budget.Pool // bytes of requests of callers that are not answered; nil: no limit
+	bounds          *budget.Budget // nil: no bounds but maxConnections
+	forwarded       *budget.Pool   // bytes of requests of callers that are not answered; nil: no limit
 }
 
 // NewServer returns a server; Serve accepts its connections.
 func NewServer(security Security, handlers Handlers) *Server {
-	return &Server{security: security, handlers: handlers, connections: maxConnections}
+	return &Server{security: security, handlers: handlers}
 }
 
 // WithBudget bounds the connections and the requests of callers that are not
 // answered, and returns the server. It is called before Serve.
 func (s *Server) WithBudget(bounds *budget.Budget) *Server {
-	s.connections, s.forwarded = int64(bounds.Limits().PeerConnections), bounds.Forwarded
+	s.bounds, s.forwarded = bounds, bounds.Forwarded
 	return s
 }
 
 // Serve accepts connections until the context ends; it closes the listener.
 func (s *Server) Serve(ctx context.Context, listener net.Listener) error {
+	if s.bounds != nil {
+		listener = s.bounds.Peers(listener)
+	}
 	if s.security.Server != nil {
 		listener = tls.NewListener(listener, s.security.Server)
 	}
@@ -70,7 +73,7 @@
 			if err != nil {
 				return fault.New(fault.NotRun, "accept peer", listener.Addr().String(), err)
 			}
-			if s.openConnections.Load() >= s.connections {
+			if s.openConnections.Load() >= maxConnections {
 				_ = conn.Close()
 				continue
 			}
@@ -88,7 +91,7 @@
 func (s *Server) handle(ctx context.Context, conn net.Conn) {
 	ctx, cancel := context.WithCancel(ctx)
 	defer cancel()
-	ses := &session{token: s.security.Token, handlers: s.handlers, forwarded: s.forwarded, orderBatches: make(chan []byte, maxQueuedBatches)}
+	ses := &session{conn: conn, token: s.security.Token, handlers: s.handlers, forwarded: s.forwarded, orderBatches: make(chan []byte, maxQueuedBatches)}
 	ses.authenticated.Store(s.security.Token == "")
 	handler := jsonrpc2.AsyncHandler(ses)
 	rpc := jsonrpc2.NewConn(ctx, jsonrpc2.NewBufferedStream(conn, boundedCodec{}), handler, discardLog)
@@ -101,6 +104,7 @@
 
 // session answers the calls on one connection.
 type session struct {
+	conn          net.Conn
 	token         string
 	handlers      Handlers
 	forwarded     *budget.Pool
@@ -111,6 +115,7 @@
 
 // Handle implements jsonrpc2.Handler.
 func (s *session) Handle(ctx context.Context, rpc *jsonrpc2.Conn, request *jsonrpc2.Request) {
+	budget.Touch(s.conn)
 	if request.Method == methodLink && s.authenticated.Load() {
 		if err := s.serveLink(ctx, rpc, request); err != nil {
 			s.replyError(ctx, rpc, request, err)
