--- a/internal/operator/crowd/doc.go
+++ b/internal/operator/crowd/doc.go
@@ -6,5 +6,5 @@
 //
 // # Usage
 //
-//	go test -p 1 ./internal/operator/crowd
+//	go test -count=1 -p 1 ./internal/operator/crowd
 package crowd
