--- a/internal/schedule/owner/submit.go
+++ b/internal/schedule/owner/submit.go
@@ -203,9 +203,28 @@
 	if o.lacksLongRunningQuota(account, &spec) {
 		return Verdict{Ruling: Refused, Reason: "the customer's limit leaves no room for more lasting tasks", RetryAfter: longRunningRetryAfter}
 	}
+	if o.options.AdmitBytes != nil && !o.options.AdmitBytes(heldBytes(spec)) {
+		return Verdict{Ruling: Refused, Reason: "the owner's memory for jobs is in use", RetryAfter: clock.Second}
+	}
 	return Verdict{Ruling: Recorded}
 }
 
+// Memory of an accepted job and its encoded records.
+const (
+	taskBytes  = 200 // 103 of the task's state
+	stepBytes  = 1024
+	textFactor = 2
+)
+
+// heldBytes estimates the memory of an accepted job.
+func heldBytes(spec job.Spec) int64 {
+	bytes := textFactor * len(spec.Text)
+	for _, step := range spec.Steps {
+		bytes += stepBytes + taskBytes*step.Count + textFactor*(len(step.Label)+len(step.Rack)+len(step.Image))
+	}
+	return int64(bytes)
+}
+
 // tooLarge reports whether some step's tasks fit on no known worker of some
 // pools. It is false while no worker of these pools is known.
 func (o *Owner) tooLarge(pools []string, spec job.Spec) bool {
--- a/internal/site/daemon/daemon.go
+++ b/internal/site/daemon/daemon.go
@@ -32,6 +32,7 @@
 	"github.com/oriolepier/oriolepier/internal/base/logline"
 	"github.com/oriolepier/oriolepier/internal/schedule/owner"
 	"github.com/oriolepier/oriolepier/internal/site/access"
+	"github.com/oriolepier/oriolepier/internal/site/budget"
 	"github.com/oriolepier/oriolepier/internal/site/linkshard"
 	"github.com/oriolepier/oriolepier/internal/site/ownership"
 	"github.com/oriolepier/oriolepier/internal/site/peer"
@@ -90,6 +91,7 @@
 	logger        zerolog.Logger
 	sink          *logline.Sink
 	metrics       *metrics.Set
+	budget        *budget.Budget
 	ownerMetrics  *owner.Metrics
 	linkMetrics   *linkshard.Metrics
 	store         platform.Store
@@ -175,8 +177,8 @@
 		Limits:     d.settings.Store.Limits(),
 		Dispatcher: pool.Dispatch(),
 		Times:      owner.DefaultTimes(d.settings.Bounds.MaxLease, d.settings.Bounds.StatusKept),
-		Cores:      d.settings.Limits.Cores,
-		Logger:     d.logger, Metrics: d.ownerMetrics, Tables: d.tables.Since, Workers: d.listWorkers(pool),
+		Cores:      d.settings.Limits.Cores, AdmitBytes: d.budget.Jobs.Admit,
+		Logger: d.logger, Metrics: d.ownerMetrics, Tables: d.tables.Since, Workers: d.listWorkers(pool),
 		PreviousOwner: previousOwner.Name, PreviousOwnerStopped: previousOwner.Stopped,
 	})
 	d.previousOwner.Store(&previousOwner)
--- a/internal/site/daemon/wire.go
+++ b/internal/site/daemon/wire.go
@@ -20,6 +20,7 @@
 	"github.com/oriolepier/oriolepier/internal/schedule/manifest"
 	"github.com/oriolepier/oriolepier/internal/schedule/owner"
 	"github.com/oriolepier/oriolepier/internal/site/access"
+	"github.com/oriolepier/oriolepier/internal/site/budget"
 	"github.com/oriolepier/oriolepier/internal/site/linkshard"
 	"github.com/oriolepier/oriolepier/internal/site/ownership"
 	"github.com/oriolepier/oriolepier/internal/site/peer"
@@ -42,6 +43,7 @@
 	do.ProvideValue(injector, platform.NewWorkers(settings.Limits.Cores))
 	do.ProvideValue(injector, peer.NewClient(options.security()))
 	do.Provide(injector, newLogger)
+	do.Provide(injector, newBudget)
 	do.Provide(injector, newLinkMetrics)
 	do.Provide(injector, newShard)
 	do.Provide(injector, newTables)
@@ -146,6 +148,14 @@
 	}), nil
 }
 
+func newBudget(injector do.Injector) (*budget.Budget, error) {
+	limits := do.MustInvoke[platform.Settings](injector).Limits
+	derived := budget.Derive(limits.MemoryMB, limits.Descriptors).With(budget.Limits{
+		Connections: limits.CallerConnections, BodyBytes: limits.CallerBodyBytes, BodyRate: limits.CallerBodyRate,
+	})
+	return budget.New(derived, clock.New(), do.MustInvoke[zerolog.Logger](injector), do.MustInvoke[*metrics.Set](injector)), nil
+}
+
 func newLinkMetrics(injector do.Injector) (*linkshard.Metrics, error) {
 	return linkshard.NewMetrics(do.MustInvoke[*metrics.Set](injector)), nil
 }
@@ -169,6 +179,7 @@
 		logger:       do.MustInvoke[zerolog.Logger](injector),
 		sink:         do.MustInvoke[*logline.Sink](injector),
 		metrics:      set,
+		budget:       do.MustInvoke[*budget.Budget](injector),
 		ownerMetrics: owner.NewMetrics(set),
 		store:        do.MustInvoke[platform.Store](injector),
 		linkMetrics:  do.MustInvoke[*linkshard.Metrics](injector),
@@ -189,6 +200,7 @@
 		d.holder = view.NewHolder()
 		d.proxy = proxy.New(proxy.Options{
 			Holder: d.holder, Clock: d.clock, Log: d.logger, Entry: d.settings.Name, Seed: xxhash.Sum64String(d.settings.Name),
+			BufferedBytes: d.proxyBufferedBytes(),
 		})
 	}
 	return d, nil
@@ -202,6 +214,15 @@
 	return peer.Security{Token: o.Standalone.Token, Server: o.Standalone.Keys.PeerServer(), Client: o.Standalone.Keys.Client()}
 }
 
+// proxyBufferedBytes returns the limit of the proxy's bodies, or 0 for its default if
+// the settings do not name the memory of the process.
+func (d *Daemon) proxyBufferedBytes() int64 {
+	if d.settings.Limits.MemoryMB == 0 {
+		return 0
+	}
+	return d.budget.Limits().BodyBytes
+}
+
 // rank spreads entries evenly over [0, 1) by a hash of their names.
 func rank(name string) float64 {
 	hash := fnv.New32a()
