--- a/internal/schedule/owner/bench_test.go
+++ b/internal/schedule/owner/bench_test.go
@@ -123,3 +123,37 @@
 	}
 	return harness
 }
+
+// BenchmarkBatchBacklog measures a placement pass over 150 jobs of mixed sizes
+// whose tasks find no room, because smaller ones use all workers.
+func BenchmarkBatchBacklog(b *testing.B) {
+	for _, workers := range []int{66, 490, 1190} {
+		b.Run(fmt.Sprint(workers, "workers"), func(b *testing.B) {
+			harness := batchBacklogHarness(workers)
+			for b.Loop() {
+				harness.owner.runPlacementPass()
+			}
+		})
+	}
+}
+
+// batchBacklogHarness returns an owner whose workers each run four tasks of four
+// cores, with 150 waiting jobs of batch tasks of 5 to 19 cores.
+func batchBacklogHarness(workers int) *ownerHarness {
+	harness := loadedHarness(workers)
+	for i := range workers {
+		spec := jobSpec(fmt.Sprintf("%016x", 100000+i), job.Step{Count: 4, MilliCPU: 4000, MemoryMB: 10, EstimateMS: 1000 + int64(i)*7%3000})
+		harness.owner.Submit(spec, func(Verdict) {})
+	}
+	harness.deliverPending()
+	for i := range 150 {
+		spec := jobSpec(fmt.Sprintf("%016x", 1000+i), job.Step{Count: 2, MilliCPU: 5000 + int64(i)%15*1000, MemoryMB: 10, EstimateMS: 2000})
+		harness.owner.Submit(spec, func(Verdict) {})
+	}
+	harness.now += clock.Second
+	harness.owner.beginInput()
+	for _, w := range harness.owner.sortedWorkers {
+		w.lastReportAt, w.clockReadAt = harness.now, harness.now
+	}
+	return harness
+}
