Add timelines of what becomes free on a worker

Placement knows what is free now only, so it cannot say when a large task could start or whether a small one ends before. A timeline keeps the expected ends of a worker's runs, likely and sure, and is changed by events.

--- /dev/null
+++ b/internal/schedule/timeline/timeline.go
@@ -0,0 +1,144 @@
+// Package timeline keeps what becomes free on a worker at what time, by the
+// expected ends of its runs.
+//
+// An end is expected between two times: likely, and surely by a later one. A run
+// that has no end keeps its room. Runs are added, removed and estimated again
+// one at a time; each change moves one entry of two short sorted lists, so
+// nothing is rebuilt when a worker reports. Expected ends come from the caller,
+// and may be wrong: a run that is still there after its end counts as ending now.
+//
+// # Usage
+//
+//	run := worker.Add(room, timeline.Ends{Likely: now + 800, Sure: now + 1600})
+//	worker.Estimate(run, timeline.Ends{Likely: now + 900, Sure: now + 1000})
+//	start, ok := worker.Start(free, required, now)
+//	worker.Remove(run)
+package timeline
+
+import (
+	"cmp"
+	"math"
+	"slices"
+
+	"github.com/oriolepier/oriolepier/internal/base/clock"
+	"github.com/oriolepier/oriolepier/internal/schedule/fleet"
+)
+
+// Never is the end of a run that does not end by itself.
+const Never clock.Millis = math.MaxInt64
+
+// Ends are the times between which a run is expected to end.
+type Ends struct {
+	Likely clock.Millis
+	Sure   clock.Millis // not before Likely
+}
+
+// Run is a run on a worker.
+type Run struct {
+	room fleet.Room
+	ends Ends
+}
+
+// Ends returns the expected ends of a run.
+func (r *Run) Ends() Ends { return r.ends }
+
+// Worker is what becomes free on a worker. The zero value has no runs.
+type Worker struct {
+	byLikely []*Run // by Ends.Likely
+	bySure   []*Run // by Ends.Sure
+}
+
+// Add adds a run, which uses room until it ends.
+func (w *Worker) Add(room fleet.Room, ends Ends) *Run {
+	r := &Run{room: room, ends: ends}
+	w.insert(r)
+	return r
+}
+
+// Remove removes a run that has ended.
+func (w *Worker) Remove(r *Run) {
+	w.byLikely = remove(w.byLikely, r, likely)
+	w.bySure = remove(w.bySure, r, sure)
+}
+
+// Estimate changes the expected ends of a run.
+func (w *Worker) Estimate(r *Run, ends Ends) {
+	if ends == r.ends {
+		return
+	}
+	w.Remove(r)
+	r.ends = ends
+	w.insert(r)
+}
+
+func (w *Worker) insert(r *Run) {
+	w.byLikely = insert(w.byLikely, r, likely)
+	w.bySure = insert(w.bySure, r, sure)
+}
+
+// Start returns the times from which an amount is likely and surely free, if
+// nothing else starts; ok is false if it never is. The argument free is what is
+// free now.
+func (w *Worker) Start(free, amount fleet.Room, now clock.Millis) (start Ends, ok bool) {
+	start.Sure = earliest(w.bySure, free, amount, now, sure)
+	if start.Sure == Never {
+		return Ends{Likely: Never, Sure: Never}, false
+	}
+	start.Likely = earliest(w.byLikely, free, amount, now, likely)
+	return start, true
+}
+
+// FreeAt returns what is surely free at a time, if nothing else starts.
+func (w *Worker) FreeAt(free fleet.Room, at clock.Millis) fleet.Room {
+	for _, r := range w.bySure {
+		if r.ends.Sure > at {
+			break
+		}
+		free = free.Plus(r.room, 1)
+	}
+	return free
+}
+
+// earliest returns the time from which an amount is free by one of the
+// estimates, or Never.
+func earliest(runs []*Run, free, amount fleet.Room, now clock.Millis, end func(*Run) clock.Millis) clock.Millis {
+	if amount.FitsIn(free) {
+		return now
+	}
+	for _, r := range runs {
+		at := end(r)
+		if at == Never {
+			break
+		}
+		free = free.Plus(r.room, 1)
+		if amount.FitsIn(free) {
+			return max(at, now)
+		}
+	}
+	return Never
+}
+
+func likely(r *Run) clock.Millis { return r.ends.Likely }
+
+func sure(r *Run) clock.Millis { return r.ends.Sure }
+
+// insert adds a run to a list sorted by an end.
+func insert(runs []*Run, r *Run, end func(*Run) clock.Millis) []*Run {
+	return slices.Insert(runs, lowerBound(runs, end(r), end), r)
+}
+
+// remove removes a run from a list sorted by an end.
+func remove(runs []*Run, r *Run, end func(*Run) clock.Millis) []*Run {
+	for i := lowerBound(runs, end(r), end); i < len(runs); i++ {
+		if runs[i] == r {
+			return slices.Delete(runs, i, i+1)
+		}
+	}
+	return runs
+}
+
+// lowerBound is the index of the first run that does not end before a time.
+func lowerBound(runs []*Run, at clock.Millis, end func(*Run) clock.Millis) int {
+	i, _ := slices.BinarySearchFunc(runs, at, func(r *Run, at clock.Millis) int { return cmp.Compare(end(r), at) })
+	return i
+}
