--- a/internal/schedule/owner/reserve.go
+++ b/internal/schedule/owner/reserve.go
@@ -356,7 +356,7 @@
 		Int64("free_milli_cpu", w.freeRoom().MilliCPU).Int64("free_memory_mb", w.freeRoom().MemoryMB).
 		Int64("likely_start_ms", int64(held.start.Likely-o.now)).Int64("sure_start_ms", int64(held.start.Sure-o.now)).
 		Int64("waited_ms", int64(o.now-held.job.lastPlacementChangeAt)).Int64("reserved_ms", int64(o.now-held.madeAt)).
-		Int("moves", held.moves).Int64("contact_age_ms", int64(o.contactAge(w)))
+		Int("moves", held.moves).Bool("strict", held.strict).Int64("contact_age_ms", int64(o.contactAge(w)))
 }
 
 // freeWithoutBatch is the room of a worker once all but its long-running tasks
