Let urgent small tasks pass strict reservations of jobs that are on time

A small task that was held back long enough no longer counted as urgent, so a strict reservation held it back although only the small task would be late. The two are separate now, also where a failed request stands for others; the new case of TestReservedWorkerIsFilled failed before.

--- a/internal/schedule/owner/bench_test.go
+++ b/internal/schedule/owner/bench_test.go
@@ -137,17 +137,17 @@
 	}
 }
 
-// batchBacklogHarness returns an owner whose workers each run four tasks of four
-// cores, with 150 waiting jobs of batch tasks of 5 to 19 cores.
+// batchBacklogHarness returns an owner whose workers each run five tasks of four
+// cores, with 150 waiting jobs of batch tasks of 5 to 19 cores and 0.5 to 5 s.
 func batchBacklogHarness(workers int) *ownerHarness {
 	harness := loadedHarness(workers)
 	for i := range workers {
-		spec := jobSpec(fmt.Sprintf("%016x", 100000+i), job.Step{Count: 4, MilliCPU: 4000, MemoryMB: 10, EstimateMS: 1000 + int64(i)*7%3000})
+		spec := jobSpec(fmt.Sprintf("%016x", 100000+i), job.Step{Count: 5, MilliCPU: 4000, MemoryMB: 10, EstimateMS: 1000 + int64(i)*7%3000})
 		harness.owner.Submit(spec, func(Verdict) {})
 	}
 	harness.deliverPending()
 	for i := range 150 {
-		spec := jobSpec(fmt.Sprintf("%016x", 1000+i), job.Step{Count: 2, MilliCPU: 5000 + int64(i)%15*1000, MemoryMB: 10, EstimateMS: 2000})
+		spec := jobSpec(fmt.Sprintf("%016x", 1000+i), job.Step{Count: 2, MilliCPU: 5000 + int64(i)%15*1000, MemoryMB: 10, EstimateMS: 500 + int64(i)*977%4500})
 		harness.owner.Submit(spec, func(Verdict) {})
 	}
 	harness.now += clock.Second
--- a/internal/schedule/owner/placement_failures.go
+++ b/internal/schedule/owner/placement_failures.go
@@ -25,7 +25,7 @@
 	lastPlacementChangeAt clock.Millis // of its job; an earlier time relaxes the constraints
 	urgency               float64      // of its job; a higher one relaxes the constraints
 	length                clock.Millis // likely or sure, as reservations count it; 0: no worker is reserved. A shorter one relaxes the constraints
-	passing               passing      // a higher one relaxes the constraints
+	passing               passing      // of reservations; relaxes the constraints
 	rejections            rejections
 }
 
@@ -48,7 +48,7 @@
 // rejects the other one, too.
 func (r failedRequest) isAtMostAsHardAs(other failedRequest) bool {
 	return r.resources.FitsIn(other.resources) && r.lastPlacementChangeAt <= other.lastPlacementChangeAt && r.urgency >= other.urgency &&
-		r.length <= other.length && r.passing >= other.passing
+		r.length <= other.length && r.passing.includes(other.passing)
 }
 
 func failureClassOf(pool string, step *stepState) failureClass {
--- a/internal/schedule/owner/reserve.go
+++ b/internal/schedule/owner/reserve.go
@@ -51,13 +51,15 @@
 }
 
 // passing tells which reservations do not hold a task back.
-type passing uint8
+type passing struct {
+	urgent   bool // its job is late unless it starts about now: those of jobs that are on time
+	heldLong bool // it is not large and was held back long enough: those that are not strict
+}
 
-const (
-	passesNone   passing = iota
-	passesOnTime         // its job is late unless it starts about now: those of jobs that are on time
-	passesAll            // it was held back long enough
-)
+// includes reports whether a task passes all reservations that another one does.
+func (p passing) includes(other passing) bool {
+	return (p.urgent || !other.urgent) && (p.heldLong || !other.heldLong)
+}
 
 // candidate is a task that a reservation may hold back.
 type candidate struct {
@@ -86,16 +88,11 @@
 }
 
 // passing returns which reservations do not hold a task back. Tasks that are not
-// large pass all after a short wait: they delay a reserved task a little, while
+// large pass most after a short wait: they delay a reserved task a little, while
 // held back they would wait for as long as they run.
 func (o *Owner) passing(task *taskState, step *stepState) passing {
-	switch {
-	case o.now-max(task.waitingSince, task.job.submittedAt) >= longestHold && !o.isLarge(step):
-		return passesAll
-	case o.isUrgent(task.job):
-		return passesOnTime
-	}
-	return passesNone
+	waited := o.now - max(task.waitingSince, task.job.submittedAt)
+	return passing{urgent: o.isUrgent(task.job), heldLong: waited >= longestHold && !o.isLarge(step)}
 }
 
 // isUrgent reports whether a job misses its objective unless it starts about
@@ -129,7 +126,8 @@
 	if c.priority != held.priority {
 		return c.priority < held.priority
 	}
-	return c.passing == passesAll && !held.strict || c.passing == passesOnTime && held.start.Sure <= held.job.deadlines.dueAt-taskLength(held.step.spec)
+	onTime := held.start.Sure <= held.job.deadlines.dueAt-taskLength(held.step.spec)
+	return c.passing.heldLong && !held.strict || c.passing.urgent && onTime
 }
 
 // mustRun reports whether a long-running task may not be held back any longer:
--- a/internal/schedule/owner/reserve_test.go
+++ b/internal/schedule/owner/reserve_test.go
@@ -161,6 +161,8 @@
 		strict bool
 		due    clock.Millis // end of its objective from now; 0: by its queue
 		want   bool
+
+		reservedLate bool
 	}{
 		{name: "ends in time", step: job.Step{MilliCPU: 8000, EstimateMS: 1000}, want: true},
 		{name: "may end too late", step: job.Step{MilliCPU: 8000, EstimateMS: 1100}},
@@ -173,11 +175,16 @@
 		{name: "large", step: job.Step{MilliCPU: 8000, EstimateMS: 60000}, waited: longestHold},
 		{name: "served first", queue: "first", step: job.Step{MilliCPU: 8000, EstimateMS: 60000}, want: true},
 		{name: "about to be late", step: job.Step{MilliCPU: 8000, EstimateMS: 60000}, due: 60100, want: true},
+		{name: "about to be late, strict reservation", step: job.Step{MilliCPU: 6000, EstimateMS: 60000}, waited: longestHold, strict: true, due: 60100, want: true},
+		{name: "about to be late, as the reserved task is", step: job.Step{MilliCPU: 8000, EstimateMS: 60000}, due: 60100, reservedLate: true},
 		{name: "best-effort", step: job.Step{MilliCPU: 8000, EstimateMS: 60000, Fills: true}, want: true},
 	} {
 		t.Run(test.name, func(t *testing.T) {
 			b, w := reservedHarness(t)
 			w.reserved.strict = test.strict
+			if test.reservedLate {
+				w.reserved.job.deadlines.dueAt = b.now
+			}
 			test.step.Count, test.step.MemoryMB = 1, 10
 			spec := jobSpec(id, test.step)
 			if test.queue != "" {
