--- a/internal/schedule/mix/mix_test.go
+++ b/internal/schedule/mix/mix_test.go
@@ -24,6 +24,12 @@
 			t.Errorf("size %d among small ones: large is %v, want %v", size, got, want)
 		}
 	}
+	m.Add(now, 32000, 1)
+	for amount, want := range map[int64]float64{3000: 0, 16000: 0.5, 20000: 0.5, 64000: 1} {
+		if got := m.Fitting(amount); got != want {
+			t.Errorf("%v of the large sizes fit in %d, want %v", got, amount, want)
+		}
+	}
 	now += 5 * clock.Minute
 	m.Add(now, 16000, 1)
 	if m.IsLarge(16000) {
