--- a/internal/schedule/owner/owner.go
+++ b/internal/schedule/owner/owner.go
@@ -41,6 +41,7 @@
 	"github.com/oriolepier/oriolepier/internal/schedule/job"
 	"github.com/oriolepier/oriolepier/internal/schedule/journal"
 	"github.com/oriolepier/oriolepier/internal/schedule/manifest"
+	"github.com/oriolepier/oriolepier/internal/schedule/mix"
 	"github.com/oriolepier/oriolepier/internal/schedule/quota"
 )
 
@@ -120,12 +121,14 @@
 	ratings                  []rating                  // worker scores for the step being placed, by pool
 	relocations              map[*taskState]relocating // long-running tasks on the way to another worker
 	nextRelocationAt         clock.Millis              // earliest next plan of relocations
-	reservedWorkers          int                       // workers reserved for large tasks
-	batchDemands             map[string]batchDemand    // recent demand of batch tasks, by pool
-	nextInterferenceRecordAt clock.Millis              // earliest next record of the interference estimates
-	blocked                  blockedTasks              // what the last placement pass left waiting
-	loggedReason             rejection                 // leading reason in the last log line on it
-	nextBlockedLogAt         clock.Millis              // earliest next such line
+	reservations             reservations
+	sizes                    *mix.Mix               // of the batch tasks that were submitted recently
+	totalRoom                fleet.Room             // of all listed workers
+	batchDemands             map[string]batchDemand // recent demand of batch tasks, by pool
+	nextInterferenceRecordAt clock.Millis           // earliest next record of the interference estimates
+	blocked                  blockedTasks           // what the last placement pass left waiting
+	loggedReason             rejection              // leading reason in the last log line on it
+	nextBlockedLogAt         clock.Millis           // earliest next such line
 	failureRate              failureRate
 	nextOutcomesCheckAt      clock.Millis            // earliest next removal of old outcomes
 	outcomes                 map[runSource]*outcomes // ends of the runs of jobs and images that have failed lately
@@ -163,6 +166,7 @@
 		workers:              map[string]*worker{},
 		cancelReplies:        map[int]func(Verdict){},
 		interference:         interference.New(),
+		sizes:                mix.New(),
 		trials:               map[trial]int{},
 		keptModels:           map[string]keptModel{},
 		failureRate:          initialFailureRate,
--- a/internal/schedule/owner/quota.go
+++ b/internal/schedule/owner/quota.go
@@ -74,12 +74,8 @@
 	c := o.customerOf(j.account)
 	c.atLimitAt = o.now
 	c.heldByQuota++
-	if step.reserved > 0 {
-		for _, w := range o.sortedWorkers {
-			if w.reserved != nil && w.reserved.step == step {
-				o.releaseReservation(w)
-			}
-		}
+	for _, w := range slices.Clone(step.reservedOn) {
+		o.releaseReservation(w)
 	}
 	return true
 }
--- a/internal/schedule/owner/quota_test.go
+++ b/internal/schedule/owner/quota_test.go
@@ -94,7 +94,7 @@
 		t.Errorf("running tasks (-want +got):\n%s", diff)
 	}
 	dump := b.owner.Dump()
-	got := []any{dump.Customers[0].WaitingQuota, dump.Customers[0].Running, dump.Blocked["quota"], dump.WaitingCPU, b.owner.reservedWorkers}
+	got := []any{dump.Customers[0].WaitingQuota, dump.Customers[0].Running, dump.Blocked["quota"], dump.WaitingCPU, b.owner.reservations.reserved}
 	if diff := cmp.Diff([]any{398, int64(2), 398, int64(0), 0}, got); diff != "" {
 		t.Errorf("waiting for quota, running, blocked, waiting milli-CPU, reservations (-want +got):\n%s", diff)
 	}
--- a/internal/schedule/owner/report.go
+++ b/internal/schedule/owner/report.go
@@ -216,6 +216,7 @@
 	r.hasUsed = r.hasUsed || usesProcessors(r.task.spec(), row.Usage)
 	r.reportedAt = o.now
 	o.keepCheckpoint(r.task, row.Checkpoint)
+	o.updateExpectedEnds(r)
 	switch r.stage {
 	case stageInherited, stageOrdered:
 		o.confirmStart(r)
