Use learned durations for objectives and urgency

Jobs were ordered by declared durations, whatever their tasks took. The owner now learns from runs that are done: the time of a batch task, and of a best-effort task the time in terms of the processors that it got. Partial, inherited and late seen runs are left out, and those on workers that stalled lately.

--- a/internal/schedule/owner/commit.go
+++ b/internal/schedule/owner/commit.go
@@ -13,6 +13,7 @@
 	keyHeartbeat    = "beat"
 	keyInterference = "harm"
 	keyUnresponsive = "silence"
+	keyDurations    = "durations"
 )
 
 // batch is a group of changes for one append.
--- /dev/null
+++ b/internal/schedule/owner/durations.go
@@ -0,0 +1,101 @@
+package owner
+
+import (
+	"github.com/oriolepier/oriolepier/internal/base/clock"
+	"github.com/oriolepier/oriolepier/internal/schedule/duration"
+	"github.com/oriolepier/oriolepier/internal/schedule/journal"
+)
+
+// Limits of learning durations from runs.
+const (
+	maxUnseenTime         clock.Millis = 1500             // time between the last report that listed a run and the one with its end, above which its length is not known
+	lengthRefresh         clock.Millis = clock.Second     // age from which the expected length of a step is computed anew
+	durationsRecordPeriod clock.Millis = 4 * clock.Second // time between records of the learned durations
+)
+
+// expectedLength is the expected length of a step's tasks, kept for a while.
+type expectedLength struct {
+	likely clock.Millis
+	at     clock.Millis // when it was computed; 0: never
+}
+
+// kindOf returns the kind of a step's tasks.
+func kindOf(j *jobState, step *stepState) duration.Kind {
+	return duration.Kind{Queue: j.spec.Queue, Image: step.spec.Image, Declared: clock.Millis(step.spec.EstimateMS)}
+}
+
+// taskLength is the expected duration of a step's tasks: as learned, else as
+// declared.
+func (o *Owner) taskLength(j *jobState, step *stepState) clock.Millis {
+	if step.length.at != 0 && o.now-step.length.at < lengthRefresh {
+		return step.length.likely
+	}
+	likely, _, samples := o.durations.Predict(kindOf(j, step))
+	if samples == 0 || step.spec.Lasting {
+		likely = defaultTaskLength
+		if step.spec.EstimateMS != 0 {
+			likely = clock.Millis(step.spec.EstimateMS)
+		}
+	}
+	step.length = expectedLength{likely: likely, at: o.now}
+	return likely
+}
+
+// addProcessorTime adds the time since a best-effort run's last report, in terms
+// of the processors that it requests. Call it before the report is recorded.
+func (o *Owner) addProcessorTime(r *run, usage int64) {
+	spec := r.task.spec()
+	if !spec.Fills || r.startedAt == 0 {
+		return
+	}
+	since := max(r.reportedAt, r.startedAt)
+	r.processorTime += float64(o.now-since) * min(float64(usage)/float64(max(spec.MilliCPU, 1)), 1)
+}
+
+// learnDuration adds the length of a run that is done to the estimates. Left out
+// are runs that did only a part of the work or were started by an earlier owner,
+// runs on workers that stalled lately, and runs whose end was seen late. The
+// speed of a worker is measured by declarations, so it says nothing here.
+func (o *Owner) learnDuration(r *run) {
+	spec := r.task.spec()
+	partial := spec.Checkpointing && r.runNumber > 1
+	seenAt := max(r.reportedAt, r.startedAt)
+	if spec.Lasting || partial || r.startsSent == 0 || o.now-seenAt > maxUnseenTime || r.worker.stallsInARow > 0 {
+		return
+	}
+	ran := o.now - r.startedAt
+	if spec.Fills {
+		if r.reportedAt == 0 {
+			return // nothing is known of the processors that it got
+		}
+		o.addProcessorTime(r, r.usage)
+		ran = clock.Millis(r.processorTime)
+	}
+	o.durations.Observe(kindOf(r.task.job, &r.task.job.steps[r.task.step]), ran, o.now)
+}
+
+// recordDurations adds changed estimates of durations to the next append, once a
+// period.
+func (o *Owner) recordDurations() {
+	if o.now < o.nextDurationsRecordAt {
+		return
+	}
+	o.nextDurationsRecordAt = o.now + durationsRecordPeriod
+	if !o.durations.Changed() {
+		return
+	}
+	data, err := o.durations.Encode()
+	if err != nil {
+		o.options.Log.Error().Err(err).Msg("cannot encode the durations")
+		return
+	}
+	o.batch.otherRecords = append(o.batch.otherRecords, journal.Record{Key: keyDurations, Value: data})
+}
+
+// loadDurations restores the estimates of an earlier owner. Without them they are
+// learned anew, so an unreadable record does not keep the owner from starting.
+func (o *Owner) loadDurations(data []byte) {
+	if err := o.durations.Load(data, o.now); err != nil {
+		o.options.Log.Warn().Err(err).Str("event", "durations_unreadable").Int("bytes", len(data)).Send()
+	}
+}
--- a/internal/schedule/owner/load.go
+++ b/internal/schedule/owner/load.go
@@ -84,6 +84,8 @@
 	switch record.Key {
 	case keyInterference:
 		return o.interference.Load(record.Value)
+	case keyDurations:
+		o.loadDurations(record.Value)
 	case keyUnresponsive:
 		return o.loadUnresponsive(record.Value)
 	}
--- a/internal/schedule/owner/objective.go
+++ b/internal/schedule/owner/objective.go
@@ -1,11 +1,8 @@
 package owner
 
-import (
-	"github.com/oriolepier/oriolepier/internal/base/clock"
-	"github.com/oriolepier/oriolepier/internal/schedule/job"
-)
+import "github.com/oriolepier/oriolepier/internal/base/clock"
 
-// defaultTaskLength is assumed for a task without an estimate.
+// defaultTaskLength is assumed for a task whose duration is neither learned nor declared.
 const defaultTaskLength clock.Millis = clock.Second
 
 // expiryFactor is the multiple of its latency objective after which a job counts
@@ -43,18 +40,18 @@
 
 // criticalPath is the expected duration of a job's longest chain of steps.
 func (o *Owner) criticalPath(j *jobState) clock.Millis {
-	return longestChain(j, func(*stepState) bool { return true })
+	return o.longestChain(j, func(*stepState) bool { return true })
 }
 
 // remainingPath is the expected duration of the longest chain of steps that are
 // not done, each from its beginning.
 func (o *Owner) remainingPath(j *jobState) clock.Millis {
-	return longestChain(j, func(step *stepState) bool { return step.unfinished > 0 })
+	return o.longestChain(j, func(step *stepState) bool { return step.unfinished > 0 })
 }
 
 // longestChain is the expected duration of the longest chain of the counted
 // steps of a job.
-func longestChain(j *jobState, counts func(*stepState) bool) clock.Millis {
+func (o *Owner) longestChain(j *jobState, counts func(*stepState) bool) clock.Millis {
 	ends := make([]clock.Millis, len(j.steps))
 	longest := clock.Millis(0)
 	for i := range j.steps {
@@ -63,17 +60,9 @@
 			ends[i] = max(ends[i], ends[predecessor])
 		}
 		if counts(step) {
-			ends[i] += taskLength(step.spec)
+			ends[i] += o.taskLength(j, step)
 		}
 		longest = max(longest, ends[i])
 	}
 	return longest
 }
-
-// taskLength is the expected duration of a step's tasks.
-func taskLength(spec *job.Step) clock.Millis {
-	if spec.EstimateMS == 0 {
-		return defaultTaskLength
-	}
-	return clock.Millis(spec.EstimateMS)
-}
--- a/internal/schedule/owner/owner.go
+++ b/internal/schedule/owner/owner.go
@@ -36,6 +36,7 @@
 	"github.com/rs/zerolog"
 
 	"github.com/oriolepier/oriolepier/internal/base/clock"
+	"github.com/oriolepier/oriolepier/internal/schedule/duration"
 	"github.com/oriolepier/oriolepier/internal/schedule/fleet"
 	"github.com/oriolepier/oriolepier/internal/schedule/interference"
 	"github.com/oriolepier/oriolepier/internal/schedule/job"
@@ -106,6 +107,8 @@
 
 	timers                   timers
 	interference             *interference.Estimator
+	durations                *duration.Estimator
+	nextDurationsRecordAt    clock.Millis              // earliest next record of the durations
 	trials                   map[trial]int             // tasks placed to learn an unknown pair of images, by pair
 	trialsStarted            int                       // trials begun so far, one for each unknown pair beside a placed task
 	ratings                  []rating                  // worker scores for the step being placed, by pool
@@ -140,6 +143,7 @@
 		workers:              map[string]*worker{},
 		cancelReplies:        map[int]func(Verdict){},
 		interference:         interference.New(),
+		durations:            duration.New(),
 		trials:               map[trial]int{},
 		failureRate:          initialFailureRate,
 		batchDemands:         map[string]batchDemand{},
@@ -160,6 +164,7 @@
 	}
 	o.scheduleHeartbeat()
 	o.recordInterference()
+	o.recordDurations()
 	o.recordUnresponsive()
 	o.expireRelocations()
 	o.moveOffDraining()
--- a/internal/schedule/owner/report.go
+++ b/internal/schedule/owner/report.go
@@ -207,6 +207,7 @@
 // updateRun updates a run from its row in a report.
 func (o *Owner) updateRun(r *run, row fleet.Run) {
 	o.updateProgress(r, row)
+	o.addProcessorTime(r, row.Usage)
 	r.usage = row.Usage
 	r.reportedAt = o.now
 	if row.Checkpoint != "" && row.Checkpoint != r.task.checkpoint {
@@ -275,6 +276,9 @@
 	o.logRun("run_ended", r).Str("cause", end.String()).
 		Str("reason", r.stopReason).Int64("ran_ms", int64(age(r.startedAt, o.now))).Int64("contact_age_ms", int64(o.contactAge(r.worker))).
 		Str("evidence", by.evidence.String()).Int64("evidence_age_ms", int64(age(by.at, o.now))).Int64("epoch", o.options.Epoch).Send()
+	if end == endDone {
+		o.learnDuration(r)
+	}
 	o.updateWorkerHistory(r, end)
 	o.detach(r)
 	o.markChanged(j)
--- a/internal/schedule/owner/state.go
+++ b/internal/schedule/owner/state.go
@@ -39,6 +39,7 @@
 	waiting      int            // tasks without a run that are not done
 	runsByWorker map[string]int // runs by worker id; nil unless the step limits runs per worker
 	reserved     int            // workers reserved for its tasks
+	length       expectedLength // of its tasks
 	rejections   rejections     // workers by the reason why they could not run its next task, in the last pass that found none
 }
 
@@ -85,6 +86,7 @@
 	startedAt       clock.Millis // when the first start order was sent; inherited runs: when confirmed
 	usage           int64        // last reported: tail latency in ms with a target, else milli-CPU in use
 	reportedAt      clock.Millis // when usage was reported; 0: never
+	processorTime   float64      // of a best-effort run until reportedAt: milliseconds at the processors that it requests
 	percentDone     int          // last reported share of its work that is done
 	progressKnown   bool         // the last report shows whether it makes progress
 	progressedAt    clock.Millis // time of its last progress, or the end of startupGrace if later; 0: never reported
