--- a/internal/schedule/owner/expected_end.go
+++ b/internal/schedule/owner/expected_end.go
@@ -2,7 +2,6 @@
 
 import (
 	"github.com/oriolepier/oriolepier/internal/base/clock"
-	"github.com/oriolepier/oriolepier/internal/schedule/job"
 	"github.com/oriolepier/oriolepier/internal/schedule/timeline"
 )
 
@@ -26,19 +25,15 @@
 
 // expectedLength is the duration that a run of a step is likely and surely to
 // have from its start. It is the only source of expected ends.
-func expectedLength(spec *job.Step, progress runProgress) timeline.Ends {
-	declared := taskLength(spec)
-	expected := timeline.Ends{Likely: declared, Sure: declaredLateFactor * declared}
-	if spec.EstimateMS == 0 {
-		expected.Sure = undeclaredLate
-	}
+func expectedLength(lengths taskLengths, progress runProgress) timeline.Ends {
+	expected := timeline.Ends{Likely: lengths.likely, Sure: lengths.late}
 	const whole = 100
 	elapsed, percent := progress.elapsed, clock.Millis(progress.percent)
 	switch {
 	case percent > 0 && progress.fromStart:
 		shortest, longest := elapsed*whole/(percent+1), elapsed*whole/percent
 		expected.Likely = min(max(expected.Likely, shortest), longest)
-		if expected.Sure < shortest || expected.Sure > longest { // the declared duration is disproved, or tells less
+		if expected.Sure < shortest || expected.Sure > longest { // the known duration is disproved, or tells less
 			expected.Sure = longest
 		}
 	case percent > 0: // it went on from a checkpoint, or was started by an earlier owner
@@ -64,7 +59,7 @@
 	if r.startedAt != 0 {
 		progress.elapsed = o.now - r.startedAt
 	}
-	expected := expectedLength(spec, progress)
+	expected := expectedLength(o.taskLengths(r.task.job, &r.task.job.steps[r.task.step]), progress)
 	begun := o.now - progress.elapsed
 	return timeline.Ends{Likely: begun + expected.Likely, Sure: begun + expected.Sure}
 }
--- a/internal/schedule/owner/expected_end_test.go
+++ b/internal/schedule/owner/expected_end_test.go
@@ -28,7 +28,7 @@
 		{"resumed at half", 1000, runProgress{elapsed: 10, percent: 50}, timeline.Ends{Likely: 510, Sure: 1010}},
 		{"overdue without progress", 1000, runProgress{elapsed: 3000, fromStart: true}, timeline.Ends{Likely: 4500, Sure: 6000}},
 	} {
-		got := expectedLength(&job.Step{EstimateMS: test.declared}, test.progress)
+		got := expectedLength(declaredLengths(&job.Step{EstimateMS: test.declared}), test.progress)
 		if diff := cmp.Diff(test.want, got); diff != "" {
 			t.Errorf("%s (-want +got):\n%s", test.name, diff)
 		}
--- a/internal/schedule/owner/fair.go
+++ b/internal/schedule/owner/fair.go
@@ -295,7 +295,7 @@
 	sum := o.waitingWork[queued.pools[0]]
 	for i := range j.steps {
 		if step := &j.steps[i]; step.ready && step.waiting > 0 && !step.heldByQuota() {
-			sum.work += float64(step.waiting) * float64(step.spec.MilliCPU) * float64(taskLength(step.spec))
+			sum.work += float64(step.waiting) * float64(step.spec.MilliCPU) * float64(o.taskLength(j, step))
 		}
 	}
 	o.waitingWork[queued.pools[0]] = sum
--- a/internal/schedule/owner/load.go
+++ b/internal/schedule/owner/load.go
@@ -109,8 +109,11 @@
 		lists[record.Key] = record.Value
 		return nil
 	}
-	if record.Key == keyInterference {
+	switch record.Key {
+	case keyInterference:
 		return o.interference.Load(record.Value)
+	case keyDurations:
+		o.loadDurations(record.Value)
 	}
 	return nil
 }
--- a/internal/schedule/owner/objective.go
+++ b/internal/schedule/owner/objective.go
@@ -2,11 +2,10 @@
 
 import (
 	"github.com/oriolepier/oriolepier/internal/base/clock"
-	"github.com/oriolepier/oriolepier/internal/schedule/job"
 	"github.com/oriolepier/oriolepier/internal/schedule/manifest"
 )
 
-// defaultTaskLength is assumed for a task without an estimate.
+// defaultTaskLength is assumed for a task whose duration is neither learned nor declared.
 const defaultTaskLength clock.Millis = clock.Second
 
 // expiryFactor is the multiple of its latency objective after which a job counts
@@ -55,19 +54,19 @@
 
 // criticalPath is the expected duration of a job's longest chain of steps.
 func (o *Owner) criticalPath(j *jobState) clock.Millis {
-	return longestChain(j, func(step *stepState) int { return step.spec.Count })
+	return o.longestChain(j, func(step *stepState) int { return step.spec.Count })
 }
 
 // remainingPath is the expected duration of the longest chain of steps that are
 // not done, each from its beginning.
 func (o *Owner) remainingPath(j *jobState) clock.Millis {
-	return longestChain(j, func(step *stepState) int { return step.unfinished })
+	return o.longestChain(j, func(step *stepState) int { return step.unfinished })
 }
 
 // longestChain is the expected duration of the longest chain of the steps of a job
 // with a number of tasks each; steps without tasks take no time. A step wider than
 // the limit of the job's customer runs in waves.
-func longestChain(j *jobState, tasks func(*stepState) int) clock.Millis {
+func (o *Owner) longestChain(j *jobState, tasks func(*stepState) int) clock.Millis {
 	ends := make([]clock.Millis, len(j.steps))
 	longest := clock.Millis(0)
 	for i := range j.steps {
@@ -76,7 +75,7 @@
 			ends[i] = max(ends[i], ends[predecessor])
 		}
 		if count := tasks(step); count > 0 {
-			ends[i] += taskLength(step.spec) * waves(j, step, count)
+			ends[i] += o.taskLength(j, step) * waves(j, step, count)
 		}
 		longest = max(longest, ends[i])
 	}
@@ -91,11 +90,3 @@
 	}
 	return clock.Millis(j.account.Waves(tasks, requestedRoom(step.spec)))
 }
-
-// taskLength is the expected duration of a step's tasks.
-func taskLength(spec *job.Step) clock.Millis {
-	if spec.EstimateMS == 0 {
-		return defaultTaskLength
-	}
-	return clock.Millis(spec.EstimateMS)
-}
--- a/internal/schedule/owner/owner.go
+++ b/internal/schedule/owner/owner.go
@@ -36,6 +36,7 @@
 	"github.com/rs/zerolog"
 
 	"github.com/oriolepier/oriolepier/internal/base/clock"
+	"github.com/oriolepier/oriolepier/internal/schedule/duration"
 	"github.com/oriolepier/oriolepier/internal/schedule/fleet"
 	"github.com/oriolepier/oriolepier/internal/schedule/interference"
 	"github.com/oriolepier/oriolepier/internal/schedule/job"
@@ -115,7 +116,9 @@
 
 	timers                   timers
 	interference             *interference.Estimator
-	keptModels               map[string]keptModel      // interference with images of long-running tasks that are over their target, as known before
+	keptModels               map[string]keptModel // interference with images of long-running tasks that are over their target, as known before
+	durations                *duration.Estimator
+	nextDurationsRecordAt    clock.Millis              // earliest next record of the durations
 	trials                   map[trial]int             // tasks placed to learn an unknown pair of images, by pair
 	trialsStarted            int                       // trials begun so far, one for each unknown pair beside a placed task
 	ratings                  []rating                  // worker scores for the step being placed, by pool
@@ -167,6 +170,7 @@
 		cancelReplies:        map[int]func(Verdict){},
 		interference:         interference.New(),
 		sizes:                mix.New(),
+		durations:            duration.New(),
 		trials:               map[trial]int{},
 		keptModels:           map[string]keptModel{},
 		failureRate:          initialFailureRate,
@@ -194,6 +198,7 @@
 	o.decideUndecided()
 	o.scheduleHeartbeat()
 	o.recordInterference()
+	o.recordDurations()
 	o.recordUnresponsive()
 	o.expireRelocations()
 	o.moveOffDraining()
--- a/internal/schedule/owner/reserve.go
+++ b/internal/schedule/owner/reserve.go
@@ -73,7 +73,7 @@
 // newCandidate describes a task to the reservations.
 func (o *Owner) newCandidate(task *taskState, step *stepState) candidate {
 	queue, _ := o.tables.Queue(task.job.spec.Queue)
-	length := expectedLength(step.spec, runProgress{})
+	length := expectedLength(o.taskLengths(task.job, step), runProgress{})
 	c := candidate{
 		step: step, mustPlace: task.mustRun(o.now), priority: queue.Priority,
 		passing: o.passing(task, step), endsBy: o.now + length.Sure,
@@ -126,7 +126,7 @@
 	if c.priority != held.priority {
 		return c.priority < held.priority
 	}
-	onTime := held.start.Sure <= held.job.deadlines.dueAt-taskLength(held.step.spec)
+	onTime := held.start.Sure <= held.job.deadlines.dueAt-held.step.length.likely
 	return c.passing.heldLong && !held.strict || c.passing.urgent && onTime
 }
 
--- a/internal/schedule/owner/state.go
+++ b/internal/schedule/owner/state.go
@@ -48,6 +48,7 @@
 	runsByWorker map[string]int  // runs by worker id; nil unless the step limits runs per worker
 	reservedOn   []*worker       // workers reserved for its tasks
 	blocked      []blockedSearch // by index of its queue's pools
+	length       knownLengths    // of its tasks
 	rejections   rejections      // workers by the reason why they could not run its next task, in the last pass that found none
 }
 
@@ -108,6 +109,7 @@
 	pace                        int           // ordered share of its speed in percent; fullPace: not slowed
 	stopReason                  string        // why it was stopped or not started
 	expected                    *timeline.Run // when it is expected to end
+	processorTime               float64       // of a best-effort run until reportedAt: milliseconds at the processors that it requests
 }
 
 // key returns the key that identifies the task in orders and reports.
