--- a/internal/schedule/owner/commit.go
+++ b/internal/schedule/owner/commit.go
@@ -17,6 +17,7 @@
 	keyInterference = "harm"
 	keyUnresponsive = "silence" // + "/" + number: a further record of the list
 	keyAttempts     = "a/"      // + queue name: failed runs of a task after which its job fails, by the newest tables that had the queue
+	keyDurations    = "durations"
 )
 
 // batch is a group of changes for one append.
--- a/internal/schedule/owner/owner.go
+++ b/internal/schedule/owner/owner.go
@@ -36,11 +36,13 @@
 	"github.com/rs/zerolog"
 
 	"github.com/oriolepier/oriolepier/internal/base/clock"
+	"github.com/oriolepier/oriolepier/internal/schedule/duration"
 	"github.com/oriolepier/oriolepier/internal/schedule/fleet"
 	"github.com/oriolepier/oriolepier/internal/schedule/interference"
 	"github.com/oriolepier/oriolepier/internal/schedule/job"
 	"github.com/oriolepier/oriolepier/internal/schedule/journal"
 	"github.com/oriolepier/oriolepier/internal/schedule/manifest"
+	"github.com/oriolepier/oriolepier/internal/schedule/mix"
 	"github.com/oriolepier/oriolepier/internal/schedule/quota"
 )
 
@@ -114,18 +116,22 @@
 
 	timers                   timers
 	interference             *interference.Estimator
-	keptModels               map[string]keptModel      // interference with images of long-running tasks that are over their target, as known before
+	keptModels               map[string]keptModel // interference with images of long-running tasks that are over their target, as known before
+	durations                *duration.Estimator
+	nextDurationsRecordAt    clock.Millis              // earliest next record of the durations
 	trials                   map[trial]int             // tasks placed to learn an unknown pair of images, by pair
 	trialsStarted            int                       // trials begun so far, one for each unknown pair beside a placed task
 	ratings                  []rating                  // worker scores for the step being placed, by pool
 	relocations              map[*taskState]relocating // long-running tasks on the way to another worker
 	nextRelocationAt         clock.Millis              // earliest next plan of relocations
-	reservedWorkers          int                       // workers reserved for large tasks
-	batchDemands             map[string]batchDemand    // recent demand of batch tasks, by pool
-	nextInterferenceRecordAt clock.Millis              // earliest next record of the interference estimates
-	blocked                  blockedTasks              // what the last placement pass left waiting
-	loggedReason             rejection                 // leading reason in the last log line on it
-	nextBlockedLogAt         clock.Millis              // earliest next such line
+	reservations             reservations
+	sizes                    *mix.Mix               // of the batch tasks that were submitted recently
+	totalRoom                fleet.Room             // of all listed workers
+	batchDemands             map[string]batchDemand // recent demand of batch tasks, by pool
+	nextInterferenceRecordAt clock.Millis           // earliest next record of the interference estimates
+	blocked                  blockedTasks           // what the last placement pass left waiting
+	loggedReason             rejection              // leading reason in the last log line on it
+	nextBlockedLogAt         clock.Millis           // earliest next such line
 	failureRate              failureRate
 	nextOutcomesCheckAt      clock.Millis            // earliest next removal of old outcomes
 	outcomes                 map[runSource]*outcomes // ends of the runs of jobs and images that have failed lately
@@ -163,6 +169,8 @@
 		workers:              map[string]*worker{},
 		cancelReplies:        map[int]func(Verdict){},
 		interference:         interference.New(),
+		sizes:                mix.New(),
+		durations:            duration.New(),
 		trials:               map[trial]int{},
 		keptModels:           map[string]keptModel{},
 		failureRate:          initialFailureRate,
@@ -190,6 +198,7 @@
 	o.decideUndecided()
 	o.scheduleHeartbeat()
 	o.recordInterference()
+	o.recordDurations()
 	o.recordUnresponsive()
 	o.expireRelocations()
 	o.moveOffDraining()
--- a/internal/schedule/owner/placement_pass.go
+++ b/internal/schedule/owner/placement_pass.go
@@ -174,9 +174,10 @@
 	return !s.spec.Fills && (s.spec.PerWorker > 0 || s.spec.Label != "")
 }
 
-// noteBlocked remembers that no worker of a pool can run the next task of a step.
+// noteBlocked remembers that no worker of a pool can run the next task of a step. What a
+// reservation allows changes with time, so a step that one holds back is not skipped.
 func (o *Owner) noteBlocked(task *taskState, step *stepState, number int, name string, pools map[string]*poolCapacity, found rejections) {
-	if !step.mayBlock() {
+	if !step.mayBlock() || found[rejectedReservation] > 0 {
 		return
 	}
 	for len(step.blocked) <= number {
@@ -192,7 +193,7 @@
 // stillBlocked reports whether a step that found no worker in the last pass cannot find
 // one now, without a look at the workers that have not changed.
 func (o *Owner) stillBlocked(task *taskState, step *stepState, number int, name string, pool *poolCapacity) (rejections, bool) {
-	if number >= len(step.blocked) || step.reserved > 0 {
+	if number >= len(step.blocked) || len(step.reservedOn) > 0 {
 		return rejections{}, false
 	}
 	last := &step.blocked[number]
@@ -201,7 +202,7 @@
 		last.pool != name || last.mustRun != mustRun || o.now-last.since >= maxBlockedAge {
 		return rejections{}, false
 	}
-	rated := rating{mustPlace: mustRun}
+	rated := rating{candidate: o.newCandidate(task, step)}
 	for _, w := range pool.changed {
 		o.passCost++
 		if _, reason := o.rateWorker(&rated, step, w); reason == notRejected {
--- a/internal/schedule/owner/state.go
+++ b/internal/schedule/owner/state.go
@@ -7,6 +7,7 @@
 	"github.com/oriolepier/oriolepier/internal/schedule/fleet"
 	"github.com/oriolepier/oriolepier/internal/schedule/job"
 	"github.com/oriolepier/oriolepier/internal/schedule/quota"
+	"github.com/oriolepier/oriolepier/internal/schedule/timeline"
 )
 
 // jobState is the in-memory state of a job.
@@ -45,8 +46,9 @@
 	unfinished   int             // tasks that are not done
 	waiting      int             // tasks without a run that are not done
 	runsByWorker map[string]int  // runs by worker id; nil unless the step limits runs per worker
-	reserved     int             // workers reserved for its tasks
+	reservedOn   []*worker       // workers reserved for its tasks
 	blocked      []blockedSearch // by index of its queue's pools
+	length       knownLengths    // of its tasks
 	rejections   rejections      // workers by the reason why they could not run its next task, in the last pass that found none
 }
 
@@ -87,25 +89,27 @@
 	worker                      *worker
 	incarnation                 int64 // incarnation of the worker that it was placed on
 	stage                       stage
-	startUnanswered             bool         // a start order got no answer, so the run may begin late
-	startsSent                  int          // start orders sent
-	startsOpen                  int          // start orders sent and not answered yet
-	orderSentAt                 clock.Millis // when the newest start or stop order was sent; 0: never
-	confirmedAt                 clock.Millis // when the start, or in stageStopped the stop, was confirmed
-	startedAt                   clock.Millis // when the first start order was sent; inherited runs: when confirmed
-	usage                       int64        // last reported: tail latency in ms with a target, else milli-CPU in use
-	reportedAt                  clock.Millis // when usage was reported; 0: never
-	percentDone                 int          // last reported share of its work that is done
-	hasUsed                     bool         // a report showed that it uses its processors
-	firstChangeAt, lastChangeAt clock.Millis // when its percentage was seen to change first and last; 0: never
-	firstChangePercent          int          // percentDone after the first change
-	progressKnown               bool         // the last report shows whether it makes progress
-	progressedAt                clock.Millis // time of its last progress, or the end of startupGrace if later; 0: never reported
-	overTargetSince             clock.Millis // since when a long-running task has been above overTargetRatio of its target; 0: it is not
-	aloneAt                     clock.Millis // when it was last reported over its target with nothing at work beside it; 0: not since it was within its target
-	paceConfirmed               bool         // its worker has carried out the newest pace order
-	pace                        int          // ordered share of its speed in percent; fullPace: not slowed
-	stopReason                  string       // why it was stopped or not started
+	startUnanswered             bool          // a start order got no answer, so the run may begin late
+	startsSent                  int           // start orders sent
+	startsOpen                  int           // start orders sent and not answered yet
+	orderSentAt                 clock.Millis  // when the newest start or stop order was sent; 0: never
+	confirmedAt                 clock.Millis  // when the start, or in stageStopped the stop, was confirmed
+	startedAt                   clock.Millis  // when the first start order was sent; inherited runs: when confirmed
+	usage                       int64         // last reported: tail latency in ms with a target, else milli-CPU in use
+	reportedAt                  clock.Millis  // when usage was reported; 0: never
+	percentDone                 int           // last reported share of its work that is done
+	hasUsed                     bool          // a report showed that it uses its processors
+	firstChangeAt, lastChangeAt clock.Millis  // when its percentage was seen to change first and last; 0: never
+	firstChangePercent          int           // percentDone after the first change
+	progressKnown               bool          // the last report shows whether it makes progress
+	progressedAt                clock.Millis  // time of its last progress, or the end of startupGrace if later; 0: never reported
+	overTargetSince             clock.Millis  // since when a long-running task has been above overTargetRatio of its target; 0: it is not
+	aloneAt                     clock.Millis  // when it was last reported over its target with nothing at work beside it; 0: not since it was within its target
+	paceConfirmed               bool          // its worker has carried out the newest pace order
+	pace                        int           // ordered share of its speed in percent; fullPace: not slowed
+	stopReason                  string        // why it was stopped or not started
+	expected                    *timeline.Run // when it is expected to end
+	processorTime               float64       // of a best-effort run until reportedAt: milliseconds at the processors that it requests
 }
 
 // key returns the key that identifies the task in orders and reports.
--- a/internal/schedule/owner/submit.go
+++ b/internal/schedule/owner/submit.go
@@ -131,6 +131,7 @@
 	j.deadlines = o.objective(j)
 	o.jobs[spec.ID] = j
 	o.noteAttempts(spec.Queue)
+	o.countSizes(j)
 	o.markChanged(j)
 	o.replyWhenRecorded(j, reply)
 	o.placementDue = true
