Say in front what a limit, a reason and a renewed view are for

The longest time limit stood apart from the other time limits, the reason for an unknown key stood twice, and withoutProof did not say what it does. The errors of bodies are used by their names in package fault, as the proxy does. No behaviour changes; the tests of front pass unchanged.

--- a/internal/base/fault/fault.go
+++ b/internal/base/fault/fault.go
@@ -29,11 +29,12 @@
 	Answered Outcome = "answered"
 )
 
-// Reasons for which the body of a caller's request is not read on. The request has
-// not run.
+// Errors of reads of the body of a caller's request. The request has not run.
 var (
+	// ErrNoMemory marks a body for which the entry has no memory.
 	ErrNoMemory = errors.New("the entry's memory for bodies is in use")
-	ErrTooSlow  = errors.New("the body arrives too slowly")
+	// ErrTooSlow marks a body that arrives below the lowest rate.
+	ErrTooSlow = errors.New("the body arrives too slowly")
 )
 
 // DidNotRun reports whether the outcome guarantees that the work did not run.
--- a/internal/site/front/body.go
+++ b/internal/site/front/body.go
@@ -6,14 +6,9 @@
 
 	"github.com/pkg/errors"
 
-	"github.com/oriolepier/oriolepier/internal/base/clock"
-	"github.com/oriolepier/oriolepier/internal/site/budget"
+	"github.com/oriolepier/oriolepier/internal/base/fault"
 )
 
-// maxTimeout bounds the time limit that a caller may give, and with it how long a
-// request occupies its connection.
-const maxTimeout clock.Millis = clock.Minute
-
 // bodyFailure returns the answer to a request whose body could not be read. The
 // request has not run.
 func bodyFailure(err error, limit int64) answer {
@@ -21,9 +16,9 @@
 	switch {
 	case errors.As(err, &tooLarge):
 		return answer{status: http.StatusRequestEntityTooLarge, reason: "the body is over " + strconv.FormatInt(limit, 10) + " bytes"}
-	case errors.Is(err, budget.ErrRefused):
+	case errors.Is(err, fault.ErrNoMemory):
 		return answer{status: http.StatusServiceUnavailable, reason: err.Error(), retryAfter: minRetryAfter, closes: true}
-	case errors.Is(err, budget.ErrSlow):
+	case errors.Is(err, fault.ErrTooSlow):
 		return answer{status: http.StatusRequestTimeout, reason: err.Error(), closes: true}
 	}
 	return answer{status: http.StatusBadRequest, reason: "the body could not be read"}
--- a/internal/site/front/front.go
+++ b/internal/site/front/front.go
@@ -46,6 +46,7 @@
 	defaultTimeout clock.Millis = 3 * clock.Second // for a caller that sets no deadline
 	answerMargin   clock.Millis = 150              // reserved for sending the answer
 	minTimeout     clock.Millis = 50               // lower bound after answerMargin is subtracted
+	maxTimeout     clock.Millis = clock.Minute     // upper bound, and with it the time for which a request occupies its connection
 	minRetryAfter  clock.Millis = clock.Second     // a takeover is likely to be over by then
 )
 
@@ -85,7 +86,7 @@
 // answer is the response to a caller.
 type answer struct {
 	status     int
-	body       any // nil: an reasonBody with the reason
+	body       any // nil: a reasonBody with the reason
 	reason     string
 	retryAfter clock.Millis
 	closes     bool // the connection ends with this answer
@@ -102,7 +103,7 @@
 	queue   manifest.Queue
 	jobID   string // path after the queue's prefix; empty for a request about the queue
 	view    access.View
-	tables  manifest.Manifest // of view
+	tables  manifest.Manifest // in force when the request arrived; the view may be renewed after its body is read
 	access  access.Decision
 	reply   relay.Reply
 	started clock.Millis
@@ -184,13 +185,17 @@
 	return accessRefusal(x.access)
 }
 
-// accessRefusal returns the answer to a refused call; else its status is zero.
+// keyUnknown is the reason of an answer to a call whose key could not be checked.
+const keyUnknown = "whether the key is valid is not known"
+
+// accessRefusal returns the answer to a refused call. If it is not refused, the
+// answer's status is zero.
 func accessRefusal(decision access.Decision) answer {
 	switch decision.Outcome {
 	case access.Unauthorized:
 		return answer{status: http.StatusUnauthorized, reason: "the call needs a valid key"}
 	case access.Stale:
-		return unavailable("whether the key is valid is not known")
+		return unavailable(keyUnknown)
 	case access.Open, access.Public, access.Allowed:
 	}
 	return answer{}
@@ -227,7 +232,7 @@
 	}
 	spec.Customer = x.access.Customer
 	x.reply = h.options.Client.Submit(ctx, spec)
-	return x.withoutProof(replyAnswer(x.reply, "whether the job was recorded is not known"))
+	return x.unlessUnproven(replyAnswer(x.reply, "whether the job was recorded is not known"))
 }
 
 // readSpec reads and checks a submission. On failure, the answer's status is not
@@ -264,12 +269,12 @@
 	if x.reply.Verdict.Ruling == owner.Recorded {
 		return answer{status: http.StatusOK, body: h.options.State(x.reply.State)}
 	}
-	return x.withoutProof(verdictAnswer(x.reply.Verdict))
+	return x.unlessUnproven(verdictAnswer(x.reply.Verdict))
 }
 
 func (h *Handler) cancel(ctx context.Context, x *exchange) answer {
 	x.reply = h.options.Client.Cancel(ctx, x.job())
-	return x.withoutProof(replyAnswer(x.reply, "whether the job was cancelled is not known"))
+	return x.unlessUnproven(replyAnswer(x.reply, "whether the job was cancelled is not known"))
 }
 
 // job returns the job that the call names, as its customer's.
@@ -277,14 +282,15 @@
 	return owner.JobRef{ID: job.ID(x.jobID), Customer: x.access.Customer}
 }
 
-// withoutProof replaces the answer to a call whose key could not be checked, if the job
-// does not exist for a call without one.
-func (x *exchange) withoutProof(result answer) answer {
+// unlessUnproven returns the answer, or 503 if the call's key could not be checked and
+// the owner found no such job or ruled it invalid: the call counts as nobody's, and its
+// customer may be answered otherwise.
+func (x *exchange) unlessUnproven(result answer) answer {
 	ruling := x.reply.Verdict.Ruling
 	if !x.access.Unproven || x.reply.Outcome != relay.Answered || ruling != owner.NotFound && ruling != owner.Invalid {
 		return result
 	}
-	return unavailable("whether the key is valid is not known")
+	return unavailable(keyUnknown)
 }
 
 // replyAnswer maps a reply to an answer. unknownReason is the reason given if it
@@ -346,8 +352,8 @@
 	_, _ = writer.Write(data) // the caller may have disconnected
 }
 
-// log counts every request, and logs all but GETs answered with 200 and those that the
-// guard refused, which it logs itself.
+// log counts every request. It logs all but GETs answered with 200 and calls refused by
+// the guard, which logs them itself.
 func (h *Handler) log(x *exchange, result answer) {
 	took := h.options.Clock.Now() - x.started
 	h.options.Metrics.GetOrCreateCounter(
