Name the divisors, limits and errors of package budget by what they are

Divisors were called shares and files, the names of limits stood as literals in several places, and ErrRefused and ErrSlow were second names of errors in package fault. New registers its gauges in functions of their own. No behaviour changes; the tests of budget follow the renamed error and pass.

--- a/internal/site/budget/body.go
+++ b/internal/site/budget/body.go
@@ -4,13 +4,16 @@
 	"io"
 	"net/http"
 	"sync/atomic"
+
+	"github.com/oriolepier/oriolepier/internal/base/fault"
 )
 
-// Steps of reservations for a body.
+// Reservations for a body.
 const (
-	freeBytes    = 4 << 10  // of each body; part of what a connection takes
-	reserveStep  = 16 << 10 // smallest step; larger than reads, so that few reads reserve
-	bufferFactor = 2        // a buffer that grows holds its old and its new array
+	unreservedBytes = 4 << 10  // first bytes of each body, which count as part of its connection
+	reserveStep     = 16 << 10 // bytes of the smallest step; larger than reads, so that few reads reserve
+	growthDivisor   = 4        // a step is at least this part of what is reserved
+	bufferFactor    = 2        // a buffer that grows holds its old and its new array
 )
 
 // body is the body of the current request of a connection. It reserves memory as
@@ -18,13 +21,13 @@
 type body struct {
 	conn     *conn
 	inner    io.ReadCloser
-	received atomic.Int64
-	reserved int64
-	left     atomic.Bool // not read to its end
+	received atomic.Int64 // bytes
+	reserved int64        // bytes
+	unread   atomic.Bool  // not read to its end
 }
 
 // Handler returns a handler whose requests reserve memory for their bodies from
-// the budget. Reads of a body return ErrRefused or ErrSlow.
+// the budget. Reads of a body return fault.ErrNoMemory or fault.ErrTooSlow.
 func (l *Listener) Handler(inner http.Handler) http.Handler {
 	return http.HandlerFunc(func(writer http.ResponseWriter, request *http.Request) {
 		c, _ := request.Context().Value(connKey{}).(*conn)
@@ -42,7 +45,7 @@
 		c.body.begin(c, original)
 		request.Body = &c.body
 		defer func() {
-			request.Body = original // net/http discards the rest of its own type
+			request.Body = original // net/http discards what is unread only of a body of its own type
 			c.release()
 			c.body.end(request)
 			c.enter(ending)
@@ -57,27 +60,27 @@
 	b.received.Store(0)
 	c.refused.Store(false)
 	c.slow.Store(false)
-	b.left.Store(true)
+	b.unread.Store(true)
 	c.enter(reading)
 }
 
-// end ends a request. Of a large body, what was not read is not awaited, and the
-// connection ends.
+// end ends a request. The unread rest of a large body is not awaited: the connection
+// ends.
 func (b *body) end(request *http.Request) {
-	small := request.ContentLength > 0 && request.ContentLength <= freeBytes
-	if b.left.Load() && !small {
+	small := request.ContentLength > 0 && request.ContentLength <= unreservedBytes
+	if b.unread.Load() && !small {
 		b.conn.stopReading()
 		return
 	}
-	b.left.Store(false)
+	b.unread.Store(false)
 }
 
 // Read implements io.Reader. It reserves memory before it reads.
 func (b *body) Read(buffer []byte) (int, error) {
-	room := max(b.reserved/bufferFactor, freeBytes) - b.received.Load()
+	room := max(b.reserved/bufferFactor, unreservedBytes) - b.received.Load()
 	if room <= 0 {
 		if b.conn.refused.Load() || !b.reserve() {
-			return 0, ErrRefused
+			return 0, fault.ErrNoMemory
 		}
 		room = b.reserved/bufferFactor - b.received.Load()
 	}
@@ -87,20 +90,20 @@
 	case err == nil:
 		return count, nil
 	case err == io.EOF:
-		b.left.Store(false)
+		b.unread.Store(false)
 		b.conn.proceed(serving)
 	case b.conn.refused.Load():
-		return count, ErrRefused
+		return count, fault.ErrNoMemory
 	case b.conn.slow.Load():
-		return count, ErrSlow
+		return count, fault.ErrTooSlow
 	}
 	return count, err
 }
 
 // reserve reserves memory for the next bytes. The step grows with the body, as its
-// buffer does.
+// buffer does. It reports false if the body is refused.
 func (b *body) reserve() bool {
-	step := max(b.reserved/4/reserveStep, 1) * reserveStep
+	step := max(b.reserved/growthDivisor/reserveStep, 1) * reserveStep
 	b.reserved += step
 	return b.conn.listener.reserve(b.conn, step)
 }
--- a/internal/site/budget/budget.go
+++ b/internal/site/budget/budget.go
@@ -41,49 +41,61 @@
 	BodyGrace       clock.Millis // for a body at any rate, and for an answer that is not read
 }
 
-// Shares of a process's memory and descriptors. Base is what is assumed where the
-// settings name neither.
+// Resources that are assumed if the settings do not name them.
 const (
-	baseMemoryMB       = 512
-	baseDescriptors    = 4096
-	bytesPerMB         = 1 << 20
-	connectionShare    = 4        // connections take at most a fourth of the memory
-	connectionBytes    = 64 << 10 // stack, buffers of net/http, and most of the kernel's receive buffer
-	bodyShare          = 8        // the garbage collector keeps up to twice this
-	forwardedShare     = 8
-	jobShare           = 0.4
-	callerFiles        = 2 // callers get half of the descriptors; workers, store and entries the rest
-	peerFiles          = 8
-	sideFiles          = 16
-	maxPeerConnections = 512
-	maxSideConnections = 64
-	defaultBodyRate    = 2 << 10
-	defaultBodyGrace   = 10 * clock.Second // three times the default time limit of a request
+	defaultMemoryMB    = 512
+	defaultDescriptors = 4096
+)
+
+// Parts of a process's memory, as divisors unless they are named a share.
+const (
+	bytesPerMB        = 1 << 20
+	connectionDivisor = 4        // all connections of callers
+	connectionBytes   = 64 << 10 // one connection: stack, buffers of net/http, and most of the kernel's receive buffer
+	bodyDivisor       = 8        // the garbage collector keeps up to twice this
+	forwardedDivisor  = 8
+	jobShare          = 0.4
+)
+
+// Parts of a process's descriptors, as divisors, and the largest numbers of connections.
+const (
+	callerDescriptorDivisor = 2 // callers get half; workers, store and entries the rest
+	peerDescriptorDivisor   = 8
+	sideDescriptorDivisor   = 16 // of each listener
+	maxPeerConnections      = 512
+	maxSideConnections      = 64
+)
+
+// Defaults for the arrival of bodies.
+const (
+	defaultBodyRate               = 2 << 10           // bytes per second
+	defaultBodyGrace clock.Millis = 10 * clock.Second // three times the default time limit of a request
 )
 
 // Derive returns the limits of a process with the given memory and number of
 // descriptors; 0: not known.
 func Derive(memoryMB, descriptors int) Limits {
 	if memoryMB <= 0 {
-		memoryMB = baseMemoryMB
+		memoryMB = defaultMemoryMB
 	}
 	if descriptors <= 0 {
-		descriptors = baseDescriptors
+		descriptors = defaultDescriptors
 	}
 	memory := int64(memoryMB) * bytesPerMB
 	return Limits{
-		Connections:     max(min(int(memory/connectionShare/connectionBytes), descriptors/callerFiles), 1),
-		SideConnections: max(min(descriptors/sideFiles, maxSideConnections), 1),
-		PeerConnections: max(min(descriptors/peerFiles, maxPeerConnections), 1),
-		BodyBytes:       memory / bodyShare,
-		ForwardedBytes:  memory / forwardedShare,
+		Connections:     max(min(int(memory/connectionDivisor/connectionBytes), descriptors/callerDescriptorDivisor), 1),
+		SideConnections: max(min(descriptors/sideDescriptorDivisor, maxSideConnections), 1),
+		PeerConnections: max(min(descriptors/peerDescriptorDivisor, maxPeerConnections), 1),
+		BodyBytes:       memory / bodyDivisor,
+		ForwardedBytes:  memory / forwardedDivisor,
 		JobBytes:        int64(jobShare * float64(memory)),
 		BodyRate:        defaultBodyRate,
 		BodyGrace:       defaultBodyGrace,
 	}
 }
 
-// With returns the limits with those of other that are not zero.
+// With returns the limits with the connections, body bytes and body rate of other that
+// are not zero. The remaining limits cannot be set.
 func (l Limits) With(other Limits) Limits {
 	l.Connections = cmp.Or(other.Connections, l.Connections)
 	l.BodyBytes = cmp.Or(other.BodyBytes, l.BodyBytes)
@@ -91,20 +103,18 @@
 	return l
 }
 
-// Names of the limits of connections.
+// Names of the limits in metrics.
 const (
-	callerLimit = "connections"
-	sideLimit   = "side_connections"
-	peerLimit   = "peer_connections"
+	callerLimit    = "connections"
+	sideLimit      = "side_connections"
+	peerLimit      = "peer_connections"
+	bodyLimit      = "body_bytes"
+	bodyRateLimit  = "body_rate"
+	forwardedLimit = "forwarded_bytes"
+	jobLimit       = "job_bytes"
 )
 
-// Reasons for which a body is refused.
-var (
-	// ErrRefused marks a body for which there is no memory. The request has not run.
-	ErrRefused = fault.ErrNoMemory
-	// ErrSlow marks a body that arrives below the lowest rate. The request has not run.
-	ErrSlow = fault.ErrTooSlow
-)
+var connectionLimits = []string{callerLimit, sideLimit, peerLimit}
 
 // sweepPeriod is the time between two searches for slow bodies.
 const sweepPeriod clock.Millis = 200
@@ -115,10 +125,10 @@
 	clock        clock.Clock
 	logger       zerolog.Logger
 	bodyBytes    atomic.Int64
-	leavingBytes atomic.Int64 // of bodyBytes, those of refused bodies whose requests have not ended
-	Forwarded    *Pool        // requests of other entries
-	Jobs         *Memory      // jobs of the owner
-	decoding     *semaphore.Weighted
+	leavingBytes atomic.Int64        // of bodyBytes, those of refused bodies whose requests have not ended
+	Forwarded    *Pool               // requests of other entries
+	Jobs         *Memory             // jobs of the owner
+	decoding     *semaphore.Weighted // held while a large body is decoded
 
 	mu        sync.Mutex
 	listeners []*Listener
@@ -126,8 +136,8 @@
 	refusedConnections map[string]*metrics.Counter // by the name of the limit
 	refusedBodies      *metrics.Counter
 	slowBodies         *metrics.Counter
-	logged             uint64 // refusals that a log line has reported
-	peers              refusedPeers
+	logged             uint64       // refusals that a log line has reported
+	peers              refusedPeers // since that line
 }
 
 // New returns a budget of which nothing is in use.
@@ -136,29 +146,39 @@
 	refused := func(limit string) *metrics.Counter {
 		return set.GetOrCreateCounter(`oriolepier_budget_refused_total{limit="` + limit + `"}`)
 	}
-	b.refusedBodies, b.slowBodies = refused("body_bytes"), refused("body_rate")
+	b.refusedBodies, b.slowBodies = refused(bodyLimit), refused(bodyRateLimit)
 	b.refusedConnections = map[string]*metrics.Counter{}
-	for _, name := range []string{callerLimit, sideLimit, peerLimit} {
+	for _, name := range connectionLimits {
 		b.refusedConnections[name] = refused(name)
 	}
-	b.Forwarded = &Pool{limit: limits.ForwardedBytes, refused: refused("forwarded_bytes")}
-	b.Jobs = newMemory(limits.JobBytes, refused("job_bytes"))
-	gauge := func(limit string, inUse func() float64) {
-		set.GetOrCreateGauge(`oriolepier_budget_in_use{limit="`+limit+`"}`, inUse)
-	}
+	b.Forwarded = &Pool{limit: limits.ForwardedBytes, refused: refused(forwardedLimit)}
+	b.Jobs = newMemory(limits.JobBytes, refused(jobLimit))
+	limits.register(set)
+	b.registerInUse(set)
+	return b
+}
+
+// register registers the gauges of the limits.
+func (l Limits) register(set *metrics.Set) {
 	for limit, value := range map[string]int64{
-		callerLimit: int64(limits.Connections), sideLimit: int64(limits.SideConnections), peerLimit: int64(limits.PeerConnections), "body_bytes": limits.BodyBytes, "body_rate": limits.BodyRate,
-		"forwarded_bytes": limits.ForwardedBytes, "job_bytes": limits.JobBytes,
+		callerLimit: int64(l.Connections), sideLimit: int64(l.SideConnections), peerLimit: int64(l.PeerConnections),
+		bodyLimit: l.BodyBytes, bodyRateLimit: l.BodyRate, forwardedLimit: l.ForwardedBytes, jobLimit: l.JobBytes,
 	} {
 		set.GetOrCreateGauge(`oriolepier_budget_limit{limit="`+limit+`"}`, func() float64 { return float64(value) })
 	}
-	for _, name := range []string{callerLimit, sideLimit, peerLimit} {
+}
+
+// registerInUse registers the gauges of what is in use.
+func (b *Budget) registerInUse(set *metrics.Set) {
+	gauge := func(limit string, inUse func() float64) {
+		set.GetOrCreateGauge(`oriolepier_budget_in_use{limit="`+limit+`"}`, inUse)
+	}
+	for _, name := range connectionLimits {
 		gauge(name, func() float64 { return b.openConnections(name) })
 	}
-	gauge("body_bytes", func() float64 { return float64(b.bodyBytes.Load()) })
-	gauge("forwarded_bytes", func() float64 { return float64(b.Forwarded.used.Load()) })
-	gauge("job_bytes", func() float64 { return float64(b.Jobs.inUse()) })
-	return b
+	gauge(bodyLimit, func() float64 { return float64(b.bodyBytes.Load()) })
+	gauge(forwardedLimit, func() float64 { return float64(b.Forwarded.used.Load()) })
+	gauge(jobLimit, func() float64 { return float64(b.Jobs.inUse()) })
 }
 
 // Limits returns the limits.
@@ -177,7 +197,7 @@
 	return float64(count)
 }
 
-// Serve ends slow bodies and keeps the use of memory up to date, until the context
+// Serve ends slow bodies, samples the live heap and logs refusals, until the context
 // ends.
 func (b *Budget) Serve(ctx context.Context) error {
 	for {
@@ -209,14 +229,14 @@
 	}
 }
 
-// smallBody is the size up to which bodies are decoded side by side.
-const smallBody = 16 << 10
+// smallBodyBytes is the size up to which bodies are decoded in parallel.
+const smallBodyBytes = 16 << 10
 
 // Decode runs decode on a body. Large bodies are decoded one at a time, because a
 // decoded body can take many times its bytes.
 func (b *Budget) Decode(data []byte, decode func()) {
-	if len(data) > smallBody {
-		if err := b.decoding.Acquire(context.Background(), 1); err == nil { // never fails without a deadline
+	if len(data) > smallBodyBytes {
+		if err := b.decoding.Acquire(context.Background(), 1); err == nil { // always nil, as the context never ends
 			defer b.decoding.Release(1)
 		}
 	}
--- a/internal/site/budget/budget_test.go
+++ b/internal/site/budget/budget_test.go
@@ -18,6 +18,7 @@
 	"golang.org/x/sync/errgroup"
 
 	"github.com/oriolepier/oriolepier/internal/base/clock"
+	"github.com/oriolepier/oriolepier/internal/base/fault"
 )
 
 // The defaults are far above what callers within the limits of manifests use, and
@@ -180,7 +181,7 @@
 	if got := status(conn); got != http.StatusServiceUnavailable {
 		t.Errorf("answer %d", got)
 	}
-	if err := <-s.errors; !errors.Is(err, ErrSlow) {
+	if err := <-s.errors; !errors.Is(err, fault.ErrTooSlow) {
 		t.Errorf("the body ends by %v", err)
 	}
 }
--- a/internal/site/budget/listener.go
+++ b/internal/site/budget/listener.go
@@ -22,7 +22,7 @@
 	acceptPause  clock.Millis = 10  // between two searches for a connection to close
 	reserveWait  clock.Millis = 500 // longest wait for the memory of refused bodies
 	reservePause clock.Millis = 2   // between two checks of it
-	minLinger    clock.Millis = 50  // a refused connection is closed for a new one after it
+	minLinger    clock.Millis = 50  // replaces minAge for a refused connection
 	lingerTime   clock.Millis = 500 // for the caller to read a refusal before the connection is reset
 )
 
@@ -55,8 +55,8 @@
 	ending               // the caller, to read the answer
 )
 
-// Listener accepts at most a number of connections. It closes the one that has
-// waited longest for its peer when a new one would exceed it.
+// Listener bounds the number of open connections. When a new one would exceed it, the
+// one that has held the most for the longest time is closed.
 type Listener struct {
 	net.Listener
 	budget  *Budget
@@ -171,14 +171,15 @@
 	l.budget.peers.add(victim)
 	delete(l.conns, victim)
 	if victim.lingering.Load() {
-		victim.release()
+		victim.release() // net/http has closed it already, and does not do so again
 	}
 	_ = victim.TCPConn.Close()
 	l.conns[c] = struct{}{}
 	return true
 }
 
-// connectionWeight is what a connection without a body counts in bytes.
+// connectionWeight is the number of bytes that a connection counts in addition to its
+// body when connections are compared.
 const connectionWeight = 4 << 10
 
 // worstLocked returns the connection of at least an age that has held the most for
@@ -251,7 +252,8 @@
 		}
 		time.Sleep(reservePause.Duration())
 	}
-	return l.refuse(c)
+	l.refuse(c)
+	return false
 }
 
 // makeRoom refuses bodies until the rest is within the limit. It reports false if
@@ -265,7 +267,8 @@
 			return phase(other.phase.Load()) == reading && other.held.Load() > 0 && !other.refused.Load()
 		})
 		if victim == nil || victim == c {
-			return l.refuse(c)
+			l.refuse(c)
+			return false
 		}
 		l.refuse(victim)
 		victim.leaving.Store(victim.held.Load())
@@ -275,13 +278,12 @@
 	return true
 }
 
-// refuse marks a body as refused and returns false.
-func (l *Listener) refuse(c *conn) bool {
+// refuse marks a body as refused.
+func (l *Listener) refuse(c *conn) {
 	if c.refused.CompareAndSwap(false, true) {
 		l.budget.refusedBodies.Inc()
 		l.budget.peers.add(c)
 	}
-	return false
 }
 
 // conn is a connection of a listener.
@@ -294,12 +296,13 @@
 	leaving   atomic.Int64 // part of held that is free once the refused request has ended
 	refused   atomic.Bool  // the body must not be read on, for lack of memory
 	slow      atomic.Bool  // the body must not be read on, as it is too slow
-	lingering atomic.Bool  // closed, but for the caller to read the answer
+	lingering atomic.Bool  // only the sending side is closed, so that the caller can read the answer
 	body      body
 }
 
-// proceed changes the phase without its time. A connection in the phase serving is
-// ended for no other one, and one that becomes idle has just ended its answer.
+// proceed changes the phase and keeps its time, for phases whose own time does not
+// matter: a connection in the phase serving is never closed for another one, and one
+// that becomes idle has entered the phase ending just before.
 func (c *conn) proceed(next phase) { c.phase.Store(int32(next)) }
 
 // enter changes the phase, as of now.
@@ -308,11 +311,11 @@
 	c.phase.Store(int32(next))
 }
 
-// longPast is a deadline that has passed.
-var longPast = time.Unix(1, 0)
+// pastDeadline is a deadline that has passed.
+var pastDeadline = time.Unix(1, 0)
 
-// stopReading ends reads of the connection, also one in progress.
-func (c *conn) stopReading() { _ = c.SetReadDeadline(longPast) }
+// stopReading makes reads of the connection fail, also one in progress.
+func (c *conn) stopReading() { _ = c.SetReadDeadline(pastDeadline) }
 
 // release returns what the body holds, once its request has ended. It is repeated
 // when the connection has left the set, since until then a reservation may refuse a
@@ -330,12 +333,12 @@
 // sending side is closed: unread data would make the kernel reset the connection
 // and discard the refusal. The sweep closes it soon after.
 func (c *conn) Close() error {
-	unread := c.refused.Load() || c.slow.Load() || c.body.left.Load()
+	unread := c.refused.Load() || c.slow.Load() || c.body.unread.Load()
 	if unread && c.lingering.CompareAndSwap(false, true) {
 		c.enter(ending)
 		if err := c.CloseWrite(); err == nil {
 			return nil
-		} // else the caller is gone
+		} // the caller has closed the connection
 	}
 	l := c.listener
 	l.mu.Lock()
--- a/internal/site/budget/memory.go
+++ b/internal/site/budget/memory.go
@@ -1,10 +1,10 @@
 package budget
 
 import (
-	"runtime/metrics"
+	runtimemetrics "runtime/metrics"
 	"sync/atomic"
 
-	vm "github.com/VictoriaMetrics/metrics"
+	"github.com/VictoriaMetrics/metrics"
 )
 
 // Names of the runtime's metrics.
@@ -18,14 +18,14 @@
 // was under way has not counted them.
 type Memory struct {
 	limit    int64
-	live     atomic.Int64
-	admitted atomic.Int64 // since the newest collection
-	previous atomic.Int64 // between the two newest collections
-	cycles   uint64
-	refused  *vm.Counter
+	live     atomic.Int64 // bytes of the newest collection
+	admitted atomic.Int64 // bytes of jobs since the newest collection
+	previous atomic.Int64 // bytes of jobs between the two newest collections
+	cycles   uint64       // collections that had ended at the newest sample
+	refused  *metrics.Counter
 }
 
-func newMemory(limit int64, refused *vm.Counter) *Memory {
+func newMemory(limit int64, refused *metrics.Counter) *Memory {
 	m := &Memory{limit: limit, refused: refused}
 	m.sample()
 	return m
@@ -47,9 +47,9 @@
 
 // sample reads the live heap of the newest collection. One goroutine calls it.
 func (m *Memory) sample() {
-	samples := []metrics.Sample{{Name: metricLive}, {Name: metricCycles}}
-	metrics.Read(samples)
-	if samples[0].Value.Kind() != metrics.KindUint64 || samples[1].Value.Kind() != metrics.KindUint64 {
+	samples := []runtimemetrics.Sample{{Name: metricLive}, {Name: metricCycles}}
+	runtimemetrics.Read(samples)
+	if samples[0].Value.Kind() != runtimemetrics.KindUint64 || samples[1].Value.Kind() != runtimemetrics.KindUint64 {
 		return // a runtime without these metrics
 	}
 	cycles := samples[1].Value.Uint64()
