--- a/internal/site/access/access.go
+++ b/internal/site/access/access.go
@@ -58,9 +58,10 @@
 // revocations: for the rounding of clocks, and for callers that measure less exactly.
 const marginDivisor = 10
 
-// contactAgeDivisor gives half the age that proofs reach in contact, as a divisor of the
-// time for revocations. Within that age, a key can be refused as unknown.
-const contactAgeDivisor = 5
+// pollDivisor gives the longest wait of a poll of the tables (package tables), as a
+// divisor of the time for revocations. In contact with the store, a proof is at most two
+// waits old; up to that age, a key can be refused as unknown.
+const pollDivisor = 5
 
 // Rules are the bounds on the age of a proof.
 type Rules struct {
@@ -72,7 +73,7 @@
 // NewRules returns the rules for the time within which a removed key must stop working,
 // and the time by which a published manifest must be in force (0: unlimited).
 func NewRules(strict bool, revoke, configApply clock.Millis) Rules {
-	margin, contactAge := revoke/marginDivisor, 2*revoke/contactAgeDivisor
+	margin, contactAge := revoke/marginDivisor, 2*revoke/pollDivisor
 	rules := Rules{Strict: strict, MaxAge: revoke - margin, MaxMissAge: revoke - margin}
 	if configApply > 0 {
 		rules.MaxMissAge = min(rules.MaxMissAge, max(configApply-margin, contactAge))
@@ -80,7 +81,7 @@
 	return rules
 }
 
-// Call is what decides on a call.
+// Call holds what the decision on a call depends on.
 type Call struct {
 	Public   bool         // the route needs no key
 	Secret   string       // secret of its key; empty: it has none
@@ -122,10 +123,10 @@
 
 // Guard decides on calls by the newest manifest. It is safe for concurrent use.
 type Guard struct {
-	options   Options
-	calls     [outcomes]*metrics.Counter // nil for Open
-	distrusts atomic.Bool                // the last call of Observe found the proof too old
-	refusedAt atomic.Int64               // when a line about an unauthorized call was last logged
+	options  Options
+	calls    [outcomes]*metrics.Counter // nil for Open
+	stale    atomic.Bool                // the last call of Observe found the proof too old
+	loggedAt atomic.Int64               // time of the last log line about an unauthorized call
 }
 
 // New returns a Guard. It registers its metrics.
@@ -140,10 +141,10 @@
 	return g
 }
 
-// View is what an entry knows at the time of a call.
+// View is what an entry knows of the manifest at the time of a call.
 type View struct {
 	Manifest manifest.Manifest
-	proofAge clock.Millis
+	proofAge clock.Millis // large if there is no proof, as clocks start at an hour
 }
 
 // View returns what is known at a time that was read after the header of the call. The
@@ -198,8 +199,8 @@
 
 // logUnauthorized logs an unauthorized call, unless it did so recently.
 func (g *Guard) logUnauthorized(view View, queue manifest.Queue, header http.Header) {
-	now, last := int64(g.options.Clock.Now()), g.refusedAt.Load()
-	if now-last < int64(unauthorizedLinePeriod) || !g.refusedAt.CompareAndSwap(last, now) {
+	now, last := int64(g.options.Clock.Now()), g.loggedAt.Load()
+	if now-last < int64(unauthorizedLinePeriod) || !g.loggedAt.CompareAndSwap(last, now) {
 		return
 	}
 	g.options.Logger.Info().Str("event", "call_unauthorized").Str("queue", queue.Name).
@@ -233,7 +234,7 @@
 	}
 	age := g.ProofAge()
 	stale := age < 0 || age > g.options.Rules.MaxAge
-	if g.distrusts.Swap(stale) == stale {
+	if g.stale.Swap(stale) == stale {
 		return
 	}
 	event, level := "tables_trusted", zerolog.InfoLevel
