Name the bounds of callers in the entry's settings

Shares of descriptors and memory were counted in parts whose numerator was computed, and the largest rate had no name. The tests of setting pass unchanged.

--- a/internal/config/setting/parse.go
+++ b/internal/config/setting/parse.go
@@ -241,32 +241,36 @@
 	}
 }
 
-// Largest bounds of callers, as shares of the process's resources.
+// Largest limits. Those of callers leave descriptors and memory for the other parts of
+// the process.
 const (
 	maxMemoryMB           = 1 << 20
 	maxDescriptors        = 1 << 20
-	callerConnectionParts = 4 // three of four parts of the descriptors
-	callerMemoryParts     = 4 // one of four parts of the memory
+	maxCallerBodyRate     = 1 << 30 // bytes per second
+	quarter               = 4       // divisor
+	callerDescriptorParts = 3       // quarters of the descriptors
+	bytesPerMB            = 1 << 20
 )
 
 func (c *checker) limits(limits *Limits) {
 	if limits == nil {
 		return
 	}
+	c.upTo("limits.memory_mb", int64(limits.MemoryMB), maxMemoryMB)
+	c.upTo("limits.file_descriptors", int64(limits.FileDescriptors), maxDescriptors)
 	descriptors, memory := int64(maxDescriptors), int64(maxMemoryMB)
-	c.upTo("limits.memory_mb", int64(limits.MemoryMB), memory)
-	c.upTo("limits.file_descriptors", int64(limits.FileDescriptors), descriptors)
 	if limits.FileDescriptors > 0 {
 		descriptors = int64(limits.FileDescriptors)
 	}
 	if limits.MemoryMB > 0 {
 		memory = int64(limits.MemoryMB)
 	}
-	c.upTo("limits.caller_connections", int64(limits.CallerConnections), descriptors*(callerConnectionParts-1)/callerConnectionParts)
-	c.upTo("limits.caller_body_bytes", limits.CallerBodyBytes, memory<<20/callerMemoryParts)
-	c.upTo("limits.caller_body_bytes_per_s", limits.CallerBodyRate, 1<<30)
+	c.upTo("limits.caller_connections", int64(limits.CallerConnections), descriptors*callerDescriptorParts/quarter)
+	c.upTo("limits.caller_body_bytes", limits.CallerBodyBytes, memory*bytesPerMB/quarter)
+	c.upTo("limits.caller_body_bytes_per_s", limits.CallerBodyRate, maxCallerBodyRate)
 }
 
+// upTo adds a finding for a value that is negative or above a maximum.
 func (c *checker) upTo(field string, value, maximum int64) {
 	if value < 0 || value > maximum {
 		c.addf(field, "must be between 0 and %d, not %d", maximum, value)
--- a/internal/config/setting/setting.go
+++ b/internal/config/setting/setting.go
@@ -58,13 +58,13 @@
 }
 
 // Limits are the resources of the process, and the bounds of its callers. 0: the
-// default, which is derived from the resources.
+// default, which package budget assumes or derives from the resources.
 type Limits struct {
 	MemoryMB          int   `json:"memory_mb"`
 	FileDescriptors   int   `json:"file_descriptors"`
-	CallerConnections int   `json:"caller_connections"`
-	CallerBodyBytes   int64 `json:"caller_body_bytes"`
-	CallerBodyRate    int64 `json:"caller_body_bytes_per_s"`
+	CallerConnections int   `json:"caller_connections"`      // at a time
+	CallerBodyBytes   int64 `json:"caller_body_bytes"`       // memory for bodies at a time
+	CallerBodyRate    int64 `json:"caller_body_bytes_per_s"` // a body that arrives more slowly is ended
 }
 
 // WithToken returns a copy of the settings with the given token.
