--- a/internal/operator/command/explain.go
+++ b/internal/operator/command/explain.go
@@ -124,19 +124,25 @@
 		}
 		longest = waited
 		text = fmt.Sprintf("%.0f ms, step %s index %s run %s", waited, formatValue(l.fields["step"]), formatValue(l.fields["index"]), formatValue(l.fields["run"]))
-		switch workers, _ := l.fields["blocked_workers"].(float64); {
-		case workers == 0:
-		case l.fields["blocked_by"] == "quota":
-			text += "; its customer had all running that its limit allows"
-		case l.fields["blocked_by"] == "share":
-			text += fmt.Sprintf("; %.0f workers were full, and its customer had its share or sent more than its rate", workers)
-		default:
-			text += fmt.Sprintf("; most workers were ruled out by: %s (%.0f)", formatValue(l.fields["blocked_by"]), workers)
-		}
+		text += l.formatBlocked()
 	}
 	return text, text != ""
 }
 
+// formatBlocked describes what kept a placed run waiting; empty: nothing is known.
+func (l logLine) formatBlocked() string {
+	workers, _ := l.fields["blocked_workers"].(float64)
+	switch {
+	case workers == 0:
+		return ""
+	case l.fields["blocked_by"] == "quota":
+		return "; its customer had all running that its limit allows"
+	case l.fields["blocked_by"] == "share":
+		return fmt.Sprintf("; %.0f workers were full, and its customer had its share or sent more than its rate", workers)
+	}
+	return fmt.Sprintf("; most workers were ruled out by: %s (%.0f)", formatValue(l.fields["blocked_by"]), workers)
+}
+
 // missingEvents describes the events of a job's course that no log line records.
 func missingEvents(lines []logLine) []string {
 	seen := map[string]bool{}
