Share the submissions of the crowd tests and split the start of an entry

Two tests wrote the largest submission and its sending again, and startEntry chose ports, wrote settings and ran the process. Loads and bounds are the same.

--- a/internal/operator/crowd/crowd_test.go
+++ b/internal/operator/crowd/crowd_test.go
@@ -205,23 +205,14 @@
 func TestManySteps(t *testing.T) {
 	d := start(t)
 	const count = 20_000
-	body := []byte(`{"steps":[` + strings.TrimSuffix(strings.Repeat("{},", count), ",") + `]}`)
-	load(t, d.callers, func(c *client) {
-		c.head(http.MethodPost, fmt.Sprint("Content-Length: ", len(body)))
-		c.send(body)
-	})
+	load(t, d.callers, submitWhole(jobOf(count, "{}")))
 	d.check()
 }
 
 // Guards against small submissions that describe the largest number of tasks.
 func TestLargestSubmissions(t *testing.T) {
 	d := start(t)
-	const steps, tasks = 64, 4096
-	body := []byte(`{"steps":[` + strings.TrimSuffix(strings.Repeat(fmt.Sprintf(`{"count":%d,"cpu":1},`, tasks), steps), ",") + `]}`)
-	load(t, d.callers, func(c *client) {
-		c.head(http.MethodPost, fmt.Sprint("Content-Length: ", len(body)))
-		c.send(body)
-	})
+	load(t, d.callers, submitWhole(largestJob()))
 	d.check()
 }
 
@@ -256,10 +247,15 @@
 	d.check()
 }
 
+// jobOf is a submission that repeats a step.
+func jobOf(count int, step string) []byte {
+	return []byte(`{"steps":[` + strings.TrimSuffix(strings.Repeat(step+",", count), ",") + `]}`)
+}
+
 // largestJob is a submission with the largest number of steps and tasks.
 func largestJob() []byte {
 	const steps, tasks = 64, 4096
-	return []byte(`{"steps":[` + strings.TrimSuffix(strings.Repeat(fmt.Sprintf(`{"count":%d,"cpu":1},`, tasks), steps), ",") + `]}`)
+	return jobOf(steps, fmt.Sprintf(`{"count":%d,"cpu":1}`, tasks))
 }
 
 // labelledJob is a submission whose size stays the same when it is decoded.
@@ -267,6 +263,7 @@
 	return []byte(`{"steps":[{"count":1,"requirements":"` + strings.Repeat("x", bodyBytes-100) + `"}]}`)
 }
 
+// submitWhole returns the behaviour of a client that sends a whole submission.
 func submitWhole(body []byte) func(c *client) {
 	return func(c *client) {
 		c.head(http.MethodPost, fmt.Sprint("Content-Length: ", len(body)))
--- a/internal/operator/crowd/deployment_test.go
+++ b/internal/operator/crowd/deployment_test.go
@@ -183,6 +183,16 @@
 		defer func() { _ = listener.Close() }()
 	}
 	d.callers, d.readiness, d.operators, d.peers = addresses[0], addresses[1], addresses[2], addresses[3]
+	dir := d.t.TempDir()
+	file := filepath.Join(dir, "entry.yaml")
+	d.writeSettings(file, store)
+	d.log = filepath.Join(dir, "entry.log")
+	d.run(file)
+}
+
+// writeSettings writes the entry's settings file.
+func (d *deployment) writeSettings(file, store string) {
+	d.t.Helper()
 	_, port, _ := net.SplitHostPort(d.peers)
 	peerPort, _ := strconv.Atoi(port)
 	data, err := platform.EncodeSettings(platform.Settings{
@@ -194,12 +204,14 @@
 	if err != nil {
 		d.t.Fatal(err)
 	}
-	dir := d.t.TempDir()
-	file := filepath.Join(dir, "entry.yaml")
 	if err := os.WriteFile(file, data, 0o600); err != nil {
 		d.t.Fatal(err)
 	}
-	d.log = filepath.Join(dir, "entry.log")
+}
+
+// run runs the entry's process until the test ends.
+func (d *deployment) run(file string) {
+	d.t.Helper()
 	output, err := os.Create(d.log)
 	if err != nil {
 		d.t.Fatal(err)
--- a/internal/operator/crowd/doc.go
+++ b/internal/operator/crowd/doc.go
@@ -1,4 +1,4 @@
-// Package crowd holds tests of an entry under callers that nobody controls. They
+// Package crowd holds tests of an entry under many untrusted callers. They
 // start the program as processes on loopback addresses, open many connections that
 // stay within the limits of a single request, and check what does not depend on the
 // machine's speed: that the process lives, that its memory and descriptors stay
