--- a/internal/site/budget/budget.go
+++ b/internal/site/budget/budget.go
@@ -1,5 +1,5 @@
-// Package budget bounds what peers that nobody controls can make a process hold:
-// connections, bodies that are being read, and jobs that the owner keeps.
+// Package budget bounds what untrusted peers can make a process hold: connections,
+// bodies that are being read, and jobs that the owner keeps.
 //
 // When a bound is reached, the connection or body that has held the most for the
 // longest time without completing is refused first, so that an ordinary caller
--- a/internal/site/budget/listener.go
+++ b/internal/site/budget/listener.go
@@ -31,7 +31,7 @@
 // towards the memory of the VM.
 const receiveBytes = 32 << 10
 
-// ListenConfig returns the configuration of listeners whose peers nobody controls.
+// ListenConfig returns the configuration of listeners for untrusted peers.
 func ListenConfig() *net.ListenConfig {
 	return &net.ListenConfig{Control: func(_, _ string, raw syscall.RawConn) error {
 		var sockoptErr error
