--- a/internal/site/daemon/later_owner.go
+++ b/internal/site/daemon/later_owner.go
@@ -14,15 +14,19 @@
 
 // An owner that the store does not answer may have been replaced without its knowledge.
 // It queries the other entries: one that still follows the owner's epoch has not begun
-// a later ownership when it answers. If all of them answer so, no later owner has
-// accepted a job before the queries were sent, and submissions can be refused.
+// a later ownership when it answers. If all of them answer so, no later owner had
+// accepted a job when the queries were sent, and the owner can refuse jobs for certain.
 
 // Times of the queries for a later owner.
 const (
-	laterOwnerPeriod   clock.Millis = 200               // between two rounds of queries
-	laterOwnerTimeout  clock.Millis = 250               // for one round
-	laterOwnerStoreAge clock.Millis = 900               // since the store's last confirmation; queries begin after it, as other entries claim from 1,100 ms
-	entryRetention     clock.Millis = 10 * clock.Minute // an entry is queried until this long after its last ping, since one that cannot be reached may be the owner
+	laterOwnerPeriod  clock.Millis = 200 // between two rounds of queries
+	laterOwnerTimeout clock.Millis = 250 // for one round
+	// laterOwnerStoreAge is the time since the store's last confirmation after which
+	// queries begin. Other entries claim the cell from 1,100 ms.
+	laterOwnerStoreAge clock.Millis = 900
+	// entryRetention is the time since an entry's last ping for which it is queried. It
+	// is long, since an entry that cannot be reached may be the owner.
+	entryRetention clock.Millis = 10 * clock.Minute
 )
 
 // maxLaterOwnerQueries bounds the queries of a round that are under way.
@@ -35,8 +39,9 @@
 	heard map[string]clock.Millis
 }
 
-// note records a ping. An entry that leaves does not claim any more.
-func (k *knownEntries) note(address string, leaving bool, now clock.Millis) {
+// recordPing records a ping. An entry that leaves is removed, as it does not claim any
+// more.
+func (k *knownEntries) recordPing(address string, leaving bool, now clock.Millis) {
 	k.mu.Lock()
 	defer k.mu.Unlock()
 	if k.heard == nil {
@@ -70,7 +75,7 @@
 func (d *Daemon) watchLaterOwners(ctx context.Context, run *runtime.Runtime) error {
 	begun := d.clock.Now()
 	for _, entry := range d.elector.Peers() {
-		d.knownEntries.note(entry.Address, false, begun)
+		d.knownEntries.recordPing(entry.Address, false, begun)
 	}
 	for d.clock.Sleep(ctx, laterOwnerPeriod) == nil {
 		age, loaded := run.StoreAge()
--- a/internal/site/daemon/later_owner_test.go
+++ b/internal/site/daemon/later_owner_test.go
@@ -60,9 +60,9 @@
 	ruledOut := func(address string, leaving bool, passed clock.Millis) bool {
 		fake := clock.NewFake(clock.Hour)
 		d := &Daemon{clock: fake.Clock(), peers: client}
-		d.knownEntries.note(follower, false, fake.Now())
-		d.knownEntries.note(address, false, fake.Now())
-		d.knownEntries.note(address, leaving, fake.Now())
+		d.knownEntries.recordPing(follower, false, fake.Now())
+		d.knownEntries.recordPing(address, false, fake.Now())
+		d.knownEntries.recordPing(address, leaving, fake.Now())
 		fake.Advance(passed)
 		return d.noLaterOwner(t.Context(), epoch)
 	}
@@ -106,7 +106,7 @@
 		})
 		d := &Daemon{clock: clock.New(), elector: ownership.New(ownership.Options{}), peers: peer.NewClient(peer.Security{})}
 		for _, address := range known {
-			d.knownEntries.note(address, false, d.clock.Now())
+			d.knownEntries.recordPing(address, false, d.clock.Now())
 		}
 		group := new(errgroup.Group)
 		group.Go(func() error { return run.Serve(ctx) })
--- a/internal/site/daemon/links.go
+++ b/internal/site/daemon/links.go
@@ -55,7 +55,7 @@
 }
 
 // ping pings an entry, with this entry's failure domain and whether it can act
-// as a link. It takes over the proof for the tables in the answer.
+// as a link. If the answer has a proof for the tables, it is taken over.
 func (d *Daemon) ping(ctx context.Context, address string, query peer.PingQuery) (peer.PingAnswer, error) {
 	query.Domain = d.settings.Domain
 	query.Links = !d.leaving.Load()
--- a/internal/site/daemon/serve.go
+++ b/internal/site/daemon/serve.go
@@ -97,11 +97,11 @@
 	}))
 }
 
-// accessPeriod is the time between checks whether the tables are trusted.
+// accessPeriod is the time between two calls of access.Guard.Observe.
 const accessPeriod = clock.Second / 2
 
-// observeAccess logs when the tables are no longer trusted and when they are again, until
-// the context ends.
+// observeAccess logs when the proof for the tables becomes too old and when it is recent
+// again, until the context ends.
 func (d *Daemon) observeAccess(ctx context.Context) error {
 	for d.clock.Sleep(ctx, accessPeriod) == nil {
 		d.access.Observe()
@@ -173,7 +173,8 @@
 }
 
 // serveHTTP listens on an address and serves until the context ends, with a
-// graceful shutdown. What its peers can make it hold is bounded by bound.
+// graceful shutdown. The listener returned by bound limits what peers can make the
+// process hold.
 func (d *Daemon) serveHTTP(ctx context.Context, address string, bound func(net.Listener) *budget.Listener, handler http.Handler) error {
 	tcp, err := budget.ListenConfig().Listen(ctx, "tcp", address)
 	if err != nil {
@@ -192,15 +193,16 @@
 // serveUntil serves until the context ends, and then gives in-flight requests
 // the serving time to complete. The contexts of requests still in flight are
 // cancelled abortMargin before its end, so that their callers still get an answer.
-func serveUntil(ctx context.Context, listener net.Listener, handler http.Handler, serving time.Duration, settings ...func(*http.Server)) error {
+// Each function of configure is applied to the server before it serves.
+func serveUntil(ctx context.Context, listener net.Listener, handler http.Handler, serving time.Duration, configure ...func(*http.Server)) error {
 	requestsCtx, abortRequests := context.WithCancel(context.WithoutCancel(ctx))
 	defer abortRequests()
 	server := &http.Server{
 		Handler: handler, ReadHeaderTimeout: headerTimeout, IdleTimeout: idleTimeout, MaxHeaderBytes: maxHeaderBytes,
 		BaseContext: func(net.Listener) context.Context { return requestsCtx },
 	}
-	for _, set := range settings {
-		set(server)
+	for _, apply := range configure {
+		apply(server)
 	}
 	group, serverCtx := errgroup.WithContext(context.WithoutCancel(ctx))
 	group.Go(func() error { return server.Serve(listener) })
@@ -225,7 +227,13 @@
 	if err != nil {
 		return fault.New(fault.NotRun, "listen", d.peerAddress(), err)
 	}
-	server := peer.NewServer(d.options.security(), peer.Handlers{
+	server := peer.NewServer(d.options.security(), d.peerHandlers())
+	return server.WithBudget(d.budget).Serve(ctx, listener)
+}
+
+// peerHandlers returns the handlers of calls by other entries.
+func (d *Daemon) peerHandlers() peer.Handlers {
+	return peer.Handlers{
 		Ping: d.handlePing,
 		OwnerContact: func(_ context.Context, query peer.OwnerContactQuery) peer.OwnerContactAnswer {
 			return peer.OwnerContactAnswer{Age: d.elector.OwnerContactAge(query.Epoch)}
@@ -261,8 +269,7 @@
 			return peer.TablesAnswer{End: copied.End, Records: copied.Records}
 		},
 		OpenLink: d.shard.Serve,
-	})
-	return server.WithBudget(d.budget).Serve(ctx, listener)
+	}
 }
 
 // notOwner is the answer of an entry that does not own the cell.
@@ -271,7 +278,7 @@
 func (d *Daemon) handlePing(_ context.Context, query peer.PingQuery) peer.PingAnswer {
 	now := d.clock.Now()
 	peers, hash := d.recentPeers.recordPing(query, now)
-	d.knownEntries.note(query.Address, !query.Links, now)
+	d.knownEntries.recordPing(query.Address, !query.Links, now)
 	if query.KnownPeersHash == hash {
 		peers = nil
 	}
@@ -282,7 +289,7 @@
 		TablesEnd: proof.End, Cores: d.settings.Limits.Cores,
 	}
 	if proof.At != 0 {
-		age := d.clock.Now() - proof.At
+		age := d.clock.Now() - proof.At // now may be before a proof that was read after it
 		answer.ProofAge = &age
 	}
 	if run := d.localOwner.Load(); run != nil {
--- a/internal/site/daemon/wire.go
+++ b/internal/site/daemon/wire.go
@@ -87,7 +87,7 @@
 }
 
 // defaultRevoke is the time within which a removed key must stop working, if the
-// settings require strict revocation without it.
+// settings require strict revocation and name no time.
 const defaultRevoke = 5 * clock.Second
 
 // revokeBound returns the time within which a removed key must stop working on every
@@ -214,7 +214,7 @@
 	return peer.Security{Token: o.Standalone.Token, Server: o.Standalone.Keys.PeerServer(), Client: o.Standalone.Keys.Client()}
 }
 
-// proxyBufferedBytes returns the limit of the proxy's bodies, or 0 for its default if
+// proxyBufferedBytes returns the limit on bodies in the proxy; 0, for its default, if
 // the settings do not name the memory of the process.
 func (d *Daemon) proxyBufferedBytes() int64 {
 	if d.settings.Limits.MemoryMB == 0 {
