--- a/internal/site/peer/server.go
+++ b/internal/site/peer/server.go
@@ -36,7 +36,7 @@
 	handlers        Handlers
 	openConnections atomic.Int64
 	bounds          *budget.Budget // nil: no bounds but maxConnections
-	forwarded       *budget.Pool   // bytes of requests of callers that are not answered; nil: no limit
+	forwarded       *budget.Pool   // bytes of callers' requests that are being answered; nil: no limit
 }
 
 // NewServer returns a server; Serve accepts its connections.
@@ -44,7 +44,7 @@
 	return &Server{security: security, handlers: handlers}
 }
 
-// WithBudget bounds the connections and the requests of callers that are not
+// WithBudget bounds the connections and the memory of callers' requests that are being
 // answered, and returns the server. It is called before Serve.
 func (s *Server) WithBudget(bounds *budget.Budget) *Server {
 	s.bounds, s.forwarded = bounds, bounds.Forwarded
@@ -178,19 +178,18 @@
 	return credentials{}, nil
 }
 
-// Memory of a request of a caller until it is answered: a goroutine, and its
-// parameters as received and as decoded.
+// Memory of a forwarded request of a caller until it is answered.
 const (
-	forwardedBytes  = 4 << 10
-	forwardedFactor = 3
+	forwardedBaseBytes    = 4 << 10 // a goroutine
+	forwardedParamsFactor = 3       // parameters as received and as decoded, by their size as received
 )
 
-// callBounded is callHandler within the budget. A request beyond it is not carried
-// out; the error tells its sender so.
+// callBounded calls a handler within the budget. A request beyond it is not carried
+// out, and its error tells the sender so.
 func callBounded[Query, Answer any](ctx context.Context, s *session, request *jsonrpc2.Request, handler func(context.Context, Query) Answer) (any, error) {
-	size := int64(forwardedBytes)
+	size := int64(forwardedBaseBytes)
 	if request.Params != nil {
-		size += forwardedFactor * int64(len(*request.Params))
+		size += forwardedParamsFactor * int64(len(*request.Params))
 	}
 	if err := s.forwarded.Take(size); err != nil {
 		return nil, err
--- a/internal/site/peer/tables.go
+++ b/internal/site/peer/tables.go
@@ -12,16 +12,13 @@
 	"github.com/oriolepier/oriolepier/internal/schedule/journal"
 )
 
-// The operators' topic may have more records than one frame has room for, so an entry's
-// copy of it is handed on in pages.
-
+// Bounds of the pages in which an entry's copy of the operators' topic is sent, since it
+// may be larger than a frame.
 const (
-	maxPageBytes  = maxFrameBytes / 2 // of the records of a page, as they are encoded
-	maxTablePages = 64                // of one copy; also bounds the attempts while the copy changes
-	// recordPageBytes is the encoded size of a record besides its key and value.
-	recordPageBytes = 64
-	// escapedByteSize is the largest encoded size of a byte of a key.
-	escapedByteSize = 6
+	maxPageBytes        = maxFrameBytes / 2 // encoded size of the records of a page
+	maxTablePages       = 64                // calls for one copy, those repeated because it changed included
+	recordOverheadBytes = 64                // encoded size of a record besides its key and value
+	escapedByteSize     = 6                 // largest encoded size of a byte of a key
 )
 
 // TablesQuery queries an entry's copy of the operators' topic.
@@ -32,13 +29,13 @@
 
 // TablesAnswer is an entry's copy of the operators' topic, or a page of it.
 type TablesAnswer struct {
-	End     int64            `json:"end"` // offset of the copy, the same for all of its pages; 0: the copy is not handed on
+	End     int64            `json:"end"` // offset of the copy, the same for all of its pages; 0: the copy cannot be sent
 	Records []journal.Record `json:"records"`
 	More    bool             `json:"more"` // later pages follow
 }
 
-// pageOf returns the part of a copy that a query asks for. It is empty, with end 0, if a
-// record does not fit a page, or if an older version asks for a copy above one page.
+// pageOf returns the part of a copy that a query asks for. It is empty, with End 0, if a
+// record does not fit a page, or if an older version asks for a copy larger than a page.
 func pageOf(query TablesQuery, whole TablesAnswer) TablesAnswer {
 	records := slices.SortedFunc(slices.Values(whole.Records), func(a, b journal.Record) int { return cmp.Compare(a.Key, b.Key) })
 	first := 0
@@ -63,7 +60,7 @@
 
 // encodedBytes bounds the encoded size of a record.
 func encodedBytes(record journal.Record) int {
-	return recordPageBytes + escapedByteSize*len(record.Key) + base64.StdEncoding.EncodedLen(len(record.Value))
+	return recordOverheadBytes + escapedByteSize*len(record.Key) + base64.StdEncoding.EncodedLen(len(record.Value))
 }
 
 // Tables queries the entry's copy of the operators' topic. If the copy changes between
