--- a/internal/site/tables/tables.go
+++ b/internal/site/tables/tables.go
@@ -39,8 +39,12 @@
 // period of 0.5 s and the margin of package access leave 0.6 of a bound of 5 s, in which
 // an entry that has lost all contact still serves calls.
 const (
-	ownPollDivisor    = 16 // gives the wait of a poll without recent proofs of other entries; the owner's entry gets none
-	backupPollDivisor = 5  // gives the wait of a poll beside them, and the least time for an answer to arrive
+	// ownPollDivisor gives the wait of a poll without recent proofs of other entries, as
+	// on the owner's entry, which gets none.
+	ownPollDivisor = 16
+	// backupPollDivisor gives the wait of a poll with such proofs, and the least time for
+	// an answer to arrive.
+	backupPollDivisor = 5
 )
 
 // maxProblemLines bounds the log lines about one manifest's customers.
@@ -88,9 +92,9 @@
 
 // New returns a Watcher without any tables.
 func New(options Options) *Watcher {
-	f := &Watcher{options: options, newest: map[string]journal.Record{}}
-	f.current.Store(&runtime.Tables{OutOfService: map[string]bool{}})
-	return f
+	w := &Watcher{options: options, newest: map[string]journal.Record{}}
+	w.current.Store(&runtime.Tables{OutOfService: map[string]bool{}})
+	return w
 }
 
 // Current returns the newest tables, which are immutable.
@@ -211,7 +215,7 @@
 
 // applyPage applies the answer to a read, and returns the new position. A read that
 // reaches the end of the topic proves that the store had confirmed nothing else when it
-// was sent. The newest records prove nothing, as they are not read at one time, and
+// was sent. Newest proves nothing, as it does not read its records at one time, and
 // neither does an end below the one known when the read was sent.
 func (w *Watcher) applyPage(page journal.Page, before position, sent Proof) position {
 	if !before.initialized {
@@ -244,8 +248,8 @@
 
 // pollWait returns the wait of a long poll. A poll that the store never answers
 // must time out, and the next one be answered, well within Options.Contact. With
-// Options.Revoke, the first poll after the newest records is short, as these prove
-// nothing.
+// Options.Revoke, the wait is short until a poll has confirmed what Newest returned,
+// as that proves nothing.
 func (w *Watcher) pollWait(confirmed bool) clock.Millis {
 	wait := maxPollWait
 	if w.options.Contact != 0 {
@@ -288,19 +292,8 @@
 			continue
 		}
 		changed = true
-		if change.Manifest != nil && change.Manifest.Version > next.Manifest.Version {
-			w.logManifest(next.Manifest.Version, change.Manifest, record.Offset)
-			next.Manifest = *change.Manifest
-			next.Release = change.Release
-		}
-		if change.Domain != "" {
-			w.options.Logger.Info().Str("event", "failure_domain_marked").Str("failure_domain", change.Domain).
-				Bool("out", change.OutOfService).Int64("offset", record.Offset).Send()
-			delete(out, change.Domain)
-			if change.OutOfService {
-				out[change.Domain] = true
-			}
-		}
+		w.applyManifest(&next, change, record.Offset)
+		w.applyDomain(out, change, record.Offset)
 	}
 	if changed {
 		next.OutOfService = out
@@ -309,6 +302,30 @@
 	}
 }
 
+// applyManifest sets the manifest of a change, if it has a newer one.
+func (w *Watcher) applyManifest(next *runtime.Tables, change Change, offset int64) {
+	if change.Manifest == nil || change.Manifest.Version <= next.Manifest.Version {
+		return
+	}
+	w.logManifest(next.Manifest.Version, change.Manifest, offset)
+	next.Manifest = *change.Manifest
+	next.Release = change.Release
+}
+
+// applyDomain adds the failure domain of a change, if it has one, to those out of
+// service, or removes it.
+func (w *Watcher) applyDomain(out map[string]bool, change Change, offset int64) {
+	if change.Domain == "" {
+		return
+	}
+	w.options.Logger.Info().Str("event", "failure_domain_marked").Str("failure_domain", change.Domain).
+		Bool("out", change.OutOfService).Int64("offset", offset).Send()
+	delete(out, change.Domain)
+	if change.OutOfService {
+		out[change.Domain] = true
+	}
+}
+
 // recordNewest updates the newest record of each key. An empty value deletes it.
 func (w *Watcher) recordNewest(records []journal.Stored, complete bool) {
 	if complete {
