--- a/internal/site/runtime/writer.go
+++ b/internal/site/runtime/writer.go
@@ -94,8 +94,8 @@
 
 // appendAll appends records in calls of at most maxAppendBytes and the store's limit,
 // or of one larger record. Records that the store refuses for their form are left out.
-// If it refused all of them, the epoch is appended again: only an append shows that the
-// ownership still holds.
+// If it refused all of them, the epoch is appended again, since only a confirmed append
+// shows that the ownership still holds.
 func (w *writer) appendAll(ctx context.Context, records []journal.Record) (outcome journal.Outcome, refused []string) {
 	total := len(records)
 	limit := min(maxAppendBytes, w.options.Limits.RequestBytes)
@@ -105,8 +105,8 @@
 			size += records[count].Bytes()
 			count++
 		}
-		outcome, left := w.appendIsolating(ctx, records[:count])
-		refused = append(refused, left...)
+		outcome, leftOut := w.appendIsolating(ctx, records[:count])
+		refused = append(refused, leftOut...)
 		if outcome != journal.Done {
 			return outcome, refused
 		}
@@ -119,8 +119,8 @@
 }
 
 // appendIsolating appends records. If the store refuses them for their form, it appends
-// the first half and then the second one, until each refused record is found; no append
-// is repeated as it was refused, and the other records keep their sequence.
+// the first half and then the second one, until each refused record is found. A refused
+// append is not repeated with the same records, and the other records keep their order.
 func (w *writer) appendIsolating(ctx context.Context, records []journal.Record) (outcome journal.Outcome, refused []string) {
 	outcome = w.append(ctx, records)
 	if outcome != journal.Refused {
