--- a/internal/site/front/bounded_test.go
+++ b/internal/site/front/bounded_test.go
@@ -182,6 +182,22 @@
 		f.Add(data)
 	}
 	failures := make(chan string, 100)
+	address, set := serveFuzz(f, failures)
+	f.Fuzz(func(t *testing.T, data []byte) {
+		exchangeAll(t, address, data)
+		select {
+		case failure := <-failures:
+			t.Error(failure)
+		default:
+		}
+		awaitReleased(t, set)
+	})
+}
+
+// serveFuzz serves the request path within a budget and returns its address. It sends
+// panics, and submissions beyond the limits that reach the owner, to failures.
+func serveFuzz(f *testing.F, failures chan<- string) (address string, set *metrics.Set) {
+	f.Helper()
 	inner := newHandler(acceptAll(func(spec job.Spec) {
 		if err := spec.Check(); err != nil {
 			failures <- err.Error()
@@ -189,7 +205,7 @@
 	}), 7)
 	limits := budget.Derive(64, 500)
 	limits.BodyGrace = 100
-	address, set := serveBounded(f, limits, http.HandlerFunc(func(writer http.ResponseWriter, request *http.Request) {
+	return serveBounded(f, limits, http.HandlerFunc(func(writer http.ResponseWriter, request *http.Request) {
 		defer func() {
 			if cause := recover(); cause != nil {
 				failures <- fmt.Sprint(cause)
@@ -197,42 +213,39 @@
 		}()
 		inner.ServeHTTP(writer, request)
 	}))
-	f.Fuzz(func(t *testing.T, data []byte) {
-		conn, err := net.Dial("tcp", address)
-		if err != nil {
-			t.Fatal(err)
-		}
-		_ = conn.SetDeadline(time.Now().Add(10 * time.Second))
-		_, _ = conn.Write(data) // the server may close the connection before it has read all
-		if tcp, ok := conn.(*net.TCPConn); ok {
-			_ = tcp.CloseWrite()
-		}
-		reader := bufio.NewReader(conn)
-		for {
-			response, err := http.ReadResponse(reader, nil)
-			if errors.Is(err, os.ErrDeadlineExceeded) {
-				t.Error("neither an answer nor the end of the connection")
-			}
-			if err != nil {
-				break
-			}
-			_, _ = io.Copy(io.Discard, response.Body)
-			_ = response.Body.Close()
-			if response.StatusCode == http.StatusServiceUnavailable && response.Header.Get("Retry-After") == "" {
-				t.Error("a refusal without Retry-After")
-			}
+}
+
+// exchangeAll sends bytes on a connection of their own and reads all answers.
+func exchangeAll(t *testing.T, address string, data []byte) {
+	t.Helper()
+	conn, err := net.Dial("tcp", address)
+	if err != nil {
+		t.Fatal(err)
+	}
+	_ = conn.SetDeadline(time.Now().Add(10 * time.Second))
+	_, _ = conn.Write(data) // the server may close the connection before it has read all
+	if tcp, ok := conn.(*net.TCPConn); ok {
+		_ = tcp.CloseWrite()
+	}
+	reader := bufio.NewReader(conn)
+	for {
+		response, err := http.ReadResponse(reader, nil)
+		if errors.Is(err, os.ErrDeadlineExceeded) {
+			t.Error("neither an answer nor the end of the connection")
 		}
-		if tcp, ok := conn.(*net.TCPConn); ok {
-			_ = tcp.SetLinger(0) // else the connections of a long run use up the ports
+		if err != nil {
+			break
 		}
-		_ = conn.Close()
-		select {
-		case failure := <-failures:
-			t.Error(failure)
-		default:
+		_, _ = io.Copy(io.Discard, response.Body)
+		_ = response.Body.Close()
+		if response.StatusCode == http.StatusServiceUnavailable && response.Header.Get("Retry-After") == "" {
+			t.Error("a refusal without Retry-After")
 		}
-		awaitReleased(t, set)
-	})
+	}
+	if tcp, ok := conn.(*net.TCPConn); ok {
+		_ = tcp.SetLinger(0) // else the connections of a long run use up the ports
+	}
+	_ = conn.Close()
 }
 
 // awaitReleased waits until no body keeps memory.
