--- a/internal/site/daemon/access_test.go
+++ b/internal/site/daemon/access_test.go
@@ -169,10 +169,17 @@
 	return text.String()
 }
 
-// Keys, customers' jobs, revocation in contact, without contact with the store, and
-// without any, on two entries of which one owns the cell. Nothing that they write has a key.
+// Paths of jobs.
+const (
+	jobOfA      = "/k/000000000000000a"
+	jobOfNobody = "/o/000000000000000b"
+	otherJob    = "/k/000000000000000c" // never submitted
+)
+
+// Guards against calls with a key that is unknown, removed or another customer's, on two
+// entries of which one owns the cell: in contact, without contact with the store, and
+// without any. Nothing that the entries write has a key.
 func TestAccessEndToEnd(t *testing.T) {
-	const jobOfA, jobOfNobody, otherJob = "/k/000000000000000a", "/o/000000000000000b", "/k/000000000000000c"
 	s := newAccessSite(t)
 	s.publish(accessTables(1, strconv.Quote(secretOfA)))
 	for _, entry := range s.entries {
@@ -183,6 +190,22 @@
 	if strings.Contains(s.control(other), `"cell":`) {
 		owner, other = other, owner
 	}
+	s.checkCalls()
+	s.checkRemovedKey(other)
+	s.checkWithoutContact(owner, other)
+	for _, entry := range s.entries {
+		entry.cutOff.Store(false)
+	}
+	for _, entry := range s.entries {
+		s.await(http.StatusOK, entry, http.MethodGet, jobOfA, secretOfA)
+		s.await(http.StatusUnauthorized, entry, http.MethodGet, jobOfA, newSecretOfA)
+	}
+	s.checkOutput()
+}
+
+// checkCalls checks the status of each kind of call on both entries.
+func (s *accessSite) checkCalls() {
+	s.t.Helper()
 	type call struct{ method, path, secret string }
 	want := map[call]int{
 		{http.MethodGet, jobOfA, secretOfA}: 200, {http.MethodGet, jobOfA, secretOfB}: 410, {http.MethodDelete, jobOfA, secretOfB}: 410,
@@ -198,24 +221,33 @@
 			got[c] = s.call(entry, c.method, c.path, c.secret)
 		}
 		if diff := cmp.Diff(want, got); diff != "" {
-			t.Errorf("statuses (-want +got):\n%s", diff)
+			s.t.Errorf("statuses (-want +got):\n%s", diff)
 		}
 	}
+}
 
+// checkRemovedKey replaces a customer's key in two steps, and checks when each works.
+func (s *accessSite) checkRemovedKey(other *accessEntry) {
+	s.t.Helper()
 	s.publish(accessTables(2, strconv.Quote(secretOfA)+","+strconv.Quote(newSecretOfA))) // both are in force for a while
 	s.await(http.StatusOK, other, http.MethodGet, jobOfA, newSecretOfA)
 	if got := s.call(other, http.MethodGet, jobOfA, secretOfA); got != 200 {
-		t.Errorf("status %d with the old key beside the new one", got)
+		s.t.Errorf("status %d with the old key beside the new one", got)
 	}
 	s.publish(accessTables(3, strconv.Quote(newSecretOfA)))
 	for _, entry := range s.entries {
 		s.await(http.StatusUnauthorized, entry, http.MethodGet, jobOfA, secretOfA)
 	}
+}
 
+// checkWithoutContact cuts off first the other entry and then the owner's from the store,
+// and checks until when a key works that is removed after that.
+func (s *accessSite) checkWithoutContact(owner, other *accessEntry) {
+	s.t.Helper()
 	other.cutOff.Store(true) // the owner's pings still prove its tables
 	for started := time.Now(); time.Since(started) < 2*accessRevoke.Duration(); time.Sleep(50 * time.Millisecond) {
 		if got := s.call(other, http.MethodGet, jobOfA, newSecretOfA); got != 200 {
-			t.Fatalf("status %d %v after the entry was cut off from the store alone", got, time.Since(started))
+			s.t.Fatalf("status %d %v after the entry was cut off from the store alone", got, time.Since(started))
 		}
 	}
 	owner.cutOff.Store(true)
@@ -228,28 +260,20 @@
 			got := s.call(entry, http.MethodGet, jobOfA, newSecretOfA)
 			accepted = accepted || got != http.StatusServiceUnavailable
 			if got != http.StatusServiceUnavailable && sent > accessRevoke.Duration() {
-				t.Fatalf("status %d without contact to a call with a removed key, sent %v after its removal", got, sent)
+				s.t.Fatalf("status %d without contact to a call with a removed key, sent %v after its removal", got, sent)
 			}
 		}
 	}
 	for _, entry := range s.entries {
 		got := []int{s.call(entry, http.MethodGet, jobOfA, secretOfB), s.call(entry, http.MethodGet, jobOfA, noSecret), s.call(entry, http.MethodGet, jobOfA, ""), s.call(entry, http.MethodGet, "/o/", "")}
 		if diff := cmp.Diff([]int{503, 503, 503, 200}, got); diff != "" {
-			t.Errorf("statuses without contact: a key, an unknown one, none, a public route (-want +got):\n%s", diff)
+			s.t.Errorf("statuses without contact: a key, an unknown one, none, a public route (-want +got):\n%s", diff)
 		}
 	}
 	time.Sleep(2 * accessPeriod.Duration()) // until it is logged that the tables are not trusted
-	for _, entry := range s.entries {
-		entry.cutOff.Store(false)
-	}
-	for _, entry := range s.entries {
-		s.await(http.StatusOK, entry, http.MethodGet, jobOfA, secretOfA)
-		s.await(http.StatusUnauthorized, entry, http.MethodGet, jobOfA, newSecretOfA)
-	}
-	s.checkOutput()
 }
 
-// checkOutput checks that what the entries write tells of the access, and has no key.
+// checkOutput checks that logs, states and metrics report the decisions, and have no key.
 func (s *accessSite) checkOutput() {
 	s.t.Helper()
 	time.Sleep(2 * accessPeriod.Duration()) // until it is logged that they are trusted again
--- a/internal/site/daemon/ping_test.go
+++ b/internal/site/daemon/ping_test.go
@@ -106,8 +106,8 @@
 	}
 }
 
-// An entry without a proof for its tables, like one of an older version, vouches for
-// nothing; an age of 0 would be taken for a proof of this moment.
+// An entry without a proof for its tables sends no age, like one of an older version; an
+// age of 0 would be taken for a proof of this moment.
 func TestPingAnswerCarriesAgeOfProof(t *testing.T) {
 	fake := clock.NewFake(clock.Hour)
 	d := &Daemon{clock: fake.Clock(), elector: ownership.New(ownership.Options{}), tables: tables.New(tables.Options{Clock: fake.Clock()})}
