--- a/internal/site/tables/proof_test.go
+++ b/internal/site/tables/proof_test.go
@@ -147,19 +147,24 @@
 	})
 }
 
+// refuseReads makes reads of a log fail while refused is set.
+func refuseReads(log *journal.Log, refused *atomic.Bool) {
+	read := log.Read
+	log.Read = func(ctx context.Context, call journal.Read) journal.Page {
+		page := read(ctx, call)
+		if refused.Load() {
+			return journal.Page{Outcome: journal.NotDone}
+		}
+		return page
+	}
+}
+
 // Another entry's proof counts only where its records are applied, and never makes the
 // own proof older.
 func TestConfirmNeedsRecordsOfOtherEntry(t *testing.T) {
 	var refused atomic.Bool
 	followProofs(t, func(log *journal.Log, _ clock.Clock) {
-		read := log.Read
-		log.Read = func(ctx context.Context, call journal.Read) journal.Page {
-			page := read(ctx, call)
-			if refused.Load() {
-				return journal.Page{Outcome: journal.NotDone}
-			}
-			return page
-		}
+		refuseReads(log, &refused)
 	}, func(watcher *Watcher, standin *store.Store) {
 		now := watcher.options.Clock.Now
 		appendRecord(standin, "config", "7")
--- a/internal/site/tables/tables_test.go
+++ b/internal/site/tables/tables_test.go
@@ -139,14 +139,7 @@
 			return watcher
 		}
 		refused, log := new(atomic.Bool), standin.Log()
-		read := log.Read
-		log.Read = func(ctx context.Context, call journal.Read) journal.Page {
-			page := read(ctx, call)
-			if refused.Load() {
-				return journal.Page{Outcome: journal.NotDone}
-			}
-			return page
-		}
+		refuseReads(&log, refused)
 		behind, ahead := follow(log), follow(standin.Log())
 		appendRecord(standin, "config", "7")
 		appendRecord(standin, "out/a", "{}")
