--- a/internal/site/access/access_test.go
+++ b/internal/site/access/access_test.go
@@ -147,7 +147,7 @@
 }
 
 // A manifest that is applied just before its proof is known is the one that decides: the
-// proof of a newer manifest must not vouch for an older one.
+// proof of a newer manifest must not count for an older one.
 func TestCheckReadsProofBeforeManifest(t *testing.T) {
 	e := newEntry(restricted)
 	removed := manifest.New(4, nil, nil, manifest.Limits{}).WithCustomers([]manifest.Customer{{Name: "a"}})
--- a/internal/site/access/lease_test.go
+++ b/internal/site/access/lease_test.go
@@ -31,7 +31,7 @@
 	leasePingPeriod clock.Millis = 500 // of weak entries, which is the longer one
 )
 
-// leaseEntry is an entry whose calls to the store and pings meet faults.
+// leaseEntry is an entry with faults in its reads of the store and its pings.
 type leaseEntry struct {
 	watcher *tables.Watcher
 	guard   *Guard
@@ -82,7 +82,7 @@
 
 func leaseSecret(version int64) string { return fmt.Sprint("key-of-version-", version) }
 
-// leaseRun plays faults on an owner's entry and another one, which pings it.
+// leaseRun applies faults to the owner's entry and another one, which pings it.
 type leaseRun struct {
 	t           *testing.T
 	seed        uint64
@@ -90,10 +90,10 @@
 	now         func() clock.Millis
 	standin     *store.Store
 	owner, peer *leaseEntry
-	linkCut     atomic.Bool
+	linkCut     atomic.Bool // pings are lost
 	version     int64
 	removedAt   map[int64]clock.Millis // by version, when the next one was confirmed
-	faultyAt    clock.Millis           // when there last was a fault
+	faultyAt    clock.Millis           // newest time with a fault
 	decided     map[Outcome]int
 	calmCalls   int // calls long after the last fault
 }
@@ -165,8 +165,8 @@
 	}
 }
 
-// playLease runs test on two entries that follow the store, the second also by pings.
-func playLease(t *testing.T, seed uint64, test func(r *leaseRun)) {
+// runLease runs test on two entries that follow the store, the second also by pings.
+func runLease(t *testing.T, seed uint64, test func(r *leaseRun)) {
 	t.Helper()
 	synctest.Test(t, func(t *testing.T) {
 		clk, standin := clock.New(), store.New()
@@ -199,7 +199,7 @@
 func TestLeaseUnderFaults(t *testing.T) {
 	decided, calmCalls := map[Outcome]int{}, 0
 	for seed := range uint64(20) {
-		playLease(t, seed, func(r *leaseRun) {
+		runLease(t, seed, func(r *leaseRun) {
 			for step := range 120 * 20 { // of 50 ms
 				if step%60 == 59 {
 					r.changeFaults()
@@ -231,7 +231,7 @@
 // them before its end.
 func TestLeaseAfterContact(t *testing.T) {
 	for phase := range 25 {
-		playLease(t, uint64(phase), func(r *leaseRun) {
+		runLease(t, uint64(phase), func(r *leaseRun) {
 			for _, e := range []*leaseEntry{r.owner, r.peer} {
 				e.slow.Store(50)
 			}
--- a/internal/site/peer/tables_test.go
+++ b/internal/site/peer/tables_test.go
@@ -30,7 +30,7 @@
 
 // Tables above one frame were answered by a frame that the receiver refuses, with the
 // end of the connection, at each attempt.
-func TestTablesAboveOneFrameAreHandedOn(t *testing.T) {
+func TestTablesAboveOneFrameAreSentInPages(t *testing.T) {
 	whole := copyOf(9, 7, journal.DefaultLimits.RecordBytes-100)
 	changes := 0
 	address := startServer(t, Handlers{Tables: func(context.Context) TablesAnswer {
