--- a/internal/schedule/owner/fair.go
+++ b/internal/schedule/owner/fair.go
@@ -33,8 +33,8 @@
 	firstStep int
 }
 
-// lanes are the queued jobs of a class by customer.
-type lanes = share.Lanes[*quota.Account, unserved]
+// fairQueue holds the queued jobs of a class by customer.
+type fairQueue = share.FairQueue[*quota.Account, unserved]
 
 // endsBefore reports whether a turn is over before the next task of a step.
 func (t *turn) endsBefore(step int) bool {
@@ -100,7 +100,7 @@
 }
 
 // serveOne yields work of the customers in turn until one job has been served.
-func (o *Owner) serveOne(byCustomer *lanes, total fleet.Room, weights float64, yield func(queuedJob) bool) bool {
+func (o *Owner) serveOne(byCustomer *fairQueue, total fleet.Room, weights float64, yield func(queuedJob) bool) bool {
 	for {
 		next, until := byCustomer.Next()
 		account := next.job.account
--- a/internal/schedule/share/share.go
+++ b/internal/schedule/share/share.go
@@ -1,18 +1,18 @@
 // Package share decides between customers when workers are full: whose work comes
 // next, and how many submissions of each are served in the ordinary order.
 //
-// [Lanes] holds the waiting work of each customer in the customer's own order, and
+// A [FairQueue] holds the waiting work of each customer in the customer's own order, and
 // chooses the customer with the smallest dominant share in proportion to its
 // weight: weighted fair queueing over the resource of which a customer uses most
 // (dominant resource fairness). A [Bucket] counts submissions against a rate.
 //
 // # Usage
 //
-//	lanes := share.New[job](total)
-//	lanes.Add(account, account.Weight(), work)
-//	for !lanes.Empty() {
-//		next, until := lanes.Next() // serve next until its share exceeds until
-//		lanes.Done()                // or lanes.Keep(rest) if work is left
+//	queue := share.New[*quota.Account, job](total)
+//	queue.Add(account, account.Weight(), work)
+//	for !queue.Empty() {
+//		next, until := queue.Next() // serve next until its share exceeds until
+//		queue.Done()                // or queue.Keep(rest) if work is left
 //	}
 package share
 
@@ -52,77 +52,77 @@
 	Used() fleet.Room
 }
 
-// Lanes is the waiting work of customers, each with its own sequence.
-type Lanes[C Customer, T any] struct {
+// FairQueue is the waiting work of customers, each with its own sequence (a flow).
+type FairQueue[C Customer, T any] struct {
 	total   fleet.Room
-	lanes   []*lane[C, T]
-	current *lane[C, T] // that Next has returned the first work of
+	flows   []*flow[C, T]
+	current *flow[C, T] // whose first work Next has returned
 }
 
-// lane is the waiting work of one customer.
-type lane[C Customer, T any] struct {
+// flow is the waiting work of one customer.
+type flow[C Customer, T any] struct {
 	customer C
 	weight   float64
 	work     []T
 	weighted float64 // dominant share divided by weight
 }
 
-// New returns lanes without work, for workers with a total capacity.
-func New[C Customer, T any](total fleet.Room) *Lanes[C, T] { return &Lanes[C, T]{total: total} }
+// New returns a queue without work, for workers with a total capacity.
+func New[C Customer, T any](total fleet.Room) *FairQueue[C, T] { return &FairQueue[C, T]{total: total} }
 
-// Add appends work to a customer's lane. Customers that are equally far from their
+// Add appends work to a customer's flow. Customers that are equally far from their
 // share are served in the sequence of their first work.
-func (l *Lanes[C, T]) Add(customer C, weight float64, work T) {
-	for _, known := range l.lanes {
+func (q *FairQueue[C, T]) Add(customer C, weight float64, work T) {
+	for _, known := range q.flows {
 		if known.customer == customer {
 			known.work = append(known.work, work)
 			return
 		}
 	}
-	added := &lane[C, T]{customer: customer, weight: WeightOf(weight), work: []T{work}}
-	added.weigh(l.total)
-	l.lanes = append(l.lanes, added)
+	added := &flow[C, T]{customer: customer, weight: WeightOf(weight), work: []T{work}}
+	added.weigh(q.total)
+	q.flows = append(q.flows, added)
 }
 
-func (l *lane[C, T]) weigh(total fleet.Room) {
-	l.weighted = Dominant(l.customer.Used(), total) / l.weight
+func (f *flow[C, T]) weigh(total fleet.Room) {
+	f.weighted = Dominant(f.customer.Used(), total) / f.weight
 }
 
 // Empty reports whether no work is left.
-func (l *Lanes[C, T]) Empty() bool { return len(l.lanes) == 0 }
+func (q *FairQueue[C, T]) Empty() bool { return len(q.flows) == 0 }
 
 // Next returns the first work of the customer that is furthest below its share, and
 // the dominant share at which the turn of that customer ends.
-func (l *Lanes[C, T]) Next() (work T, until float64) {
-	l.current = l.lanes[0]
+func (q *FairQueue[C, T]) Next() (work T, until float64) {
+	q.current = q.flows[0]
 	second := math.Inf(1)
-	for _, other := range l.lanes[1:] {
-		if other.weighted < l.current.weighted {
-			second, l.current = l.current.weighted, other
+	for _, other := range q.flows[1:] {
+		if other.weighted < q.current.weighted {
+			second, q.current = q.current.weighted, other
 		} else {
 			second = min(second, other.weighted)
 		}
 	}
-	return l.current.work[0], second*l.current.weight + Quantum
+	return q.current.work[0], second*q.current.weight + Quantum
 }
 
 // Done removes the work that Next returned.
-func (l *Lanes[C, T]) Done() {
-	l.current.work = l.current.work[1:]
-	l.current.weigh(l.total)
-	if len(l.current.work) > 0 {
+func (q *FairQueue[C, T]) Done() {
+	q.current.work = q.current.work[1:]
+	q.current.weigh(q.total)
+	if len(q.current.work) > 0 {
 		return
 	}
-	for i := range l.lanes {
-		if l.lanes[i] == l.current {
-			l.lanes = append(l.lanes[:i], l.lanes[i+1:]...)
+	for i := range q.flows {
+		if q.flows[i] == q.current {
+			q.flows = append(q.flows[:i], q.flows[i+1:]...)
 			return
 		}
 	}
 }
 
 // Keep replaces the work that Next returned by the rest of it.
-func (l *Lanes[C, T]) Keep(rest T) {
-	l.current.work[0] = rest
-	l.current.weigh(l.total)
+func (q *FairQueue[C, T]) Keep(rest T) {
+	q.current.work[0] = rest
+	q.current.weigh(q.total)
 }
--- a/internal/schedule/share/share_test.go
+++ b/internal/schedule/share/share_test.go
@@ -21,12 +21,12 @@
 	room  fleet.Room
 }
 
-// serve places tasks of all lanes until the workers are full, and returns how many.
-func serve(lanes *share.Lanes[*usage, work], total fleet.Room) map[*usage]int {
+// serve places tasks of all customers until the workers are full, and returns how many.
+func serve(queue *share.FairQueue[*usage, work], total fleet.Room) map[*usage]int {
 	placed := map[*usage]int{}
 	free := total
-	for !lanes.Empty() {
-		next, until := lanes.Next()
+	for !queue.Empty() {
+		next, until := queue.Next()
 		for next.tasks > 0 && next.room.FitsIn(free) && share.Dominant(next.of.used, total) <= until {
 			next.tasks--
 			placed[next.of]++
@@ -34,10 +34,10 @@
 			free = free.Plus(next.room, -1)
 		}
 		if next.tasks > 0 && next.room.FitsIn(free) {
-			lanes.Keep(next)
+			queue.Keep(next)
 			continue
 		}
-		lanes.Done()
+		queue.Done()
 	}
 	return placed
 }
@@ -48,13 +48,13 @@
 	total := fleet.Room{MilliCPU: 700_000, MemoryMB: 700_000}
 	one := fleet.Room{MilliCPU: 1000, MemoryMB: 500}
 	a, b, c, idle := &usage{}, &usage{}, &usage{}, &usage{}
-	lanes := share.New[*usage, work](total)
-	lanes.Add(a, 1, work{a, 400, one})
-	lanes.Add(a, 1, work{a, 400, one})
-	lanes.Add(b, 2, work{b, 800, one})
-	lanes.Add(c, 4, work{c, 800, one})
-	lanes.Add(idle, 100, work{idle, 10, one})
-	placed := serve(lanes, total)
+	queue := share.New[*usage, work](total)
+	queue.Add(a, 1, work{a, 400, one})
+	queue.Add(a, 1, work{a, 400, one})
+	queue.Add(b, 2, work{b, 800, one})
+	queue.Add(c, 4, work{c, 800, one})
+	queue.Add(idle, 100, work{idle, 10, one})
+	placed := serve(queue, total)
 	got := []bool{within(placed[a], 690/7, 20), within(placed[b], 2*690/7, 20), within(placed[c], 4*690/7, 20), placed[idle] == 10}
 	if diff := cmp.Diff([]bool{true, true, true, true}, got); diff != "" {
 		t.Errorf("placed %d, %d, %d, %d; near their shares (-want +got):\n%s", placed[a], placed[b], placed[c], placed[idle], diff)
@@ -68,10 +68,10 @@
 func TestDominantResource(t *testing.T) {
 	total := fleet.Room{MilliCPU: 90_000, MemoryMB: 180_000}
 	memory, processors := &usage{}, &usage{}
-	lanes := share.New[*usage, work](total)
-	lanes.Add(memory, 1, work{memory, 1000, fleet.Room{MilliCPU: 1000, MemoryMB: 4000}})
-	lanes.Add(processors, 1, work{processors, 1000, fleet.Room{MilliCPU: 3000, MemoryMB: 1000}})
-	serve(lanes, total)
+	queue := share.New[*usage, work](total)
+	queue.Add(memory, 1, work{memory, 1000, fleet.Room{MilliCPU: 1000, MemoryMB: 4000}})
+	queue.Add(processors, 1, work{processors, 1000, fleet.Room{MilliCPU: 3000, MemoryMB: 1000}})
+	serve(queue, total)
 	got := []float64{share.Dominant(memory.used, total), share.Dominant(processors.used, total)}
 	if got[0] < 0.6 || got[1] < 0.6 {
 		t.Errorf("dominant shares %v, want about two thirds each", got)
@@ -82,19 +82,19 @@
 // own work.
 func TestWorkOfOneCustomerKeepsItsOrder(t *testing.T) {
 	a, b := &usage{}, &usage{}
-	lanes := share.New[*usage, string](fleet.Room{MilliCPU: 10})
+	queue := share.New[*usage, string](fleet.Room{MilliCPU: 10})
 	for _, name := range []string{"a1", "a2", "a3"} {
-		lanes.Add(a, 1, name)
+		queue.Add(a, 1, name)
 	}
-	lanes.Add(b, 1, "b1")
+	queue.Add(b, 1, "b1")
 	var got []string
-	for !lanes.Empty() {
-		name, _ := lanes.Next()
+	for !queue.Empty() {
+		name, _ := queue.Next()
 		got = append(got, name)
 		if name[0] == 'a' {
 			a.used.MilliCPU++
 		}
-		lanes.Done()
+		queue.Done()
 	}
 	if diff := cmp.Diff([]string{"a1", "b1", "a2", "a3"}, got); diff != "" {
 		t.Errorf("order (-want +got):\n%s", diff)
