--- a/internal/schedule/duration/duration.go
+++ b/internal/schedule/duration/duration.go
@@ -30,24 +30,24 @@
 
 // Parameters of the estimates.
 const (
-	minSamples     = 20        // runs below which a kind is not known: two steps of usual size
+	minSamples     = 20        // runs below which a kind is not known; two steps of usual size have as many
 	memorySamples  = 200.0     // runs after which the weight of a run has fallen to 1/e
 	lateQuantile   = 0.95      // quantile that Predict returns as late; runs above it do not count for likely
 	maxKinds       = 512       // kinds kept in memory
 	keptKinds      = 384       // kinds kept when maxKinds is exceeded, the most recently used ones
 	maxRecordBytes = 64 << 10  // encoded kinds, at most; the most recently used ones are kept
 	rowOverhead    = 64        // bytes of an encoded kind beyond its names, at most
-	renormalizeAt  = 1e12      // weight of a new run from which all weights are scaled down
+	renormalizeAt  = 1e12      // weight of a new run from which all weights are scaled down, to stay in the range of floats
 	recordChange   = 0.1       // relative change of an estimate from which it is worth a new record
 	loadedLate     = 0.15      // share of the weight of a loaded kind that is put at its late value
 	binsPerOctave  = 8         // bins of a histogram per factor of two
 	binCount       = 128       // bins of a histogram
-	lengthOrigin   = 4         // power of two of the smallest duration in ms
-	ratioOrigin    = -8        // power of two of the smallest ratio
+	lengthOrigin   = 4         // log2 of the smallest duration in ms
+	ratioOrigin    = -8        // log2 of the smallest ratio
 	anyImage       = "\x00any" // image of the kind that stands for all images of a queue
 )
 
-// Kind says which tasks are expected to run equally long.
+// Kind identifies tasks that are expected to run equally long.
 type Kind struct {
 	Queue    string
 	Image    string
@@ -86,8 +86,8 @@
 // New returns an estimator without observations.
 func New() *Estimator { return &Estimator{kinds: map[key]*estimate{}} }
 
-// Observe adds a run that has done all of its work. The time that it ran must
-// count at the speed at which it had all processors that it requests.
+// Observe adds a run that has done all of its work. ran is the time that it takes
+// with all the processors that it requests.
 func (e *Estimator) Observe(kind Kind, ran, now clock.Millis) {
 	if ran <= 0 {
 		return
@@ -104,9 +104,9 @@
 	e.changed = true
 }
 
-// Predict returns how long a task of a kind is likely to run, a duration that
-// few of them exceed, and the number of runs that this rests on: 0 if too few
-// have been seen, and then the durations are 0, too.
+// Predict returns the likely duration of a task of a kind, a late one that few
+// exceed (lateQuantile), and the number of runs that they were computed from. All
+// are 0 if fewer than minSamples runs have been observed.
 func (e *Estimator) Predict(kind Kind) (likely, late clock.Millis, samples int) {
 	if e == nil {
 		return 0, 0, 0
@@ -168,7 +168,8 @@
 	return keys
 }
 
-// summary is an estimate in short: durations in ms, and ratios, as powers of two.
+// summary holds the quantities of an estimate that predictions use, as log2 of
+// durations in ms and of ratios.
 type summary struct {
 	samples                float64
 	length, lateLength     float64
@@ -186,7 +187,7 @@
 	return s
 }
 
-// of returns the durations for a declaration.
+// of returns the likely and the late duration for a declared one.
 func (s summary) of(declared clock.Millis) (likely, late clock.Millis) {
 	low, high := s.length, s.lateLength
 	if s.prefersRatio {
@@ -197,7 +198,7 @@
 	return likely, max(likely, clock.Millis(math.Exp2(high)+0.5))
 }
 
-// differs reports whether a record of a summary is out of date.
+// differs reports whether a summary is too far from the recorded one.
 func (s summary) differs(recorded summary) bool {
 	limit := math.Log2(1 + recordChange)
 	return (s.samples >= minSamples) != (recorded.samples >= minSamples) ||
@@ -219,8 +220,8 @@
 }
 
 // Changed reports whether an estimate has changed so much since the last Encode
-// that it is worth a new record. It costs a walk over all kinds if there were
-// runs since.
+// that it is worth a new record. It iterates over all kinds if runs were observed
+// since the last call.
 func (e *Estimator) Changed() bool {
 	if !e.changed {
 		return false
--- a/internal/schedule/duration/histogram.go
+++ b/internal/schedule/duration/histogram.go
@@ -5,9 +5,9 @@
 	"math"
 )
 
-// histogram counts values, in powers of two above its origin, with exponentially
-// falling weight. A new value weighs the more the later it comes, so that adding
-// one changes one bin only.
+// histogram counts values with exponentially decaying weight. A value is a log2 minus
+// the origin of the scale. The weight of new values grows instead of the old weights
+// being scaled down, so that adding one changes one bin only.
 type histogram struct {
 	bins  [binCount]float64
 	total float64
@@ -62,7 +62,7 @@
 	return 0
 }
 
-// likely returns the mean, in linear terms, of the values up to lateQuantile.
+// likely returns the log2 of the linear mean of the values up to lateQuantile.
 func (h *histogram) likely() float64 {
 	rest := lateQuantile * h.total
 	mean := 0.0
@@ -74,11 +74,11 @@
 	return math.Log2(mean / (lateQuantile * h.total))
 }
 
-// spread returns the distance between the tenths at both ends.
+// spread returns the distance between the 10% and the 90% quantile.
 func (h *histogram) spread() float64 { return h.quantile(0.9) - h.quantile(0.1) }
 
-// loadedHistogram returns a histogram with most of its weight at the likely
-// value and the rest at the late one.
+// loadedHistogram returns a histogram with the share loadedLate of its weight at the
+// late value and the rest at the likely one.
 func loadedHistogram(samples, likely, late float64) histogram {
 	var h histogram
 	h.next, h.total = growth, samples
--- a/internal/schedule/interference/interference.go
+++ b/internal/schedule/interference/interference.go
@@ -161,24 +161,24 @@
 	return m
 }
 
-// Kept is what was known about one image of long-running tasks at some time.
-type Kept struct {
+// Snapshot is what was known about one image of long-running tasks at some time.
+type Snapshot struct {
 	serving string
 	model   *model
 }
 
-// Keep returns a copy of what is known about an image of long-running tasks.
-func (e *Estimator) Keep(serving string) *Kept {
-	kept := &Kept{serving: serving, model: newModel()}
+// Snapshot returns a copy of what is known about an image of long-running tasks.
+func (e *Estimator) Snapshot(serving string) *Snapshot {
+	snapshot := &Snapshot{serving: serving, model: newModel()}
 	if m := e.models[serving]; m != nil {
-		kept.model = m.clone()
+		snapshot.model = m.clone()
 	}
-	return kept
+	return snapshot
 }
 
-// Restore forgets what was learned about an image since Keep.
-func (e *Estimator) Restore(kept *Kept) {
-	*e.model(kept.serving) = *kept.model.clone()
+// Restore replaces what is known about the snapshot's image by the snapshot.
+func (e *Estimator) Restore(snapshot *Snapshot) {
+	*e.model(snapshot.serving) = *snapshot.model.clone()
 	e.changed = true
 }
 
--- a/internal/schedule/interference/interference_test.go
+++ b/internal/schedule/interference/interference_test.go
@@ -185,14 +185,14 @@
 		}
 	}
 	observe("a", InitialHeadroom)
-	kept, want := estimator.Keep("a"), estimator.Pair("a", "f")
+	snapshot, want := estimator.Snapshot("a"), estimator.Pair("a", "f")
 	observe("a", InitialHeadroom/2)
 	observe("b", InitialHeadroom/2)
 	other := estimator.Pair("b", "f")
 	if !estimator.Pair("a", "f").Incompatible() {
 		t.Fatalf("the estimate does not show what was observed: %+v", estimator.Pair("a", "f"))
 	}
-	estimator.Restore(kept)
+	estimator.Restore(snapshot)
 	if diff := cmp.Diff([]Estimate{want, other}, []Estimate{estimator.Pair("a", "f"), estimator.Pair("b", "f")}); diff != "" {
 		t.Errorf("estimates (-want +got):\n%s", diff)
 	}
--- a/internal/schedule/job/record.go
+++ b/internal/schedule/job/record.go
@@ -49,7 +49,7 @@
 
 // Largest sizes of a task's text in a record.
 const (
-	MaxCheckpointBytes = 256 // longer checkpoints are not kept
+	MaxCheckpointBytes = 256 // length of a checkpoint; longer ones are not kept
 	MaxWorkerBytes     = 255 // length of a worker's id, which is a key of the store
 )
 
@@ -65,7 +65,8 @@
 // MaxProgressRecords bounds the records of one job's progress, which a takeover reads.
 const MaxProgressRecords = 1024
 
-// TasksPerRecord is the number of tasks whose progress always fits a record of a size.
+// TasksPerRecord returns the number of tasks whose progress fits a record of recordBytes
+// even when each has its largest size.
 func TasksPerRecord(recordBytes int) int {
 	return max((recordBytes-maxProgressBytes-maxKeyBytes)/maxTaskBytes, 0)
 }
@@ -79,8 +80,8 @@
 	return count
 }
 
-// CheckRecordable returns the reason why the records of a job cannot be kept below a
-// size at its largest, worded for its caller.
+// CheckRecordable returns an error, worded for the job's caller, if some record of the
+// job can become larger than recordBytes or its progress needs too many records.
 func (s Spec) CheckRecordable(recordBytes int) error {
 	data, err := EncodeSpec(s)
 	if err != nil {
--- a/internal/schedule/manifest/customer.go
+++ b/internal/schedule/manifest/customer.go
@@ -45,12 +45,12 @@
 func newCustomerIndex(listed []Customer) *customerIndex {
 	index := &customerIndex{byName: map[string]Customer{}, byDigest: map[[sha256.Size]byte]identity{}}
 	for _, customer := range listed {
-		first, doubled := index.byName[customer.Name]
+		first, repeated := index.byName[customer.Name]
 		switch {
 		case customer.Name == "":
 			index.addProblem("", "a customer has no name and is ignored")
 			continue
-		case doubled:
+		case repeated:
 			index.addProblem(customer.Name, "the name is listed more than once: the first weight and limit have effect, and the keys of all")
 			first.Keys = slices.Concat(first.Keys, customer.Keys)
 			customer = first
--- a/internal/schedule/manifest/key.go
+++ b/internal/schedule/manifest/key.go
@@ -6,7 +6,7 @@
 	"strings"
 )
 
-// maxSecretBytes bounds the secret of a key, and so the cost of a call with a wrong one.
+// maxSecretBytes bounds the length of a secret, and so the cost of a call with a wrong one.
 const maxSecretBytes = 4096
 
 // Key identifies the callers of a customer. It holds only a digest of the secret, so
@@ -32,7 +32,7 @@
 	case strings.ContainsFunc(secret, func(char rune) bool { return char < ' ' || char == 0x7f }):
 		return "a key with control characters"
 	case len(secret) > maxSecretBytes:
-		return "a key over 4096 bytes"
+		return fmt.Sprintf("a key over %d bytes", maxSecretBytes)
 	case strings.TrimSpace(secret) != secret:
 		return "a key with spaces around it"
 	}
--- a/internal/schedule/mix/mix.go
+++ b/internal/schedule/mix/mix.go
@@ -20,29 +20,30 @@
 
 // Parameters of the mix.
 const (
-	decay            = float64(60 * clock.Second) // time constant of the exponential decay of the counts, in ms
+	decayTime        = float64(60 * clock.Second) // time constant of the exponential decay of the counts, in ms
 	decayInterval    = clock.Second               // least time between two decays of the counts
-	classesPerOctave = 4
-	classes          = 40 * classesPerOctave
-	leastCount       = 0.5 // decayed number of large tasks below which they do not come regularly; keeps quotients finite
-	largeOctaves     = 1   // a large task has twice the median size at least
+	classesPerOctave = 4                          // size classes per factor of two
+	classes          = 40 * classesPerOctave      // sizes from 2^40 on are in the last class
+	leastCount       = 0.5                        // least divisor of Fitting: below this decayed number, large tasks are too rare to count fully
+	largeOctaves     = 1                          // a large task has twice the median size at least
 )
 
-// Mix is the distribution of recently requested sizes.
+// Mix is the distribution of recently requested sizes. It is not safe for concurrent
+// use.
 type Mix struct {
 	counts    [classes]float64
 	decayedAt clock.Millis
 	median    int              // class of the median; negative: nothing is known
-	fitting   [classes]float64 // share of the large tasks of a class up to this one; 0: there are none
+	fitting   [classes]float64 // by class: share of the large tasks that are of this or a smaller class; 0: there are none
 }
 
 // New returns a mix of which nothing is known.
 func New() *Mix { return &Mix{median: -1} }
 
-// Add counts a number of tasks of a size that are requested now.
+// Add counts newly requested tasks of one size.
 func (m *Mix) Add(now clock.Millis, size int64, tasks int) {
 	if now-m.decayedAt >= decayInterval {
-		factor := math.Exp(-float64(now-m.decayedAt) / decay)
+		factor := math.Exp(-float64(now-m.decayedAt) / decayTime)
 		for i := range m.counts {
 			m.counts[i] *= factor
 		}
@@ -53,7 +54,8 @@
 	m.updateFitting()
 }
 
-// IsLarge reports whether a size is far above the median of the recent ones.
+// IsLarge reports whether a size is at least largeOctaves above the median of the
+// recent ones.
 func (m *Mix) IsLarge(size int64) bool {
 	return m.median >= 0 && class(size) >= m.firstLarge()
 }
@@ -67,10 +69,10 @@
 	return m.fitting[class(amount)]
 }
 
-// firstLarge is the least class of large tasks.
+// firstLarge returns the smallest class of large tasks.
 func (m *Mix) firstLarge() int { return m.median + largeOctaves*classesPerOctave }
 
-// updateFitting sums up the large tasks.
+// updateFitting computes the cumulative share of large tasks by class.
 func (m *Mix) updateFitting() {
 	m.fitting = [classes]float64{}
 	sum := 0.0
@@ -83,7 +85,7 @@
 	}
 }
 
-// updateMedian finds the class of the median.
+// updateMedian updates the class of the median size.
 func (m *Mix) updateMedian() {
 	total := 0.0
 	for _, count := range m.counts {
@@ -99,7 +101,7 @@
 	}
 }
 
-// class is the class of a size.
+// class returns the class of a size.
 func class(size int64) int {
 	return min(int(classesPerOctave*math.Log2(float64(max(size, 1)))), classes-1)
 }
--- a/internal/schedule/owner/own_load.go
+++ b/internal/schedule/owner/own_load.go
@@ -92,7 +92,7 @@
 // tasks went over its target.
 type keptModel struct {
 	at    clock.Millis
-	model *interference.Kept
+	model *interference.Snapshot
 }
 
 // keepModel keeps what is known about the interference with an image, unless that
@@ -100,7 +100,7 @@
 func (o *Owner) keepModel(serving string) {
 	maps.DeleteFunc(o.keptModels, func(_ string, kept keptModel) bool { return o.now-kept.at > keptModelTTL })
 	if _, known := o.keptModels[serving]; !known {
-		o.keptModels[serving] = keptModel{at: o.now, model: o.interference.Keep(serving)}
+		o.keptModels[serving] = keptModel{at: o.now, model: o.interference.Snapshot(serving)}
 	}
 }
 
--- a/internal/schedule/quota/late.go
+++ b/internal/schedule/quota/late.go
@@ -12,17 +12,17 @@
 	Run  int
 }
 
-// lateStart is a start that may be carried out, or executing, although no current
-// run stands for it.
+// lateStart is a start that a worker may still execute, or is executing, although the
+// owner counts its run as ended.
 type lateStart struct {
 	account   *Account
 	room      fleet.Room
-	until     clock.Millis // it cannot begin or go on after this time
+	until     clock.Millis // the worker cannot begin it after this time
 	stoppedAt clock.Millis // when its stop was confirmed; 0: it was not
 }
 
-// HoldLate counts a start on a worker until a time, or longer if it is counted
-// already.
+// HoldLate counts a start on a worker that may begin until a time. If it is counted
+// already, the later time is valid.
 func (l *Ledger) HoldLate(worker string, start Start, account *Account, room fleet.Room, until clock.Millis) {
 	if account == nil {
 		return
@@ -40,25 +40,25 @@
 	account.Add(room, 1)
 }
 
-// ExtendLate moves the time until which a late start may begin; others are not
-// counted.
+// ExtendLate extends the time until which a late start may begin. It ignores starts
+// that are not counted as late.
 func (l *Ledger) ExtendLate(worker string, start Start, until clock.Millis) {
 	if late := l.late[worker][start]; late != nil {
 		late.until = max(late.until, until)
 	}
 }
 
-// StopConfirmed notes that a worker has confirmed a stop: it lists the run until
-// it has ended, and does not begin it any more.
+// StopConfirmed notes that a worker has confirmed the stop of a late start: from then
+// on the worker does not begin it, and reports it until it has ended.
 func (l *Ledger) StopConfirmed(worker string, start Start, now clock.Millis) {
 	if late := l.late[worker][start]; late != nil {
 		late.stoppedAt = now
 	}
 }
 
-// Settle removes the late starts of a worker that its report proves to be over,
-// and reports whether there were any. The report was requested at a time and does
-// not list them, and they were stopped before or cannot begin any more.
+// Settle removes the late starts of a worker that its report proves to be over, and
+// reports whether it removed any. These are not listed, and when the report was
+// requested, their stop was confirmed or they could not begin any more.
 func (l *Ledger) Settle(worker string, listed func(Start) bool, requestedAt clock.Millis) bool {
 	removed := false
 	for start, late := range l.late[worker] {
@@ -71,9 +71,8 @@
 	return removed
 }
 
-// Expire removes late starts of workers that have not reported since they could
-// last begin, once a lease granted then is over, and reports whether there were
-// any.
+// Expire removes late starts that no report has settled, once a lease granted at the
+// last time at which they could begin has expired. It reports whether it removed any.
 func (l *Ledger) Expire(now, leaseSpan clock.Millis) bool {
 	removed := false
 	for worker, starts := range l.late {
--- a/internal/schedule/quota/quota.go
+++ b/internal/schedule/quota/quota.go
@@ -2,10 +2,10 @@
 // limits.
 //
 // A [Ledger] has an [Account] for each customer. The scheduler adds a task to an
-// account when it assigns a worker to it and takes it off when its run has
+// account when it assigns a worker to it and removes it when its run has
 // certainly ended, so an account covers everything that may be executing. Starts
-// that may still be carried out although their run has ended are held in the
-// ledger as late starts until they can no longer begin.
+// that a worker may still execute although their run counts as ended are held in
+// the ledger as late starts until that is impossible.
 //
 // # Usage
 //
@@ -110,8 +110,8 @@
 // Limited reports whether the account has a limit.
 func (a *Account) Limited() bool { return a != nil && a.customer.Limit != fleet.Room{} }
 
-// Add counts a number of tasks that may be executing; a negative number takes
-// them off.
+// Add counts a number of tasks that may be executing; a negative number removes
+// them.
 func (a *Account) Add(room fleet.Room, tasks int64) {
 	if a == nil {
 		return
@@ -120,7 +120,7 @@
 	a.tasks += tasks
 }
 
-// Admits reports whether another task keeps the customer within its limit.
+// Admits reports whether the customer stays within its limit with another task.
 func (a *Account) Admits(room fleet.Room) bool {
 	return !a.Limited() || fits(room, a.used, a.customer.Limit)
 }
@@ -141,8 +141,8 @@
 	return a.Limited() && !fits(room, fleet.Room{}, a.customer.Limit)
 }
 
-// Free returns the milli-CPU that the customer may still start, and whether they
-// are limited.
+// Free returns how many milli-CPU the customer's limit leaves for further tasks, and
+// whether its milli-CPU are limited.
 func (a *Account) Free() (milliCPU int64, limited bool) {
 	if a == nil || a.customer.Limit.MilliCPU == 0 {
 		return 0, false
@@ -150,8 +150,8 @@
 	return max(a.customer.Limit.MilliCPU-a.used.MilliCPU, 0), true
 }
 
-// Waves returns in how many groups one after another the customer's limit lets a
-// number of equal tasks run, if it runs nothing else.
+// Waves returns the number of successive groups in which a number of equal tasks must
+// run to stay within the customer's limit, if it runs nothing else.
 func (a *Account) Waves(tasks int, room fleet.Room) int64 {
 	if !a.Limited() || tasks == 0 {
 		return 1
@@ -165,9 +165,9 @@
 	return (int64(tasks) + width - 1) / width
 }
 
-// fits reports whether a request fits beside what is used. A resource that is not
-// requested does not count: what is above a lowered limit must not keep tasks
-// waiting that use none of it.
+// fits reports whether a request fits the limit beside what is used. Resources that
+// are not requested are not checked: use above a lowered limit must not keep tasks
+// waiting that need none of that resource.
 func fits(room, used, limit fleet.Room) bool {
 	for _, r := range resources(room, used, limit) {
 		if r.limited() && r.used+r.requested > r.limit {
--- a/internal/schedule/timeline/timeline.go
+++ b/internal/schedule/timeline/timeline.go
@@ -1,11 +1,11 @@
-// Package timeline keeps what becomes free on a worker at what time, by the
+// Package timeline computes what room becomes free on a worker at what time, from the
 // expected ends of its runs.
 //
-// An end is expected between two times: likely, and surely by a later one. A run
-// that has no end keeps its room. Runs are added, removed and estimated again
-// one at a time. The runs of a worker are sorted again when it is asked about next,
-// so a report costs little and nothing is rebuilt. Expected ends come from the caller,
-// and may be wrong: a run that is still there after its end counts as ending now.
+// Each run has two expected ends, a likely and a sure one. A run that has no end keeps
+// its room. Runs are added, removed and estimated again one at a time, and sorted only
+// when the worker is next queried, so that a report costs little. Expected ends come
+// from the caller and may be wrong: a run that is still there after its end counts as
+// ending now.
 //
 // # Usage
 //
@@ -41,14 +41,14 @@
 // Ends returns the expected ends of a run.
 func (r *Run) Ends() Ends { return r.ends }
 
-// Worker is what becomes free on a worker. The zero value has no runs.
+// Worker holds the runs of one worker. The zero value has none.
 type Worker struct {
 	byLikely []*Run // by Ends.Likely, once sorted
 	bySure   []*Run // by Ends.Sure, once sorted
 	unsorted bool
 }
 
-// Add adds a run, which uses room until it ends.
+// Add adds a run that uses room until it ends.
 func (w *Worker) Add(room fleet.Room, ends Ends) *Run {
 	r := &Run{room: room, ends: ends}
 	w.byLikely, w.bySure = append(w.byLikely, r), append(w.bySure, r)
@@ -67,8 +67,8 @@
 	w.unsorted = true
 }
 
-// sort restores the order of the lists. After a few changes they are nearly
-// sorted, which insertion sort uses.
+// sort restores the order of the lists. After a few changes they are nearly sorted,
+// for which insertion sort takes close to linear time.
 func (w *Worker) sort() {
 	if !w.unsorted {
 		return
@@ -78,9 +78,9 @@
 	sortBy(w.bySure, sure)
 }
 
-// Start returns the times from which an amount is likely and surely free, if
-// nothing else starts; ok is false if it never is. The argument free is what is
-// free now.
+// Start returns the likely and the sure time from which an amount is free, if nothing
+// else starts; ok is false if it is not surely free at any time. free is the room that
+// is free now.
 func (w *Worker) Start(free, amount fleet.Room, now clock.Millis) (start Ends, ok bool) {
 	w.sort()
 	start.Sure = earliest(w.bySure, free, amount, now, sure)
