Reword comments on stalls, failing workers, own load and durations

The state of a worker that fails its runs was called a mark, queues were called routes, and several comments needed a second reading. claimCustomerLabel has a name that tells its effect. No behaviour changes.

--- a/internal/schedule/owner/attempts.go
+++ b/internal/schedule/owner/attempts.go
@@ -9,13 +9,13 @@
 	"github.com/oriolepier/oriolepier/internal/schedule/journal"
 )
 
-// The tables say how often the runs of a task may fail. A route can be missing
-// from them when a run fails, and be back later with other attempts. So the owner
-// keeps, in memory and in the records, what the route allowed when it was last
-// known, and checks the failed runs again before it places a task.
+// The tables limit how many runs of a task may fail. A queue can be missing from them
+// when a run fails, and be back later with another limit. So the owner keeps, in memory
+// and in the records, the limit of each queue when it was last known, and checks the
+// failed runs of a task again before it places it.
 
-// noteAttempts keeps what the tables allow the tasks of a queue, and records
-// changes for the next owner.
+// noteAttempts keeps the limit that the tables set for a queue, and records a change for
+// the next owner.
 func (o *Owner) noteAttempts(name string) {
 	queue, known := o.tables.Queue(name)
 	if !known || o.attempts[name] == queue.MaxFailures {
@@ -30,7 +30,7 @@
 	o.batch.otherRecords = append(o.batch.otherRecords, journal.Record{Key: keyAttempts + name, Value: data})
 }
 
-// noteAttemptsOfJobs does the same for the queues of all jobs.
+// noteAttemptsOfJobs calls noteAttempts for the queues of all jobs that are not final.
 func (o *Owner) noteAttemptsOfJobs() {
 	for _, j := range o.jobs {
 		if !j.state.Final() {
@@ -39,7 +39,7 @@
 	}
 }
 
-// loadAttempts restores what an earlier owner recorded of a queue.
+// loadAttempts restores the limit that an earlier owner recorded for a queue.
 func (o *Owner) loadAttempts(name string, data []byte) error {
 	var attempts int
 	if err := codec.Unmarshal(data, &attempts); err != nil {
@@ -49,7 +49,7 @@
 	return nil
 }
 
-// forgetAttempts removes what is kept of queues without jobs.
+// forgetAttempts removes the limits of queues without jobs.
 func (o *Owner) forgetAttempts() {
 	used := map[string]bool{}
 	for _, j := range o.jobs {
@@ -83,7 +83,8 @@
 	return true
 }
 
-// maxLapsedRuns bounds the lapsed runs of a task whose late failures are counted.
+// maxLapsedRuns is the number of lapsed runs of a task that are kept, so that a failure
+// of them that is reported late is counted.
 const maxLapsedRuns = 8
 
 // noteLapse keeps the number of a run that was ended as lapsed.
@@ -92,8 +93,8 @@
 	t.lapsedRuns = t.lapsedRuns[max(len(t.lapsedRuns)-maxLapsedRuns, 0):]
 }
 
-// countLateFailure counts a failed run that this owner has ended before as lapsed,
-// as its worker was out of contact. Ends that workers repeat were counted before.
+// countLateFailure counts a failed run that this owner has ended as lapsed before,
+// because its worker was out of contact. Repeated ends are not counted again.
 func (o *Owner) countLateFailure(w *worker, end fleet.End) {
 	task := o.task(end.Task)
 	if task == nil || end.Cause != fleet.EndFailed || end.Number <= w.endsApplied || task.spec().Lasting {
--- a/internal/schedule/owner/colocate.go
+++ b/internal/schedule/owner/colocate.go
@@ -60,7 +60,7 @@
 	unreportedLoss float64 // part of loss that the report does not cover yet
 	taskCount      int
 	warmedUp       bool     // all its tasks have run for tailWarmup, so the tail latency is meaningful
-	inDoubt        bool     // a task was over its target by its own load a moment ago, and has not been within it since
+	inDoubt        bool     // a task was over its target by its own load, and has not been within it since; its headroom is no evidence of interference
 	unknownImages  []string // best-effort images on the worker whose interference with this image is not known
 }
 
--- a/internal/schedule/owner/customer_metrics.go
+++ b/internal/schedule/owner/customer_metrics.go
@@ -26,14 +26,15 @@
 	for _, customer := range listed {
 		c := o.customerOf(o.quotas.Account(customer.Name))
 		c.label = otherCustomers
-		if labeled[customer.Name] && o.options.Metrics.hasCustomerLabel(customer.Name) {
+		if labeled[customer.Name] && o.options.Metrics.claimCustomerLabel(customer.Name) {
 			c.label = customer.Name
 		}
 	}
 }
 
-// hasCustomerLabel reports whether a customer has or gets a label.
-func (c *Metrics) hasCustomerLabel(name string) bool {
+// claimCustomerLabel gives a customer a label unless maxCustomerLabels are in use, and
+// reports whether it has one.
+func (c *Metrics) claimCustomerLabel(name string) bool {
 	if !c.customerLabels[name] && len(c.customerLabels) >= maxCustomerLabels {
 		return false
 	}
@@ -41,8 +42,8 @@
 	return true
 }
 
-// publishHeld counts the steps of a customer that were held back since the last
-// time.
+// publishHeld adds a customer's steps that were held back since the last call to the
+// metrics.
 func (o *Owner) publishHeld(c *customer) {
 	if c.heldByQuota > 0 {
 		o.options.Metrics.Customer("steps_held_by_quota", c.label, c.heldByQuota)
--- a/internal/schedule/owner/durations.go
+++ b/internal/schedule/owner/durations.go
@@ -9,8 +9,8 @@
 
 // Limits of learning durations from runs.
 const (
-	maxUnseenTime         clock.Millis = 1500             // time between the last report that listed a run and the one with its end, above which its length is not known
-	lengthRefresh         clock.Millis = clock.Second     // age from which the expected length of a step is computed anew
+	maxUnseenTime         clock.Millis = 1500             // longest time between the last report that listed a run and the one with its end; above it, the duration is too uncertain to learn from
+	lengthRefresh         clock.Millis = clock.Second     // age from which the cached durations of a step are computed again
 	durationsRecordPeriod clock.Millis = 4 * clock.Second // time between records of the learned durations
 )
 
@@ -28,7 +28,7 @@
 	return duration.Kind{Queue: j.spec.Queue, Image: step.spec.Image, Declared: clock.Millis(step.spec.EstimateMS)}
 }
 
-// taskLength is the expected duration of a step's tasks.
+// taskLength returns the likely duration of a step's tasks.
 func (o *Owner) taskLength(j *jobState, step *stepState) clock.Millis {
 	return o.taskLengths(j, step).likely
 }
@@ -55,8 +55,9 @@
 	return taskLengths{likely: declared, late: declaredLateFactor * declared}
 }
 
-// addProcessorTime adds the time since a best-effort run's last report, in terms
-// of the processors that it requests. Call it before the report is recorded.
+// addProcessorTime adds the time since a best-effort run's last report, scaled by the
+// share of its requested processors that it used. Call it before reportedAt and usage
+// are updated from the report.
 func (o *Owner) addProcessorTime(r *run, usage int64) {
 	spec := r.task.spec()
 	if !spec.Fills || r.startedAt == 0 {
@@ -66,10 +67,10 @@
 	r.processorTime += float64(o.now-since) * min(float64(usage)/float64(max(spec.MilliCPU, 1)), 1)
 }
 
-// learnDuration adds the length of a run that is done to the estimates. Left out
-// are runs that did only a part of the work or were started by an earlier owner,
-// runs on workers that stalled lately, and runs whose end was seen late. The
-// speed of a worker is measured by declarations, so it says nothing here.
+// learnDuration adds the duration of a run that is done to the estimates. Left out are
+// runs that did only a part of the work or were started by an earlier owner, runs on
+// workers that stalled lately, and runs whose end was seen late. Runs on slow workers
+// count: isSlow compares with declared durations, which may be wrong.
 func (o *Owner) learnDuration(r *run) {
 	spec := r.task.spec()
 	partial := spec.Checkpointing && r.runNumber > 1
@@ -80,7 +81,7 @@
 	ran := o.now - r.startedAt
 	if spec.Fills {
 		if r.reportedAt == 0 {
-			return // nothing is known of the processors that it got
+			return // its use of processors is not known
 		}
 		o.addProcessorTime(r, r.usage)
 		ran = clock.Millis(r.processorTime)
@@ -88,8 +89,8 @@
 	o.durations.Observe(kindOf(r.task.job, &r.task.job.steps[r.task.step]), ran, o.now)
 }
 
-// recordDurations adds changed estimates of durations to the next append, once a
-// period.
+// recordDurations adds changed estimates of durations to the next append, at most once
+// in durationsRecordPeriod.
 func (o *Owner) recordDurations() {
 	if o.now < o.nextDurationsRecordAt {
 		return
--- a/internal/schedule/owner/expected_end.go
+++ b/internal/schedule/owner/expected_end.go
@@ -7,7 +7,7 @@
 
 // Bounds of a run's duration before its progress shows more.
 const (
-	declaredLateFactor              = 2                 // declared durations may be too short by half
+	declaredLateFactor              = 2                 // a run may take this multiple of its declared duration
 	undeclaredLate     clock.Millis = 10 * clock.Second // of a task without a declared duration; batch tasks are short
 )
 
@@ -20,11 +20,11 @@
 type runProgress struct {
 	elapsed   clock.Millis
 	percent   int  // done, rounded down; 0: nothing is known
-	fromStart bool // percent counts from the start of this run
+	fromStart bool // all of percent was done in this run, within elapsed
 }
 
-// expectedLength is the duration that a run of a step is likely and surely to
-// have from its start. It is the only source of expected ends.
+// expectedLength returns the likely and the sure duration of a run from its start. All
+// expected ends are computed from it.
 func expectedLength(lengths taskLengths, progress runProgress) timeline.Ends {
 	expected := timeline.Ends{Likely: lengths.likely, Sure: lengths.late}
 	const whole = 100
@@ -36,7 +36,7 @@
 		if expected.Sure < shortest || expected.Sure > longest { // the known duration is disproved, or tells less
 			expected.Sure = longest
 		}
-	case percent > 0: // it went on from a checkpoint, or was started by an earlier owner
+	case percent > 0: // some of it was done before elapsed began: in earlier runs or under an earlier owner
 		expected.Likely = elapsed + expected.Likely*(whole-percent)/whole
 		expected.Sure = elapsed + expected.Sure*(whole-percent)/whole
 	}
@@ -64,7 +64,7 @@
 	return timeline.Ends{Likely: begun + expected.Likely, Sure: begun + expected.Sure}
 }
 
-// updateExpectedEnds estimates the ends of a run anew after a report.
+// updateExpectedEnds updates the expected ends of a run after a report.
 func (o *Owner) updateExpectedEnds(r *run) {
 	if r.task.spec().Lasting {
 		return
--- a/internal/schedule/owner/failing.go
+++ b/internal/schedule/owner/failing.go
@@ -8,9 +8,9 @@
 	"github.com/oriolepier/oriolepier/internal/schedule/job"
 )
 
-// A worker can fail all that it starts while it answers every call. Failed runs
-// end at once, so such a worker is idle again at once and attracts the next
-// tasks, whose attempts are limited. It gets no new runs for a while, and then
+// All runs on a faulty worker can fail while it answers every call. Failed runs end at
+// once, so such a worker is soon idle again and gets the next tasks, whose attempts are
+// limited. A worker that is found to be failing gets no new runs for a while, and then
 // one at a time until one succeeds or outlives the failed ones.
 //
 // A job can also fail wherever it runs. Failed runs of a job or an image that
@@ -18,15 +18,15 @@
 
 // Limits for failing workers.
 const (
-	maxChance           = 0.004 // probability, at the cell's failure rate, below which consecutive failures are not by chance
-	initialFailureRate  = 0.05
-	minFailureRate      = 0.01
+	maxChance           = 0.004             // probability, at the cell's failure rate, below which consecutive failures are not by chance
+	initialFailureRate  = 0.05              // of a cell before any run has ended
+	minFailureRate      = 0.01              // lower bound of the averaged rate
 	failureRateRuns     = 200.0             // runs over which the failure rate is averaged
 	failingBackoff      = 2 * clock.Second  // first backoff of a failing worker
 	maxFailingDoublings = 1                 // how often the backoff doubles, with each two further failures
 	maxTrial            = 3 * clock.Second  // longest time for which a run keeps others off a failing worker
 	survivalFactor      = clock.Millis(2)   // a run outlives failed ones at this multiple of the longest of their times
-	trialMargin         = 2 * clock.Second  // and this much more, to clear the mark of its worker
+	trialMargin         = 2 * clock.Second  // and this much more, to end the failing state of its worker
 	siblingMargin       = clock.Millis(500) // and this much more, to show that its job does not fail everywhere
 	outcomesKept        = clock.Minute      // how long the ends of runs of a job or image count after its last failure
 	outcomesCheckPeriod = 5 * clock.Second  // least time between removals of older ones
@@ -34,8 +34,9 @@
 	maxSiblings         = 256               // tasks of a job that are searched for runs that outlive failed ones
 )
 
-// failureRate is the share of runs that fail on workers whose last run did not:
-// failures that lie with the runs, as single workers that fail all count once.
+// failureRate is the share of runs that fail on workers whose last run did not fail. It
+// measures failures that are caused by the runs: a worker on which all runs fail adds
+// only one.
 type failureRate float64
 
 // after returns the rate after another run.
@@ -47,7 +48,8 @@
 	return max(f+(outcome-f)/failureRateRuns, minFailureRate)
 }
 
-// tooMany reports whether so many consecutive failures must lie with the worker.
+// tooMany reports whether so many consecutive failures on a worker are too unlikely to
+// have happened by chance.
 func (f failureRate) tooMany(failures int) bool {
 	return failures > 1 && math.Pow(float64(f), float64(failures)) < maxChance
 }
@@ -68,7 +70,7 @@
 	return failedRun{job: r.task.job.spec.ID, image: r.task.spec().Image}
 }
 
-// sources lists what the failure of a run may lie with, apart from its worker.
+// sources lists the possible causes of a failed run apart from its worker.
 func (f failedRun) sources() []runSource {
 	sources := []runSource{{job: f.job}}
 	if f.image != "" {
@@ -103,8 +105,8 @@
 }
 
 // countOutcome counts the end of a run for its job and its image, from their first
-// failure on. A job's failures count once for its image: one job that cannot be
-// done says little about an image.
+// failure on. A job's failures count once for its image: one job whose runs always fail
+// says little about an image.
 func (o *Owner) countOutcome(r *run, failed bool) {
 	ended := failedRunOf(r)
 	repeated := o.outcomes[runSource{job: ended.job}] != nil
@@ -160,9 +162,9 @@
 	})
 }
 
-// survivors counts the runs of a job that have outlived the failed runs of a
-// worker on other workers. Long tasks take long to be done, and a worker must
-// stand out beside them before.
+// survivors counts the runs of a job on other workers that have outlived the failed runs
+// of a worker. Long tasks take long to be done, so runs that survive count before they
+// are done.
 func (o *Owner) survivors(id job.ID, w *worker) int {
 	j := o.jobs[id]
 	if j == nil {
@@ -188,7 +190,7 @@
 	return r.stage == stageConfirmed && r.reportedAt-r.startedAt >= survivalFactor*w.longestFailure+margin
 }
 
-// isFailing reports whether the consecutive failures of a worker lie with it.
+// isFailing reports whether a worker's consecutive failures are caused by it.
 func (o *Owner) isFailing(w *worker) bool {
 	return o.failureRate.tooMany(o.evidenceAgainst(w))
 }
@@ -211,8 +213,8 @@
 	return count
 }
 
-// noteOutcome counts a run that was done or has failed, and gives a failing
-// worker no new runs for a while, the longer the more of them failed.
+// noteOutcome counts a run that was done or has failed. A worker that is failing by then
+// gets no new runs for a backoff, which grows with its consecutive failures.
 func (o *Owner) noteOutcome(r *run, failed bool) {
 	w := r.worker
 	if w.failuresInARow == 0 || !failed {
@@ -245,14 +247,14 @@
 	w.failedRuns = w.failedRuns[max(len(w.failedRuns)-maxFailedRuns, 0):]
 }
 
-// clearFailures ends a worker's row of consecutive failures.
+// clearFailures resets a worker's consecutive failures.
 func (w *worker) clearFailures() {
 	w.failuresInARow, w.failedRuns, w.longestFailure, w.failing = 0, nil, 0, false
 }
 
-// clearMarks clears the mark of workers whose failures count no more, because
-// their job or image has now failed elsewhere, too. Their backoffs run out by
-// themselves.
+// clearMarks ends the failing state of workers whose failures are no longer evidence
+// against them, because their job or image has now failed elsewhere, too. Their backoffs
+// run out by themselves.
 func (o *Owner) clearMarks(newest failedRun) {
 	sharesSource := func(failed failedRun) bool {
 		return failed.job == newest.job || failed.image != "" && failed.image == newest.image
@@ -265,8 +267,8 @@
 	}
 }
 
-// endTrial clears the mark of a failing worker that has just reported a run which
-// was started after the last failure and has outlived the failed ones.
+// endTrial ends the failing state of a worker that has just reported a run which was
+// started after the last failure and has outlived the failed ones.
 func (o *Owner) endTrial(w *worker) {
 	if !w.failing {
 		return
--- a/internal/schedule/owner/own_load.go
+++ b/internal/schedule/owner/own_load.go
@@ -7,15 +7,15 @@
 	"github.com/oriolepier/oriolepier/internal/schedule/interference"
 )
 
-// A long-running task can be over its target by its own load. Pausing the
-// best-effort tasks beside it does not help then, and neither does keeping others
-// away. What shows it is a report of a tail latency over the target while nothing
-// has worked beside the task for long enough.
+// A long-running task can be over its target by its own load. Pausing the best-effort
+// tasks beside it or keeping others away does not help then. A report shows it by a tail
+// latency over the target while no best-effort task has worked on the worker for
+// pauseProof.
 //
-// That holds for a short time only, after which the best-effort tasks are paused
-// again to see. The load may have fallen, so that they are the cause now, and their
-// estimated interference is no bound: it is learned from the same reports, and the
-// load swings.
+// The finding is valid for ownLoadKept only. After that the best-effort tasks are paused
+// again to repeat the test, as the load may have fallen and they may be the cause now.
+// Their estimated interference cannot decide it: it is learned from the same reports, and
+// the load varies.
 
 // Times for long-running tasks over their target by their own load.
 const (
@@ -35,8 +35,8 @@
 	return true
 }
 
-// updateOwnLoad finds out from a worker's report which of its long-running tasks
-// are over their target by their own load.
+// updateOwnLoad determines from a worker's report which of its long-running tasks are
+// over their target by their own load.
 func (o *Owner) updateOwnLoad(w *worker) {
 	switch {
 	case !w.isQuiet():
@@ -56,9 +56,9 @@
 	}
 }
 
-// noteOwnLoad notes that a long-running task is over its target with nothing at
-// work beside it. If the tasks beside it were paused for it, what was learned about
-// them since it went over its target is forgotten.
+// noteOwnLoad notes that a long-running task is over its target while no best-effort task
+// works on its worker. If the best-effort tasks were paused for it, what was learned about
+// their interference since it went over its target was wrong and is forgotten.
 func (o *Owner) noteOwnLoad(r *run) {
 	known := o.overByOwnLoad(r)
 	r.aloneAt = o.now
@@ -77,8 +77,8 @@
 // its own load.
 func (o *Owner) overByOwnLoad(r *run) bool { return r.aloneAt != 0 && o.now-r.aloneAt < ownLoadKept }
 
-// hasOwnLoad reports whether a long-running task on a worker has been over its target
-// since it was so by its own load.
+// hasOwnLoad reports whether a worker has a long-running task that was over its target by
+// its own load and has not been reported within its target since.
 func (w *worker) hasOwnLoad() bool {
 	for r := range w.runs {
 		if r.aloneAt != 0 {
--- a/internal/schedule/owner/stall.go
+++ b/internal/schedule/owner/stall.go
@@ -8,22 +8,22 @@
 	"github.com/oriolepier/oriolepier/internal/schedule/job"
 )
 
-// A stalled worker may answer every call while its runs make little or no
-// progress. Only its report shows it: the completed percentage of runs that are
-// not long-running hardly grows although they use their processors, and long-running tasks stop
-// serving their users.
+// A stalled worker may answer every call while its runs make little or no progress.
+// Only its report shows it: the completed percentage of runs that are not long-running
+// hardly grows although they use their processors, and long-running tasks stop serving
+// their users.
 //
-// The percentage is a whole number, so a run that takes long shows no change for long.
-// How long is known from the changes that it has shown, and estimated from its estimate,
-// which may be far too small. A run with neither is no evidence while it uses its
-// processors.
+// The percentage is a whole number, so a long run is reported without change for some
+// time. The time for a percent is known from the changes that were reported, else it is
+// taken from the declared duration, which may be far too small. A run with neither is no
+// evidence of a stall while it uses its processors.
 
 // Limits for detecting stalled workers.
 const (
 	stallTimeout        clock.Millis = 700              // time without progress after which a run counts as stalled
 	stallTimeoutShare                = 0.15             // share of the estimated duration of a task that is not long-running, which replaces stallTimeout where it is longer
 	unshownTimeoutShare              = 0.5              // the same for a busy run that has not shown its pace; covers the first percent of a task that takes up to 50 times its estimate
-	stalledIntervals    clock.Millis = 3                // intervals between whole percents that a run has shown, without which it counts as stalled, after stallTimeout
+	stalledIntervals    clock.Millis = 3                // a factor, no time: times percentInterval without progress, after stallTimeout, from which a run counts as stalled
 	idleTimeout         clock.Millis = 5 * clock.Second // time without progress and processor use from which a run without an estimate and a shown pace counts as stalled
 	maxLimitDoublings                = 5                // how often the limit of a task doubles, with each of its runs that was stopped as stalled
 	minRelativeSpeed                 = 0.35             // done over expected work of a worker's runs that are not long-running, below which the worker is slow
@@ -86,9 +86,9 @@
 // all workers report the use.
 func (r *run) isIdle() bool { return r.hasUsed && !usesProcessors(r.task.spec(), r.usage) }
 
-// worksUnseen reports whether a run may work although its percentage stays the
-// same: it has no estimate, and uses its processors or has shown neither its use nor
-// its pace.
+// worksUnseen reports whether a run may work although its percentage stays the same: it
+// has no declared duration, and uses its processors or was reported with neither a use of
+// processors nor a time for a percent.
 func (r *run) worksUnseen() bool {
 	spec := r.task.spec()
 	if spec.Lasting || spec.EstimateMS > 0 {
@@ -97,10 +97,10 @@
 	return usesProcessors(spec, r.usage) || !r.hasUsed && r.percentInterval() == 0
 }
 
-// addSpeedSample adds the work that a run that is not long-running did since its last report, and
-// the work expected for the processors it got, to the sums of its worker. Runs
-// without an estimate are left out, as no work can be expected of them, and so are
-// runs whose whole percents are further apart than the sums reach back.
+// addSpeedSample adds the work that a run did since its last report, and the work
+// expected for the processors that it got, to the sums of its worker. Left out are
+// long-running runs, runs without a declared duration, of which no work can be expected,
+// and runs that take longer for a percent than the sums reach back.
 func (o *Owner) addSpeedSample(r *run, row fleet.Run) {
 	spec := r.task.spec()
 	if spec.Lasting || spec.EstimateMS == 0 || r.reportedAt == 0 || !r.progressKnown || o.now < r.startedAt+startupGrace {
@@ -145,7 +145,7 @@
 	interval := r.percentInterval()
 	share := stallTimeoutShare
 	switch {
-	case interval > 0 || r.isIdle() && spec.EstimateMS > 0:
+	case interval > 0 || r.isIdle() && spec.EstimateMS > 0: // its pace is known, or it does not work
 	case spec.EstimateMS > 0:
 		share = unshownTimeoutShare
 	case r.isIdle():
@@ -164,7 +164,7 @@
 type stallCounts struct {
 	notLongRunning     int // runs that are not long-running
 	progressKnown      int // of these, runs whose progress the report shows
-	stalledBatch       int // of those, runs that make no progress
+	stalledBatch       int // of the runs with known progress, those that make none
 	unseenBatch        int // runs that are not long-running and may work, but have shown no progress for idleTimeout
 	stalledLongRunning int // long-running runs that do not serve their users
 }
@@ -206,10 +206,10 @@
 }
 
 // isStalled reports whether a worker is stalled: none of its runs that are not
-// long-running progresses, or long-running runs do not serve their users and the
-// other runs are slow or absent, or cannot show whether they work. Long-running runs that fail beside progressing
-// ones may suffer from interference instead. Only runs with known progress
-// count, and a run done within stallTimeout rules out a stall.
+// long-running progresses, or long-running runs do not serve their users and the other
+// runs are slow, absent or cannot show whether they work. Long-running runs that do not
+// serve their users beside progressing runs may suffer from interference instead. Only
+// runs with known progress count, and a run done within stallTimeout rules out a stall.
 func (o *Owner) isStalled(w *worker, sum stallCounts) bool {
 	switch {
 	case w.lastDoneAt != 0 && o.now-w.lastDoneAt < stallTimeout:
@@ -221,9 +221,9 @@
 	return sum.stalledLongRunning > 0
 }
 
-// moveOffStalled moves the runs off a stalled worker, but for those that may work
-// unseen, and gives it no new ones until its backoff ends. The logged limit_ms is the lower bound of the limit of
-// a run.
+// moveOffStalled moves the runs off a stalled worker, except those that may work unseen,
+// and gives it no new ones until its backoff ends. The logged limit_ms is the lower
+// bound of the runs' limits.
 func (o *Owner) moveOffStalled(w *worker, sum stallCounts) {
 	backoff := stallBackoff << min(w.stallsInARow, maxBackoffDoublings)
 	w.stallsInARow++
--- a/internal/schedule/owner/state.go
+++ b/internal/schedule/owner/state.go
@@ -65,7 +65,7 @@
 	waitingSince clock.Millis // since when it could have been placed; 0: since before this ownership
 	notBefore    clock.Millis // earliest next placement, after a refused start
 	stalls       int          // runs stopped by this owner because their worker seemed stalled
-	lapsedRuns   []int        // runs that this owner ended without their workers; one of them may have failed
+	lapsedRuns   []int        // numbers of the newest runs that this owner ended as lapsed; their workers may report failures of them later
 	avoidWorker  string       // id of the worker to avoid, where the last run went wrong
 }
 
@@ -104,7 +104,7 @@
 	progressKnown               bool          // the last report shows whether it makes progress
 	progressedAt                clock.Millis  // time of its last progress, or the end of startupGrace if later; 0: never reported
 	overTargetSince             clock.Millis  // since when a long-running task has been above overTargetRatio of its target; 0: it is not
-	aloneAt                     clock.Millis  // when it was last reported over its target with nothing at work beside it; 0: not since it was within its target
+	aloneAt                     clock.Millis  // when it was last reported over its target while no best-effort task worked beside it; 0: not since it was within its target
 	paceConfirmed               bool          // its worker has carried out the newest pace order
 	pace                        int           // ordered share of its speed in percent; fullPace: not slowed
 	stopReason                  string        // why it was stopped or not started
