Name the exemptions from reservations, tell the two holdsBack apart

Owner.holdsBack is about a customer's limit and worker.holdsBack was about a reservation; the latter is reservationBlocks. passing is exemptions. updateExcess and checkCustomers are split by job. Comments on turns, limits and reservations reworded. No behaviour changes.

--- a/internal/schedule/owner/expected_end.go
+++ b/internal/schedule/owner/expected_end.go
@@ -33,14 +33,14 @@
 	case percent > 0 && progress.fromStart:
 		shortest, longest := elapsed*whole/(percent+1), elapsed*whole/percent
 		expected.Likely = min(max(expected.Likely, shortest), longest)
-		if expected.Sure < shortest || expected.Sure > longest { // the known duration is disproved, or tells less
+		if expected.Sure < shortest || expected.Sure > longest { // the progress disproves the known duration, or bounds it more closely
 			expected.Sure = longest
 		}
 	case percent > 0: // some of it was done before elapsed began: in earlier runs or under an earlier owner
 		expected.Likely = elapsed + expected.Likely*(whole-percent)/whole
 		expected.Sure = elapsed + expected.Sure*(whole-percent)/whole
 	}
-	if elapsed >= expected.Sure { // the estimate was wrong; as long again is possible
+	if elapsed >= expected.Sure { // the estimate was wrong; the run may take as long again
 		expected.Sure = declaredLateFactor * elapsed
 	}
 	if elapsed >= expected.Likely {
--- a/internal/schedule/owner/fair.go
+++ b/internal/schedule/owner/fair.go
@@ -12,9 +12,9 @@
 	"github.com/oriolepier/oriolepier/internal/schedule/share"
 )
 
-// In a placement pass customers take turns by their weighted dominant shares, in
-// the places that their jobs have in the order of the queue. Jobs without a
-// customer keep their place. Package share decides whose turn it is.
+// In a placement pass customers take turns by their weighted dominant shares, at the
+// positions that jobs with a customer have in the order of the queue. Jobs without a
+// customer keep their position. Package share decides whose turn it is.
 
 // turn is a customer's turn in a placement pass; the zero value has no end.
 type turn struct {
@@ -36,7 +36,8 @@
 // fairQueue holds the queued jobs of a class by customer.
 type fairQueue = share.FairQueue[*quota.Account, unserved]
 
-// endsBefore reports whether a turn is over before the next task of a step.
+// endsBefore reports whether a turn ends before the next task of a step. If it does, the
+// turn is over and continues later from that step.
 func (t *turn) endsBefore(step int) bool {
 	if t.account == nil || share.Dominant(t.account.Used(), t.total) <= t.until {
 		return false
@@ -65,8 +66,8 @@
 	}
 }
 
-// classLength is the number of jobs at the head of the queue that customers take
-// turns in.
+// classLength returns the number of jobs at the head of the queue that are of the same
+// class: customers take turns only among these.
 func classLength(jobs []queuedJob) int {
 	for i := range jobs {
 		if jobs[i].longRunning != jobs[0].longRunning || jobs[i].excess != jobs[0].excess || jobs[i].expired != jobs[0].expired {
@@ -141,8 +142,8 @@
 	return total
 }
 
-// blameShare attributes the lack of room for a step to the shares of others, if its
-// customer has its own share or the job is in excess of its rate.
+// blameShare counts the lack of room for a step as rejectedShare if its customer already
+// uses its share or the job is in excess of the customer's rate.
 func (o *Owner) blameShare(queued queuedJob, step *stepState) {
 	t := &o.turn
 	if t.account == nil || !queued.excess && (t.fair >= 1 || share.Dominant(t.account.Used(), t.total) < t.fair) {
@@ -163,12 +164,12 @@
 // their kind, and are refused when there is certainly no room for them in time.
 
 const (
-	leastExcessWait clock.Millis = clock.Second      // waiting work below it does not count as too much
+	leastExcessWait clock.Millis = clock.Second      // least slack that lacksRoomInTime compares the waiting work with
 	mostExcessRetry clock.Millis = 10 * clock.Minute // longest Retry-After; the backlog may be gone by then
 )
 
-// waitingWork is the work that the last placement pass found waiting, and the
-// capacity for it, of a pool.
+// waitingWork is the work that the last placement pass found waiting for a pool, and the
+// pool's capacity for it.
 type waitingWork struct {
 	work     float64 // milli-CPU times ms of startable tasks that the pool's jobs prefer
 	capacity int64   // milli-CPU of usable workers that long-running tasks leave
@@ -183,8 +184,9 @@
 	return account.Weight()
 }
 
-// admitRateOnce decides by its customer's rate whether to refuse a submission, the first
-// time that it is decided on, and marks it if it is in excess.
+// admitRateOnce decides by its customer's rate whether to refuse a submission, and marks
+// it if it is in excess. A refusal is kept, so that it is checked and counted once
+// for a submission that stays undecided.
 func (o *Owner) admitRateOnce(s *submission) Verdict {
 	if s.rateRefusal.Ruling == Recorded {
 		s.spec.Excess, s.rateRefusal = o.admitRate(&s.spec)
@@ -210,12 +212,13 @@
 		return true, Verdict{Ruling: Recorded}
 	}
 	o.options.Metrics.Customer("excess_refused", c.label, 1)
-	return true, Verdict{Ruling: Refused, Reason: "beyond the customer's rate while all workers are in use", RetryAfter: min(max(share.TimeToServe(c.excessWaiting+1, rate), clock.Second), mostExcessRetry)}
+	retryAfter := min(max(share.TimeToServe(c.excessWaiting+1, rate), clock.Second), mostExcessRetry)
+	return true, Verdict{Ruling: Refused, Reason: "beyond the customer's rate while all workers are in use", RetryAfter: retryAfter}
 }
 
-// lacksRoomInTime reports whether the work that is waiting already takes longer
-// than a new job may wait. It is false while a worker has room for any task of the
-// job that could start.
+// lacksRoomInTime reports whether the work that is already waiting takes longer than a
+// new job may wait for its objective. It is false while a worker has room for a task of
+// the job that could start.
 func (o *Owner) lacksRoomInTime(spec *job.Spec, pools []string) bool {
 	if o.blocked.waitingCPU == 0 {
 		return false
@@ -258,8 +261,8 @@
 	return !step.Fills || cpuShare(step.MilliCPU, w) <= o.plan(w).idleShare
 }
 
-// updateExcess sums up the waiting work of a pass, and moves excess jobs of
-// customers that have not used their rate for a time into the ordinary order.
+// updateExcess sums up the waiting work of a pass, and moves excess jobs of customers
+// whose bucket is full again into the ordinary order.
 func (o *Owner) updateExcess(jobs []queuedJob, pools map[string]*poolCapacity) {
 	if o.quotas.Empty() {
 		return
@@ -272,23 +275,29 @@
 		c.excessWaiting = 0
 	}
 	for i := range jobs {
+		if jobs[i].excess {
+			o.updateExcessJob(jobs[i].job)
+		}
 		o.countWaitingWork(&jobs[i])
 	}
 }
 
+// updateExcessJob moves an excess job into the ordinary order from the next pass on if
+// its customer has a token to spare, else counts it as waiting.
+func (o *Owner) updateExcessJob(j *jobState) {
+	c := o.customerOf(j.account)
+	if rate := rateOf(j.account); rate > 0 && c.bucket.TakeOverflow(o.now, rate) {
+		j.excess = false
+		o.placementDue = true
+		return
+	}
+	c.excessWaiting++
+}
+
 // countWaitingWork adds a queued job to the waiting work of the pool that it
 // prefers, without what its customer's limit holds back.
 func (o *Owner) countWaitingWork(queued *queuedJob) {
 	j := queued.job
-	if queued.excess {
-		c := o.customerOf(j.account)
-		if rate := rateOf(j.account); rate > 0 && c.bucket.TakeOverflow(o.now, rate) {
-			j.excess = false // in the ordinary order from the next pass on
-			o.placementDue = true
-		} else {
-			c.excessWaiting++
-		}
-	}
 	if len(queued.pools) == 0 || queued.longRunning {
 		return
 	}
@@ -306,7 +315,7 @@
 	Name         string  `json:"name"`
 	Listed       bool    `json:"listed"` // it is in the tables in force
 	Weight       float64 `json:"weight"`
-	Share        float64 `json:"share"` // largest share of a resource of all usable workers that it may have running
+	Share        float64 `json:"share"` // dominant share of all usable workers that its running tasks may use
 	UsedCPU      int64   `json:"used_milli_cpu"`
 	UsedMB       int64   `json:"used_memory_mb"`
 	UsedGPUs     int64   `json:"used_gpus"`
--- a/internal/schedule/owner/gaps.go
+++ b/internal/schedule/owner/gaps.go
@@ -4,12 +4,13 @@
 	"github.com/oriolepier/oriolepier/internal/schedule/job"
 )
 
-// isLarge reports whether the tasks of a step are large beside what arrives.
+// isLarge reports whether the tasks of a step are large compared with the batch tasks that
+// were submitted recently.
 func (o *Owner) isLarge(step *stepState) bool { return o.sizes.IsLarge(o.size(step.spec)) }
 
-// lossOfLargeRoom is the penalty for batch tasks on a worker that could run large
-// ones if they come regularly: others go to workers of less use to those first,
-// and large ones to the least worker that suffices.
+// lossOfLargeRoom is the penalty for placing a batch task on a worker that could run large
+// tasks, if large tasks are submitted regularly. Small tasks then go first to workers that
+// large ones cannot use, and large tasks to the smallest worker that can run them.
 func (o *Owner) lossOfLargeRoom(step *stepState, w *worker) float64 {
 	if step.spec.Lasting {
 		return 0
@@ -17,8 +18,8 @@
 	return weightLargeRoom * o.sizes.Fitting(w.freeWithoutBatch().MilliCPU)
 }
 
-// size is the dominant share of a request, as milli-CPU of a worker with the
-// mean proportions.
+// size returns the dominant share of a request as milli-CPU: memory and GPUs are converted
+// by their proportion to the processors of all listed workers.
 func (o *Owner) size(spec *job.Step) int64 {
 	size := spec.MilliCPU
 	if o.totalRoom.MemoryMB > 0 {
--- a/internal/schedule/owner/placement_failures.go
+++ b/internal/schedule/owner/placement_failures.go
@@ -25,8 +25,8 @@
 	resources             fleet.Room
 	lastPlacementChangeAt clock.Millis // of its job; an earlier time relaxes the constraints
 	urgency               float64      // of its job; a higher one relaxes the constraints
-	length                clock.Millis // likely or sure, as reservations count it; 0: no worker is reserved. A shorter one relaxes the constraints
-	passing               passing      // of reservations; relaxes the constraints
+	length                clock.Millis // duration until candidate.endsBy; 0: no worker is reserved. A shorter one relaxes the constraints
+	exemptions            exemptions   // from reservations; more of them relax the constraints
 	rejections            rejections
 }
 
@@ -40,7 +40,7 @@
 	}
 	if o.reservations.reserved > 0 {
 		c := o.newCandidate(task, step)
-		request.length, request.passing = c.endsBy-o.now, c.passing
+		request.length, request.exemptions = c.endsBy-o.now, c.exemptions
 	}
 	return request
 }
@@ -49,7 +49,7 @@
 // rejects the other one, too.
 func (r failedRequest) isAtMostAsHardAs(other failedRequest) bool {
 	return r.resources.FitsIn(other.resources) && r.lastPlacementChangeAt <= other.lastPlacementChangeAt && r.urgency >= other.urgency &&
-		r.length <= other.length && r.passing.includes(other.passing)
+		r.length <= other.length && r.exemptions.include(other.exemptions)
 }
 
 func failureClassOf(pool string, step *stepState) failureClass {
@@ -68,8 +68,8 @@
 }
 
 // covering returns a request that has failed in this pass and is at most as hard
-// to place. A step whose reservation has room is always tried: other steps failed there
-// for the reservation.
+// to place. A step whose reservation has room is always tried: the reservation held back
+// the steps that failed there.
 func (m placementFailures) covering(pool string, step *stepState, request failedRequest) (known failedRequest, ok bool) {
 	if step.canUseReservation() {
 		return failedRequest{}, false
@@ -82,6 +82,7 @@
 	return m.coveringIn(class, request)
 }
 
+// coveringIn is covering for one class.
 func (m placementFailures) coveringIn(class failureClass, request failedRequest) (known failedRequest, ok bool) {
 	failed := m[class]
 	i := slices.IndexFunc(failed, func(known failedRequest) bool { return known.isAtMostAsHardAs(request) })
--- a/internal/schedule/owner/quota.go
+++ b/internal/schedule/owner/quota.go
@@ -12,12 +12,12 @@
 	"github.com/oriolepier/oriolepier/internal/schedule/share"
 )
 
-// A customer's limit is compared with what it may have running when a task is
-// about to be placed. Package quota counts; this file tells it which starts may
-// still be carried out after their run has ended.
+// A customer's limit is compared with what it may have running when a task is about to be
+// placed. Package quota counts; this file tells it which starts a worker may still execute
+// after their run has ended.
 
-// limitQuiet is the time without a task held back by its customer's limit after
-// which the customer counts as below it. It bounds the log lines on limits.
+// limitQuiet is the time after which a customer counts as below its limit, if the limit
+// held back no task meanwhile. It bounds the rate of log lines on limits.
 const limitQuiet clock.Millis = 5 * clock.Second
 
 // customer is what the owner knows of a customer beside its account.
@@ -64,8 +64,8 @@
 	o.labelCustomers(listed)
 }
 
-// holdsBack reports whether a customer's limit keeps the next task of a step
-// waiting. Such a step reserves no worker.
+// holdsBack reports whether a customer's limit keeps the next task of a step waiting. If
+// it does, the step's reservations are released.
 func (o *Owner) holdsBack(j *jobState, step *stepState) bool {
 	if j.account.Admits(requestedRoom(step.spec)) {
 		return false
@@ -123,9 +123,9 @@
 	return sum
 }
 
-// placeableCPU is the milli-CPU that the startable tasks of a job would commit
-// within what its customer may still start. The map has what is left of that, and
-// is made when it is needed.
+// placeableCPU returns the milli-CPU of a job's startable tasks that its customer's limit
+// still allows, and subtracts it from left: what the limits leave to jobs counted later.
+// The map is made when the first limited customer is met.
 func placeableCPU(j *jobState, left *map[*quota.Account]int64) int64 {
 	waiting := j.waitingCPU()
 	free, limited := j.account.Free()
@@ -143,9 +143,9 @@
 	return granted
 }
 
-// holdLateStart keeps counting a run that ends while a start order of it may
-// still be carried out: its answer is missing, and neither its worker's report nor
-// a confirmed stop shows that it cannot begin any more.
+// holdLateStart keeps counting a run that ends while its worker may still execute a start
+// order of it: the answer is missing, and neither a report of the worker nor a confirmed
+// stop shows that the run cannot begin any more.
 func (o *Owner) holdLateStart(r *run, by proof) {
 	if r.task.job.account == nil || !r.startUnanswered && r.startsOpen == 0 {
 		return
@@ -169,8 +169,8 @@
 	}
 }
 
-// holdLate counts a start on a worker that no current run stands for, until a time
-// if it does not begin by then.
+// holdLate counts a start on a worker whose run has ended for the owner, and which can
+// begin until a time.
 func (o *Owner) holdLate(w *worker, id job.Task, runNumber int, until clock.Millis) {
 	if task := o.task(id); task != nil {
 		o.quotas.HoldLate(w.id, quota.Start{Task: id, Run: runNumber}, task.job.account, requestedRoom(task.spec()), until)
@@ -190,8 +190,8 @@
 	}
 }
 
-// checkCustomers ends late starts by time, and logs customers that have reached or
-// left their limits.
+// checkCustomers removes late starts that have expired, updates the customers' metrics,
+// and logs customers that have reached or left their limits.
 func (o *Owner) checkCustomers() {
 	if o.quotas.Empty() {
 		return
@@ -206,14 +206,19 @@
 			continue
 		}
 		c.limitReached = atLimit
-		event := "customer_limit_left"
-		if atLimit {
-			event = "customer_limit_reached"
-		}
-		used, limit := c.account.Used(), c.account.Limit()
-		o.options.Log.Info().Str("event", event).Str("customer", c.account.Name()).
-			Int64("used_milli_cpu", used.MilliCPU).Int64("used_memory_mb", used.MemoryMB).Int64("used_gpus", used.GPUs).
-			Int64("limit_milli_cpu", limit.MilliCPU).Int64("limit_memory_mb", limit.MemoryMB).Int64("limit_gpus", limit.GPUs).
-			Int64("tasks", c.account.Tasks()).Int64("manifest", o.tables.Version).Send()
+		o.logLimit(c)
 	}
 }
+
+// logLimit logs that a customer has reached or left its limit.
+func (o *Owner) logLimit(c *customer) {
+	event := "customer_limit_left"
+	if c.limitReached {
+		event = "customer_limit_reached"
+	}
+	used, limit := c.account.Used(), c.account.Limit()
+	o.options.Log.Info().Str("event", event).Str("customer", c.account.Name()).
+		Int64("used_milli_cpu", used.MilliCPU).Int64("used_memory_mb", used.MemoryMB).Int64("used_gpus", used.GPUs).
+		Int64("limit_milli_cpu", limit.MilliCPU).Int64("limit_memory_mb", limit.MemoryMB).Int64("limit_gpus", limit.GPUs).
+		Int64("tasks", c.account.Tasks()).Int64("manifest", o.tables.Version).Send()
+}
--- a/internal/schedule/owner/rating.go
+++ b/internal/schedule/owner/rating.go
@@ -17,7 +17,7 @@
 	bestEffort            *bestEffortTask
 	lastPlacementChangeAt clock.Millis // of the step's job when the workers were scored
 	trialsStarted         int          // Owner.trialsStarted when the workers were scored
-	candidate             candidate    // the scored task, for workers reserved for another
+	candidate             candidate    // the scored task, as reservations see it
 	lastChosen            int          // index of the worker that got the last task; negative: none
 }
 
@@ -87,7 +87,7 @@
 		return unsuitable, rejectedFailing
 	case !constraintsAllow(step, w):
 		return unsuitable, rejectedLimits
-	case w.holdsBack(cached.candidate):
+	case w.reservationBlocks(cached.candidate):
 		return unsuitable, rejectedReservation
 	}
 	score, reason := o.score(step, cached.bestEffort, w)
--- a/internal/schedule/owner/reserve.go
+++ b/internal/schedule/owner/reserve.go
@@ -16,19 +16,19 @@
 	reservationGrace       clock.Millis = 1000              // time after the promised start at which a reservation expires
 	reservationMoveGain    clock.Millis = 300               // least gain for which a reservation moves; a report changes estimates by about as much
 	urgentSlack            clock.Millis = 500               // slack below which a job counts as about to be late
-	longestHold            clock.Millis = placementInterval // wait up to which reservations that are not strict hold back a task that is not large
+	longestHold            clock.Millis = placementInterval // longest wait of a task that is not large for which reservations that are not strict hold it back
 	strictAfter            clock.Millis = 2 * clock.Second  // wait after which a reservation may become strict
-	maxReservedShare                    = 1.0 / 30          // share of a pool's workers that may be reserved before tasks that are not large reserve none; at least one worker
-	maxReservedForLarge                 = 1.0 / 2           // share of a pool's workers that may be reserved at once
+	maxReservedShare                    = 1.0 / 30          // share of the workers of a step's pools from which, if reserved, tasks that are not large reserve no more; at least one worker
+	maxReservedForLarge                 = 1.0 / 2           // the same for large tasks
 	maxStrictShare                      = 1.0 / 30          // share of all workers whose reservations may be strict, but at least one worker
 	searchesPerPass                     = 2                 // searches for an earliest start in a placement pass; bounds its cost
-	reservationLogsPerPass              = 16
+	reservationLogsPerPass              = 16                // log lines on reservations in a placement pass
 )
 
-// reservation reserves room on a worker that runs may commit for a task of one
-// step, from the time at which it is surely free. Without it, smaller tasks that
-// arrive later take all room before enough of it is free for a large task.
-// Tasks that end before, or fit beside the reserved one, may start meanwhile.
+// reservation reserves room on a worker for a task of one step, from the time at which
+// the room is surely free; runs may still use it until then. Without it, smaller tasks
+// that arrive later take all room before enough of it is free for a large task. Tasks
+// that end before that time, or fit beside the reserved one, may start meanwhile.
 type reservation struct {
 	job      *jobState
 	step     *stepState
@@ -38,36 +38,37 @@
 	promised clock.Millis  // sure start when it was made or moved
 	madeAt   clock.Millis
 	moves    int
-	strict   bool // tasks that are not large do not pass it either, however long they wait
+	strict   bool // it also holds back tasks that are not large, however long they wait
 }
 
-// reservations are the counts of a placement pass.
+// reservations counts the reservations of workers, and what a placement pass may still
+// spend on them.
 type reservations struct {
 	reserved int // workers reserved now
 	strict   int // of these, strict ones
 	searches int // left in this pass
 	logs     int // lines left in this pass
-	next     int // position in the list of workers from which moves are considered
+	next     int // index in Owner.sortedWorkers of the reservation that was last considered for a move
 }
 
-// passing tells which reservations do not hold a task back.
-type passing struct {
-	urgent   bool // its job is late unless it starts about now: those of jobs that are on time
-	heldLong bool // it is not large and was held back long enough: those that are not strict
+// exemptions tell which reservations do not hold a task back.
+type exemptions struct {
+	urgent   bool // exempt from those of jobs that are on time: its job is late unless it starts about now
+	heldLong bool // exempt from those that are not strict: it is not large and has waited for longestHold
 }
 
-// includes reports whether a task passes all reservations that another one does.
-func (p passing) includes(other passing) bool {
-	return (p.urgent || !other.urgent) && (p.heldLong || !other.heldLong)
+// include reports whether they contain all of a task's other exemptions.
+func (e exemptions) include(other exemptions) bool {
+	return (e.urgent || !other.urgent) && (e.heldLong || !other.heldLong)
 }
 
 // candidate is a task that a reservation may hold back.
 type candidate struct {
-	step      *stepState
-	mustPlace bool // see taskState.mustRun
-	priority  int  // of its job's queue
-	passing   passing
-	endsBy    clock.Millis // when it surely ends if it starts now; of one that resumes, likely
+	step       *stepState
+	mustPlace  bool // see taskState.mustRun
+	priority   int  // of its job's queue
+	exemptions exemptions
+	endsBy     clock.Millis // when it surely ends if it starts now; for a checkpointing task, when it likely ends
 }
 
 // newCandidate describes a task to the reservations.
@@ -76,7 +77,7 @@
 	length := expectedLength(o.taskLengths(task.job, step), runProgress{})
 	c := candidate{
 		step: step, mustPlace: task.mustRun(o.now), priority: queue.Priority,
-		passing: o.passing(task, step), endsBy: o.now + length.Sure,
+		exemptions: o.exemptions(task, step), endsBy: o.now + length.Sure,
 	}
 	if step.spec.Checkpointing {
 		c.endsBy = o.now + length.Likely
@@ -87,26 +88,26 @@
 	return c
 }
 
-// passing returns which reservations do not hold a task back. Tasks that are not
-// large pass most after a short wait: they delay a reserved task a little, while
-// held back they would wait for as long as they run.
-func (o *Owner) passing(task *taskState, step *stepState) passing {
+// exemptions returns which reservations do not hold a task back. Tasks that are not
+// large are exempt from most after a short wait: they delay a reserved task a little,
+// while held back they would wait for as long as they run.
+func (o *Owner) exemptions(task *taskState, step *stepState) exemptions {
 	waited := o.now - max(task.waitingSince, task.job.submittedAt)
-	return passing{urgent: o.isUrgent(task.job), heldLong: waited >= longestHold && !o.isLarge(step)}
+	return exemptions{urgent: o.isUrgent(task.job), heldLong: waited >= longestHold && !o.isLarge(step)}
 }
 
-// isUrgent reports whether a job misses its objective unless it starts about
-// now, and does not miss it anyway.
+// isUrgent reports whether a job that has not missed its objective yet misses it unless
+// it starts about now.
 func (o *Owner) isUrgent(j *jobState) bool {
 	return o.now <= j.deadlines.dueAt && j.deadlines.dueAt-o.remainingPath(j)-o.now < urgentSlack
 }
 
-// holdsBack reports whether a worker's reservation keeps a task off it.
+// reservationBlocks reports whether a worker's reservation keeps a task off it.
 // Best-effort tasks, which commit no processors, and tasks that must run ignore
 // reservations: a long-running task that lost its worker or has waited too long
 // is placed wherever there is room, as its caller limits how long it may be
 // without a run.
-func (w *worker) holdsBack(c candidate) bool {
+func (w *worker) reservationBlocks(c candidate) bool {
 	held := w.reserved
 	switch {
 	case held == nil || held.step == c.step || c.step.spec.Fills || c.mustPlace:
@@ -127,7 +128,7 @@
 		return c.priority < held.priority
 	}
 	onTime := held.start.Sure <= held.job.deadlines.dueAt-held.step.length.likely
-	return c.passing.heldLong && !held.strict || c.passing.urgent && onTime
+	return c.exemptions.heldLong && !held.strict || c.exemptions.urgent && onTime
 }
 
 // mustRun reports whether a long-running task may not be held back any longer:
@@ -159,8 +160,9 @@
 	o.moveNextReservation(usablePools)
 }
 
-// makeStrict makes the reservation of the job that has waited longest strict, so
-// that a steady stream of small tasks keeps no large one from starting.
+// makeStrict makes the reservation of the job that has waited longest strict, unless
+// maxStrictShare is in use, so that a steady stream of small tasks keeps no large one
+// from starting.
 func (o *Owner) makeStrict() {
 	if o.reservations.reserved == o.reservations.strict || float64(o.reservations.strict) >= max(1, maxStrictShare*float64(len(o.sortedWorkers))) {
 		return
@@ -198,9 +200,9 @@
 	return ""
 }
 
-// renewReservation makes a reservation anew that has expired, as the room was not
-// free in time. It stays on its worker until it moves, so that nothing else takes
-// the room that was collected.
+// renewReservation sets a new promised start for a reservation that has expired, as the
+// room was not free in time. The reservation stays on its worker until it moves, so that
+// no other task takes the room that is free already.
 func (o *Owner) renewReservation(w *worker) {
 	o.logReservation("reservation_expired", w).Int64("late_ms", int64(o.now-w.reserved.promised)).Send()
 	o.options.Metrics.Reservation("expired")
@@ -217,9 +219,9 @@
 	w.reserved = nil
 }
 
-// notePlacement counts the wait of a task that a worker is about to get, and
-// handles the worker's reservation: it ends if the task is of the reserved step,
-// else the task fills a gap.
+// notePlacement observes the wait of a task that is about to be placed on a worker. If
+// the worker is reserved for the task's step, the reservation is kept and ends; if it is
+// reserved for another one, the placement counts as a backfill.
 func (o *Owner) notePlacement(task *taskState, step *stepState, w *worker) {
 	if !step.spec.Fills && !step.spec.Lasting {
 		o.options.Metrics.observeWait(o.isLarge(step), o.now-max(task.waitingSince, task.job.submittedAt))
@@ -240,8 +242,9 @@
 	o.releaseReservation(w)
 }
 
-// reserve reserves a worker for a step whose next task no worker can run: the
-// one on which it surely starts first. Large tasks reserve at once.
+// reserve reserves a worker for a step whose next task no worker can run: the one on
+// which the task surely starts first. Large tasks reserve at once, others after
+// reserveAfter.
 func (o *Owner) reserve(j *jobState, step *stepState, pools []string, usablePools map[string]*poolCapacity) {
 	if step.spec.Fills || step.spec.Lasting || len(step.reservedOn) >= step.waiting || o.reservations.searches == 0 {
 		return
@@ -276,6 +279,7 @@
 	return slices.ContainsFunc(s.reservedOn, func(w *worker) bool { return committedRoom(s.spec).FitsIn(w.freeRoom()) })
 }
 
+// countWorkers returns the number of usable workers in some pools.
 func countWorkers(pools []string, usablePools map[string]*poolCapacity) int {
 	count := 0
 	for _, name := range pools {
--- a/internal/schedule/owner/undecided.go
+++ b/internal/schedule/owner/undecided.go
@@ -5,8 +5,8 @@
 	"github.com/oriolepier/oriolepier/internal/schedule/job"
 )
 
-// A refusal promises that the job is not recorded. Its caller may have sent it before,
-// and a later owner, of which this one need not know, may have recorded it then. So a
+// A refusal promises that the job is not recorded. But the caller may have sent the job
+// before, and a later owner that this one does not know of may have recorded it. So a
 // submission is refused only if no later owner can have accepted it before it arrived
 // here; until that is certain it stays undecided.
 
@@ -20,8 +20,8 @@
 	spec  job.Spec
 	reply func(Verdict)
 	at    clock.Millis // when it arrived
-	// rateRefusal refuses it for its customer's rate, which is asked once; its ruling
-	// is Recorded if the rate has not been asked or allows it.
+	// rateRefusal is the refusal for its customer's rate. Its ruling is Recorded while the
+	// rate has not been checked or allows the submission.
 	rateRefusal Verdict
 }
 
