--- a/internal/schedule/owner/commit.go
+++ b/internal/schedule/owner/commit.go
@@ -67,7 +67,8 @@
 // estimates, which the next owner would otherwise have to learn again.
 const interferenceRecordPeriod clock.Millis = 4 * clock.Second
 
-// recordReserve is left free in a record, for what frames its value.
+// recordReserve is the number of bytes that are left free in a record for its frame and
+// the encoding around the entries of its value.
 const recordReserve = 64
 
 // recordInterference adds changed interference estimates to the next append,
@@ -150,7 +151,7 @@
 	}
 	for _, key := range keys {
 		if key == keyUnresponsive || strings.HasPrefix(key, keyUnresponsive+"/") {
-			o.inFlight.unresponsiveList = nil // so that none of its workers gets work by it
+			o.inFlight.unresponsiveList = nil // it must not count as recorded
 		}
 		if j := o.jobOfKey(key); j != nil {
 			o.failRefused(j, key)
@@ -190,8 +191,8 @@
 	o.whenRecorded(func() { o.stopJob(j, "job failed") })
 }
 
-// finalSpec returns the record that replaces a final job's specification: without steps,
-// or nil if the job belongs to no customer.
+// finalSpec returns the value that replaces a final job's specification: one without
+// steps that keeps the customer, or nil, which removes the record, if there is none.
 func (o *Owner) finalSpec(j *jobState) []byte {
 	if j.spec.Customer == "" {
 		return nil
--- a/internal/schedule/owner/failing.go
+++ b/internal/schedule/owner/failing.go
@@ -226,7 +226,7 @@
 		return
 	}
 	w.noteFailure(r, o.now)
-	o.clearMarks(failedRunOf(r))
+	o.clearUnfoundedFailing(failedRunOf(r))
 	w.failing = o.isFailing(w)
 	if !w.failing {
 		return
@@ -252,10 +252,10 @@
 	w.failuresInARow, w.failedRuns, w.longestFailure, w.failing = 0, nil, 0, false
 }
 
-// clearMarks ends the failing state of workers whose failures are no longer evidence
+// clearUnfoundedFailing ends the failing state of workers whose failures are no longer evidence
 // against them, because their job or image has now failed elsewhere, too. Their backoffs
 // run out by themselves.
-func (o *Owner) clearMarks(newest failedRun) {
+func (o *Owner) clearUnfoundedFailing(newest failedRun) {
 	sharesSource := func(failed failedRun) bool {
 		return failed.job == newest.job || failed.image != "" && failed.image == newest.image
 	}
--- a/internal/schedule/owner/interference.go
+++ b/internal/schedule/owner/interference.go
@@ -100,8 +100,7 @@
 
 // updateOverTarget updates overTargetSince from a worker's report and returns
 // the longest time that a single task has been over its target, but not by its
-// own load. Tasks are checked one by one because the
-// mean of a job may hide one.
+// own load. Tasks are checked one by one because the mean of a job may hide one.
 func (o *Owner) updateOverTarget(w *worker) clock.Millis {
 	longest := clock.Millis(0)
 	for r := range w.runs {
--- a/internal/schedule/owner/load.go
+++ b/internal/schedule/owner/load.go
@@ -49,14 +49,7 @@
 	o.dropExpired(progress)
 	runs := 0
 	for _, j := range o.jobs {
-		if len(j.parts.changed) == 0 { // no record of its progress
-			j.parts = undividedProgress(j.spec.TaskCount())
-		}
-		j.durable = true
-		j.submittedAt = o.now - o.timeSince(j.spec.AcceptedMS)
-		j.lastPlacementChangeAt = o.now
-		j.deadlines = o.objective(j)
-		j.recordedState = j.state
+		o.completeLoaded(j)
 		runs += j.runs
 	}
 	o.options.Log.Info().Str("event", "state_loaded").Int64("epoch", o.options.Epoch).
@@ -70,8 +63,20 @@
 	return nil
 }
 
-// dropExpired removes jobs of which only the customer is recorded: their other record was
-// removed in an append before, and the rest was not.
+// completeLoaded sets the state of a loaded job that is not recorded.
+func (o *Owner) completeLoaded(j *jobState) {
+	if len(j.parts.changed) == 0 { // no record of its progress
+		j.parts = undividedProgress(j.spec.TaskCount())
+	}
+	j.durable = true
+	j.submittedAt = o.now - o.timeSince(j.spec.AcceptedMS)
+	j.lastPlacementChangeAt = o.now
+	j.deadlines = o.objective(j)
+	j.recordedState = j.state
+}
+
+// dropExpired removes the rest of jobs that an earlier owner removed as expired, if the
+// append with the last removal was not done: only their customer is still recorded.
 func (o *Owner) dropExpired(progress map[job.ID]*storedProgress) {
 	for id, j := range o.jobs {
 		if _, known := progress[id]; !known && j.specRemoved {
@@ -89,15 +94,7 @@
 
 func (o *Owner) loadRecord(record journal.Record, progress map[job.ID]*storedProgress, lists map[string][]byte) error {
 	if id, ok := strings.CutPrefix(record.Key, keySpec); ok {
-		spec, err := job.DecodeSpec(record.Value)
-		if err != nil {
-			return err
-		}
-		j := newJob(spec)
-		j.account, j.excess = o.quotas.Account(spec.Customer), spec.Excess
-		j.specRemoved = len(spec.Steps) == 0
-		o.jobs[job.ID(id)] = j
-		return nil
+		return o.loadSpec(job.ID(id), record.Value)
 	}
 	if name, ok := strings.CutPrefix(record.Key, keyProgress); ok {
 		return loadProgressRecord(name, record.Value, progress)
@@ -118,6 +115,19 @@
 	return nil
 }
 
+// loadSpec adds the job of a recorded specification.
+func (o *Owner) loadSpec(id job.ID, data []byte) error {
+	spec, err := job.DecodeSpec(data)
+	if err != nil {
+		return err
+	}
+	j := newJob(spec)
+	j.account, j.excess = o.quotas.Account(spec.Customer), spec.Excess
+	j.specRemoved = len(spec.Steps) == 0
+	o.jobs[id] = j
+	return nil
+}
+
 // loadProgressRecord decodes a record of a job's progress.
 func loadProgressRecord(name string, data []byte, progress map[job.ID]*storedProgress) error {
 	id, number, ok := parseProgressKey(name)
@@ -165,21 +175,25 @@
 		o.batch.removals = append(o.batch.removals, o.takeRemovals(j)...)
 		return
 	}
-	tasks := recorded.merged(count)
+	o.loadTasks(j, recorded.merged(count))
+	if j.state == job.Queued && j.hasStarted {
+		j.state = job.Running // the first record is appended last
+		o.markChanged(j)
+	}
+	j.markStepsReady(0)
+}
+
+// loadTasks applies the recorded progress of a job's tasks.
+func (o *Owner) loadTasks(j *jobState, recorded []job.TaskProgress) {
 	for i := range j.steps {
 		step := &j.steps[i]
 		for k := range step.tasks {
-			o.loadTask(&step.tasks[k], step, tasks[step.firstTask+k])
+			o.loadTask(&step.tasks[k], step, recorded[step.firstTask+k])
 		}
 		if step.unfinished == 0 {
 			j.unfinished--
 		}
 	}
-	if j.state == job.Queued && j.hasStarted {
-		j.state = job.Running // the first record is appended last
-		o.markChanged(j)
-	}
-	j.markStepsReady(0)
 }
 
 func (o *Owner) loadTask(task *taskState, step *stepState, recorded job.TaskProgress) {
--- a/internal/schedule/owner/objective.go
+++ b/internal/schedule/owner/objective.go
@@ -63,9 +63,9 @@
 	return o.longestChain(j, func(step *stepState) int { return step.unfinished })
 }
 
-// longestChain is the expected duration of the longest chain of the steps of a job
-// with a number of tasks each; steps without tasks take no time. A step wider than
-// the limit of the job's customer runs in waves.
+// longestChain returns the expected duration of the longest chain of a job's steps. tasks
+// is the number of tasks that count of a step; a step without any takes no time. A step
+// with more tasks than the limit of the job's customer lets run at once runs in waves.
 func (o *Owner) longestChain(j *jobState, tasks func(*stepState) int) clock.Millis {
 	ends := make([]clock.Millis, len(j.steps))
 	longest := clock.Millis(0)
@@ -82,8 +82,8 @@
 	return longest
 }
 
-// waves is the number of groups in which the limit of a job's customer lets a number
-// of a step's tasks run one after another. Long-running tasks all run at a time.
+// waves returns the number of successive groups in which a number of a step's tasks run
+// within the limit of the job's customer. Long-running tasks all run at the same time.
 func waves(j *jobState, step *stepState, tasks int) clock.Millis {
 	if step.spec.Lasting {
 		return 1
--- a/internal/schedule/owner/progress_parts.go
+++ b/internal/schedule/owner/progress_parts.go
@@ -10,12 +10,12 @@
 	"github.com/oriolepier/oriolepier/internal/schedule/journal"
 )
 
-// A record of the store has a largest size, so the progress of a job with many tasks is
-// split over several records once it does not fit one: the first one, with the job's
-// state and its first tasks, and parts with a fixed number of tasks each, which fit at
-// their largest. Only the records with changed tasks are written.
+// The store limits the size of a record. Once the progress of a job with many tasks does
+// not fit one record, it is split: the first record has the job's state and its first
+// tasks, and further records (parts) have the same number of tasks each, so few that they
+// fit at their largest size. Only the records with changed tasks are written.
 //
-// A batch above the largest append goes over several appends, so a later owner may find
+// A batch that is larger than an append may be is written by several appends, so a later owner may find
 // some records of a job without the others. Ends are acknowledged to workers, runs
 // ordered and callers answered only after the last append. Three rules make each prefix
 // readable:
@@ -129,7 +129,8 @@
 	return o.encodedRecord(j, keyProgress+string(j.spec.ID), data, err)
 }
 
-// encodedRecord is a record of a job; an error of its encoding is logged.
+// encodedRecord returns a record of a job, and logs the error of its encoding if there is
+// one.
 func (o *Owner) encodedRecord(j *jobState, key string, data []byte, err error) journal.Record {
 	if err != nil {
 		o.options.Log.Error().Err(err).Str("job", string(j.spec.ID)).Str("key", key).Msg("cannot encode a record")
@@ -151,8 +152,9 @@
 	return tasks
 }
 
-// takeRemovals removes what a settled job needs no more: its specification, but for the
-// job's customer, and the records beyond the first.
+// takeRemovals returns the removals of the records that a settled job no longer needs, and
+// notes them as removed: its specification, of which only the customer is kept, and the
+// records beyond the first.
 func (o *Owner) takeRemovals(j *jobState) []journal.Record {
 	var removals []journal.Record
 	if !j.specRemoved {
@@ -202,7 +204,7 @@
 	return s.first != nil && s.first.State.Final() && len(s.first.Tasks) == 0
 }
 
-// merged returns the stored tasks of a job with a number of tasks.
+// merged returns the progress of all tasks of a job with count tasks, from its records.
 func (s *storedProgress) merged(count int) []job.TaskProgress {
 	tasks := make([]job.TaskProgress, count)
 	if s.first != nil {
@@ -216,15 +218,16 @@
 	return tasks
 }
 
-// layout returns how the stored tasks of a job are divided into records. A division that
-// is the same in all records and fits is kept. Otherwise the smallest one in use replaces
-// it with the job's next change, which then writes all records.
-func (s *storedProgress) layout(count, most int) progressParts {
+// layout returns the division of a job's count tasks into records of at most maxTasks
+// tasks. A stored division that is the same in all records is kept if it fits. Otherwise
+// the smallest one in use replaces the others with the job's next change, which then
+// writes all records.
+func (s *storedProgress) layout(count, maxTasks int) progressParts {
 	divisions := s.divisions(count)
 	if len(divisions) == 0 {
 		return undividedProgress(count)
 	}
-	perRecord := max(min(slices.Min(divisions), most), 1)
+	perRecord := max(min(slices.Min(divisions), maxTasks), 1)
 	parts := newProgressParts(count, perRecord)
 	parts.stored = s.lastPart()
 	if slices.ContainsFunc(divisions, func(tasks int) bool { return tasks != perRecord }) {
--- a/internal/schedule/owner/report.go
+++ b/internal/schedule/owner/report.go
@@ -97,9 +97,7 @@
 	w.reportedIncarnation = report.Incarnation
 	o.adoptRuns(w, report)
 	if w.missedHolds > 0 || w.lastReportAt == 0 {
-		o.options.Log.Info().Str("event", "worker_responsive").Str("worker", w.id).Int("misses", w.missedHolds).
-			Int("running", len(report.Running)).Int("ended", len(report.Ended)).Int64("born", report.Incarnation).
-			Int64("clock_ms", report.ClockMS).Int64("clock_expected_ms", w.expectedClock(o.now)).Int64("until_ms", w.leaseUntilMS).Send()
+		o.logResponsive(w, report)
 		o.placementDue = true
 	}
 	if w.lastReportAt == 0 {
@@ -109,16 +107,7 @@
 	}
 	o.endRunsOfOldIncarnations(w)
 	o.stopUncertainStarts(w)
-	w.clockMS, w.clockReadAt = report.ClockMS, o.now
-	w.lastReportAt = o.now
-	w.reportedHoldSentAt = w.holdSentAt
-	if w.holdSentAt >= w.incarnationUnprovenAt {
-		w.incarnationUnprovenAt = 0
-	}
-	o.markResponsive(w)
-	w.missedHolds = 0
-	w.leasesLapsed = false
-	w.nextHoldAt = o.now + max(o.options.Times.ReportGap, o.scaleByWorkers(reportGapPerWorker))
+	o.noteContact(w, report.ClockMS)
 	o.decaySpeed(w)
 	o.applyEnds(w, report.Ended)
 	listed := o.applyRunning(w, report.Running)
@@ -137,6 +126,28 @@
 	o.handleInterference(w)
 }
 
+// logResponsive logs the first report of a worker, or the first one after missed holds.
+func (o *Owner) logResponsive(w *worker, report fleet.Report) {
+	o.options.Log.Info().Str("event", "worker_responsive").Str("worker", w.id).Int("misses", w.missedHolds).
+		Int("running", len(report.Running)).Int("ended", len(report.Ended)).Int64("born", report.Incarnation).
+		Int64("clock_ms", report.ClockMS).Int64("clock_expected_ms", w.expectedClock(o.now)).Int64("until_ms", w.leaseUntilMS).Send()
+}
+
+// noteContact updates what a report shows of a worker's clock and its contact, and sets
+// the time of the next hold.
+func (o *Owner) noteContact(w *worker, clockMS int64) {
+	w.clockMS, w.clockReadAt = clockMS, o.now
+	w.lastReportAt = o.now
+	w.reportedHoldSentAt = w.holdSentAt
+	if w.holdSentAt >= w.incarnationUnprovenAt {
+		w.incarnationUnprovenAt = 0
+	}
+	o.markResponsive(w)
+	w.missedHolds = 0
+	w.leasesLapsed = false
+	w.nextHoldAt = o.now + max(o.options.Times.ReportGap, o.scaleByWorkers(reportGapPerWorker))
+}
+
 // applyEnds applies the ends that a worker lists. Once they are recorded, the
 // next hold acknowledges them, so that the worker may discard them.
 func (o *Owner) applyEnds(w *worker, ends []fleet.End) {
@@ -228,9 +239,9 @@
 	}
 }
 
-// keepCheckpoint keeps a checkpoint, which is recorded with the next change of a task in
-// the same record. One that is longer than a record has room for is not kept: the task
-// goes on from an earlier one.
+// keepCheckpoint stores the newest checkpoint of a task, which is recorded with the next
+// change of a task in the same record. One that is longer than job.MaxCheckpointBytes is
+// ignored: the task resumes from an earlier one.
 func (o *Owner) keepCheckpoint(task *taskState, checkpoint string) {
 	if len(checkpoint) > job.MaxCheckpointBytes {
 		o.options.Log.Debug().Str("event", "checkpoint_too_long").Str("job", string(task.job.spec.ID)).Int("step", task.step).
--- a/internal/schedule/owner/submit.go
+++ b/internal/schedule/owner/submit.go
@@ -33,19 +33,20 @@
 	RetryAfter clock.Millis `json:"retry_after_ms,omitempty"` // with Refused
 }
 
-// JobRef names a job on behalf of a customer. Jobs of other customers do not exist for
-// it; those that belong to no customer are everyone's.
+// JobRef names a job on behalf of a customer, who sees its own jobs and those that
+// belong to no customer.
 type JobRef struct {
 	ID       job.ID `json:"id"`
 	Customer string `json:"customer,omitempty"` // empty: none
 }
 
-// belongsTo reports whether a job exists for a customer, or for nobody if it is empty.
+// belongsTo reports whether a customer may see a job. Without a customer, the name is
+// empty and only jobs of no customer may be seen.
 func (j *jobState) belongsTo(customer string) bool {
 	return j.spec.Customer == "" || j.spec.Customer == customer
 }
 
-// find returns the job that is named, or nil if it does not exist for the customer.
+// find returns the job that is named, or nil if there is none that the customer may see.
 func (o *Owner) find(ref JobRef) *jobState {
 	j := o.jobs[ref.ID]
 	if j == nil || !j.belongsTo(ref.Customer) {
@@ -54,8 +55,8 @@
 	return j
 }
 
-// refuseForeignID refuses a submission with the id of another customer's job, and says
-// nothing about that job.
+// refuseForeignID returns the refusal of a submission with the id of another customer's
+// job. It tells nothing about that job.
 func (o *Owner) refuseForeignID(spec job.Spec) Verdict {
 	verdict := Verdict{Ruling: Invalid, Reason: "the id cannot be used"}
 	if !o.OwnershipFresh() {
@@ -119,7 +120,7 @@
 	s.reply(verdict)
 }
 
-// accept adds a job to the next append.
+// accept adds a job to the next append, and replies once it is recorded.
 func (o *Owner) accept(spec job.Spec, reply func(Verdict)) {
 	spec.AcceptedMS = o.options.WallClock()
 	j := newJob(spec)
@@ -210,11 +211,11 @@
 	return Verdict{Ruling: Recorded}
 }
 
-// Memory of an accepted job and its encoded records.
+// Estimated memory of an accepted job and its encoded records.
 const (
-	taskBytes  = 200 // 103 of the task's state
-	stepBytes  = 1024
-	textFactor = 2
+	taskBytes  = 200  // bytes of a task: 103 of its state as measured, and about as many of its record while it is encoded
+	stepBytes  = 1024 // bytes of a step besides its tasks and texts
+	textFactor = 2    // a text is held in the specification and in its record while that is encoded
 )
 
 // heldBytes estimates the memory of an accepted job.
--- a/internal/schedule/owner/unresponsive.go
+++ b/internal/schedule/owner/unresponsive.go
@@ -96,9 +96,9 @@
 	return length + length*driftPercent/100 + o.options.Times.ClockSlack
 }
 
-// loadUnresponsiveLists applies the list of a previous owner, by key of its records.
-// Those of another epoch than the first one are left from an earlier list: an owner
-// writes all records of a list in one append.
+// loadUnresponsiveLists applies the list of a previous owner, given by the keys of its
+// records. Records of another epoch than the first one's belong to an older list and are
+// ignored: an owner writes all records of a list in one append.
 func (o *Owner) loadUnresponsiveLists(records map[string][]byte) error {
 	first, stored := records[keyUnresponsive]
 	if !stored {
@@ -151,8 +151,7 @@
 		w.unresponsive = true
 		w.namedInList = o.listsEncoded
 		w.recordedRest = recorded.Remaining
-		// Also where it is later than the renew window: a lease that a late order grants
-		// is longer.
+		// Not limited by the renew window: a lease that an order grants late can end after it.
 		w.runsEndBy, w.runsEndProof = o.fencedAt+recorded.Remaining, proof{evidence: evidenceRecordedRest, at: o.fencedAt}
 	}
 }
@@ -224,18 +223,13 @@
 	o.batch.unresponsiveList, o.batch.listNumber = records, o.listsEncoded
 }
 
-// unresponsiveRecords encodes a list as records that the store takes, and removes those
-// that a longer list had.
+// unresponsiveRecords encodes a list as records that fit the store's limit, followed by
+// the removals of further records that a longer list may have had.
 func (o *Owner) unresponsiveRecords(list unresponsiveList) ([]journal.Record, error) {
-	const framePerWorker = 24 // bytes besides the id: lengths and the remaining time
 	limit := o.options.Limits.RecordBytes - recordReserve
 	var records []journal.Record
 	for rest := list.Workers; len(records) == 0 || len(rest) > 0; {
-		count, size := 0, 0
-		for count < len(rest) && (count == 0 || size+len(rest[count].ID)+framePerWorker <= limit) {
-			size += len(rest[count].ID) + framePerWorker
-			count++
-		}
+		count := workersWithin(limit, rest)
 		data, err := codec.Marshal(unresponsiveList{Epoch: list.Epoch, Workers: rest[:count]})
 		if err != nil {
 			return nil, err
@@ -251,6 +245,18 @@
 	return records, nil
 }
 
+// workersWithin returns how many of the first workers fit a record of limit bytes; at
+// least one, if there is one.
+func workersWithin(limit int, workers []unresponsiveWorker) int {
+	const framePerWorker = 24 // bytes besides the id: lengths and the remaining time
+	count, size := 0, 0
+	for count < len(workers) && (count == 0 || size+len(workers[count].ID)+framePerWorker <= limit) {
+		size += len(workers[count].ID) + framePerWorker
+		count++
+	}
+	return count
+}
+
 // listKey is the key of a record of the list.
 func listKey(number int) string {
 	if number == 0 {
--- a/internal/schedule/owner/workers.go
+++ b/internal/schedule/owner/workers.go
@@ -22,8 +22,8 @@
 	sortedCache []*run // runs in a deterministic order; nil: to be sorted again
 	committed   fleet.Room
 	longRunning fleet.Room      // the part of committed that belongs to long-running tasks
-	runsEnded   int             // runs that were detached from it
-	lastOffer   workerState     // in the last placement pass that needed it
+	runsEnded   int             // number of runs that were detached from it; changes show that a limit per worker may allow more
+	lastOffer   workerState     // as of the newest readOffers in which it was usable
 	promised    fleet.Room      // held for long-running tasks that are being relocated here
 	reserved    *reservation    // step that this worker is reserved for; nil: none
 	timeline    timeline.Worker // when its runs are expected to end
@@ -54,9 +54,9 @@
 	backoffUntil           clock.Millis     // no new runs are placed before it
 	failuresInARow         int              // consecutive failed runs
 	failedRuns             []failedRun      // the newest of them
-	longestFailure         clock.Millis     // the longest time that one of them lived
+	longestFailure         clock.Millis     // longest duration of one of them
 	lastFailureAt          clock.Millis     // when a run last failed
-	failing                bool             // its consecutive failures are too many to be by chance, and do not lie with their jobs
+	failing                bool             // its consecutive failures are too many to be by chance, and are not caused by their jobs or images
 	stallsInARow           int              // consecutive stalls without a completed run
 	lastDoneAt             clock.Millis     // when it last reported a completed run
 	workDone, workExpected float64          // recent work of its batch runs in ms, decayed: done, and expected
@@ -84,9 +84,9 @@
 // uncertainStartTTL is the longest time an order can be in transit.
 const uncertainStartTTL clock.Millis = 15 * clock.Second
 
-// uncertainGrant covers the leases of all unanswered orders to a worker. They may still
-// be executed, also in a later incarnation: an order names its worker by the id. By the
-// clock of that incarnation, a lease for an earlier one can be as long as workers accept.
+// uncertainGrant covers the leases of all unanswered orders to a worker. These orders may
+// still be executed, also by a later incarnation, as an order names its worker by the id.
+// On the clock of a later incarnation, such a lease can be as long as workers accept.
 type uncertainGrant struct {
 	untilMS int64        // end of the longest of them, on the clock of the incarnation that it was meant for
 	at      clock.Millis // when the newest of these orders timed out; 0: there is none
@@ -275,7 +275,8 @@
 	w.incarnationFrom, w.incarnationKnownAt = from, o.now
 }
 
-// namedOther reports whether the last report named an incarnation other than this one.
+// namedOther reports whether a worker's last report named another incarnation than the
+// given one, if both are named.
 func (w *worker) namedOther(incarnation int64) bool {
 	return incarnation != 0 && w.reportedIncarnation != 0 && w.reportedIncarnation != incarnation
 }
