Share the processor share, the wait of a task and the test for a list key

Each stood in two places. The comments on the cost of a placement pass name its unit. No behaviour changes; the tests under internal/schedule/owner pass.

--- a/internal/schedule/owner/commit.go
+++ b/internal/schedule/owner/commit.go
@@ -150,7 +150,7 @@
 		return
 	}
 	for _, key := range keys {
-		if key == keyUnresponsive || strings.HasPrefix(key, keyUnresponsive+"/") {
+		if isListKey(key) {
 			o.inFlight.unresponsiveList = nil // it must not count as recorded
 		}
 		if j := o.jobOfKey(key); j != nil {
--- a/internal/schedule/owner/durations.go
+++ b/internal/schedule/owner/durations.go
@@ -64,7 +64,7 @@
 		return
 	}
 	since := max(r.reportedAt, r.startedAt)
-	r.processorTime += float64(o.now-since) * min(float64(usage)/float64(max(spec.MilliCPU, 1)), 1)
+	r.processorTime += float64(o.now-since) * processorShare(spec, usage)
 }
 
 // learnDuration adds the duration of a run that is done to the estimates. Left out are
--- a/internal/schedule/owner/load.go
+++ b/internal/schedule/owner/load.go
@@ -102,7 +102,7 @@
 	if name, ok := strings.CutPrefix(record.Key, keyAttempts); ok {
 		return o.loadAttempts(name, record.Value)
 	}
-	if record.Key == keyUnresponsive || strings.HasPrefix(record.Key, keyUnresponsive+"/") {
+	if isListKey(record.Key) {
 		lists[record.Key] = record.Value
 		return nil
 	}
--- a/internal/schedule/owner/metrics.go
+++ b/internal/schedule/owner/metrics.go
@@ -27,7 +27,7 @@
 	AcceptTime  DurationHistogram // from the submission of a job to the acknowledgement of its record
 	StartTime   DurationHistogram // from the submission of a job to its first confirmed start
 	WaitLarge   DurationHistogram // from the time at which a large batch task could be placed to its placement
-	WaitOther   DurationHistogram // the same of other batch tasks
+	WaitOther   DurationHistogram // the same for other batch tasks
 	DoneTime    DurationHistogram // from the submission of a job to its completion
 }
 
@@ -90,7 +90,8 @@
 	c.WaitOther.Observe(wait)
 }
 
-// Reservation counts what became of reservations of workers.
+// Reservation counts an event of reservations of workers: made, moved, expired, or the
+// outcome with which one ended.
 func (c *Metrics) Reservation(outcome string) {
 	c.set.GetOrCreateCounter(`oriolepier_placement_reservations_total{outcome="` + outcome + `"}`).Inc()
 }
--- a/internal/schedule/owner/orders.go
+++ b/internal/schedule/owner/orders.go
@@ -184,8 +184,8 @@
 		case o.leaseBlock(r.worker) != leaseAllowed || !r.keepsQuota():
 			o.abandonStart(r, outcome)
 		case r.worker.missedHolds > 0:
-			// Its next incarnation may answer, with other labels. The hold that is
-			// repeated at once shows which incarnation is there, or blocks leases.
+			// A new incarnation with other labels may answer. The hold that is repeated at
+			// once shows which incarnation is there; if it is missed too, leases are blocked.
 			o.retryStart(r, outcome)
 		default:
 			o.sendStart(r)
--- a/internal/schedule/owner/owner.go
+++ b/internal/schedule/owner/owner.go
@@ -69,7 +69,7 @@
 	Effects       Effects
 	Log           zerolog.Logger
 	Metrics       *Metrics
-	AdmitBytes    func(count int64) bool // whether the process has memory for a job of so many bytes; nil: always
+	AdmitBytes    func(count int64) bool // reports whether the process has memory for a job of count bytes; nil: always
 }
 
 // Owner is the state of one cell. It is not safe for concurrent use.
--- a/internal/schedule/owner/place.go
+++ b/internal/schedule/owner/place.go
@@ -54,7 +54,7 @@
 
 // placeStep places the waiting tasks of a step until no worker suits the next
 // one. It returns false if tasks are left waiting for a worker or for the limit of
-// their customer.
+// their customer, and true also if the job has failed or its customer's turn is over.
 func (o *Owner) placeStep(j *jobState, step *stepState, pools []string, usablePools map[string]*poolCapacity, failures placementFailures) bool {
 	ratings := o.resetRatings(len(pools))
 	for k := range step.tasks {
--- a/internal/schedule/owner/placement_pass.go
+++ b/internal/schedule/owner/placement_pass.go
@@ -6,9 +6,9 @@
 	"github.com/oriolepier/oriolepier/internal/base/clock"
 )
 
-// A placement pass considers the waiting jobs, most urgent first. Its cost is bounded, not
-// the steps that it may leave waiting: most of a pass goes to the most urgent jobs, and
-// the rest to those behind them that were not considered for longest. While a pass does
+// A placement pass considers the waiting jobs, most urgent first. It ends by its cost, not
+// by the number of steps that it leaves waiting: most of its cost goes to the most urgent
+// jobs, and the rest to those behind them that were not considered for longest. While a pass does
 // not reach all jobs, the next one follows after resumeInterval, so that each waiting job
 // is considered within resumeInterval for each 25 steps that are waiting. Only then may a
 // job be placed before a more urgent one, which was considered earlier in the sweep.
@@ -16,11 +16,12 @@
 // Steps that cannot be placed by their label or their limit per worker are skipped by
 // blockedSearch, so that passes reach thousands of them in their sequence.
 
-// Bounds of a pass, in workers rated in vain. Placing a task is not counted.
+// Bounds of the cost of a pass. The unit is a worker that is rated without getting a task;
+// placing a task is not counted.
 const (
 	frontRatings                = 150 // ratings of all usable workers for the most urgent jobs
 	sweepRatings                = 50  // and for jobs behind them
-	minRatingCost               = 100 // least cost counted for a rating of all workers in these bounds
+	minRatingCost               = 100 // least cost of rating all usable workers that the two bounds above are multiplied by
 	stepCost                    = 16  // of considering a step, besides ratings
 	tasksPerCost                = 8   // tasks of a step that are checked at the cost of one
 	resumeInterval clock.Millis = 50  // until the next pass while one does not reach all jobs
@@ -174,8 +175,8 @@
 	return !s.spec.Fills && (s.spec.PerWorker > 0 || s.spec.Label != "")
 }
 
-// noteBlocked remembers that no worker of a pool can run the next task of a step. What a
-// reservation allows changes with time, so a step that one holds back is not skipped.
+// noteBlocked remembers that no worker of a pool can run the next task of a step. A step
+// that a reservation holds back is left out: what a reservation allows changes with time.
 func (o *Owner) noteBlocked(task *taskState, step *stepState, number int, name string, pools map[string]*poolCapacity, found rejections) {
 	if !step.mayBlock() || found[rejectedReservation] > 0 {
 		return
--- a/internal/schedule/owner/reserve.go
+++ b/internal/schedule/owner/reserve.go
@@ -92,8 +92,12 @@
 // large are exempt from most after a short wait: they delay a reserved task a little,
 // while held back they would wait for as long as they run.
 func (o *Owner) exemptions(task *taskState, step *stepState) exemptions {
-	waited := o.now - max(task.waitingSince, task.job.submittedAt)
-	return exemptions{urgent: o.isUrgent(task.job), heldLong: waited >= longestHold && !o.isLarge(step)}
+	return exemptions{urgent: o.isUrgent(task.job), heldLong: o.waited(task) >= longestHold && !o.isLarge(step)}
+}
+
+// waited returns how long a task could have been placed but was not.
+func (o *Owner) waited(task *taskState) clock.Millis {
+	return o.now - max(task.waitingSince, task.job.submittedAt)
 }
 
 // isUrgent reports whether a job that has not missed its objective yet misses it unless
@@ -224,7 +228,7 @@
 // reserved for another one, the placement counts as a backfill.
 func (o *Owner) notePlacement(task *taskState, step *stepState, w *worker) {
 	if !step.spec.Fills && !step.spec.Lasting {
-		o.options.Metrics.observeWait(o.isLarge(step), o.now-max(task.waitingSince, task.job.submittedAt))
+		o.options.Metrics.observeWait(o.isLarge(step), o.waited(task))
 	}
 	switch held := w.reserved; {
 	case held == nil || step.spec.Fills:
--- a/internal/schedule/owner/stall.go
+++ b/internal/schedule/owner/stall.go
@@ -82,6 +82,11 @@
 	return float64(usage) >= minProgressUsage*float64(step.MilliCPU)
 }
 
+// processorShare returns a processor use as a share of the requested processors, at most 1.
+func processorShare(step *job.Step, usage int64) float64 {
+	return min(float64(usage)/float64(max(step.MilliCPU, 1)), 1)
+}
+
 // isIdle reports whether a run that has used its processors no longer does. Not
 // all workers report the use.
 func (r *run) isIdle() bool { return r.hasUsed && !usesProcessors(r.task.spec(), r.usage) }
@@ -113,7 +118,7 @@
 	}
 	share := 1.0
 	if spec.Fills {
-		share = min(float64(row.Usage)/float64(max(spec.MilliCPU, 1)), 1)
+		share = processorShare(spec, row.Usage)
 	}
 	r.worker.workDone += float64(row.Percent-r.percentDone) * interval
 	r.worker.workExpected += float64(o.now-r.reportedAt) * share
--- a/internal/schedule/owner/unresponsive.go
+++ b/internal/schedule/owner/unresponsive.go
@@ -265,6 +265,11 @@
 	return keyUnresponsive + "/" + strconv.Itoa(number)
 }
 
+// isListKey reports whether a key is of a record of the list.
+func isListKey(key string) bool {
+	return key == keyUnresponsive || strings.HasPrefix(key, keyUnresponsive+"/")
+}
+
 // noteListRecorded handles the acknowledgement of the list in a batch, if it has one.
 func (o *Owner) noteListRecorded(recorded *batch) {
 	if recorded.unresponsiveList == nil {
