Record a late failure in the part of a divided job that has the task

A failure that a worker reports after its run was ended as lapsed was counted but not written for a task beyond the first record of a divided job; a takeover lost it. Found by a read-through. TestLateFailureInDividedJobIsRecorded failed before.

--- a/internal/schedule/owner/attempts.go
+++ b/internal/schedule/owner/attempts.go
@@ -106,7 +106,7 @@
 	}
 	task.lapsedRuns = slices.Delete(task.lapsedRuns, i, i+1)
 	if task.phase != job.Done {
-		o.markChanged(task.job)
+		o.markTaskChanged(task)
 		o.countFailure(task)
 	}
 }
--- a/internal/schedule/owner/attempts_test.go
+++ b/internal/schedule/owner/attempts_test.go
@@ -134,3 +134,19 @@
 		t.Errorf("state of the job (-want +got):\n%s", diff)
 	}
 }
+
+// A late failure of a task beyond the first record of a divided job is recorded, too.
+func TestLateFailureInDividedJobIsRecorded(t *testing.T) {
+	m := newManualOwner(t, 1, clock.Hour)
+	m.setLimits(twoTasksPerRecord)
+	m.owner.Submit(jobSpec(bestEffortJob, job.Step{Count: 6, MilliCPU: 1000}), func(Verdict) {})
+	m.settle()
+	last := job.Task{Job: bestEffortJob, Index: 5}
+	task := m.owner.task(last)
+	task.lapsedRuns = []int{1}
+	m.owner.countLateFailure(m.owner.newWorker("w"), fleet.End{Number: 1, Task: last, Run: 1, Cause: fleet.EndFailed})
+	m.settle()
+	if diff := cmp.Diff(1, m.successor(100).owner.task(last).failures); diff != "" {
+		t.Errorf("failures after a takeover (-want +got):\n%s", diff)
+	}
+}
