Keep the record of durations within the store's limit, and for known kinds

Kinds with too few runs to be written were counted to the size of the record, so many of them left no room for known ones; and a limit of the store below 64 KiB was not obeyed. TestRarelyRunKindsLeaveRoomInRecord and TestRecordFitsLimit failed before.

--- a/internal/schedule/duration/duration.go
+++ b/internal/schedule/duration/duration.go
@@ -235,16 +235,17 @@
 	return false
 }
 
-// Encode returns the known kinds as a record of at most maxRecordBytes.
-func (e *Estimator) Encode() ([]byte, error) {
+// Encode returns the known kinds as a record of at most limit bytes and maxRecordBytes.
+func (e *Estimator) Encode(limit int) ([]byte, error) {
 	var rows []row
 	size := 0
 	for _, k := range e.byUse() {
 		known := e.kinds[k]
-		size += len(k.queue) + len(k.image) + rowOverhead
-		if known.lengths.samples() < minSamples || size > maxRecordBytes {
+		bytes := len(k.queue) + len(k.image) + rowOverhead
+		if known.lengths.samples() < minSamples || size+bytes > min(limit, maxRecordBytes) {
 			continue
 		}
+		size += bytes
 		s := known.summary()
 		known.recorded = s
 		rows = append(rows, row{
--- a/internal/schedule/duration/duration_test.go
+++ b/internal/schedule/duration/duration_test.go
@@ -81,7 +81,7 @@
 			e.Observe(Kind{Queue: "q", Image: fmt.Sprintf("image-%0500d", i)}, 1000, clock.Millis(i))
 		}
 	}
-	data, err := e.Encode()
+	data, err := e.Encode(maxRecordBytes)
 	if err != nil || len(e.kinds) > maxKinds || len(data) > maxRecordBytes {
 		t.Errorf("%d kinds, %d bytes, %v", len(e.kinds), len(data), err)
 	}
@@ -90,6 +90,41 @@
 	}
 }
 
+// Kinds with too few runs to be known must not use up the record's size.
+func TestRarelyRunKindsLeaveRoomInRecord(t *testing.T) {
+	e, next, known := New(), New(), Kind{Queue: "q", Image: "known"}
+	for range 2 * minSamples {
+		e.Observe(known, 1000, 1)
+	}
+	for i := range 300 {
+		e.Observe(Kind{Queue: "q", Image: fmt.Sprintf("rare-%0500d", i)}, 9000, 2)
+	}
+	data, err := e.Encode(maxRecordBytes)
+	if err == nil {
+		err = next.Load(data, 1)
+	}
+	if err != nil {
+		t.Fatal(err)
+	}
+	likely, _, _ := next.Predict(known)
+	within(t, "loaded duration", likely, 1000, 0.1)
+}
+
+// The record must fit the store's limit where that is the smaller one.
+func TestRecordFitsLimit(t *testing.T) {
+	e := New()
+	for i := range 20 {
+		for range 2 * minSamples {
+			e.Observe(Kind{Queue: "q", Image: fmt.Sprint("image-", i)}, 1000, 1)
+		}
+	}
+	const limit = 500
+	data, err := e.Encode(limit)
+	if err != nil || len(data) > limit || len(data) < limit/4 {
+		t.Errorf("%d bytes, %v, want at most %d", len(data), err, limit)
+	}
+}
+
 func TestRecordKeepsEstimates(t *testing.T) {
 	e, next, kind := New(), New(), Kind{Queue: "q", Image: "a", Declared: 500}
 	for i := range 300 {
@@ -98,7 +133,7 @@
 	if !e.Changed() {
 		t.Error("new estimates are not worth a record")
 	}
-	data, err := e.Encode()
+	data, err := e.Encode(maxRecordBytes)
 	if err == nil {
 		err = next.Load(data, 1)
 	}
--- a/internal/schedule/owner/durations.go
+++ b/internal/schedule/owner/durations.go
@@ -99,7 +99,7 @@
 	if !o.durations.Changed() {
 		return
 	}
-	data, err := o.durations.Encode()
+	data, err := o.durations.Encode(o.options.Limits.RecordBytes - len(keyDurations) - recordReserve)
 	if err != nil {
 		o.options.Log.Error().Err(err).Msg("cannot encode the durations")
 		return
