Count a submission once against its customer's rate

One that is taken back while the store does not answer was counted again when it was decided on anew, and could become excess for it. TestUnsentSubmissionCountsOnceAgainstRate failed before.

--- a/internal/schedule/owner/fair.go
+++ b/internal/schedule/owner/fair.go
@@ -188,7 +188,8 @@
 // it if it is in excess. A refusal is kept, so that it is checked and counted once
 // for a submission that stays undecided.
 func (o *Owner) admitRateOnce(s *submission) Verdict {
-	if s.rateRefusal.Ruling == Recorded {
+	if !s.rateCounted {
+		s.rateCounted = true
 		s.spec.Excess, s.rateRefusal = o.admitRate(&s.spec)
 	}
 	return s.rateRefusal
--- a/internal/schedule/owner/submit.go
+++ b/internal/schedule/owner/submit.go
@@ -357,7 +357,7 @@
 		acceptReplies := j.acceptReplies
 		j.acceptReplies = nil
 		for _, reply := range acceptReplies {
-			o.decide(submission{spec: j.spec, reply: reply, at: o.now})
+			o.decide(submission{spec: j.spec, reply: reply, at: o.now, rateCounted: true})
 		}
 	}
 	o.batch.jobs = remaining
--- a/internal/schedule/owner/undecided.go
+++ b/internal/schedule/owner/undecided.go
@@ -23,6 +23,7 @@
 	// rateRefusal is the refusal for its customer's rate. Its ruling is Recorded while the
 	// rate has not been checked or allows the submission.
 	rateRefusal Verdict
+	rateCounted bool // it is counted against its customer's rate
 }
 
 // NoLaterOwner records that all other entries were found to know no later owner, by
--- a/internal/schedule/owner/undecided_test.go
+++ b/internal/schedule/owner/undecided_test.go
@@ -7,6 +7,7 @@
 
 	"github.com/oriolepier/oriolepier/internal/base/clock"
 	"github.com/oriolepier/oriolepier/internal/schedule/job"
+	"github.com/oriolepier/oriolepier/internal/schedule/manifest"
 )
 
 // newUnconfirmedOwner returns an owner whose ownership the store has not confirmed for
@@ -94,3 +95,28 @@
 		t.Errorf("%d rulings before the store was back; rulings (-want +got):\n%s", before, diff)
 	}
 }
+
+// A submission that is taken back while the store does not answer counts once against its
+// customer's rate: the second time it would be in excess.
+func TestUnsentSubmissionCountsOnceAgainstRate(t *testing.T) {
+	m := newUnconfirmedOwner(t)
+	const rate = 0.1 // a burst of one submission
+	tables := m.owner.tables.WithCustomers([]manifest.Customer{{Name: "a", Weight: rate}})
+	tables.Version++
+	m.owner.SetManifest(tables)
+	m.settle()
+	m.now += 600 // the next append is sent with a confirmation that is old already
+	m.owner.Tick()
+	spec := jobSpec(bestEffortJob, job.Step{Count: 1, MilliCPU: 2000})
+	spec.Customer = "a"
+	m.owner.Submit(spec, func(Verdict) {})
+	m.advance(m.owner.options.Times.StoreTimeout + 25)
+	if m.owner.jobs[bestEffortJob] != nil {
+		t.Fatal("the submission was not taken back")
+	}
+	m.settle()
+	j := m.owner.jobs[bestEffortJob]
+	if j == nil || j.excess {
+		t.Errorf("job %+v, want one that is not in excess", j)
+	}
+}
