Try tasks that pass a reservation which kept others waiting

A task of a queue that is served first, or one that may take reserved workers, was skipped in a placement pass if a task that passes no reservation had found no worker. TestPlacementFailuresCoverOnlyHarderTasks has the two cases, which failed before.

--- a/internal/schedule/owner/placement_failures.go
+++ b/internal/schedule/owner/placement_failures.go
@@ -27,6 +27,8 @@
 	urgency               float64      // of its job; a higher one relaxes the constraints
 	length                clock.Millis // duration until candidate.endsBy; 0: no worker is reserved. A shorter one relaxes the constraints
 	exemptions            exemptions   // from reservations; more of them relax the constraints
+	priority              int          // of its queue; 0 while no worker is reserved. A lower one relaxes the constraints
+	mustPlace             bool         // it may take reserved workers; false while none is
 	rejections            rejections
 }
 
@@ -41,6 +43,7 @@
 	if o.reservations.reserved > 0 {
 		c := o.newCandidate(task, step)
 		request.length, request.exemptions = c.endsBy-o.now, c.exemptions
+		request.priority, request.mustPlace = c.priority, c.mustPlace
 	}
 	return request
 }
@@ -49,7 +52,7 @@
 // rejects the other one, too.
 func (r failedRequest) isAtMostAsHardAs(other failedRequest) bool {
 	return r.resources.FitsIn(other.resources) && r.lastPlacementChangeAt <= other.lastPlacementChangeAt && r.urgency >= other.urgency &&
-		r.length <= other.length && r.exemptions.include(other.exemptions)
+		r.length <= other.length && r.exemptions.include(other.exemptions) && r.priority <= other.priority && (r.mustPlace || !other.mustPlace)
 }
 
 func failureClassOf(pool string, step *stepState) failureClass {
--- a/internal/schedule/owner/placement_failures_test.go
+++ b/internal/schedule/owner/placement_failures_test.go
@@ -57,6 +57,16 @@
 	if covers("p", failedStep, request(failedStep, 9, 0.5)) {
 		t.Error("a job with a longer wait, and so relaxed constraints, was skipped")
 	}
+	for name, change := range map[string]func(*failedRequest){
+		"of a queue that is served first": func(r *failedRequest) { r.priority-- },
+		"that may take reserved workers":  func(r *failedRequest) { r.mustPlace = true },
+	} {
+		changed := request(failedStep, 10, 0.5)
+		change(&changed)
+		if covers("p", failedStep, changed) {
+			t.Errorf("a request %s counts as at least as hard to place", name)
+		}
+	}
 	limited := with(func(s *job.Step) { s.PerWorker = 1; s.Image = "h" })
 	failures.record("p", &stepState{spec: &limited}, request(limited, 0, 0))
 	plain := with(func(s *job.Step) { s.Image = "h" })
