Bound the connections for orders to workers

Orders of an entry, for its own owner and as a link, now share the descriptors that the listeners leave, less as many for holds: 1,059 of 4,100. Holds have connections of their own.

--- a/internal/site/budget/budget.go
+++ b/internal/site/budget/budget.go
@@ -31,34 +31,38 @@
 
 // Limits of one process.
 type Limits struct {
-	Connections     int          // of callers
-	SideConnections int          // of each other HTTP listener
-	PeerConnections int          // of other entries
-	BodyBytes       int64        // of callers' bodies in memory, buffers that double included
-	ForwardedBytes  int64        // of requests that other entries have forwarded and that are not answered
-	JobBytes        int64        // live heap with which the owner accepts jobs
-	BodyRate        int64        // bytes per second below which a body is ended after BodyGrace
-	BodyGrace       clock.Millis // for a body at any rate, and for an answer that is not read
+	Connections       int          // of callers
+	SideConnections   int          // of each other HTTP listener
+	PeerConnections   int          // of other entries
+	WorkerConnections int          // for orders to workers; those for holds are not among them
+	BodyBytes         int64        // of callers' bodies in memory, buffers that double included
+	ForwardedBytes    int64        // of requests that other entries have forwarded and that are not answered
+	JobBytes          int64        // live heap with which the owner accepts jobs
+	BodyRate          int64        // bytes per second below which a body is ended after BodyGrace
+	BodyGrace         clock.Millis // for a body at any rate, and for an answer that is not read
 }
 
 // Shares of a process's memory and descriptors. Base is what is assumed where the
 // settings name neither.
 const (
-	baseMemoryMB       = 512
-	baseDescriptors    = 4096
-	bytesPerMB         = 1 << 20
-	connectionShare    = 4        // connections take at most a fourth of the memory
-	connectionBytes    = 64 << 10 // stack, buffers of net/http, and most of the kernel's receive buffer
-	bodyShare          = 8        // the garbage collector keeps up to twice this
-	forwardedShare     = 8
-	jobShare           = 0.4
-	callerFiles        = 2 // callers get half of the descriptors; workers, store and entries the rest
-	peerFiles          = 8
-	sideFiles          = 16
-	maxPeerConnections = 512
-	maxSideConnections = 64
-	defaultBodyRate    = 2 << 10
-	defaultBodyGrace   = 10 * clock.Second // three times the default time limit of a request
+	baseMemoryMB         = 512
+	baseDescriptors      = 4096
+	bytesPerMB           = 1 << 20
+	connectionShare      = 4        // connections take at most a fourth of the memory
+	connectionBytes      = 64 << 10 // stack, buffers of net/http, and most of the kernel's receive buffer
+	bodyShare            = 8        // the garbage collector keeps up to twice this
+	forwardedShare       = 8
+	jobShare             = 0.4
+	callerFiles          = 2 // callers get half of the descriptors; workers, store and entries the rest
+	peerFiles            = 8
+	sideFiles            = 16
+	otherFiles           = 20 // log, store, and the program's own
+	orderFiles           = 2  // orders get half of what the listeners leave; holds, one for each worker, the rest
+	minWorkerConnections = 8
+	maxPeerConnections   = 512
+	maxSideConnections   = 64
+	defaultBodyRate      = 2 << 10
+	defaultBodyGrace     = 10 * clock.Second // three times the default time limit of a request
 )
 
 // Derive returns the limits of a process with the given memory and number of
@@ -71,7 +75,7 @@
 		descriptors = baseDescriptors
 	}
 	memory := int64(memoryMB) * bytesPerMB
-	return Limits{
+	limits := Limits{
 		Connections:     max(min(int(memory/connectionShare/connectionBytes), descriptors/callerFiles), 1),
 		SideConnections: max(min(descriptors/sideFiles, maxSideConnections), 1),
 		PeerConnections: max(min(descriptors/peerFiles, maxPeerConnections), 1),
@@ -81,6 +85,18 @@
 		BodyRate:        defaultBodyRate,
 		BodyGrace:       defaultBodyGrace,
 	}
+	return limits.withWorkerConnections(descriptors)
+}
+
+// sideListeners is the number of HTTP listeners besides that of callers.
+const sideListeners = 2
+
+// withWorkerConnections returns the limits with the connections for orders that the
+// listeners leave.
+func (l Limits) withWorkerConnections(descriptors int) Limits {
+	rest := descriptors - descriptors/otherFiles - l.Connections - sideListeners*l.SideConnections - l.PeerConnections
+	l.WorkerConnections = max(rest/orderFiles, minWorkerConnections)
+	return l
 }
 
 // With returns the limits with those of other that are not zero.
@@ -147,7 +163,7 @@
 		set.GetOrCreateGauge(`oriolepier_budget_in_use{limit="`+limit+`"}`, inUse)
 	}
 	for limit, value := range map[string]int64{
-		callerLimit: int64(limits.Connections), sideLimit: int64(limits.SideConnections), peerLimit: int64(limits.PeerConnections), "body_bytes": limits.BodyBytes, "body_rate": limits.BodyRate,
+		callerLimit: int64(limits.Connections), sideLimit: int64(limits.SideConnections), peerLimit: int64(limits.PeerConnections), "body_bytes": limits.BodyBytes, "body_rate": limits.BodyRate, "worker_connections": int64(limits.WorkerConnections),
 		"forwarded_bytes": limits.ForwardedBytes, "job_bytes": limits.JobBytes,
 	} {
 		set.GetOrCreateGauge(`oriolepier_budget_limit{limit="`+limit+`"}`, func() float64 { return float64(value) })
--- a/internal/site/budget/budget_test.go
+++ b/internal/site/budget/budget_test.go
@@ -24,7 +24,7 @@
 // leave descriptors for workers.
 func TestDerive(t *testing.T) {
 	want := Limits{
-		Connections: 1136, SideConnections: 64, PeerConnections: 512, BodyBytes: 284 << 17, ForwardedBytes: 284 << 17,
+		Connections: 1136, SideConnections: 64, PeerConnections: 512, WorkerConnections: 1059, BodyBytes: 284 << 17, ForwardedBytes: 284 << 17,
 		JobBytes: 119118233, BodyRate: 2048, BodyGrace: 10_000,
 	}
 	got := Derive(284, 4100)
@@ -37,6 +37,8 @@
 	}
 	if left := 4100 - files - got.Connections - 2*got.SideConnections - got.PeerConnections; left < 2*890 {
 		t.Errorf("%d descriptors are left for 890 workers", left)
+	} else if left < 890+got.WorkerConnections {
+		t.Errorf("%d descriptors are left for the holds of 890 workers and %d connections for orders", left, got.WorkerConnections)
 	}
 }
 
--- a/internal/site/daemon/wire.go
+++ b/internal/site/daemon/wire.go
@@ -40,10 +40,10 @@
 	do.ProvideValue(injector, logline.New(options.Out))
 	do.ProvideValue(injector, metrics.NewSet())
 	do.ProvideValue(injector, platform.NewStore(settings.Store.Address))
-	do.ProvideValue(injector, platform.NewWorkers(settings.Limits.Cores))
 	do.ProvideValue(injector, peer.NewClient(options.security()))
 	do.Provide(injector, newLogger)
 	do.Provide(injector, newBudget)
+	do.Provide(injector, newWorkers)
 	do.Provide(injector, newLinkMetrics)
 	do.Provide(injector, newShard)
 	do.Provide(injector, newTables)
@@ -156,6 +156,17 @@
 	return budget.New(derived, clock.New(), do.MustInvoke[zerolog.Logger](injector), do.MustInvoke[*metrics.Set](injector)), nil
 }
 
+// newWorkers returns the client of workers, for this entry's owner and for owners that
+// use this entry as a link.
+func newWorkers(injector do.Injector) (platform.Workers, error) {
+	limits := do.MustInvoke[*budget.Budget](injector).Limits()
+	workers := platform.NewWorkers(do.MustInvoke[platform.Settings](injector).Limits.Cores).WithConnections(limits.WorkerConnections)
+	do.MustInvoke[*metrics.Set](injector).GetOrCreateGauge(`oriolepier_budget_in_use{limit="worker_connections"}`, func() float64 {
+		return float64(workers.OpenConnections())
+	})
+	return workers, nil
+}
+
 func newLinkMetrics(injector do.Injector) (*linkshard.Metrics, error) {
 	return linkshard.NewMetrics(do.MustInvoke[*metrics.Set](injector)), nil
 }
