Bound the starts under way on a worker and in the cell

One accepted job of 262,144 tasks of 1 milli-CPU made the owner place and start as many tasks as its worker had room for at once, beyond the descriptors and memory of the VM.

A worker with 128 starts that are recorded, unanswered or retried gets no further run, and the cell none while as many starts are under way as the entry has connections for. Tasks stay waiting meanwhile: no order waits in a queue. Open starts on workers that have answered none for 150 ms count for at most half of the cell's bound, get no further ones from half of it, and are retried one after the other, so that an unreachable failure domain leaves starts to the others. Tasks that wait for it have the reason starts in placement_blocked, blocked_by and the metrics.

--- a/internal/schedule/owner/metrics.go
+++ b/internal/schedule/owner/metrics.go
@@ -11,21 +11,22 @@
 	set            *metrics.Set
 	customerLabels map[string]bool // labels given to customers
 
-	Accepted    *metrics.Counter  // jobs whose record was acknowledged
-	Appends     *metrics.Counter  // acknowledged appends
-	Starts      *metrics.Counter  // confirmed starts; after a takeover also inherited runs when first reported
-	Lapses      *metrics.Counter  // workers whose leases expired
-	Paces       *metrics.Counter  // pace orders sent
-	Moves       *metrics.Counter  // best-effort runs stopped for interference
-	Relocations *metrics.Counter  // long-running runs stopped to make room for best-effort tasks
-	Stalls      *metrics.Counter  // workers found stalled
-	WaitingCPU  *metrics.Gauge    // milli-CPU requested by tasks that the last placement pass left waiting
-	IdleCPU     *metrics.Gauge    // milli-CPU of usable workers that is not in use while tasks wait
-	FenceTime   DurationHistogram // from the confirmation of a claim to that of the record that fences earlier owners
-	AppendTime  DurationHistogram // from the first send of an append to its acknowledgement
-	AcceptTime  DurationHistogram // from the submission of a job to the acknowledgement of its record
-	StartTime   DurationHistogram // from the submission of a job to its first confirmed start
-	DoneTime    DurationHistogram // from the submission of a job to its completion
+	Accepted       *metrics.Counter  // jobs whose record was acknowledged
+	Appends        *metrics.Counter  // acknowledged appends
+	Starts         *metrics.Counter  // confirmed starts; after a takeover also inherited runs when first reported
+	Lapses         *metrics.Counter  // workers whose leases expired
+	Paces          *metrics.Counter  // pace orders sent
+	Moves          *metrics.Counter  // best-effort runs stopped for interference
+	Relocations    *metrics.Counter  // long-running runs stopped to make room for best-effort tasks
+	Stalls         *metrics.Counter  // workers found stalled
+	WaitingCPU     *metrics.Gauge    // milli-CPU requested by tasks that the last placement pass left waiting
+	StartsUnderWay *metrics.Gauge    // starts that are being recorded or are unanswered
+	IdleCPU        *metrics.Gauge    // milli-CPU of usable workers that is not in use while tasks wait
+	FenceTime      DurationHistogram // from the confirmation of a claim to that of the record that fences earlier owners
+	AppendTime     DurationHistogram // from the first send of an append to its acknowledgement
+	AcceptTime     DurationHistogram // from the submission of a job to the acknowledgement of its record
+	StartTime      DurationHistogram // from the submission of a job to its first confirmed start
+	DoneTime       DurationHistogram // from the submission of a job to its completion
 }
 
 // DurationHistogram is a histogram in seconds that observes milliseconds.
@@ -41,21 +42,22 @@
 	newDuration := func(name string) DurationHistogram { return DurationHistogram{histogram: set.NewHistogram(name)} }
 	return &Metrics{
 		set: set, customerLabels: map[string]bool{},
-		Accepted:    set.NewCounter("oriolepier_jobs_accepted_total"),
-		Appends:     set.NewCounter("oriolepier_store_appends_total"),
-		Starts:      set.NewCounter("oriolepier_task_starts_total"),
-		Lapses:      set.NewCounter("oriolepier_worker_leases_lapsed_total"),
-		Paces:       set.NewCounter("oriolepier_task_paces_total"),
-		Moves:       set.NewCounter("oriolepier_task_moves_total"),
-		Relocations: set.NewCounter("oriolepier_task_relocations_total"),
-		Stalls:      set.NewCounter("oriolepier_worker_stalls_total"),
-		WaitingCPU:  set.NewGauge("oriolepier_placement_waiting_milli_cpu", nil),
-		IdleCPU:     set.NewGauge("oriolepier_placement_idle_milli_cpu", nil),
-		FenceTime:   newDuration("oriolepier_cell_fence_seconds"),
-		AppendTime:  newDuration("oriolepier_store_append_seconds"),
-		AcceptTime:  newDuration("oriolepier_job_accept_seconds"),
-		StartTime:   newDuration("oriolepier_job_first_start_seconds"),
-		DoneTime:    newDuration("oriolepier_job_completion_seconds"),
+		Accepted:       set.NewCounter("oriolepier_jobs_accepted_total"),
+		Appends:        set.NewCounter("oriolepier_store_appends_total"),
+		Starts:         set.NewCounter("oriolepier_task_starts_total"),
+		Lapses:         set.NewCounter("oriolepier_worker_leases_lapsed_total"),
+		Paces:          set.NewCounter("oriolepier_task_paces_total"),
+		Moves:          set.NewCounter("oriolepier_task_moves_total"),
+		Relocations:    set.NewCounter("oriolepier_task_relocations_total"),
+		Stalls:         set.NewCounter("oriolepier_worker_stalls_total"),
+		WaitingCPU:     set.NewGauge("oriolepier_placement_waiting_milli_cpu", nil),
+		StartsUnderWay: set.NewGauge("oriolepier_starts_under_way", nil),
+		IdleCPU:        set.NewGauge("oriolepier_placement_idle_milli_cpu", nil),
+		FenceTime:      newDuration("oriolepier_cell_fence_seconds"),
+		AppendTime:     newDuration("oriolepier_store_append_seconds"),
+		AcceptTime:     newDuration("oriolepier_job_accept_seconds"),
+		StartTime:      newDuration("oriolepier_job_first_start_seconds"),
+		DoneTime:       newDuration("oriolepier_job_completion_seconds"),
 	}
 }
 
--- a/internal/schedule/owner/orders.go
+++ b/internal/schedule/owner/orders.go
@@ -59,6 +59,7 @@
 	w := r.worker
 	r.startsSent++
 	r.startsOpen++
+	o.noteStartSent(w)
 	r.orderSentAt = o.now
 	o.options.Effects.Start(fleet.Start{
 		To: w.address(), Task: r.task.key(), Run: r.runNumber, Text: r.task.job.spec.Text,
@@ -82,6 +83,7 @@
 	if !o.beginInput() || o.resignIfFenced("start", order.To.ID, answer.Outcome) {
 		return
 	}
+	o.noteStartEnded(order.To.ID, !answer.Outcome.MaybeUnreachable())
 	r := o.currentRun(order.Task, order.Run)
 	if answer.Outcome == fleet.Unanswered {
 		o.addUncertainStart(order, r)
@@ -178,11 +180,15 @@
 		o.abandonStart(r, outcome)
 		return
 	}
+	r.worker.starts.retrying++
 	o.timers.add(o.now+o.options.Times.OrderRetry, func() {
+		defer o.noteStartRetried(r.worker)
 		switch {
 		case r.stage != stageOrdered || r.task.run != r:
 		case o.leaseBlock(r.worker) != leaseAllowed || !r.keepsQuota():
 			o.abandonStart(r, outcome)
+		case o.delaysRetry(r.worker):
+			o.retryStart(r, outcome)
 		case r.worker.missedHolds > 0:
 			// Its next incarnation may answer, with other labels. The hold that is
 			// repeated at once shows which incarnation is there, or blocks leases.
@@ -300,7 +306,11 @@
 		o.markChanged(j)
 	}
 	o.markTaskChanged(task)
-	o.batch.onAck = append(o.batch.onAck, func() { o.startRecorded(r) })
+	o.noteStartPlaced(w)
+	o.batch.onAck = append(o.batch.onAck, func() {
+		o.noteStartRecorded(w)
+		o.startRecorded(r)
+	})
 	blockedBy, blockedWorkers := step.rejections.leading()
 	o.logRun("run_placed", r).Str("failure_domain", w.entry.Domain).
 		Int64("waited_ms", int64(o.now-max(task.waitingSince, j.submittedAt))).Str("blocked_by", blockedBy.String()).Int("blocked_workers", blockedWorkers).Int64("contact_age_ms", int64(o.contactAge(w))).
--- a/internal/schedule/owner/owner.go
+++ b/internal/schedule/owner/owner.go
@@ -67,6 +67,7 @@
 	Effects       Effects
 	Log           zerolog.Logger
 	Metrics       *Metrics
+	StartsAtOnce  int                    // largest number of starts of the cell under way; 0: no bound
 	AdmitBytes    func(count int64) bool // whether the process has memory for a job of so many bytes; nil: always
 }
 
@@ -135,6 +136,9 @@
 	turn                     turn                    // of the customer whose job is being placed
 	waitingWork              map[string]waitingWork  // by pool, while there are customers
 	resigned                 bool                    // the ownership is lost; no input is handled any more
+	starts                   startCounts             // starts of all workers under way; retries are not counted
+	silentOpen               int                     // open starts on silent workers, as of the last tick or pass and sent since
+	startsHeldBack           bool                    // the last placement pass left tasks waiting for a bound of starts
 	passes                   int                     // placement passes with usable workers
 	passCost                 int                     // cost of the present pass so far
 	sweep                    int                     // number of the present sweep over all waiting jobs
@@ -182,6 +186,7 @@
 	if !o.beginInput() {
 		return
 	}
+	o.countSilent()
 	o.timers.runDue(o.now)
 	o.checkLeases()
 	if o.PendingAppendAge() > o.options.Times.StoreTimeout {
@@ -195,6 +200,7 @@
 	o.moveOffDraining()
 	o.removeExpiredJobs()
 	o.checkCustomers()
+	o.options.Metrics.StartsUnderWay.Set(float64(o.startsUnderWay()))
 	o.flush()
 }
 
--- a/internal/schedule/owner/place.go
+++ b/internal/schedule/owner/place.go
@@ -25,6 +25,7 @@
 		return
 	}
 	o.countTrials()
+	o.countSilent()
 	o.expireReservations()
 	jobs := o.queue()
 	o.updateBatchShares(usablePools, jobs)
@@ -33,6 +34,10 @@
 	pass := placementPass{owner: o, pools: usablePools, failures: placementFailures{}}
 	pass.run(jobs)
 	o.reportBlocked(pass.blocked)
+	o.startsHeldBack = pass.heldByStarts
+	if pass.heldByStarts {
+		o.scheduleNextPass()
+	}
 	if pass.unplaced > 0 {
 		o.relocate(jobs)
 		o.scheduleNextPass()
@@ -75,6 +80,10 @@
 		if o.holdsBack(j, step) {
 			return false
 		}
+		if o.startsAtBound() {
+			step.rejections = rejections{rejectedStarts: 1}
+			return false
+		}
 		w := o.relocationTarget(task, step, pools)
 		if w != nil {
 			ratings = o.resetRatings(len(pools)) // the destination has less room than when it was rated
--- a/internal/schedule/owner/placement_pass.go
+++ b/internal/schedule/owner/placement_pass.go
@@ -28,12 +28,13 @@
 
 // placementPass is a pass under way.
 type placementPass struct {
-	owner    *Owner
-	pools    map[string]*poolCapacity
-	failures placementFailures
-	blocked  blockedTasks
-	unplaced int  // steps left waiting for a worker
-	cut      bool // some jobs were not considered
+	owner        *Owner
+	pools        map[string]*poolCapacity
+	failures     placementFailures
+	blocked      blockedTasks
+	unplaced     int  // steps left waiting for a worker
+	cut          bool // some jobs were not considered
+	heldByStarts bool // a worker, or the cell, may have no further start under way
 }
 
 // run considers the jobs, in their sequence, until the pass has cost its share; then jobs
@@ -95,7 +96,8 @@
 		}
 		o.blameShare(queued, step)
 		p.blocked.add(step)
-		if !step.heldByQuota() {
+		p.heldByStarts = p.heldByStarts || step.rejections[rejectedStarts] > 0
+		if !step.heldByQuota() && !step.heldByStarts() {
 			p.unplaced++
 		}
 	}
@@ -117,12 +119,13 @@
 
 // workerState is what a worker offers to tasks with a label or a limit per worker.
 type workerState struct {
-	pass      int // in which it was usable and this was read; 0: never
-	free      [3]int64
-	runsEnded int
-	reserved  *reservation
-	onTrial   bool
-	labels    []string
+	pass       int // in which it was usable and this was read; 0: never
+	free       [3]int64
+	runsEnded  int
+	reserved   *reservation
+	onTrial    bool
+	takesStart bool
+	labels     []string
 }
 
 // offer reads what a worker offers in the present pass.
@@ -130,14 +133,14 @@
 	free := w.freeRoom()
 	return workerState{
 		pass: o.passes, free: [3]int64{free.MilliCPU, free.MemoryMB, free.GPUs},
-		runsEnded: w.runsEnded, reserved: w.reserved, onTrial: o.isOnTrial(w), labels: w.entry.Labels,
+		runsEnded: w.runsEnded, reserved: w.reserved, onTrial: o.isOnTrial(w), takesStart: o.takesStart(w), labels: w.entry.Labels,
 	}
 }
 
 // same reports whether nothing has changed since an earlier reading.
 func (s workerState) same(earlier workerState) bool {
 	return s.free == earlier.free && s.runsEnded == earlier.runsEnded && s.reserved == earlier.reserved &&
-		s.onTrial == earlier.onTrial && slices.Equal(s.labels, earlier.labels)
+		s.onTrial == earlier.onTrial && s.takesStart == earlier.takesStart && slices.Equal(s.labels, earlier.labels)
 }
 
 // beginPass finds the workers that have changed since the last pass, if that one left
--- a/internal/schedule/owner/rating.go
+++ b/internal/schedule/owner/rating.go
@@ -83,6 +83,8 @@
 	switch {
 	case !committedRoom(step.spec).FitsIn(w.freeRoom()):
 		return unsuitable, rejectedRoom
+	case w.starts.total() > 0 && !o.takesStart(w):
+		return unsuitable, rejectedStarts
 	case o.isOnTrial(w):
 		return unsuitable, rejectedFailing
 	case !constraintsAllow(step, w):
--- a/internal/schedule/owner/rejection.go
+++ b/internal/schedule/owner/rejection.go
@@ -21,11 +21,12 @@
 	rejectedPool                   // the pool has no usable worker, or leaves no more room to long-running tasks
 	rejectedQuota                  // (the customer) has all running that its limit allows
 	rejectedShare                  // it has too little room, and the customer has its share or sends more than its rate
+	rejectedStarts                 // it, or the cell, has as many starts under way as it may
 	rejectionKinds
 )
 
 func (r rejection) String() string {
-	return [...]string{"none", "room", "limits", "reservation", "incompatible", "headroom", "trial", "idle_processors", "paused", "failing", "pool", "quota", "share"}[r]
+	return [...]string{"none", "room", "limits", "reservation", "incompatible", "headroom", "trial", "idle_processors", "paused", "failing", "pool", "quota", "share", "starts"}[r]
 }
 
 // rejections counts workers by the reason why they cannot run a task.
--- a/internal/schedule/owner/relocate.go
+++ b/internal/schedule/owner/relocate.go
@@ -166,7 +166,7 @@
 	}
 	o.endRelocation(task, relocated)
 	w := relocated.to
-	if !o.isUsable(w) || !slices.Contains(pools, w.entry.Service) || !constraintsAllow(step, w) || !committedRoom(step.spec).FitsIn(w.freeRoom()) {
+	if !o.isUsable(w) || !o.takesStart(w) || !slices.Contains(pools, w.entry.Service) || !constraintsAllow(step, w) || !committedRoom(step.spec).FitsIn(w.freeRoom()) {
 		return nil
 	}
 	return w
--- a/internal/schedule/owner/workers.go
+++ b/internal/schedule/owner/workers.go
@@ -62,6 +62,8 @@
 	uncertainStarts        []uncertainStart // unanswered starts that may still be executed
 	holdUntilMS            int64            // end of the lease that the newest hold grants; 0: none
 	uncertainGrant         uncertainGrant   // leases of unanswered orders that may still be executed
+	starts                 startCounts      // its starts under way
+	silentSince            clock.Millis     // while starts are open: when it last answered one, or the first of them was sent
 	pace                   int              // pace of its best-effort tasks in percent
 	paceChangedAt          clock.Millis     // when pace last changed
 	quietSince             clock.Millis     // since when no best-effort task has worked on it, by its reports; 0: one works
--- a/internal/site/daemon/daemon.go
+++ b/internal/site/daemon/daemon.go
@@ -177,7 +177,7 @@
 		Limits:     d.settings.Store.Limits(),
 		Dispatcher: pool.Dispatch(),
 		Times:      owner.DefaultTimes(d.settings.Bounds.MaxLease, d.settings.Bounds.StatusKept),
-		Cores:      d.settings.Limits.Cores, AdmitBytes: d.budget.Jobs.Admit,
+		Cores:      d.settings.Limits.Cores, AdmitBytes: d.budget.Jobs.Admit, StartsAtOnce: platform.StartsAtOnce(d.budget.Limits().WorkerConnections),
 		Logger: d.logger, Metrics: d.ownerMetrics, Tables: d.tables.Since, Workers: d.listWorkers(pool),
 		PreviousOwner: previousOwner.Name, PreviousOwnerStopped: previousOwner.Stopped,
 	})
--- a/internal/site/runtime/runtime.go
+++ b/internal/site/runtime/runtime.go
@@ -53,6 +53,8 @@
 	Metrics    *owner.Metrics
 	// AdmitBytes reports whether the process has memory for a job; nil: always.
 	AdmitBytes func(count int64) bool
+	// StartsAtOnce is the largest number of starts under way; 0: no bound.
+	StartsAtOnce int
 	// Tables returns the newest manifest and the failure domains that are out of
 	// service; Workers returns the newest list of workers. Both are called before
 	// the first tick and on each, and return false if nothing is known or nothing has changed since the
@@ -106,7 +108,7 @@
 		Epoch: options.Epoch, PreviousOwner: options.PreviousOwner, Now: options.Clock.Now,
 		WallClock: func() int64 { return time.Now().UnixMilli() },
 		Limits:    options.Limits,
-		Times:     options.Times, Cores: options.Cores, Log: options.Logger, Metrics: options.Metrics, AdmitBytes: options.AdmitBytes,
+		Times:     options.Times, Cores: options.Cores, Log: options.Logger, Metrics: options.Metrics, AdmitBytes: options.AdmitBytes, StartsAtOnce: options.StartsAtOnce,
 		Effects: owner.Effects{
 			Append: r.append, Start: r.start, Stop: r.stop, Pace: r.pace, Hold: r.hold, Resign: r.resign,
 		},
