--- a/internal/site/budget/budget.go
+++ b/internal/site/budget/budget.go
@@ -101,7 +101,9 @@
 
 // With returns the limits with those of other that are not zero.
 func (l Limits) With(other Limits) Limits {
+	derived := l.Connections
 	l.Connections = cmp.Or(other.Connections, l.Connections)
+	l.WorkerConnections = max(l.WorkerConnections+(derived-l.Connections)/orderFiles, minWorkerConnections)
 	l.BodyBytes = cmp.Or(other.BodyBytes, l.BodyBytes)
 	l.BodyRate = cmp.Or(other.BodyRate, l.BodyRate)
 	return l
--- a/internal/site/budget/budget_test.go
+++ b/internal/site/budget/budget_test.go
@@ -42,6 +42,17 @@
 	}
 }
 
+// Guards against descriptors that are given to callers and to orders as well.
+func TestMoreCallersLeaveFewerOrders(t *testing.T) {
+	var got []int
+	for _, connections := range []int{0, 1536, 3075} {
+		got = append(got, Derive(284, 4100).With(Limits{Connections: connections}).WorkerConnections)
+	}
+	if diff := cmp.Diff([]int{1059, 859, 90}, got); diff != "" {
+		t.Errorf("connections for orders (-want +got):\n%s", diff)
+	}
+}
+
 // served is a server whose handler answers 200 once it has read the body.
 type served struct {
 	t       *testing.T
