--- a/internal/site/budget/budget.go
+++ b/internal/site/budget/budget.go
@@ -31,14 +31,15 @@
 
 // Limits of one process.
 type Limits struct {
-	Connections     int          // of callers
-	SideConnections int          // of each other HTTP listener
-	PeerConnections int          // of other entries
-	BodyBytes       int64        // of callers' bodies in memory, buffers that double included
-	ForwardedBytes  int64        // of requests that other entries have forwarded and that are not answered
-	JobBytes        int64        // live heap with which the owner accepts jobs
-	BodyRate        int64        // bytes per second below which a body is ended after BodyGrace
-	BodyGrace       clock.Millis // for a body at any rate, and for an answer that is not read
+	Connections       int          // of callers
+	SideConnections   int          // of each other HTTP listener
+	PeerConnections   int          // of other entries
+	WorkerConnections int          // for orders to workers; those for holds are not among them
+	BodyBytes         int64        // of callers' bodies in memory, buffers that double included
+	ForwardedBytes    int64        // of requests that other entries have forwarded and that are not answered
+	JobBytes          int64        // live heap with which the owner accepts jobs
+	BodyRate          int64        // bytes per second below which a body is ended after BodyGrace
+	BodyGrace         clock.Millis // for a body at any rate, and for an answer that is not read
 }
 
 // Resources that are assumed if the settings do not name them.
@@ -62,8 +63,11 @@
 	callerDescriptorDivisor = 2 // callers get half; workers, store and entries the rest
 	peerDescriptorDivisor   = 8
 	sideDescriptorDivisor   = 16 // of each listener
+	otherDescriptorDivisor  = 20 // log, store, and the program's own files
+	orderDivisor            = 2  // orders get half of what the listeners leave; holds, one for each worker, the rest
 	maxPeerConnections      = 512
 	maxSideConnections      = 64
+	minWorkerConnections    = 8
 )
 
 // Defaults for the arrival of bodies.
@@ -82,7 +86,7 @@
 		descriptors = defaultDescriptors
 	}
 	memory := int64(memoryMB) * bytesPerMB
-	return Limits{
+	limits := Limits{
 		Connections:     max(min(int(memory/connectionDivisor/connectionBytes), descriptors/callerDescriptorDivisor), 1),
 		SideConnections: max(min(descriptors/sideDescriptorDivisor, maxSideConnections), 1),
 		PeerConnections: max(min(descriptors/peerDescriptorDivisor, maxPeerConnections), 1),
@@ -92,12 +96,26 @@
 		BodyRate:        defaultBodyRate,
 		BodyGrace:       defaultBodyGrace,
 	}
+	return limits.withWorkerConnections(descriptors)
+}
+
+// sideListeners is the number of HTTP listeners besides that of callers.
+const sideListeners = 2
+
+// withWorkerConnections returns the limits with the connections for orders that the
+// listeners leave.
+func (l Limits) withWorkerConnections(descriptors int) Limits {
+	rest := descriptors - descriptors/otherDescriptorDivisor - l.Connections - sideListeners*l.SideConnections - l.PeerConnections
+	l.WorkerConnections = max(rest/orderDivisor, minWorkerConnections)
+	return l
 }
 
 // With returns the limits with the connections, body bytes and body rate of other that
 // are not zero. The remaining limits cannot be set.
 func (l Limits) With(other Limits) Limits {
+	derived := l.Connections
 	l.Connections = cmp.Or(other.Connections, l.Connections)
+	l.WorkerConnections = max(l.WorkerConnections+(derived-l.Connections)/orderDivisor, minWorkerConnections)
 	l.BodyBytes = cmp.Or(other.BodyBytes, l.BodyBytes)
 	l.BodyRate = cmp.Or(other.BodyRate, l.BodyRate)
 	return l
--- a/internal/site/budget/budget_test.go
+++ b/internal/site/budget/budget_test.go
@@ -25,7 +25,7 @@
 // leave descriptors for workers.
 func TestDerive(t *testing.T) {
 	want := Limits{
-		Connections: 1136, SideConnections: 64, PeerConnections: 512, BodyBytes: 284 << 17, ForwardedBytes: 284 << 17,
+		Connections: 1136, SideConnections: 64, PeerConnections: 512, WorkerConnections: 1059, BodyBytes: 284 << 17, ForwardedBytes: 284 << 17,
 		JobBytes: 119118233, BodyRate: 2048, BodyGrace: 10_000,
 	}
 	got := Derive(284, 4100)
@@ -38,6 +38,19 @@
 	}
 	if left := 4100 - files - got.Connections - 2*got.SideConnections - got.PeerConnections; left < 2*890 {
 		t.Errorf("%d descriptors are left for 890 workers", left)
+	} else if left < 890+got.WorkerConnections {
+		t.Errorf("%d descriptors are left for the holds of 890 workers and %d connections for orders", left, got.WorkerConnections)
+	}
+}
+
+// Guards against descriptors that are given to callers and to orders as well.
+func TestMoreCallersLeaveFewerOrders(t *testing.T) {
+	var got []int
+	for _, connections := range []int{0, 1536, 3075} {
+		got = append(got, Derive(284, 4100).With(Limits{Connections: connections}).WorkerConnections)
+	}
+	if diff := cmp.Diff([]int{1059, 859, 90}, got); diff != "" {
+		t.Errorf("connections for orders (-want +got):\n%s", diff)
 	}
 }
 
