--- a/internal/schedule/owner/fair.go
+++ b/internal/schedule/owner/fair.go
@@ -145,19 +145,31 @@
 // customer has its own share or the job is in excess of its rate.
 func (o *Owner) blameShare(queued queuedJob, step *stepState) {
 	t := &o.turn
-	if t.account == nil || !queued.excess && (t.fair >= 1 || share.Dominant(t.account.Used(), t.total) < t.fair) {
+	if !t.hasShare(queued.excess) {
 		return
 	}
 	before := step.rejections[rejectedShare]
-	for _, reason := range []rejection{rejectedRoom, rejectedReservation, rejectedIdle} {
-		step.rejections[rejectedShare] += step.rejections[reason]
-		step.rejections[reason] = 0
-	}
+	step.rejections = step.rejections.attributedToShare()
 	if step.rejections[rejectedShare] > before {
 		o.customerOf(t.account).heldByShare++
 	}
 }
 
+// hasShare reports whether the customer has its own share, or a job of it is in excess of
+// its rate.
+func (t *turn) hasShare(excess bool) bool {
+	return t.account != nil && (excess || t.fair < 1 && share.Dominant(t.account.Used(), t.total) >= t.fair)
+}
+
+// attributedToShare counts the workers without enough room as rejected for the share.
+func (c rejections) attributedToShare() rejections {
+	for _, reason := range []rejection{rejectedRoom, rejectedReservation, rejectedIdle} {
+		c[rejectedShare] += c[reason]
+		c[reason] = 0
+	}
+	return c
+}
+
 // A customer's weight is also the number of submissions a second that it may expect
 // to be served. Those beyond it are in excess: they come after all other work of
 // their kind, and are refused when there is certainly no room for them in time.
--- a/internal/schedule/owner/place.go
+++ b/internal/schedule/owner/place.go
@@ -6,6 +6,7 @@
 
 	"github.com/oriolepier/oriolepier/internal/base/clock"
 	"github.com/oriolepier/oriolepier/internal/schedule/job"
+	"github.com/oriolepier/oriolepier/internal/schedule/manifest"
 )
 
 // maxContactAge is the age of a worker's last report from which the worker gets
@@ -147,23 +148,30 @@
 		if !known {
 			continue
 		}
-		jobs = append(jobs, queuedJob{
-			job: j, pools: queue.Pools, longRunning: j.longRunning(), excess: j.excess, expired: o.now > j.deadlines.expiresAt, priority: queue.Priority,
-		})
+		jobs = append(jobs, newQueuedJob(j, queue, o.now))
 	}
-	slices.SortFunc(jobs, func(a, b queuedJob) int {
-		return cmp.Or(
-			-compareBool(a.longRunning, b.longRunning),
-			compareBool(a.excess, b.excess),
-			compareBool(a.expired, b.expired),
-			cmp.Compare(a.priority, b.priority),
-			cmp.Compare(a.job.deadlines.dueAt, b.job.deadlines.dueAt),
-			cmp.Compare(a.job.spec.ID, b.job.spec.ID),
-		)
-	})
+	slices.SortFunc(jobs, compareQueued)
 	return jobs
 }
 
+func newQueuedJob(j *jobState, queue manifest.Queue, now clock.Millis) queuedJob {
+	return queuedJob{
+		job: j, pools: queue.Pools, longRunning: j.longRunning(), excess: j.excess, expired: now > j.deadlines.expiresAt, priority: queue.Priority,
+	}
+}
+
+// compareQueued orders jobs as the queue lists them.
+func compareQueued(a, b queuedJob) int {
+	return cmp.Or(
+		-compareBool(a.longRunning, b.longRunning),
+		compareBool(a.excess, b.excess),
+		compareBool(a.expired, b.expired),
+		cmp.Compare(a.priority, b.priority),
+		cmp.Compare(a.job.deadlines.dueAt, b.job.deadlines.dueAt),
+		cmp.Compare(a.job.spec.ID, b.job.spec.ID),
+	)
+}
+
 func compareBool(a, b bool) int {
 	switch {
 	case a == b:
@@ -194,9 +202,27 @@
 // isUsable reports whether a worker may get new runs: it is listed with the entry of
 // its present incarnation, not draining, in service, in contact, not backing off, and
 // leases may be granted there.
-func (o *Owner) isUsable(w *worker) bool {
-	return w.listed && w.entryIsCurrent() && !w.entry.Draining && !o.domainsOut[w.entry.Domain] &&
-		w.missedHolds == 0 && o.leaseBlock(w) == leaseAllowed && !w.leasesLapsed && o.now-w.lastReportAt < maxContactAge && o.now >= w.backoffUntil
+func (o *Owner) isUsable(w *worker) bool { return o.unusableReason(w) == "" }
+
+// unusableReason is the reason why a worker gets no new runs, or "" if it may.
+func (o *Owner) unusableReason(w *worker) string {
+	switch {
+	case !w.listed:
+		return "not_listed"
+	case !w.entryIsCurrent():
+		return "restarted"
+	case w.entry.Draining:
+		return "draining"
+	case o.domainsOut[w.entry.Domain]:
+		return "out_of_service"
+	case w.missedHolds > 0 || o.now-w.lastReportAt >= maxContactAge:
+		return "not_in_contact"
+	case o.leaseBlock(w) != leaseAllowed || w.leasesLapsed:
+		return "no_lease"
+	case o.now < w.backoffUntil:
+		return "backing_off"
+	}
+	return ""
 }
 
 // constraintsAllow reports whether the label and the per-worker limit of a step
--- a/internal/schedule/owner/quota.go
+++ b/internal/schedule/owner/quota.go
@@ -45,6 +45,20 @@
 	return c
 }
 
+// knownAccount returns the account of a customer without opening one; nil for the empty
+// name. It returns false if there is none.
+func (o *Owner) knownAccount(name string) (account *quota.Account, known bool) {
+	if name == "" {
+		return nil, true
+	}
+	accounts := o.quotas.Accounts()
+	i := slices.IndexFunc(accounts, func(account *quota.Account) bool { return account.Name() == name })
+	if i < 0 {
+		return nil, false
+	}
+	return accounts[i], true
+}
+
 // withCustomer adds the customer of a job to a log line, if it has one, and whether
 // the job is in excess of the customer's rate.
 func withCustomer(line *zerolog.Event, spec job.Spec) *zerolog.Event {
--- a/internal/schedule/owner/submit.go
+++ b/internal/schedule/owner/submit.go
@@ -6,6 +6,7 @@
 	"github.com/oriolepier/oriolepier/internal/base/clock"
 	"github.com/oriolepier/oriolepier/internal/schedule/job"
 	"github.com/oriolepier/oriolepier/internal/schedule/journal"
+	"github.com/oriolepier/oriolepier/internal/schedule/quota"
 )
 
 // Ruling is the decision on a submission, cancellation or lookup.
@@ -178,6 +179,18 @@
 // admit decides whether to accept a new job. Recorded means that nothing stands
 // against it; the job is not recorded yet.
 func (o *Owner) admit(spec job.Spec) Verdict {
+	if verdict := o.objection(spec, o.quotas.Account(spec.Customer)); verdict.Ruling != Recorded {
+		return verdict
+	}
+	if o.options.AdmitBytes != nil && !o.options.AdmitBytes(heldBytes(spec)) {
+		return Verdict{Ruling: Refused, Reason: "the owner's memory for jobs is in use", RetryAfter: clock.Second}
+	}
+	return Verdict{Ruling: Recorded}
+}
+
+// objection returns what stands against a new job, besides the memory for jobs; Recorded:
+// nothing. It changes no state.
+func (o *Owner) objection(spec job.Spec, account *quota.Account) Verdict {
 	if o.PendingAppendAge() > o.options.Times.StoreTimeout {
 		return Verdict{Ruling: Refused, Reason: reasonStoreSilent, RetryAfter: clock.Second}
 	}
@@ -191,7 +204,6 @@
 	if err := spec.CheckRecordable(o.options.Limits.RecordBytes); err != nil {
 		return Verdict{Ruling: Invalid, Reason: err.Error()}
 	}
-	account := o.quotas.Account(spec.Customer)
 	if exceedsQuota(account, &spec) {
 		return Verdict{Ruling: Invalid, Reason: "a task is larger than the limit of its customer"}
 	}
@@ -204,9 +216,6 @@
 	if o.lacksLongRunningQuota(account, &spec) {
 		return Verdict{Ruling: Refused, Reason: "the customer's limit leaves no room for more lasting tasks", RetryAfter: longRunningRetryAfter}
 	}
-	if o.options.AdmitBytes != nil && !o.options.AdmitBytes(heldBytes(spec)) {
-		return Verdict{Ruling: Refused, Reason: "the owner's memory for jobs is in use", RetryAfter: clock.Second}
-	}
 	return Verdict{Ruling: Recorded}
 }
 
