Add the command where

oriolepier where asks the owner where the tasks of a job, or of a submission in a file, would start now, and prints a table or JSON. An entry that is not the owner answers 503 with the owner's name. One question is answered at a time.

TestWhere has the output, TestWhereOfOwnerAndOtherEntry the statuses of a running deployment, TestWhereNeedsTheOperatorsToken the 401.

--- a/internal/operator/command/command.go
+++ b/internal/operator/command/command.go
@@ -2,7 +2,7 @@
 //
 //	args ──option.Parse──> command ──> files              check, explain
 //	                          ├──────> platform's store   publish, out, back, show
-//	                          ├──────> an entry           submit, status, cancel, dump
+//	                          ├──────> an entry           submit, status, cancel, dump, where
 //	                          └──────> Runners            serve, entry, demo, soak, standin
 //
 // # Usage
@@ -101,6 +101,8 @@
 		return ses.cancel(ctx)
 	case "dump":
 		return ses.dump(ctx)
+	case "where":
+		return ses.where(ctx)
 	case "explain":
 		return ses.explain()
 	default:
--- a/internal/operator/option/option.go
+++ b/internal/operator/option/option.go
@@ -44,6 +44,7 @@
 	Status  Job        `command:"status" description:"Print the state of a job"`
 	Cancel  Job        `command:"cancel" description:"Cancel a job"`
 	Dump    Dump       `command:"dump" description:"Print the state of an entry as JSON"`
+	Where   Where      `command:"where" description:"Print where a job would be placed now, and why" long-description:"Asks the owner where the next task of each step of a job would start now, and what keeps it waiting if nowhere. ARG is the id of a job, or with --path a file with a submission, which is not sent; - is standard input. Nothing is changed."`
 	Explain Explain    `command:"explain" description:"Print a job's life from log lines" long-description:"Reads log lines of all entries, from files or standard input, and prints in order what was decided about one job, by whom, and on what."`
 	Demo    Demo       `command:"demo" description:"Show the whole system in one process" long-description:"Runs entries in three failure domains with stand-ins for the platform, sends jobs and requests, takes a failure domain out and back, stops an entry, and prints what callers and workers saw as one JSON object on the last line."`
 	Soak    Soak       `command:"soak" description:"Run real processes under faults" long-description:"Runs entries and stand-ins of the platform as separate processes, injects faults from outside, and checks what workers executed and callers were answered. Prints one JSON object for each seed; the exit code is 1 if a promise was broken."`
@@ -119,6 +120,18 @@
 // Dump are the flags of the command dump.
 type Dump struct{ EntryTarget }
 
+// Where are the arguments of the command where.
+type Where struct {
+	EntryTarget
+	Host     string `long:"host" value-name:"HOST" description:"Host of the submission's route"`
+	Path     string `long:"path" value-name:"PATH" description:"Path of the submission's route, such as /formulations/"`
+	Customer string `long:"customer" value-name:"NAME" description:"Customer that the submission would be of"`
+	JSON     bool   `long:"json" description:"Print JSON"`
+	Args     struct {
+		Arg string `positional-arg-name:"ARG" required:"1"`
+	} `positional-args:"true" required:"true"`
+}
+
 // Explain are the arguments of the command explain.
 type Explain struct {
 	Args struct {
@@ -238,6 +251,8 @@
 		return opts.Soak.validate()
 	case "dump":
 		return opts.Dump.EntryTarget.validate()
+	case "where":
+		return opts.Where.validate()
 	}
 	return nil
 }
@@ -266,6 +281,13 @@
 	return nil
 }
 
+func (opts Where) validate() error {
+	if opts.Path == "" && (opts.Host != "" || opts.Customer != "") {
+		return errors.New("--host and --customer are of a submission, which needs --path")
+	}
+	return opts.EntryTarget.validate()
+}
+
 func (opts Soak) validate() error {
 	if opts.Seeds < 1 || opts.Entries < 2 || opts.Workers < 1 || opts.For <= 0 {
 		return errors.New("--seeds and --workers must be at least 1, --entries at least 2, and --for above 0")
--- a/internal/site/daemon/daemon.go
+++ b/internal/site/daemon/daemon.go
@@ -109,6 +109,7 @@
 	recentPeers   peerPings
 	knownEntries  knownEntries
 	leaving       atomic.Bool
+	answersWhere  atomic.Bool // a question of an operator is with the owner
 	tablesBehind  atomic.Bool // the owner's last ping answer had a higher TablesEnd than this entry's
 }
 
--- a/internal/site/daemon/serve.go
+++ b/internal/site/daemon/serve.go
@@ -154,6 +154,11 @@
 }
 
 func (d *Daemon) serveOperators(ctx context.Context) error {
+	return d.serveHTTP(ctx, d.operatorAddress(), d.budget.Side, d.operatorHandler())
+}
+
+// operatorHandler returns the handler of operators' requests.
+func (d *Daemon) operatorHandler() http.Handler {
 	mux := http.NewServeMux()
 	mux.HandleFunc("GET /metrics", func(writer http.ResponseWriter, _ *http.Request) {
 		d.metrics.WritePrometheus(writer)
@@ -168,8 +173,10 @@
 		writer.Header().Set("Content-Type", "application/json")
 		_, _ = writer.Write(data) // the client may have disconnected
 	})
+	mux.HandleFunc("GET /where", d.handleWhere)
+	mux.HandleFunc("POST /where", d.handleWhere)
 	mux.HandleFunc("GET /ready", d.handleReadiness)
-	return d.serveHTTP(ctx, d.operatorAddress(), d.budget.Side, d.requireToken(mux))
+	return d.requireToken(mux)
 }
 
 // serveHTTP listens on an address and serves until the context ends, with a
--- a/internal/site/runtime/runtime.go
+++ b/internal/site/runtime/runtime.go
@@ -269,6 +269,11 @@
 	return dump, dump.Epoch != 0
 }
 
+// Where says where a job would be placed now, without placing it.
+func (r *Runtime) Where(ctx context.Context, query owner.WhereQuery) owner.WhereAnswer {
+	return request(ctx, r, owner.WhereAnswer{Verdict: noDecision}, func(reply func(owner.WhereAnswer)) { reply(r.stateMachine.Where(query)) })
+}
+
 // Epoch returns the epoch of the ownership.
 func (r *Runtime) Epoch() int64 { return r.options.Epoch }
 
