--- a/internal/schedule/owner/where.go
+++ b/internal/schedule/owner/where.go
@@ -66,7 +66,8 @@
 	Strict      bool         `json:"strict"`
 }
 
-// Where answers a query. Its cost is at most one rating of all workers for each step.
+// Where answers a query. Its cost is the preparation of a placement pass, and at most one
+// rating of all workers for each of at most job.MaxSteps steps.
 func (o *Owner) Where(query WhereQuery) WhereAnswer {
 	if !o.beginInput() {
 		return WhereAnswer{Verdict: Verdict{Ruling: NotOwner, Reason: "ownership lost"}}
