--- a/internal/schedule/owner/submit.go
+++ b/internal/schedule/owner/submit.go
@@ -222,7 +222,7 @@
 
 // Estimated memory of an accepted job and its encoded records.
 const (
-	taskBytes  = 200  // bytes of a task: 103 of its state as measured, and about as many of its record while it is encoded
+	taskBytes  = 200  // bytes of a task: its state, and a part of its record while it is encoded
 	stepBytes  = 1024 // bytes of a step besides its tasks and texts
 	textFactor = 2    // a text is held in the specification and in its record while that is encoded
 )
