Owner: wait for the longest lease of a previous owner that has stopped

A successor that has no report of the worker counted an ordinary lease, 5 s, from the moment at which its predecessor was known to have stopped. Runs went on for up to 5 s after they had ended for it.

Evidence: lease_lapsed with contact_age_ms -1, evidence previous_owner_stopped and evidence_age_ms 5,426, while the run lapsed at its worker 10 s after its start.

The successor now waits for the longest lease from that moment, whatever its predecessor knew. Without such proof it counts the renew window and an ordinary lease from the fence as before (11.4 s), which covers a longest lease granted before the fence; the longer of the two where leases may be longer still.

Tried first: the renew window and the longest lease, 16.5 s.

TestPreviousOwnerStoppedWaitsForLateOrderOfEarlierIncarnation and TestRenewWindowCoversLongestLease failed before. Golden lines of the stop evidence: their ages are 1 s longer.

--- a/internal/schedule/owner/evidence_test.go
+++ b/internal/schedule/owner/evidence_test.go
@@ -96,7 +96,7 @@
 			b := takenOverHarness(t)
 			b.logTo(log)
 			b.owner.PreviousOwnerStopped(StopReleased)
-			b.tickAfter(5800)
+			b.tickAfter(6800)
 		}},
 		{evidenceRestartUnreported, func(log *bytes.Buffer) {
 			b := takenOverHarness(t)
--- a/internal/schedule/owner/lease.go
+++ b/internal/schedule/owner/lease.go
@@ -140,7 +140,7 @@
 	if w.uncertainGrant.at == 0 || w.uncertainGrant.untilMS <= w.leaseUntilMS {
 		return 0
 	}
-	return w.uncertainGrant.at + uncertainStartTTL + o.slowClockSpan(o.options.Times.LongestLease)
+	return w.uncertainGrant.at + uncertainStartTTL + o.longestLeaseSpan()
 }
 
 // wasAsked reports whether a worker has left a hold of this owner unanswered, or
--- a/internal/schedule/owner/lease_grant_test.go
+++ b/internal/schedule/owner/lease_grant_test.go
@@ -166,36 +166,79 @@
 	m.owner.Started(m.orderStart(), fleet.Answer{Outcome: fleet.Unanswered})
 	m.report(1, fleet.Run{Task: manualTask, Run: 1})
 	m.advance(25)
-	if took, longest := m.timeToEnd(m.now), m.owner.maxLeaseSpan()+clock.Second; took > longest {
+	if took, longest := m.timeToEnd(m.now), m.owner.slowClockSpan(m.owner.options.Times.Lease)+clock.Second; took > longest {
 		t.Errorf("run ended after %d ms, want at most %d", took, longest)
 	}
 }
 
-// A late order of the previous owner may have extended the leases of a restarted worker
-// to the longest just before it first reports to the next owner.
-func TestFirstReportAssumesLateOrderOfEarlierIncarnation(t *testing.T) {
-	first := newManualOwner(t, 1, clock.Hour)
-	late := first.orderStart()
-	first.owner.Started(late, fleet.Answer{Outcome: fleet.Unanswered})
-	w := standin.New(testEntry("w"), first.now)
+// restartWithLateStart restarts worker w with a start for its earlier incarnation in
+// transit, and starts run 2 of manualTask on its present one, as an owner whose
+// predecessor's list is recorded. It returns the owner, the worker and both starts.
+func restartWithLateStart(t *testing.T) (m *manualOwner, w *standin.Worker, late, second fleet.Start) {
+	t.Helper()
+	m = newManualOwner(t, 1, clock.Hour).successor(0)
+	late = m.orderStart()
+	m.owner.Started(late, fleet.Answer{Outcome: fleet.Unanswered})
+	w = standin.New(testEntry("w"), m.now)
 	w.DrawWork = func(job.Task) standin.Work { return standin.Work{Length: clock.Minute} }
-	first.owner.SetWorkers([]fleet.Entry{w.Entry})
-	first.owner.Stopped(first.stops[0], w.Stop(first.stops[0], first.now))
+	m.owner.SetWorkers([]fleet.Entry{w.Entry})
+	m.owner.Stopped(m.stops[0], w.Stop(m.stops[0], m.now))
 	for range 40 {
-		first.advance(25)
-		first.owner.Report("w", w.Hold(first.holds[len(first.holds)-1], first.now))
-		first.acknowledge()
+		m.advance(25)
+		m.owner.Report("w", w.Hold(m.holds[len(m.holds)-1], m.now))
+		m.acknowledge()
+	}
+	second = m.starts[len(m.starts)-1]
+	if second.Run != 2 {
+		t.Fatalf("run %d on the present incarnation, want 2", second.Run)
+	}
+	m.owner.Started(second, w.Start(second, m.now))
+	return m, w, late, second
+}
+
+// expectLapsed ticks until the owner holds a run on worker w for over, and fails the
+// test if the worker still executes it.
+func (m *manualOwner) expectLapsed(w *standin.Worker, run int) {
+	m.t.Helper()
+	for m.missHold(); m.owner.currentRun(manualTask, run) != nil; m.advance(25) {
+	}
+	if w.Advance(m.now); w.Running(manualTask) != 0 {
+		m.t.Errorf("run %d goes on after it has ended for the next owner", run)
 	}
-	second := first.starts[len(first.starts)-1]
-	w.Start(second, first.now)
+}
+
+// A late order of the previous owner may have extended the leases of a restarted worker
+// to the longest just before it first reports to the next owner.
+func TestFirstReportAssumesLateOrderOfEarlierIncarnation(t *testing.T) {
+	first, w, late, second := restartWithLateStart(t)
 	next := first.successor(0)
 	next.owner.SetWorkers([]fleet.Entry{w.Entry})
 	w.Start(late, next.now)
 	next.advance(1)
 	next.owner.Report("w", w.Hold(next.holds[len(next.holds)-1], next.now))
-	for next.missHold(); next.owner.currentRun(manualTask, second.Run) != nil; next.advance(25) {
-	}
-	if w.Advance(next.now); second.Run != 2 || w.Running(manualTask) != 0 {
-		t.Errorf("run %d goes on after it has ended for the next owner", second.Run)
+	next.expectLapsed(w, second.Run)
+}
+
+// The same order, where the worker is cut off before it reports to the next owner.
+func TestPreviousOwnerStoppedWaitsForLateOrderOfEarlierIncarnation(t *testing.T) {
+	first, w, late, second := restartWithLateStart(t)
+	w.Start(late, first.now)
+	next := first.successor(0)
+	next.owner.SetWorkers([]fleet.Entry{w.Entry})
+	next.owner.PreviousOwnerStopped(StopReleased)
+	next.expectLapsed(w, second.Run)
+}
+
+// Where leases may be longer than the renew window and an ordinary lease, the wait for a
+// previous owner that is not known to have stopped covers them.
+func TestRenewWindowCoversLongestLease(t *testing.T) {
+	const longestLease = 20 * clock.Second
+	first := newManualOwner(t, 1, clock.Hour)
+	first.startRun()
+	next := newManualOwner(t, 2, first.now)
+	next.owner.options.Times = DefaultTimes(longestLease, clock.Minute)
+	next.load(first)
+	if took := next.timeToEnd(first.now); took < longestLease {
+		t.Errorf("run ended %d ms after the fence, a lease lasts up to %d", took, longestLease)
 	}
 }
--- a/internal/schedule/owner/quota.go
+++ b/internal/schedule/owner/quota.go
@@ -210,7 +210,7 @@
 	if o.quotas.Empty() {
 		return
 	}
-	if o.quotas.Expire(o.now, o.slowClockSpan(o.options.Times.LongestLease)) {
+	if o.quotas.Expire(o.now, o.longestLeaseSpan()) {
 		o.placementDue = true
 	}
 	for _, c := range o.customers {
--- a/internal/schedule/owner/unresponsive.go
+++ b/internal/schedule/owner/unresponsive.go
@@ -80,16 +80,19 @@
 	return w.namedInList == unnamed || w.namedInList < o.listsRecorded
 }
 
-// previousOwnerLeaseSpan is how long a run may continue under leases of a
-// previous owner that may still be renewing them.
+// previousOwnerLeaseSpan is how long a run may continue after the fence, under leases of
+// a previous owner that may still be renewing them. Its starts end with the fence, and so
+// do the orders that may grant the longest lease.
 func (o *Owner) previousOwnerLeaseSpan() clock.Millis {
 	t := o.options.Times
-	return t.RenewWindow + o.maxLeaseSpan()
+	return max(t.RenewWindow+o.slowClockSpan(t.Lease), o.longestLeaseSpan())
 }
 
-// maxLeaseSpan is how long a lease that was just granted can last, allowing for
-// a slow worker clock.
-func (o *Owner) maxLeaseSpan() clock.Millis { return o.slowClockSpan(o.options.Times.Lease) }
+// longestLeaseSpan is how long a lease can last that any order has granted. The end of a
+// lease is a time on the clock of the incarnation that its order is meant for. If the next
+// incarnation executes the order, its clock may be far behind that time, and the worker
+// cuts the lease to the longest that it accepts.
+func (o *Owner) longestLeaseSpan() clock.Millis { return o.slowClockSpan(o.options.Times.LongestLease) }
 
 // slowClockSpan is how long a time on a worker's clock can take.
 func (o *Owner) slowClockSpan(length clock.Millis) clock.Millis {
@@ -182,7 +185,7 @@
 		Str("by", string(by)).Str("name", o.options.PreviousOwner).Send()
 	for _, w := range o.sortedWorkers {
 		if w.lastReportAt == 0 && w.runsEndProof.evidence == evidenceRenewWindow {
-			w.limitRunsEnd(proof{evidence: evidencePreviousOwnerStopped, at: o.now}, o.maxLeaseSpan())
+			w.limitRunsEnd(proof{evidence: evidencePreviousOwnerStopped, at: o.now}, o.longestLeaseSpan())
 		}
 	}
 }
--- a/internal/schedule/owner/workers.go
+++ b/internal/schedule/owner/workers.go
@@ -269,7 +269,7 @@
 		w.endsApplied, w.endsRecorded = 0, 0
 		w.clockReadAt, w.clockMS, w.leaseUntilMS = 0, 0, 0
 		w.lastReportAt = 0
-		w.runsEndBy, w.runsEndProof = o.now+uncertainStartTTL+o.slowClockSpan(o.options.Times.LongestLease), proof{evidence: evidenceRestartUnreported, at: o.now}
+		w.runsEndBy, w.runsEndProof = o.now+uncertainStartTTL+o.longestLeaseSpan(), proof{evidence: evidenceRestartUnreported, at: o.now}
 		w.leasesLapsed = false
 		o.holdUncertainStarts(w)
 	}
