Owner: count the lease of an answered start for an earlier incarnation

The owner counted leases from the first report, so it ended runs up to a second early if the worker was cut off next: a second run of their tasks.

Leases of unanswered orders and of all orders before the first report were counted already. Now an answered start whose lease ends after all that were granted to the present incarnation counts as well.

TestAnsweredOrderOfEarlierIncarnationExtendsLease failed before.

--- a/internal/schedule/owner/lease.go
+++ b/internal/schedule/owner/lease.go
@@ -122,6 +122,17 @@
 	return until
 }
 
+// countAnsweredGrant counts the lease that an answered start may have granted to the
+// present incarnation of a worker, where the start was meant for an earlier one. Leases of
+// starts for the present one are counted when they are granted, and leases before its
+// first report are counted then.
+func (o *Owner) countAnsweredGrant(w *worker, untilMS int64) {
+	if w == nil || w.lastReportAt == 0 || untilMS <= w.leaseUntilMS {
+		return
+	}
+	w.leaseUntilMS = max(w.leaseUntilMS, min(untilMS, w.clockUpperBound(o.now)+int64(o.options.Times.LongestLease)))
+}
+
 // leasesExpired reports whether every lease that was granted on a worker has
 // certainly expired. What the records say of a worker that has not reported to this
 // owner counts only once it was asked: its report is better evidence, and a
--- a/internal/schedule/owner/lease_grant_test.go
+++ b/internal/schedule/owner/lease_grant_test.go
@@ -173,12 +173,12 @@
 
 // restartWithLateStart restarts worker w with a start for its earlier incarnation in
 // transit, and starts run 2 of manualTask on its present one, as an owner whose
-// predecessor's list is recorded. It returns the owner, the worker and both starts.
+// predecessor's list is recorded. A second later, it returns the owner, the worker and
+// both starts.
 func restartWithLateStart(t *testing.T) (m *manualOwner, w *standin.Worker, late, second fleet.Start) {
 	t.Helper()
 	m = newManualOwner(t, 1, clock.Hour).successor(0)
 	late = m.orderStart()
-	m.owner.Started(late, fleet.Answer{Outcome: fleet.Unanswered})
 	w = standin.New(testEntry("w"), m.now)
 	w.DrawWork = func(job.Task) standin.Work { return standin.Work{Length: clock.Minute} }
 	m.owner.SetWorkers([]fleet.Entry{w.Entry})
@@ -203,7 +203,7 @@
 	for m.missHold(); m.owner.currentRun(manualTask, run) != nil; m.advance(25) {
 	}
 	if w.Advance(m.now); w.Running(manualTask) != 0 {
-		m.t.Errorf("run %d goes on after it has ended for the next owner", run)
+		m.t.Errorf("run %d goes on after it has ended for its owner", run)
 	}
 }
 
@@ -229,6 +229,14 @@
 	next.expectLapsed(w, second.Run)
 }
 
+// An answered start for an earlier incarnation may have reached the present one after its
+// first report.
+func TestAnsweredOrderOfEarlierIncarnationExtendsLease(t *testing.T) {
+	m, w, late, second := restartWithLateStart(t)
+	m.owner.Started(late, w.Start(late, m.now))
+	m.expectLapsed(w, second.Run)
+}
+
 // Where leases may be longer than the renew window and an ordinary lease, the wait for a
 // previous owner that is not known to have stopped covers them.
 func TestRenewWindowCoversLongestLease(t *testing.T) {
--- a/internal/schedule/owner/orders.go
+++ b/internal/schedule/owner/orders.go
@@ -85,8 +85,12 @@
 	}
 	o.noteStartEnded(order.To.ID, !answer.Outcome.MaybeUnreachable())
 	r := o.currentRun(order.Task, order.Run)
-	if answer.Outcome == fleet.Unanswered {
+	switch answer.Outcome {
+	case fleet.Unanswered:
 		o.addUncertainStart(order, r)
+	case fleet.NotSent:
+	default:
+		o.countAnsweredGrant(o.workers[order.To.ID], order.UntilMS)
 	}
 	o.noteStartAnswer(r, answer)
 	if r == nil || r.stage != stageOrdered || r.worker.id != order.To.ID {
--- a/internal/schedule/owner/workers.go
+++ b/internal/schedule/owner/workers.go
@@ -136,6 +136,12 @@
 	return w.clockMS + elapsed - elapsed*driftPercent/100
 }
 
+// clockUpperBound returns an upper bound of the worker's clock, which the last report
+// read after its hold was sent.
+func (w *worker) clockUpperBound(now clock.Millis) int64 {
+	return w.clockMS + int64(now-w.reportedHoldSentAt)
+}
+
 // expectedClock returns the lower bound of the worker's clock, or -1 if it has not
 // been read.
 func (w *worker) expectedClock(now clock.Millis) int64 {
