Owner: take no clock of a new incarnation for that of the reported one

A start may be answered by an incarnation that its owner does not know yet, which numbers its ends from 1. The owner told that by a clock that had just begun at 0. Such an answer passed as proof of the old incarnation, and the next hold acknowledged the ends of the new one unread; a task that was done there runs again then.

The clock must now continue the one of the last report, and be older than the time since, as before.

TestHoldAfterStartThatNextIncarnationMayHaveAcknowledgesNoEnds has two more cases, clocks far ahead and far behind; both failed before.

--- a/internal/schedule/owner/orders.go
+++ b/internal/schedule/owner/orders.go
@@ -117,16 +117,21 @@
 		return
 	}
 	r.startsOpen--
-	if answer.Outcome == fleet.Unanswered || answer.Outcome == fleet.Accepted && !o.provesIncarnation(r.worker, answer) {
+	if answer.Outcome == fleet.Unanswered || answer.Outcome == fleet.Accepted && !o.provesIncarnation(r, answer) {
 		r.worker.incarnationUnprovenAt = o.now
 	}
 }
 
-// provesIncarnation reports whether an answer is from the incarnation that sent the
-// last report: the clock of a later one shows no more than the time since the hold that
-// this report answered. Answers without a clock are taken as proof.
-func (o *Owner) provesIncarnation(w *worker, answer fleet.Answer) bool {
-	return answer.ClockMS == 0 || answer.ClockMS > int64(o.now-w.reportedHoldSentAt)
+// provesIncarnation reports whether the answer to a run's start is from the incarnation
+// that sent the last report: its clock continues the reported one. The clock of a later
+// incarnation begins at any number; if at 0, it shows no more than the time since the hold
+// that this report answered. Answers without a clock are taken as proof.
+func (o *Owner) provesIncarnation(r *run, answer fleet.Answer) bool {
+	w := r.worker
+	earliest := w.clockMS - int64(max(w.clockReadAt-r.orderSentAt, 0)) // the start may have been executed before the report
+	latest := w.clockUpperBound(o.now) + int64(o.options.Times.ClockSlack)
+	continues := earliest <= answer.ClockMS && answer.ClockMS <= latest
+	return answer.ClockMS == 0 || continues && answer.ClockMS > int64(o.now-w.reportedHoldSentAt)
 }
 
 // addUncertainStart adds an unanswered start, which may still be executed, to
--- a/internal/schedule/owner/restart_evidence_test.go
+++ b/internal/schedule/owner/restart_evidence_test.go
@@ -52,14 +52,20 @@
 
 // A hold must not acknowledge the unread ends of an incarnation that may have executed a
 // start since the last report. The clock of an incarnation that had just started is no
-// proof, nor is a start without an answer. The next report is.
+// proof, nor is a clock that does not continue the reported one, or a start without an
+// answer. The next report is.
 func TestHoldAfterStartThatNextIncarnationMayHaveAcknowledgesNoEnds(t *testing.T) {
 	got := map[string][]int64{
 		"same incarnation":      ackAfterStart(t, 3_600_000, fleet.Answer{Outcome: fleet.Accepted, ClockMS: 3_600_600}),
 		"just started, unclear": ackAfterStart(t, 50, fleet.Answer{Outcome: fleet.Accepted, ClockMS: 490}),
+		"clock far ahead":       ackAfterStart(t, 3_600_000, fleet.Answer{Outcome: fleet.Accepted, ClockMS: 9_000_000}),
+		"clock far behind":      ackAfterStart(t, 3_600_000, fleet.Answer{Outcome: fleet.Accepted, ClockMS: 1_000_000}),
 		"no answer":             ackAfterStart(t, 3_600_000, fleet.Answer{Outcome: fleet.Unanswered}),
 	}
-	want := map[string][]int64{"same incarnation": {40, 40}, "just started, unclear": {0, 40}, "no answer": {0, 40}}
+	want := map[string][]int64{
+		"same incarnation": {40, 40}, "just started, unclear": {0, 40},
+		"clock far ahead": {0, 40}, "clock far behind": {0, 40}, "no answer": {0, 40},
+	}
 	if diff := cmp.Diff(want, got); diff != "" {
 		t.Errorf("acknowledged by the next hold and the one after a report (-want +got):\n%s", diff)
 	}
