Stand-in worker: let clocks begin at any reading

The clock of a stand-in began at 0 in each incarnation, so no test met an owner that takes the clock of a new incarnation for the old one's, nor an order whose end is in the past there. The clocks of real workers begin anywhere, so the simulation and the soak draw them now.

--- a/internal/operator/soak/workers.go
+++ b/internal/operator/soak/workers.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"encoding/json"
+	"math/rand/v2"
 	"net"
 	"os"
 	"sync"
@@ -20,6 +21,9 @@
 // poolName is the pool of all workers.
 const poolName = "soak"
 
+// clockRangeMS is the reading below which the clock of a worker starts, in ms.
+const clockRangeMS = 10_000_000
+
 // workerSet is the file that tells a process which workers to run.
 type workerSet struct {
 	Store   string          `json:"store"`  // address at which the workers register
@@ -72,6 +76,7 @@
 		Room: fleet.Room{MilliCPU: slotsPerWorker * taskMilliCPU, MemoryMB: 2 * slotsPerWorker * taskMemoryMB},
 	}, clk.Now())
 	w.SlowClock = setting.SlowClock
+	w.StartClockAt(rand.Int64N(clockRangeMS))
 	w.AdmissionCheck = false // so that too much work on a worker is seen and not refused
 	w.DrawWork = func(task job.Task) worker.Work { return workOf(task) }
 	w.OnEvent = func(event worker.Event) { log.append(setting.ID, w.Entry.Incarnation, event) }
--- a/internal/schedule/owner/simulation_orders_test.go
+++ b/internal/schedule/owner/simulation_orders_test.go
@@ -25,7 +25,7 @@
 			// has had time to reach the present one and stop the run there: if it were
 			// delivered sooner, nothing could keep the run from beginning, which is a
 			// known gap (see FAULTS.md).
-			lateOrderStopped := m.reachable && clock.Millis(m.Clock(sim.now)) > 3*clock.Second
+			lateOrderStopped := m.reachable && sim.now-m.startedAt > 3*clock.Second
 			if !m.down && (m.Entry.Incarnation == incarnation || lateOrderStopped) {
 				m.Advance(sim.now)
 				execute(m)
--- a/internal/schedule/owner/simulation_test.go
+++ b/internal/schedule/owner/simulation_test.go
@@ -80,6 +80,8 @@
 	entryWrittenAt clock.Millis // when it was written
 	leaseUntil     int64        // end of the longest lease that it accepted, on its clock
 	tokenSeen      int64        // highest fencing token that reached it
+	startedAt      clock.Millis // when its incarnation began
+	drawClock      func() int64 // draws what its clock reads at the start of an incarnation
 	audit          *leaseAudit
 }
 
@@ -87,9 +89,10 @@
 func (m *simWorker) restart(now clock.Millis) {
 	m.down = false
 	m.Restart(now)
+	m.StartClockAt(m.drawClock())
 	m.leaseUntil, m.tokenSeen = 0, 0
 	delete(m.audit.grants, m.Entry.ID)
-	m.entryWrittenAt = now
+	m.entryWrittenAt, m.startedAt = now, now
 }
 
 // simOwner is an owner process. While frozen it handles no inputs.
@@ -129,6 +132,8 @@
 	}
 	sim.drawWork = sim.drawShortWork
 	sim.tables = manifest.New(1, []manifest.Queue{testQueue}, []manifest.Pool{{Name: "pool", RefusesOvercommit: true}}, manifest.Limits{})
+	const clockRange = 10_000_000 // a worker's clock starts below it, in ms
+	clocks := rand.New(rand.NewPCG(seed, 18))
 	for i := range workers {
 		id := fmt.Sprintf("w%02d-%c", i, 'a'+byte(i%3))
 		simulated := &simWorker{reachable: true, audit: sim.audit, Worker: standin.New(fleet.Entry{
@@ -136,6 +141,8 @@
 			Room: fleet.Room{MilliCPU: 8000, MemoryMB: 16000}, Labels: []string{"a"},
 		}, sim.now)}
 		simulated.SlowClock = i%2 == 0
+		simulated.drawClock = func() int64 { return clocks.Int64N(clockRange) }
+		simulated.StartClockAt(simulated.drawClock())
 		simulated.DrawWork = func(task job.Task) standin.Work { return sim.drawWork(task) }
 		simulated.OnEnd = func(task job.Task, cause fleet.EndCause) { sim.done[task] = sim.done[task] || cause == fleet.EndDone }
 		simulated.OnAcknowledged = func(task job.Task) { sim.completionRecorded[task] = true }
--- a/internal/standin/worker/worker.go
+++ b/internal/standin/worker/worker.go
@@ -54,7 +54,8 @@
 	OnEvent        func(event Event)                     // called for each start, end, acknowledged end and extended lease
 
 	stalledSince  clock.Millis // since when all runs are stalled; 0 if they are not
-	bootedAt      clock.Millis // when the clock of the worker read 0
+	bootedAt      clock.Millis // when the present incarnation started
+	clockStart    int64        // reading of its clock then
 	token         int64
 	leaseUntil    int64 // end of the lease, by the clock of the worker
 	runs          map[job.Task]*run
@@ -111,10 +112,11 @@
 	return w
 }
 
-// Restart starts a new incarnation under the same id, with no runs and no state.
+// Restart starts a new incarnation under the same id, with no runs and no state, whose
+// clock starts at 0.
 func (w *Worker) Restart(now clock.Millis) {
 	w.Entry.Incarnation = unixOriginMS + int64(now)
-	w.bootedAt = now
+	w.bootedAt, w.clockStart = now, 0
 	w.token, w.leaseUntil, w.endCount, w.lapsedThrough = 0, 0, 0, 0
 	w.stalledSince = 0
 	w.runs = map[job.Task]*run{}
@@ -122,6 +124,10 @@
 	w.unackedEnds = nil
 }
 
+// StartClockAt sets what the clock read at the start of the present incarnation. It must
+// be called before the first order.
+func (w *Worker) StartClockAt(reading int64) { w.clockStart = reading }
+
 // Stall stalls all runs. Calls are answered as before.
 func (w *Worker) Stall(now clock.Millis) {
 	w.Advance(now)
@@ -153,7 +159,7 @@
 	if w.SlowClock {
 		elapsed -= elapsed / slowClockDivisor
 	}
-	return elapsed
+	return w.clockStart + elapsed
 }
 
 // Tasks returns the tasks with a run, in a deterministic sequence.
@@ -209,10 +215,11 @@
 // lapsesAt returns the first time at which the clock of the worker is past the end
 // of the lease.
 func (w *Worker) lapsesAt() clock.Millis {
-	at := w.bootedAt + clock.Millis(w.leaseUntil+1)
+	left := w.leaseUntil + 1 - w.clockStart
 	if w.SlowClock {
-		at = w.bootedAt + clock.Millis((w.leaseUntil+1)*slowClockDivisor/(slowClockDivisor-1))
+		left = left * slowClockDivisor / (slowClockDivisor - 1)
 	}
+	at := w.bootedAt + clock.Millis(left)
 	for w.Clock(at) <= w.leaseUntil {
 		at++
 	}
