--- a/internal/schedule/owner/lease.go
+++ b/internal/schedule/owner/lease.go
@@ -122,10 +122,10 @@
 	return until
 }
 
-// countAnsweredGrant counts the lease that an answered start may have granted to the
-// present incarnation of a worker, where the start was meant for an earlier one. Leases of
-// starts for the present one are counted when they are granted, and leases before its
-// first report are counted then.
+// countAnsweredGrant counts the lease of an answered start that was meant for an earlier
+// incarnation of a worker, as the present one may have executed it. Two cases are counted
+// elsewhere: grantLease counts starts for the present incarnation, and its first report
+// counts everything that it executed before.
 func (o *Owner) countAnsweredGrant(w *worker, untilMS int64) {
 	if w == nil || w.lastReportAt == 0 || untilMS <= w.leaseUntilMS {
 		return
--- a/internal/schedule/owner/unresponsive.go
+++ b/internal/schedule/owner/unresponsive.go
@@ -80,9 +80,9 @@
 	return w.namedInList == unnamed || w.namedInList < o.listsRecorded
 }
 
-// previousOwnerLeaseSpan is how long a run may continue after the fence, under leases of
-// a previous owner that may still be renewing them. Its starts end with the fence, and so
-// do the orders that may grant the longest lease.
+// previousOwnerLeaseSpan is how long after the fence a run may continue, under leases of
+// a previous owner. That owner may renew ordinary leases for the renew window. It sends no
+// start after the fence, so the longest leases are counted from there.
 func (o *Owner) previousOwnerLeaseSpan() clock.Millis {
 	t := o.options.Times
 	return max(t.RenewWindow+o.slowClockSpan(t.Lease), o.longestLeaseSpan())
