--- a/review/stage/entry.go
+++ b/review/stage/entry.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"io"
 	"net"
 	"net/http"
 	"os"
@@ -410,23 +411,11 @@
 	}
 	defer p.untrack(target)
 	done := make(chan struct{}, 2)
-	pump := func(from, to net.Conn) error {
-		buffer := make([]byte, 32<<10)
-		for {
-			count, err := from.Read(buffer)
-			if count > 0 {
-				if _, writeErr := to.Write(buffer[:count]); writeErr != nil {
-					break
-				}
-			}
-			if err != nil {
-				break
-			}
-		}
+	pump := func(from, to net.Conn) {
+		_, _ = io.Copy(to, from) // ends with either connection
 		done <- struct{}{}
-		return nil
 	}
-	p.stage.group.Go(func() error { return pump(caller, target) })
-	p.stage.group.Go(func() error { return pump(target, caller) })
+	p.stage.group.Go(func() error { pump(caller, target); return nil })
+	p.stage.group.Go(func() error { pump(target, caller); return nil })
 	<-done
 }
