Review: tasks of a worker that restarted and is then lost wait 22 s

The stage has its own server for the stand-in of a worker, which can crash, start again and carry out an order late.

--- a/review/8/main.go
+++ b/review/8/main.go
@@ -57,7 +57,7 @@
 	}
 	s.Record.Add("case", "begins", "owner", owner.Name, "epoch", epoch, "trouble", trouble)
 	if trouble {
-		s.Lose(s.Workers[0])
+		s.Workers[0].Lose()
 	}
 	c := &watcher{stage: s, accepted: map[job.ID]clock.Millis{}}
 	c.submit(ctx, other(s, owner))
--- a/review/stage/entry.go
+++ b/review/stage/entry.go
@@ -193,7 +193,7 @@
 	}
 	for _, w := range s.Workers {
 		if w.Domain == domain {
-			w.storeless.Store(cut)
+			w.setStoreless(cut)
 		}
 	}
 }
--- a/review/stage/stage.go
+++ b/review/stage/stage.go
@@ -25,6 +25,7 @@
 
 	"github.com/oriolepier/oriolepier/internal/base/clock"
 	"github.com/oriolepier/oriolepier/internal/base/codec"
+	"github.com/oriolepier/oriolepier/internal/schedule/job"
 	"github.com/oriolepier/oriolepier/internal/schedule/journal"
 	"github.com/oriolepier/oriolepier/internal/schedule/manifest"
 	"github.com/oriolepier/oriolepier/internal/site/ownership"
@@ -49,7 +50,7 @@
 	Contact    clock.Millis = 3 * clock.Second
 	statusKept clock.Millis = 2 * clock.Minute
 	grace      clock.Millis = 6 * clock.Second
-	heartbeat  clock.Millis = 500
+	heartbeat  clock.Millis = 1100
 )
 
 // Limits of an entry's VM, as in the site files of the small deployments.
@@ -63,7 +64,7 @@
 const (
 	readyLimit = 30 * time.Second
 	pollPeriod = 20 * time.Millisecond
-	expiry     = 1500 * clock.Millis(1) // three heartbeats of a worker
+	expiry     = 3 * heartbeat // of the entry of a silent worker
 )
 
 // Parts of loopback addresses: 127.<base>.<part>.<number>.
@@ -84,8 +85,10 @@
 	Workers []WorkerOptions
 	Program string // the built program
 	Record  string // file for what was sent, answered and run
-	// Tables are the routes of the manifest; nil: one route to the pool.
+	// Queues are the routes of the manifest; nil: one route to the pool.
 	Queues []manifest.Queue
+	// Lasting are jobs whose tasks run until they are stopped.
+	Lasting map[job.ID]bool
 }
 
 // Stage is a running deployment.
@@ -106,6 +109,7 @@
 
 	mu     sync.Mutex
 	starts []Start
+	ends   []End
 	beats  map[string]clock.Millis // newest heartbeat of each listed worker
 }
 
--- a/review/stage/worker.go
+++ b/review/stage/worker.go
@@ -3,7 +3,8 @@
 import (
 	"context"
 	"net"
-	"sync/atomic"
+	"net/http"
+	"sync"
 	"time"
 
 	"github.com/pkg/errors"
@@ -13,6 +14,7 @@
 	"github.com/oriolepier/oriolepier/internal/schedule/job"
 	"github.com/oriolepier/oriolepier/internal/schedule/journal"
 	"github.com/oriolepier/oriolepier/internal/standin/worker"
+	"github.com/oriolepier/oriolepier/platform"
 )
 
 // WorkerOptions describe a worker.
@@ -21,17 +23,38 @@
 	Domain string
 	Labels []string
 	Cores  int64
-	Work   clock.Millis // length of a run
+	Work   clock.Millis // length of a run of a task that ends by itself
 }
 
-// Worker is a stand-in of a worker in this process. It can be lost for good.
+// Worker serves the project's stand-in of a worker in this process. It can crash and
+// start again, be lost for good, and carry out an order late.
 type Worker struct {
-	ID        string
-	Domain    string
-	Host      *worker.Host
-	address   string
-	lost      atomic.Bool
-	storeless atomic.Bool // it does not reach the store
+	ID      string
+	Domain  string
+	stage   *Stage
+	address string
+
+	mu        sync.Mutex
+	standin   *worker.Worker
+	state     workerState
+	storeless bool // it does not reach the store
+	server    *http.Server
+	late      []lateStart
+}
+
+// workerState says whether a worker runs.
+type workerState int
+
+const (
+	up   workerState = iota
+	down             // crashed: connections are refused
+	dark             // lost: connections get no answer
+)
+
+// lateStart makes the first start order of a job unanswered, and carries it out later.
+type lateStart struct {
+	job   job.ID
+	delay time.Duration
 }
 
 // Start is a start of a task that a worker has begun.
@@ -43,53 +66,84 @@
 	Token  int64
 }
 
+// End is an end of a run that a worker has listed.
+type End struct {
+	At     clock.Millis
+	Worker string
+	Task   job.Task
+	Run    int
+	Cause  fleet.EndCause
+	Acked  bool // a successful end that was acknowledged before the lease lapsed
+}
+
+// Figures of workers.
 const (
-	milliPerCore = 1000
-	memoryMB     = 64000
+	milliPerCore    = 1000
+	memoryMB        = 64000
+	registerTimeout = time.Second
+	holdPoll        = 10 * clock.Millis(1)
+	advancePeriod   = 20 * clock.Millis(1)
 )
 
 func (s *Stage) addWorker(number int, options WorkerOptions) error {
-	entry := fleet.Entry{
+	standin := worker.New(fleet.Entry{
 		ID: options.ID, Service: Pool, Domain: options.Domain, Labels: options.Labels,
 		Room: fleet.Room{MilliCPU: options.Cores * milliPerCore, MemoryMB: memoryMB},
-	}
-	standin := worker.New(entry, s.Clock.Now())
+	}, s.Clock.Now())
 	standin.Entry.Incarnation = time.Now().UnixMilli()
-	standin.DrawWork = func(job.Task) worker.Work { return worker.Work{Length: options.Work} }
-	standin.OnEvent = func(event worker.Event) {
-		switch event.Kind {
-		case worker.RunStarted:
-			s.noteStart(Start{At: event.At, Worker: options.ID, Task: event.Task, Run: event.Run, Token: event.Token})
-		case worker.RunEnded:
-			s.Record.Add(options.ID, "run_ended", "job", string(event.Task.Job), "step", event.Task.Step, "index", event.Task.Index, "run", event.Run, "how", event.Cause.String())
-		case worker.RunAcked, worker.LeaseExtended:
-		}
-	}
-	w := &Worker{ID: options.ID, Domain: options.Domain}
-	log := s.Log
-	log.Append = func(ctx context.Context, call journal.Append) journal.Answer {
-		if w.lost.Load() || w.storeless.Load() {
-			return journal.Answer{Outcome: journal.NotDone}
-		}
-		return s.Log.Append(ctx, call)
-	}
-	w.Host = worker.NewHost(standin, s.Clock, log)
-	listener, err := new(net.ListenConfig).Listen(s.ctx, "tcp", net.JoinHostPort(s.ip(workerPart, number), "0"))
+	standin.StartClockAt(firstClock)
+	standin.DrawWork = func(task job.Task) worker.Work { return s.work(task, options.Work) }
+	w := &Worker{ID: options.ID, Domain: options.Domain, stage: s, standin: standin}
+	standin.OnEvent = w.note
+	addresses, err := s.freeAddresses(s.ip(workerPart, number), 1)
 	if err != nil {
-		return errors.Wrap(err, "listen for a worker")
+		return err
+	}
+	w.address = addresses[0]
+	standin.Entry.Address = w.address
+	if err := w.listen(); err != nil {
+		return err
 	}
-	w.address = listener.Addr().String()
-	s.group.Go(func() error { return w.Host.Serve(s.ctx, &muteListener{Listener: listener, worker: w}) })
+	s.group.Go(func() error { w.sendHeartbeats(); return nil })
+	s.group.Go(func() error { w.advance(); return nil })
+	s.group.Go(func() error { <-s.ctx.Done(); w.close(); return nil })
 	s.Workers = append(s.Workers, w)
 	return nil
 }
 
-// noteStart records a start.
-func (s *Stage) noteStart(start Start) {
+// firstClock is what the clocks of workers read at the start of the stage. They have been
+// up for some time; the clock of a later life starts anew.
+const firstClock = 600_000
+
+// work draws the work of a run: tasks of jobs in Options.Lasting run until they are stopped.
+func (s *Stage) work(task job.Task, length clock.Millis) worker.Work {
+	if s.options.Lasting[task.Job] {
+		length = 0
+	}
+	return worker.Work{Length: length}
+}
+
+// note records an event of the stand-in. The worker's mutex is held.
+func (w *Worker) note(event worker.Event) {
+	s := w.stage
 	s.mu.Lock()
-	s.starts = append(s.starts, start)
+	switch event.Kind {
+	case worker.RunStarted:
+		s.starts = append(s.starts, Start{At: event.At, Worker: w.ID, Task: event.Task, Run: event.Run, Token: event.Token})
+	case worker.RunEnded, worker.RunAcked:
+		s.ends = append(s.ends, End{At: event.At, Worker: w.ID, Task: event.Task, Run: event.Run, Cause: event.Cause, Acked: event.Kind == worker.RunAcked})
+	case worker.LeaseExtended:
+	}
 	s.mu.Unlock()
-	s.Record.Add(start.Worker, "run_started", "job", string(start.Task.Job), "step", start.Task.Step, "index", start.Task.Index, "run", start.Run, "fence", start.Token)
+	if event.Kind == worker.LeaseExtended {
+		return
+	}
+	how := ""
+	if event.Kind == worker.RunEnded {
+		how = event.Cause.String()
+	}
+	s.Record.Add(w.ID, "run_"+string(event.Kind), "job", string(event.Task.Job), "step", event.Task.Step, "index", event.Task.Index,
+		"run", event.Run, "fence", event.Token, "how", how)
 }
 
 // Starts returns all starts so far.
@@ -99,53 +153,197 @@
 	return append([]Start{}, s.starts...)
 }
 
+// Ends returns all ends so far.
+func (s *Stage) Ends() []End {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return append([]End{}, s.ends...)
+}
+
 // Lose loses the worker for good, silently: its runs end, it sends no heartbeat, and
 // connections to it get no answer.
-func (s *Stage) Lose(w *Worker) {
-	s.Record.Add(w.ID, "lost_for_good")
-	w.lost.Store(true)
-	w.Host.With(func(standin *worker.Worker, now clock.Millis) {
-		standin.OnEvent = func(worker.Event) {}
-		standin.Restart(now)
-		standin.Entry.ID = "" // it answers nobody
-	})
+func (w *Worker) Lose() {
+	w.stage.Record.Add(w.ID, "lost_for_good")
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	w.state = dark
+}
+
+// Crash ends the worker: connections are reset and refused.
+func (w *Worker) Crash() {
+	w.stage.Record.Add(w.ID, "crashed")
+	w.mu.Lock()
+	w.state = down
+	server := w.server
+	w.mu.Unlock()
+	_ = server.Close()
 }
 
-// muteListener accepts connections of a lost worker and never reads them.
-type muteListener struct {
-	net.Listener
-	worker *Worker
+// Restart starts the worker again under its id. It knows nothing of before, and its clock
+// starts anew.
+func (w *Worker) Restart() error {
+	w.stage.Record.Add(w.ID, "started_again")
+	w.mu.Lock()
+	w.standin.Restart(w.stage.Clock.Now())
+	w.standin.Entry.Incarnation = time.Now().UnixMilli()
+	w.standin.StartClockAt(0)
+	w.state = up
+	w.mu.Unlock()
+	return w.listen()
 }
 
-// Accept implements net.Listener.
-func (l *muteListener) Accept() (net.Conn, error) {
-	conn, err := l.Listener.Accept()
+// CarryOutLate leaves the first start order of a job unanswered and carries it out after
+// a delay, if the worker is up then under the id that the order names.
+func (w *Worker) CarryOutLate(id job.ID, delay time.Duration) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	w.late = append(w.late, lateStart{job: id, delay: delay})
+}
+
+// listen serves the worker's calls.
+func (w *Worker) listen() error {
+	listener, err := new(net.ListenConfig).Listen(w.stage.ctx, "tcp", w.address)
 	if err != nil {
-		return nil, err
+		return errors.Wrap(err, "listen for a worker")
 	}
-	return &muteConn{Conn: conn, worker: l.worker}, nil
+	server := &http.Server{Handler: w.handler(), ReadHeaderTimeout: time.Second}
+	w.mu.Lock()
+	w.server = server
+	w.mu.Unlock()
+	w.stage.group.Go(func() error { _ = server.Serve(listener); return nil })
+	return nil
+}
+
+func (w *Worker) close() {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	_ = w.server.Close()
+}
+
+func (w *Worker) handler() http.Handler {
+	return platform.ServeWorker(platform.WorkerCalls{
+		Start: func(ctx context.Context, order fleet.Start) fleet.Answer {
+			if delay, late := w.takeLate(order); late {
+				w.stage.Record.Add(w.ID, "start_unanswered", "job", string(order.Task.Job), "run", order.Run, "until_ms", order.UntilMS)
+				w.stage.group.Go(func() error { w.startLate(order, delay); return nil })
+				unanswered(ctx)
+			}
+			return w.accept(ctx, order.To, func(now clock.Millis) fleet.Answer { return w.standin.Start(order, now) })
+		},
+		Stop: func(ctx context.Context, order fleet.Stop) fleet.Answer {
+			return w.accept(ctx, order.To, func(now clock.Millis) fleet.Answer { return w.standin.Stop(order, now) })
+		},
+		Pace: func(ctx context.Context, order fleet.Pace) fleet.Answer {
+			return w.accept(ctx, order.To, func(now clock.Millis) fleet.Answer { return w.standin.Pace(order, now) })
+		},
+		Hold: w.hold,
+	})
 }
 
-// muteConn stops carrying data in both directions once its worker is lost.
-type muteConn struct {
-	net.Conn
-	worker *Worker
+// unanswered ends a call without an answer, once its caller has given up.
+func unanswered(ctx context.Context) {
+	<-ctx.Done()
+	panic(http.ErrAbortHandler)
+}
+
+func (w *Worker) takeLate(order fleet.Start) (time.Duration, bool) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	for i, late := range w.late {
+		if late.job == order.Task.Job {
+			w.late = append(w.late[:i], w.late[i+1:]...)
+			return late.delay, true
+		}
+	}
+	return 0, false
+}
+
+// startLate carries out an order late.
+func (w *Worker) startLate(order fleet.Start, delay time.Duration) {
+	if w.stage.Clock.Sleep(w.stage.ctx, clock.FromDuration(delay)) != nil {
+		return
+	}
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	if w.state != up {
+		w.stage.Record.Add(w.ID, "late_start_lost", "job", string(order.Task.Job), "run", order.Run)
+		return
+	}
+	answer := w.standin.Start(order, w.stage.Clock.Now())
+	w.stage.Record.Add(w.ID, "start_carried_out_late", "job", string(order.Task.Job), "run", order.Run, "outcome", answer.Outcome.String())
 }
 
-// Read implements net.Conn.
-func (c *muteConn) Read(buffer []byte) (int, error) {
+func (w *Worker) accept(ctx context.Context, to fleet.Address, handle func(now clock.Millis) fleet.Answer) fleet.Answer {
+	w.mu.Lock()
+	if w.state != up {
+		w.mu.Unlock()
+		unanswered(ctx)
+	}
+	defer w.mu.Unlock()
+	if to.ID != w.ID {
+		return fleet.Answer{Outcome: fleet.OtherIncarnation}
+	}
+	return handle(w.stage.Clock.Now())
+}
+
+// hold waits for an end, a refusal or the time that the order allows.
+func (w *Worker) hold(ctx context.Context, order fleet.Hold) (report fleet.Report) {
+	deadline := w.stage.Clock.Now() + clock.Millis(order.WaitMS)
+	first := true
+	for {
+		w.mu.Lock()
+		if w.state != up {
+			w.mu.Unlock()
+			unanswered(ctx)
+		}
+		if order.To.ID != w.ID {
+			w.mu.Unlock()
+			return fleet.Report{Outcome: fleet.OtherIncarnation}
+		}
+		now := w.stage.Clock.Now()
+		if !first {
+			order = order.WithoutAck()
+		}
+		first = false
+		report = w.standin.Hold(order, now)
+		w.mu.Unlock()
+		if len(report.Ended) > 0 || report.Outcome != fleet.Accepted || now >= deadline || w.stage.Clock.Sleep(ctx, holdPoll) != nil {
+			return report
+		}
+	}
+}
+
+// sendHeartbeats renews the worker's entry in the store while it is up.
+func (w *Worker) sendHeartbeats() {
 	for {
-		count, err := c.Conn.Read(buffer)
-		if err != nil || !c.worker.lost.Load() {
-			return count, err
+		w.mu.Lock()
+		entry, sends := w.standin.Entry, w.state == up && !w.storeless
+		entry.ClockMS = w.standin.Clock(w.stage.Clock.Now())
+		w.mu.Unlock()
+		if data, err := platform.EncodeWorker(entry); err == nil && sends {
+			ctx, cancel := context.WithTimeout(w.stage.ctx, registerTimeout)
+			w.stage.Log.Append(ctx, journal.Append{Topic: platform.TopicWorkers, ExpectedEnd: -1, Records: []journal.Record{{Key: entry.ID, Value: data}}})
+			cancel()
+		}
+		if w.stage.Clock.Sleep(w.stage.ctx, heartbeat) != nil {
+			return
 		}
 	}
 }
 
-// Write implements net.Conn.
-func (c *muteConn) Write(data []byte) (int, error) {
-	if c.worker.lost.Load() {
-		return len(data), nil
+// advance ends what is due.
+func (w *Worker) advance() {
+	for w.stage.Clock.Sleep(w.stage.ctx, advancePeriod) == nil {
+		w.mu.Lock()
+		if w.state == up {
+			w.standin.Advance(w.stage.Clock.Now())
+		}
+		w.mu.Unlock()
 	}
-	return c.Conn.Write(data)
+}
+
+func (w *Worker) setStoreless(storeless bool) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	w.storeless = storeless
 }
