--- a/review/stage/entry.go
+++ b/review/stage/entry.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"io"
 	"net"
 	"net/http"
 	"os"
@@ -11,6 +10,7 @@
 	"slices"
 	"strconv"
 	"sync"
+	"sync/atomic"
 	"syscall"
 	"time"
 
@@ -198,6 +198,14 @@
 	}
 }
 
+// Silence makes all open connections of the entry to a worker silent for good. New ones
+// work.
+func (e *Entry) Silence(w *Worker) int {
+	count := e.workers[w.ID].silence()
+	e.stage.Record.Add(e.Name, "connections_silent", "worker", w.ID, "connections", count)
+	return count
+}
+
 // Ready reports whether the entry says that it is ready.
 func (e *Entry) Ready(ctx context.Context) bool {
 	const timeout = time.Second
@@ -322,7 +330,8 @@
 	}
 }
 
-// proxy forwards connections to an address, or refuses them.
+// proxy forwards connections to an address, or refuses them. Open connections can go
+// silent, while new ones work.
 type proxy struct {
 	stage   *Stage
 	address string
@@ -331,11 +340,43 @@
 	mu       sync.Mutex
 	refuse   bool
 	listener net.Listener // nil while connections are refused
-	conns    map[net.Conn]struct{}
+	links    map[*link]struct{}
+}
+
+// link is a forwarded connection.
+type link struct {
+	caller, target net.Conn
+	silent         atomic.Bool // what either side sends is dropped
+}
+
+func (l *link) close() {
+	for _, conn := range []net.Conn{l.caller, l.target} {
+		if tcp, ok := conn.(*net.TCPConn); ok {
+			_ = tcp.SetLinger(0) // closing resets
+		}
+		_ = conn.Close()
+	}
+}
+
+// pump forwards what one side sends, until either side is gone.
+func (l *link) pump(from, to net.Conn) {
+	const bufferBytes = 32 << 10
+	buffer := make([]byte, bufferBytes)
+	for {
+		count, err := from.Read(buffer)
+		if count > 0 && !l.silent.Load() {
+			if _, err := to.Write(buffer[:count]); err != nil {
+				return
+			}
+		}
+		if err != nil {
+			return
+		}
+	}
 }
 
 func newProxy(s *Stage, address, target string) (*proxy, error) {
-	p := &proxy{stage: s, address: address, target: target, conns: map[net.Conn]struct{}{}}
+	p := &proxy{stage: s, address: address, target: target, links: map[*link]struct{}{}}
 	if err := p.listen(); err != nil {
 		return nil, err
 	}
@@ -372,50 +413,51 @@
 	if refuse && p.listener != nil {
 		_ = p.listener.Close()
 		p.listener = nil
-		for conn := range p.conns {
-			_ = conn.Close()
+		for l := range p.links {
+			l.close()
 		}
-		clear(p.conns)
+		clear(p.links)
 	}
 }
 
-func (p *proxy) track(conn net.Conn) bool {
+// silence makes all open connections silent for good, and returns their number.
+func (p *proxy) silence() int {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	if tcp, ok := conn.(*net.TCPConn); ok {
-		_ = tcp.SetLinger(0) // closing resets
+	for l := range p.links {
+		l.silent.Store(true)
 	}
-	if p.refuse {
-		_ = conn.Close()
-		return false
-	}
-	p.conns[conn] = struct{}{}
-	return true
+	return len(p.links)
 }
 
-func (p *proxy) untrack(conn net.Conn) {
+func (p *proxy) track(l *link) bool {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	delete(p.conns, conn)
-	_ = conn.Close()
+	if p.refuse {
+		return false
+	}
+	p.links[l] = struct{}{}
+	return true
 }
 
 func (p *proxy) forward(caller net.Conn) {
-	if !p.track(caller) {
+	target, err := new(net.Dialer).DialContext(p.stage.ctx, "tcp", p.target)
+	if err != nil {
+		(&link{caller: caller, target: caller}).close()
 		return
 	}
-	defer p.untrack(caller)
-	target, err := new(net.Dialer).DialContext(p.stage.ctx, "tcp", p.target)
-	if err != nil || !p.track(target) {
+	l := &link{caller: caller, target: target}
+	defer l.close()
+	if !p.track(l) {
 		return
 	}
-	defer p.untrack(target)
+	defer func() {
+		p.mu.Lock()
+		delete(p.links, l)
+		p.mu.Unlock()
+	}()
 	done := make(chan struct{}, 2)
-	pump := func(from, to net.Conn) {
-		_, _ = io.Copy(to, from) // ends with either connection
-		done <- struct{}{}
-	}
-	p.stage.group.Go(func() error { pump(caller, target); return nil })
-	p.stage.group.Go(func() error { pump(target, caller); return nil })
+	p.stage.group.Go(func() error { l.pump(caller, target); done <- struct{}{}; return nil })
+	p.stage.group.Go(func() error { l.pump(target, caller); done <- struct{}{}; return nil })
 	<-done
 }
