--- a/review/8/main.go
+++ b/review/8/main.go
@@ -66,6 +66,7 @@
 		return 2
 	}
 	time.Sleep(killDelay)
+	s.Call(ctx, other(s, owner), http.MethodGet, "", nil) // the count before the kill, for the record
 	if trouble {
 		owner.Kill()
 		time.Sleep(restartDelay)
