Review: a task that is done starts again after its worker crashed

The one stop order that is to keep a late start from beginning in the worker's next life isn't repeated when it gets no answer.

--- a/review/stage/worker.go
+++ b/review/stage/worker.go
@@ -39,7 +39,7 @@
 	state     workerState
 	storeless bool // it does not reach the store
 	server    *http.Server
-	late      []lateStart
+	late      []lateOrder
 }
 
 // workerState says whether a worker runs.
@@ -51,12 +51,22 @@
 	dark             // lost: connections get no answer
 )
 
-// lateStart makes the first start order of a job unanswered, and carries it out later.
-type lateStart struct {
+// lateOrder makes the next order of a kind for a job unanswered, and carries it out later.
+type lateOrder struct {
+	kind  OrderKind
 	job   job.ID
 	delay time.Duration
 }
 
+// OrderKind is a kind of order.
+type OrderKind string
+
+// The kinds of orders that can be carried out late.
+const (
+	StartOrder OrderKind = "start"
+	StopOrder  OrderKind = "stop"
+)
+
 // Start is a start of a task that a worker has begun.
 type Start struct {
 	At     clock.Millis
@@ -192,12 +202,12 @@
 	return w.listen()
 }
 
-// CarryOutLate leaves the first start order of a job unanswered and carries it out after
+// CarryOutLate leaves the next order of a kind for a job unanswered and carries it out after
 // a delay, if the worker is up then under the id that the order names.
-func (w *Worker) CarryOutLate(id job.ID, delay time.Duration) {
+func (w *Worker) CarryOutLate(kind OrderKind, id job.ID, delay time.Duration) {
 	w.mu.Lock()
 	defer w.mu.Unlock()
-	w.late = append(w.late, lateStart{job: id, delay: delay})
+	w.late = append(w.late, lateOrder{kind: kind, job: id, delay: delay})
 }
 
 // listen serves the worker's calls.
@@ -223,15 +233,14 @@
 func (w *Worker) handler() http.Handler {
 	return platform.ServeWorker(platform.WorkerCalls{
 		Start: func(ctx context.Context, order fleet.Start) fleet.Answer {
-			if delay, late := w.takeLate(order); late {
-				w.stage.Record.Add(w.ID, "start_unanswered", "job", string(order.Task.Job), "run", order.Run, "until_ms", order.UntilMS)
-				w.stage.group.Go(func() error { w.startLate(order, delay); return nil })
-				unanswered(ctx)
-			}
-			return w.accept(ctx, order.To, func(now clock.Millis) fleet.Answer { return w.standin.Start(order, now) })
+			handle := func(now clock.Millis) fleet.Answer { return w.standin.Start(order, now) }
+			w.leaveUnanswered(ctx, StartOrder, order.Task, order.Run, handle)
+			return w.accept(ctx, order.To, handle)
 		},
 		Stop: func(ctx context.Context, order fleet.Stop) fleet.Answer {
-			return w.accept(ctx, order.To, func(now clock.Millis) fleet.Answer { return w.standin.Stop(order, now) })
+			handle := func(now clock.Millis) fleet.Answer { return w.standin.Stop(order, now) }
+			w.leaveUnanswered(ctx, StopOrder, order.Task, order.Run, handle)
+			return w.accept(ctx, order.To, handle)
 		},
 		Pace: func(ctx context.Context, order fleet.Pace) fleet.Answer {
 			return w.accept(ctx, order.To, func(now clock.Millis) fleet.Answer { return w.standin.Pace(order, now) })
@@ -246,11 +255,27 @@
 	panic(http.ErrAbortHandler)
 }
 
-func (w *Worker) takeLate(order fleet.Start) (time.Duration, bool) {
+// leaveUnanswered ends the call without an answer if the order is to be carried out late.
+func (w *Worker) leaveUnanswered(ctx context.Context, kind OrderKind, task job.Task, run int, handle func(now clock.Millis) fleet.Answer) {
+	delay, late := w.takeLate(kind, task.Job)
+	if !late {
+		return
+	}
+	w.stage.Record.Add(w.ID, string(kind)+"_unanswered", "job", string(task.Job), "run", run)
+	w.stage.group.Go(func() error {
+		if w.stage.Clock.Sleep(w.stage.ctx, clock.FromDuration(delay)) == nil {
+			w.carryOut(kind, task, run, handle)
+		}
+		return nil
+	})
+	unanswered(ctx)
+}
+
+func (w *Worker) takeLate(kind OrderKind, id job.ID) (time.Duration, bool) {
 	w.mu.Lock()
 	defer w.mu.Unlock()
 	for i, late := range w.late {
-		if late.job == order.Task.Job {
+		if late.kind == kind && late.job == id {
 			w.late = append(w.late[:i], w.late[i+1:]...)
 			return late.delay, true
 		}
@@ -258,19 +283,15 @@
 	return 0, false
 }
 
-// startLate carries out an order late.
-func (w *Worker) startLate(order fleet.Start, delay time.Duration) {
-	if w.stage.Clock.Sleep(w.stage.ctx, clock.FromDuration(delay)) != nil {
-		return
-	}
+// carryOut carries out an order late.
+func (w *Worker) carryOut(kind OrderKind, task job.Task, run int, handle func(now clock.Millis) fleet.Answer) {
 	w.mu.Lock()
 	defer w.mu.Unlock()
-	if w.state != up {
-		w.stage.Record.Add(w.ID, "late_start_lost", "job", string(order.Task.Job), "run", order.Run)
-		return
+	outcome := "lost"
+	if w.state == up {
+		outcome = handle(w.stage.Clock.Now()).Outcome.String()
 	}
-	answer := w.standin.Start(order, w.stage.Clock.Now())
-	w.stage.Record.Add(w.ID, "start_carried_out_late", "job", string(order.Task.Job), "run", order.Run, "outcome", answer.Outcome.String())
+	w.stage.Record.Add(w.ID, string(kind)+"_carried_out_late", "job", string(task.Job), "run", run, "outcome", outcome)
 }
 
 func (w *Worker) accept(ctx context.Context, to fleet.Address, handle func(now clock.Millis) fleet.Answer) fleet.Answer {
