Owner: log stops that are repeated

Nothing told a stop that a worker leaves unanswered from one that was never sent. stop_retried is written after 1, 2, 4, 8 orders and so on, with the outcome, the time since the first and the age of the worker's last report.

--- a/internal/schedule/owner/orders.go
+++ b/internal/schedule/owner/orders.go
@@ -250,12 +250,14 @@
 		return
 	}
 	r.stage = stageStopping
+	r.stoppingSince = o.now
 	r.stopReason = stopReason
 	o.logRun("run_stopping", r).Str("reason", stopReason).Send()
 	o.sendStop(r)
 }
 
 func (o *Owner) sendStop(r *run) {
+	r.stopsSent++
 	r.orderSentAt = o.now
 	o.options.Effects.Stop(fleet.Stop{To: r.worker.address(), Task: r.task.key(), Run: r.runNumber, Token: o.options.Epoch})
 }
@@ -280,6 +282,7 @@
 	case answer.Outcome == fleet.OtherIncarnation && order.To.Host == r.worker.currentAddress():
 		o.endRun(r, endWorkerRestarted, proof{evidence: evidenceOtherIncarnation, at: r.orderSentAt}, "")
 	default:
+		o.logStopRetry(r, answer.Outcome)
 		o.timers.add(o.now+o.options.Times.OrderRetry, func() {
 			if r.stage == stageStopping && r.task.run == r {
 				o.sendStop(r)
@@ -288,6 +291,17 @@
 	}
 }
 
+// logStopRetry logs that a stop order was not confirmed and is repeated, after 1, 2, 4, 8
+// orders and so on.
+func (o *Owner) logStopRetry(r *run, outcome fleet.Outcome) {
+	if r.stopsSent&(r.stopsSent-1) != 0 {
+		return
+	}
+	o.logRun("stop_retried", r).Str("outcome", outcome.String()).Int("tries", r.stopsSent).
+		Int64("order_age_ms", int64(age(r.orderSentAt, o.now))).Int64("stopping_ms", int64(age(r.stoppingSince, o.now))).
+		Int64("contact_age_ms", int64(o.contactAge(r.worker))).Send()
+}
+
 // stopJob stops all runs of a job.
 func (o *Owner) stopJob(j *jobState, reason string) {
 	for i := range j.steps {
--- a/internal/schedule/owner/state.go
+++ b/internal/schedule/owner/state.go
@@ -92,6 +92,8 @@
 	startUnanswered             bool          // a start order got no answer, so the run may begin late
 	startsSent                  int           // start orders sent
 	startsOpen                  int           // start orders sent and not answered yet
+	stopsSent                   int           // stop orders sent
+	stoppingSince               clock.Millis  // when the first of them was sent; 0: never
 	orderSentAt                 clock.Millis  // when the newest start or stop order was sent; 0: never
 	confirmedAt                 clock.Millis  // when the start, or in stageStopped the stop, was confirmed
 	startedAt                   clock.Millis  // when the first start order was sent; inherited runs: when confirmed
