Close idle connections that may have gone silent with one that gave no answer

Cause: after 24 starts at once, 24 connections to the worker are idle. They went silent without a reset. A stop that times out closes its own connection only, and the next try takes the next silent one.

A call without an answer now closes the idle connections to its address that have shown no sign of life since it began; holds and orders share that.

--- a/internal/schedule/owner/faults_test.go
+++ b/internal/schedule/owner/faults_test.go
@@ -302,5 +302,6 @@
   lapsed. On tsetseg-vault-grown an owner with 0.192 of a core broke LOST, TWICE and BUDGET so. The strongest entry owns
   now, and other entries make its calls.
 - The links' own code and the owner in one play: hostile plays model links, ` + "`site/linkshard`" + ` plays its code apart.
-- Silent connections: a peer that never reads is played; a store and workers that fall silent on old connections are not.
+- Silent connections: a peer that never reads is played; a store and workers that fall silent on old connections only in
+  tests of the clients (` + "`platform/connections_test.go`, `internal/traffic/connpool`" + `), not in the soak.
 `
--- a/internal/site/daemon/wire.go
+++ b/internal/site/daemon/wire.go
@@ -164,6 +164,9 @@
 	do.MustInvoke[*metrics.Set](injector).GetOrCreateGauge(`oriolepier_budget_in_use{limit="worker_connections"}`, func() float64 {
 		return float64(workers.OpenConnections())
 	})
+	do.MustInvoke[*metrics.Set](injector).GetOrCreateGauge("oriolepier_worker_connections_suspected", func() float64 {
+		return float64(workers.SilentConnections())
+	})
 	return workers, nil
 }
 
--- a/internal/traffic/connpool/connpool.go
+++ b/internal/traffic/connpool/connpool.go
@@ -11,7 +11,8 @@
 //     was sent.
 //   - An answer without the request's own id never reaches the caller.
 //   - A connection is reused only after a complete answer was read from it;
-//     the connection of an abandoned attempt is closed.
+//     the connection of an abandoned attempt is closed. After an attempt without
+//     an answer in time, so are the idle ones that were last used before it.
 //   - A truncated answer is an error, or truncates the answer to the caller.
 //
 // # Usage
--- a/internal/traffic/connpool/connpool_test.go
+++ b/internal/traffic/connpool/connpool_test.go
@@ -6,12 +6,14 @@
 	"io"
 	"net"
 	"net/http"
+	"net/http/httptest"
 	"net/url"
 	"strings"
 	"sync/atomic"
 	"testing"
 	"time"
 
+	"github.com/google/go-cmp/cmp"
 	"golang.org/x/sync/errgroup"
 
 	"github.com/oriolepier/oriolepier/internal/base/clock"
@@ -193,3 +195,52 @@
 		t.Errorf("%d connections are open after Close", pool.Open())
 	}
 }
+
+// Guards against requests that take one silent idle connection after the other, and time
+// out on each.
+func TestIdleConnectionsThatWentSilentAreClosed(t *testing.T) {
+	const idle, timeout = 4, 100 * time.Millisecond
+	var silent, held atomic.Int64
+	release := make(chan struct{})
+	server := httptest.NewServer(http.HandlerFunc(func(writer http.ResponseWriter, req *http.Request) {
+		if silent.Add(-1) >= 0 {
+			<-req.Context().Done()
+			return
+		}
+		held.Add(1)
+		<-release
+		writer.Header().Set(backend.RequestID, req.Header.Get(backend.RequestID))
+	}))
+	t.Cleanup(server.Close)
+	clk := clock.New()
+	pool := connpool.New(connpool.Options{Name: "b", Address: server.Listener.Addr().String()})
+	pool.SetBudget(2 * idle)
+	send := func(ctx context.Context) error {
+		answer, err := pool.Send(ctx, clk.Now, request("GET"))
+		if err == nil {
+			answer.Close()
+		}
+		return err
+	}
+	var group errgroup.Group
+	for range idle {
+		group.Go(func() error { return send(t.Context()) })
+	}
+	for deadline := time.Now().Add(time.Second); held.Load() < idle && time.Now().Before(deadline); {
+		time.Sleep(time.Millisecond)
+	}
+	close(release)
+	if err := group.Wait(); err != nil || pool.Open() != idle {
+		t.Fatalf("%d connections are open, want %d: %v", pool.Open(), idle, err)
+	}
+	time.Sleep(timeout / 10) // the clock has a resolution of 1 ms
+	silent.Store(1)
+	ctx, cancel := context.WithTimeout(t.Context(), timeout)
+	defer cancel()
+	if diff := cmp.Diff(fault.Unknown, fault.OutcomeOf(send(ctx))); diff != "" {
+		t.Errorf("a request on a silent connection (-want +got):\n%s", diff)
+	}
+	if open := pool.Open(); open != 0 {
+		t.Errorf("%d connections are open that have not answered since, want 0", open)
+	}
+}
--- a/internal/traffic/connpool/send.go
+++ b/internal/traffic/connpool/send.go
@@ -53,8 +53,12 @@
 		return nil, err
 	}
 	connection.tracked.reset()
+	sentAt := now()
 	response, err := connection.client.RoundTrip(pool.httpRequest(ctx, req)) //nolint:bodyclose // Answer.Close closes it
 	if err != nil {
+		if errors.Is(ctx.Err(), context.DeadlineExceeded) {
+			pool.CloseIdle(sentAt) // connections may go silent together, without a reset
+		}
 		return nil, pool.discardUnanswered(connection, err)
 	}
 	answer := &Answer{
