Owner: raise the fencing token of orders with each restart of a worker

Cause: the lease of the hold that was under way at the crash is kept as a time on the clock of that incarnation, and compared with the clock of the next, which begins anew; each later hold without an answer renewed it. So it counted until 21.4 s after the newest of them.

Evidence: lease_lapsed with evidence lease_granted, until_ms 9,663 and clock_ms 26,052, and the next run placed in the same millisecond.

To drop the wait, an order to the earlier incarnation must not be executed by the present one. The id in its header is the same in both; the fencing token is what a worker checks. Orders to a new incarnation carry a higher token of the same owner. Once a report answers a hold with it, only leases of the present incarnation count, also in the record for the next owner; until then each report is taken to follow the longest lease. A refusal of an older token of its own is no reason to resign.

TestUncertainStartIsStoppedInNextIncarnation expected that a late start is refused by the stop; it now expects the fence to refuse it, and the stop to refuse the same start with the present token, which is stricter.

--- a/internal/operator/soak/explain.go
+++ b/internal/operator/soak/explain.go
@@ -135,8 +135,8 @@
 	}
 	for _, r := range v.Runs {
 		for _, owner := range owners {
-			if owner.Epoch == r.Token {
-				c.Orderers[r.Token] = owner.Entry
+			if owner.Epoch == r.Epoch {
+				c.Orderers[r.Epoch] = owner.Entry
 			}
 		}
 	}
@@ -158,7 +158,7 @@
 	_, _ = fmt.Fprintf(out, "soak: broken: %s: %s\n", c.Promise, c.Text)
 	for _, r := range c.Runs {
 		_, _ = fmt.Fprintf(out, "  run %d on %s: %d to %d (%s), leased until %d, ordered by epoch %d (%s)\n",
-			r.Run, r.Worker, r.StartedAt, r.EndedAt, r.Cause, r.LeasedUntil, r.Token, c.Orderers[r.Token])
+			r.Run, r.Worker, r.StartedAt, r.EndedAt, r.Cause, r.LeasedUntil, r.Epoch, c.Orderers[r.Epoch])
 	}
 	for _, line := range c.ends {
 		_, _ = fmt.Fprintf(out, "  %s\n", line)
--- a/internal/operator/soak/witness.go
+++ b/internal/operator/soak/witness.go
@@ -6,6 +6,7 @@
 	"slices"
 
 	"github.com/oriolepier/oriolepier/internal/base/clock"
+	"github.com/oriolepier/oriolepier/internal/schedule/fleet"
 	"github.com/oriolepier/oriolepier/internal/schedule/job"
 	"github.com/oriolepier/oriolepier/internal/standin/worker"
 )
@@ -37,7 +38,7 @@
 	Run         int          `json:"run"`
 	Worker      string       `json:"worker"`
 	Incarnation int64        `json:"incarnation"`
-	Token       int64        `json:"epoch"` // of the owner that ordered the start
+	Epoch       int64        `json:"epoch"` // of the owner that ordered the start
 	StartedAt   clock.Millis `json:"started_at_ms"`
 	EndedAt     clock.Millis `json:"ended_at_ms"`
 	Cause       string       `json:"cause"` // of the end; "worker died" if the process ended first
@@ -97,7 +98,7 @@
 		case worker.RunStarted:
 			r := &taskRun{
 				Task: task, Name: fmt.Sprintf("%s.%d.%d.%d", task.Job, task.Occurrence, task.Step, task.Index), Run: event.Run,
-				Worker: event.Worker, Incarnation: event.Incarnation, Token: event.Token, StartedAt: event.At, EndedAt: forever,
+				Worker: event.Worker, Incarnation: event.Incarnation, Epoch: fleet.TokenEpoch(event.Token), StartedAt: event.At, EndedAt: forever,
 			}
 			byKey[key] = r
 			runs = append(runs, r)
--- a/internal/schedule/owner/interference.go
+++ b/internal/schedule/owner/interference.go
@@ -152,14 +152,14 @@
 		Int("before", r.pace).Int64("over_target_ms", int64(overTarget)).Int64("report_age_ms", int64(age(r.reportedAt, o.now))).Send()
 	r.pace, r.paceConfirmed = percent, false
 	o.options.Effects.Pace(fleet.Pace{
-		To: r.worker.address(), Task: r.task.key(), Run: r.runNumber, Percent: percent, Token: o.options.Epoch,
+		To: r.worker.address(), Task: r.task.key(), Run: r.runNumber, Percent: percent, Token: r.worker.token,
 	})
 }
 
 // Paced handles the answer to a pace order. An order that was not carried out,
 // or whose outcome is uncertain, is sent again after the worker's next report.
 func (o *Owner) Paced(order fleet.Pace, answer fleet.Answer) {
-	if !o.beginInput() || o.resignIfFenced("pace", order.To.ID, answer.Outcome) {
+	if !o.beginInput() || o.resignIfFenced("pace", order.To.ID, order.Token, answer.Outcome) {
 		return
 	}
 	r := o.currentRun(order.Task, order.Run)
--- a/internal/schedule/owner/lease.go
+++ b/internal/schedule/owner/lease.go
@@ -31,7 +31,7 @@
 // of its runs unless leaseBlock forbids it.
 func (o *Owner) sendHold(w *worker) {
 	o.noteFirstHold()
-	order := fleet.Hold{To: w.address(), Token: o.options.Epoch}
+	order := fleet.Hold{To: w.address(), Token: w.token}
 	// After a missed hold, or a start that a new incarnation may have executed, the
 	// worker may number its ends from the start again, so none are acknowledged.
 	if w.missedHolds == 0 && w.incarnationUnprovenAt == 0 {
@@ -54,7 +54,7 @@
 		order.UntilMS = o.grantLease(w)
 	}
 	w.holdInFlight = true
-	w.holdSentAt, w.holdAddress, w.holdUntilMS = o.now, w.entry.Address, order.UntilMS
+	w.holdSentAt, w.holdAddress, w.holdUntilMS, w.holdToken = o.now, w.entry.Address, order.UntilMS, order.Token
 	o.options.Effects.Hold(order)
 }
 
@@ -124,10 +124,10 @@
 
 // countAnsweredGrant counts the lease of an answered start that was meant for an earlier
 // incarnation of a worker, as the present one may have executed it. Two cases are counted
-// elsewhere: grantLease counts starts for the present incarnation, and its first report
-// counts everything that it executed before.
+// elsewhere: grantLease counts starts for the present incarnation, and its reports until
+// it fences earlier orders count everything that it executed before.
 func (o *Owner) countAnsweredGrant(w *worker, untilMS int64) {
-	if w == nil || w.lastReportAt == 0 || untilMS <= w.leaseUntilMS {
+	if w == nil || w.lastReportAt == 0 || w.earlierFenced || untilMS <= w.leaseUntilMS {
 		return
 	}
 	w.leaseUntilMS = max(w.leaseUntilMS, min(untilMS, w.clockUpperBound(o.now)+int64(o.options.Times.LongestLease)))
@@ -145,10 +145,11 @@
 }
 
 // uncertainLeaseEnd returns when the leases of unanswered orders to a worker's earlier
-// incarnations have certainly expired in the present one, or 0 if there are none. The
-// leases of orders to the present incarnation are counted as they are granted.
+// incarnations have certainly expired in the present one, or 0 if there are none, or if it
+// executes none of these orders any more. The leases of orders to the present incarnation
+// are counted as they are granted.
 func (o *Owner) uncertainLeaseEnd(w *worker) clock.Millis {
-	if w.uncertainGrant.at == 0 || w.uncertainGrant.untilMS <= w.leaseUntilMS {
+	if w.earlierFenced || w.uncertainGrant.at == 0 || w.uncertainGrant.untilMS <= w.leaseUntilMS {
 		return 0
 	}
 	return w.uncertainGrant.at + uncertainStartTTL + o.longestLeaseSpan()
--- a/internal/schedule/owner/lease_invariants_test.go
+++ b/internal/schedule/owner/lease_invariants_test.go
@@ -77,7 +77,7 @@
 // checkGrant checks that a granted lease ends no later than a next owner may assume.
 func (sim *simulation) checkGrant(s *simOwner, to fleet.Address, until int64, order string) {
 	m, w := sim.workers[to.ID], s.owner.workers[to.ID]
-	if !sim.audit.enabled || until == 0 || m == nil || w == nil || w.incarnation != m.Entry.Incarnation || s.epoch < m.tokenSeen {
+	if !sim.audit.enabled || until == 0 || m == nil || w == nil || w.incarnation != m.Entry.Incarnation || s.epoch < fleet.TokenEpoch(m.tokenSeen) {
 		return // no lease, or none that the worker accepts
 	}
 	granted := grant{endsAt: m.endsAt(sim.now, until), grantedAt: sim.now, epoch: s.epoch, order: order}
@@ -134,7 +134,7 @@
 // accepted or may accept yet.
 func (sim *simulation) longestLease(worker string) grant {
 	granted := sim.audit.grants[worker]
-	if m := sim.workers[worker]; m != nil && granted.epoch < m.tokenSeen {
+	if m := sim.workers[worker]; m != nil && granted.epoch < fleet.TokenEpoch(m.tokenSeen) {
 		granted.endsAt = min(granted.endsAt, m.endsAt(sim.now, m.leaseUntil))
 	}
 	return granted
@@ -249,7 +249,7 @@
 		task := s.owner.task(order.Task)
 		if task != nil && task.runNumber >= order.Run && s.owner.currentRun(order.Task, order.Run) == nil {
 			sim.violationf("%v run %d: begins on %s by an order of owner %d after owner %d had called it over",
-				order.Task, order.Run, m.Entry.ID, order.Token, s.epoch)
+				order.Task, order.Run, m.Entry.ID, fleet.TokenEpoch(order.Token), s.epoch)
 		}
 	}
 }
--- a/internal/schedule/owner/orders.go
+++ b/internal/schedule/owner/orders.go
@@ -63,24 +63,13 @@
 	r.orderSentAt = o.now
 	o.options.Effects.Start(fleet.Start{
 		To: w.address(), Task: r.task.key(), Run: r.runNumber, Text: r.task.job.spec.Text,
-		Checkpoint: r.task.checkpoint, UntilMS: o.grantLease(w), Token: o.options.Epoch,
+		Checkpoint: r.task.checkpoint, UntilMS: o.grantLease(w), Token: w.token,
 	})
 }
 
-// resignIfFenced counts a worker's answer to an order. If the worker has seen a
-// newer owner's fencing token, it resigns and returns true.
-func (o *Owner) resignIfFenced(order, worker string, outcome fleet.Outcome) bool {
-	o.options.Metrics.Answered(order, outcome.String())
-	if outcome != fleet.Fenced {
-		return false
-	}
-	o.resign("worker " + worker + " has seen a newer owner")
-	return true
-}
-
 // Started handles the answer to a start order.
 func (o *Owner) Started(order fleet.Start, answer fleet.Answer) {
-	if !o.beginInput() || o.resignIfFenced("start", order.To.ID, answer.Outcome) {
+	if !o.beginInput() || o.resignIfFenced("start", order.To.ID, order.Token, answer.Outcome) {
 		return
 	}
 	o.noteStartEnded(order.To.ID, !answer.Outcome.MaybeUnreachable())
@@ -88,7 +77,7 @@
 	switch answer.Outcome {
 	case fleet.Unanswered:
 		o.addUncertainStart(order, r)
-	case fleet.NotSent:
+	case fleet.NotSent, fleet.Fenced:
 	default:
 		o.countAnsweredGrant(o.workers[order.To.ID], order.UntilMS)
 	}
@@ -259,12 +248,12 @@
 func (o *Owner) sendStop(r *run) {
 	r.stopsSent++
 	r.orderSentAt = o.now
-	o.options.Effects.Stop(fleet.Stop{To: r.worker.address(), Task: r.task.key(), Run: r.runNumber, Token: o.options.Epoch})
+	o.options.Effects.Stop(fleet.Stop{To: r.worker.address(), Task: r.task.key(), Run: r.runNumber, Token: r.worker.token})
 }
 
 // Stopped handles the answer to a stop order.
 func (o *Owner) Stopped(order fleet.Stop, answer fleet.Answer) {
-	if !o.beginInput() || o.resignIfFenced("stop", order.To.ID, answer.Outcome) {
+	if !o.beginInput() || o.resignIfFenced("stop", order.To.ID, order.Token, answer.Outcome) {
 		return
 	}
 	r := o.currentRun(order.Task, order.Run)
--- a/internal/schedule/owner/owner.go
+++ b/internal/schedule/owner/owner.go
@@ -59,7 +59,7 @@
 
 // Options configure an owner.
 type Options struct {
-	Epoch         int64               // epoch of the ownership; the fencing token of all orders
+	Epoch         int64               // epoch of the ownership; orders carry it in their fencing token
 	PreviousOwner string              // name of the previous owner, for log lines; empty: unknown
 	Now           func() clock.Millis // monotonic clock; must include time spent suspended
 	WallClock     func() int64        // Unix milliseconds; may jump, so it is used only for the age of jobs and final states across owners
@@ -79,6 +79,7 @@
 	now       clock.Millis // time of the input being handled
 	claimedAt clock.Millis // when the ownership was won
 	fenced    bool         // Fenced was called
+	restarts  int64        // restarts of workers that this owner has learned of, which fencing tokens count
 	fencedAt  clock.Millis // when the store confirmed that earlier owners are fenced; claimedAt before
 
 	// For log lines only; 0: not yet.
--- a/internal/schedule/owner/report.go
+++ b/internal/schedule/owner/report.go
@@ -13,7 +13,7 @@
 		return
 	}
 	w.holdInFlight = false
-	if o.resignIfFenced("hold", id, report.Outcome) {
+	if o.resignIfFenced("hold", id, w.holdToken, report.Outcome) {
 		return
 	}
 	if report.Outcome == fleet.Unanswered {
@@ -100,11 +100,7 @@
 		o.logResponsive(w, report)
 		o.placementDue = true
 	}
-	if w.lastReportAt == 0 {
-		// An order before it, of a previous owner or for an earlier incarnation, may have
-		// granted the longest lease that workers accept just now.
-		w.leaseUntilMS = max(w.leaseUntilMS, report.ClockMS+int64(o.options.Times.LongestLease))
-	}
+	o.noteFencing(w, report)
 	o.endRunsOfOldIncarnations(w)
 	o.stopUncertainStarts(w)
 	o.noteContact(w, report.ClockMS)
@@ -259,7 +255,7 @@
 	o.options.Log.Warn().Str("event", "stray_run_stopped").Str("job", string(row.Task.Job)).
 		Int("step", row.Task.Step).Int("index", row.Task.Index).Int("run", row.Run).Str("worker", w.id).Send()
 	o.holdLate(w, row.Task, row.Run, o.now)
-	o.options.Effects.Stop(fleet.Stop{To: w.address(), Task: row.Task, Run: row.Run, Token: o.options.Epoch})
+	o.options.Effects.Stop(fleet.Stop{To: w.address(), Task: row.Task, Run: row.Run, Token: w.token})
 }
 
 // handleMissing handles runs that a report should list but does not. Only runs
--- a/internal/schedule/owner/submit_test.go
+++ b/internal/schedule/owner/submit_test.go
@@ -4,7 +4,6 @@
 	"testing"
 
 	"github.com/google/go-cmp/cmp"
-	"github.com/google/go-cmp/cmp/cmpopts"
 
 	"github.com/oriolepier/oriolepier/internal/base/clock"
 	"github.com/oriolepier/oriolepier/internal/schedule/fleet"
@@ -108,13 +107,17 @@
 		})
 	})
 	sim.at(600, func() { m.Restart(sim.now) })
-	var late fleet.Answer
+	var late, again fleet.Answer
 	sim.at(4000, func() {
-		late = m.Start(fleet.Start{Task: job.Task{Job: "x"}, Run: 1, UntilMS: 1 << 40, Token: s.epoch}, sim.now)
+		start := fleet.Start{Task: job.Task{Job: "x"}, Run: 1, UntilMS: 1 << 40, Token: fleet.NewToken(s.epoch, 0)}
+		late = m.Start(start, sim.now)
+		start.Token = s.owner.workers[m.Entry.ID].token
+		again = m.Start(start, sim.now)
 	})
 	sim.run(5 * clock.Second)
-	if diff := cmp.Diff(fleet.Answer{Outcome: fleet.RunSuperseded}, late, cmpopts.IgnoreFields(fleet.Answer{}, "ClockMS")); diff != "" {
-		t.Errorf("late start (-want +got):\n%s", diff)
+	want := []fleet.Outcome{fleet.Fenced, fleet.RunSuperseded}
+	if diff := cmp.Diff(want, []fleet.Outcome{late.Outcome, again.Outcome}); diff != "" {
+		t.Errorf("late start, and the same with the present token (-want +got):\n%s", diff)
 	}
 }
 
--- a/internal/schedule/owner/workers.go
+++ b/internal/schedule/owner/workers.go
@@ -62,6 +62,9 @@
 	workDone, workExpected float64          // recent work of its batch runs in ms, decayed: done, and expected
 	workDecayedAt          clock.Millis     // when workDone and workExpected were last decayed
 	uncertainStarts        []uncertainStart // unanswered starts that may still be executed
+	token                  int64            // fencing token of orders to its present incarnation
+	earlierFenced          bool             // its present incarnation executes no order to an earlier one any more
+	holdToken              int64            // token of the newest hold
 	holdUntilMS            int64            // end of the lease that the newest hold grants; 0: none
 	uncertainGrant         uncertainGrant   // leases of unanswered orders that may still be executed
 	starts                 startCounts      // its starts under way
@@ -226,6 +229,7 @@
 func (o *Owner) newWorker(id string) *worker {
 	w := &worker{
 		id: id, runs: map[*run]struct{}{}, namedInList: unnamed, pace: fullPace, recordedRest: notListed,
+		token: o.newestToken(), holdToken: o.newestToken(),
 		runsEndBy: o.fencedAt + o.previousOwnerLeaseSpan(), runsEndProof: proof{evidence: evidenceRenewWindow, at: o.fencedAt},
 	}
 	o.workers[id] = w
@@ -277,6 +281,7 @@
 		w.lastReportAt = 0
 		w.runsEndBy, w.runsEndProof = o.now+uncertainStartTTL+o.longestLeaseSpan(), proof{evidence: evidenceRestartUnreported, at: o.now}
 		w.leasesLapsed = false
+		o.raiseToken(w)
 		o.holdUncertainStarts(w)
 	}
 	w.incarnation = incarnation
@@ -343,7 +348,7 @@
 		switch {
 		case o.now-start.at > uncertainStartTTL:
 		case start.incarnation < w.incarnation:
-			o.options.Effects.Stop(fleet.Stop{To: w.address(), Task: start.task, Run: start.run, Token: o.options.Epoch})
+			o.options.Effects.Stop(fleet.Stop{To: w.address(), Task: start.task, Run: start.run, Token: w.token})
 		default:
 			remaining = append(remaining, start)
 		}
