Tests: a late start begins in no later incarnation

Cause: a promise that rests on one order. The fencing token that rises with each restart keeps the start from being executed, as holds are sent until one is answered.

TestLateStartOfDoneTaskBeginsInNoNextIncarnation and TestLateStartOfAbandonedRunBeginsInNoLaterIncarnation fail on the code before: the start is accepted.

--- a/internal/schedule/owner/fencing_test.go
+++ b/internal/schedule/owner/fencing_test.go
@@ -11,11 +11,17 @@
 	standin "github.com/oriolepier/oriolepier/internal/standin/worker"
 )
 
-// restartedWorker restarts worker w, to which an owner has sent an order that is still in
-// transit, and lists it again. Its clock begins at 0, and its tasks run for a minute.
-func (m *manualOwner) restartedWorker() *standin.Worker {
+// unlistedRestart restarts worker w, and the owner does not know it yet. Its clock begins
+// at 0, and its tasks run for a minute.
+func (m *manualOwner) unlistedRestart() *standin.Worker {
 	w := standin.New(testEntry("w"), m.now)
 	w.DrawWork = func(job.Task) standin.Work { return standin.Work{Length: clock.Minute} }
+	return w
+}
+
+// restartedWorker restarts worker w and lists it again.
+func (m *manualOwner) restartedWorker() *standin.Worker {
+	w := m.unlistedRestart()
 	m.owner.SetWorkers([]fleet.Entry{w.Entry})
 	return w
 }
@@ -91,8 +97,7 @@
 	m.advance(25)
 	late := m.holds[len(m.holds)-1]
 	m.missHold()
-	w := standin.New(testEntry("w"), m.now) // the owner learns of it by its report
-	w.DrawWork = func(job.Task) standin.Work { return standin.Work{Length: clock.Minute} }
+	w := m.unlistedRestart()
 	m.advance(25)
 	m.answerHold(w)
 	m.owner.SetWorkers([]fleet.Entry{w.Entry})
@@ -105,6 +110,62 @@
 	m.expectLapsed(w, 1)
 }
 
+// The same order, where the worker answers a hold with the newest token before it is lost.
+func TestLateOrderBetweenFirstReportAndFenceExtendsLease(t *testing.T) {
+	m := newManualOwner(t, 1, clock.Hour)
+	m.list(1, "w:1")
+	m.advance(25)
+	m.acknowledge()
+	m.report(1)
+	m.advance(25)
+	late := m.holds[len(m.holds)-1]
+	m.missHold()
+	w := m.unlistedRestart()
+	m.advance(25)
+	m.answerHold(w)
+	m.advance(25)
+	m.now += 500
+	w.Hold(late, m.now)
+	m.answerHold(w)
+	m.owner.SetWorkers([]fleet.Entry{w.Entry})
+	m.submit()
+	m.advance(25)
+	m.acknowledge()
+	m.owner.Started(m.starts[0], w.Start(m.starts[0], m.now))
+	m.expectLapsed(w, 1)
+}
+
+// An answered start to the earlier incarnation grants a lease, too, where it is executed
+// after the first report and before the fence.
+func TestAnsweredStartBeforeTheFenceExtendsLease(t *testing.T) {
+	m := newManualOwner(t, 1, clock.Hour)
+	start := m.orderStart()
+	m.advance(25)
+	w := m.unlistedRestart()
+	m.answerHold(w)
+	m.advance(25)
+	m.now += clock.Second
+	m.owner.Started(start, w.Start(start, m.now))
+	m.expectLapsed(w, 1)
+}
+
+// Guards against a new incarnation that stays open to late orders for the wait of a hold.
+func TestFirstHoldWithRaisedTokenDoesNotWait(t *testing.T) {
+	m := newManualOwner(t, 1, clock.Hour)
+	m.list(1, "w:1")
+	m.advance(25)
+	m.acknowledge()
+	m.report(1)
+	m.advance(25)
+	before := m.holds[len(m.holds)-1]
+	m.report(2)
+	m.advance(25)
+	after := m.holds[len(m.holds)-1]
+	if after.Token <= before.Token || after.WaitMS != 0 {
+		t.Errorf("hold with token %d after %d, and a wait of %d ms", after.Token, before.Token, after.WaitMS)
+	}
+}
+
 // startOnUnknownIncarnation leaves a start unanswered, and repeats it at the next
 // incarnation of worker w, which the owner does not know. The first start is in transit.
 func startOnUnknownIncarnation(t *testing.T) (m *manualOwner, w *standin.Worker, late fleet.Start) {
@@ -112,8 +173,7 @@
 	m = newManualOwner(t, 1, clock.Hour).successor(0)
 	late = m.orderStart()
 	m.owner.Started(late, fleet.Answer{Outcome: fleet.Unanswered})
-	w = standin.New(testEntry("w"), m.now)
-	w.DrawWork = func(job.Task) standin.Work { return standin.Work{Length: clock.Minute} }
+	w = m.unlistedRestart()
 	m.advance(m.owner.options.Times.OrderRetry)
 	m.owner.Started(m.starts[1], w.Start(m.starts[1], m.now))
 	m.now += clock.Second
@@ -207,3 +267,55 @@
 		}
 	}
 }
+
+// Guards against a task that runs again after it was done: a start without an answer is
+// executed late, by the next incarnation of its worker, and the stop that is to prevent it
+// gets no answer either.
+func TestLateStartOfDoneTaskBeginsInNoNextIncarnation(t *testing.T) {
+	m := newManualOwner(t, 1, clock.Hour)
+	late := m.orderStart()
+	m.owner.Started(late, fleet.Answer{Outcome: fleet.Unanswered})
+	m.advance(m.owner.options.Times.OrderRetry)
+	m.owner.Started(m.starts[1], fleet.Answer{Outcome: fleet.Accepted, ClockMS: int64(m.now)})
+	done := fleet.End{Number: 1, Task: manualTask, Run: 1, Cause: fleet.EndDone}
+	m.owner.Report("w", fleet.Report{ClockMS: int64(m.now), Incarnation: 1, Ended: []fleet.End{done}})
+	m.advance(25)
+	m.acknowledge()
+	w := m.restartedWorker()
+	for range 100 {
+		m.advance(25)
+		m.answerHold(w)
+		for _, stop := range m.stops {
+			m.owner.Stopped(stop, fleet.Answer{Outcome: fleet.Unanswered})
+		}
+		m.stops = nil
+	}
+	answer := w.Start(late, m.now)
+	if run := w.Running(manualTask); run != 0 {
+		t.Errorf("run %d begins (%s) after the task was done", run, answer.Outcome)
+	}
+}
+
+// The same start in the next incarnation but one, and after the stop of a run that was
+// abandoned instead of done.
+func TestLateStartOfAbandonedRunBeginsInNoLaterIncarnation(t *testing.T) {
+	m := newManualOwner(t, 1, clock.Hour)
+	late := m.orderStart()
+	for range maxStartsSent {
+		m.owner.Started(m.starts[len(m.starts)-1], fleet.Answer{Outcome: fleet.Unanswered})
+		m.advance(m.owner.options.Times.OrderRetry)
+	}
+	m.owner.Stopped(m.stops[0], fleet.Answer{Outcome: fleet.Accepted, ClockMS: int64(m.now)})
+	m.now += clock.Second
+	m.report(1)
+	for range 2 {
+		w := m.restartedWorker()
+		m.stops = nil
+		m.advance(25)
+		m.fence(w)
+		if answer := w.Start(late, m.now); answer.Outcome != fleet.Fenced {
+			t.Errorf("the late start is answered %s", answer.Outcome)
+		}
+		m.now += clock.Second
+	}
+}
--- a/internal/schedule/owner/lease_grant_test.go
+++ b/internal/schedule/owner/lease_grant_test.go
@@ -200,7 +200,12 @@
 // test if the worker still executes it.
 func (m *manualOwner) expectLapsed(w *standin.Worker, run int) {
 	m.t.Helper()
-	for m.missHold(); m.owner.currentRun(manualTask, run) != nil; m.advance(25) {
+	const limit = 30 * clock.Second
+	m.missHold()
+	for begun := m.now; m.owner.currentRun(manualTask, run) != nil; m.advance(25) {
+		if m.now-begun > limit {
+			m.t.Fatalf("the run has not ended after %d ms", limit)
+		}
 	}
 	if w.Advance(m.now); w.Running(manualTask) != 0 {
 		m.t.Errorf("run %d goes on after it has ended for its owner", run)
