--- a/internal/schedule/owner/fencing_test.go
+++ b/internal/schedule/owner/fencing_test.go
@@ -48,10 +48,7 @@
 // answer, and was lost some seconds later: the lease of that order ends on another clock.
 func TestWorkerLostAfterRestartLapsesInTime(t *testing.T) {
 	m := newManualOwner(t, 1, clock.Hour)
-	m.list(1, "w:1")
-	m.advance(25)
-	m.acknowledge()
-	m.report(1)
+	m.contact(1)
 	m.advance(25)
 	m.missHold()
 	w := m.restartedWorker()
@@ -90,10 +87,7 @@
 // next incarnation: until a report answers a hold with the newest token, none is final.
 func TestLateOrderBeforeTheFenceExtendsLease(t *testing.T) {
 	m := newManualOwner(t, 1, clock.Hour)
-	m.list(1, "w:1")
-	m.advance(25)
-	m.acknowledge()
-	m.report(1)
+	m.contact(1)
 	m.advance(25)
 	late := m.holds[len(m.holds)-1]
 	m.missHold()
@@ -113,10 +107,7 @@
 // The same order, where the worker answers a hold with the newest token before it is lost.
 func TestLateOrderBetweenFirstReportAndFenceExtendsLease(t *testing.T) {
 	m := newManualOwner(t, 1, clock.Hour)
-	m.list(1, "w:1")
-	m.advance(25)
-	m.acknowledge()
-	m.report(1)
+	m.contact(1)
 	m.advance(25)
 	late := m.holds[len(m.holds)-1]
 	m.missHold()
@@ -152,10 +143,7 @@
 // Guards against a new incarnation that stays open to late orders for the wait of a hold.
 func TestFirstHoldWithRaisedTokenDoesNotWait(t *testing.T) {
 	m := newManualOwner(t, 1, clock.Hour)
-	m.list(1, "w:1")
-	m.advance(25)
-	m.acknowledge()
-	m.report(1)
+	m.contact(1)
 	m.advance(25)
 	before := m.holds[len(m.holds)-1]
 	m.report(2)
@@ -235,10 +223,7 @@
 // from the list and is back has seen a higher token than its orders carry then.
 func TestTokenOutlivesRemovalFromTheList(t *testing.T) {
 	m := newManualOwner(t, 1, clock.Hour)
-	m.list(1, "w:1")
-	m.advance(25)
-	m.acknowledge()
-	m.report(1)
+	m.contact(1)
 	w := m.restartedWorker()
 	m.advance(25)
 	m.fence(w)
--- a/internal/schedule/owner/manual_test.go
+++ b/internal/schedule/owner/manual_test.go
@@ -115,13 +115,18 @@
 	m.owner.Submit(jobSpec(bestEffortJob, job.Step{Count: 1, MilliCPU: 2000, EstimateMS: 60000}), func(Verdict) {})
 }
 
-// placeRun makes an incarnation of worker w known and places run 1 of manualTask there.
-// The append with its record is in flight then.
-func (m *manualOwner) placeRun(incarnation int64) {
+// contact makes an incarnation of worker w known, which reports.
+func (m *manualOwner) contact(incarnation int64) {
 	m.list(incarnation, "w:1")
 	m.advance(25)
 	m.acknowledge()
 	m.report(incarnation)
+}
+
+// placeRun makes an incarnation of worker w known and places run 1 of manualTask there.
+// The append with its record is in flight then.
+func (m *manualOwner) placeRun(incarnation int64) {
+	m.contact(incarnation)
 	m.submit()
 	m.advance(25)
 }
--- a/internal/schedule/owner/restart_evidence_test.go
+++ b/internal/schedule/owner/restart_evidence_test.go
@@ -138,10 +138,7 @@
 // A worker's Unix clock may be set back before it starts again.
 func TestWorkerWithUnixClockSetBackGetsRuns(t *testing.T) {
 	m := newManualOwner(t, 1, clock.Hour)
-	m.list(5, "w:1")
-	m.advance(25)
-	m.acknowledge()
-	m.report(5)
+	m.contact(5)
 	m.list(3, "w:1")
 	for i := range 40 {
 		m.advance(500)
