--- a/review/rig3/link.go
+++ b/review/rig3/link.go
@@ -15,6 +15,7 @@
 	mu       sync.Mutex
 	target   string        // empty: connections are reset
 	released chan struct{} // closed unless requests are held
+	silent   bool          // nothing passes, in either direction, and no connection ends
 	conns    map[net.Conn]struct{}
 }
 
@@ -74,6 +75,20 @@
 	return func() { close(held) }
 }
 
+// silence ends the worker's machine: nothing passes from now on.
+func (l *Link) silence() {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.silent = true
+	l.released = make(chan struct{})
+}
+
+func (l *Link) isSilent() bool {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return l.silent
+}
+
 func (l *Link) current() (target string, released chan struct{}) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
@@ -133,7 +148,7 @@
 					return
 				}
 				answers := target
-				l.rig.Go(func() { copyAnswers(answers, caller) })
+				l.rig.Go(func() { l.copyAnswers(answers, caller) })
 			}
 			if _, err := target.Write(buffer[:count]); err != nil {
 				return
@@ -177,10 +192,13 @@
 	return conn
 }
 
-func copyAnswers(from, to net.Conn) {
+func (l *Link) copyAnswers(from, to net.Conn) {
 	buffer := make([]byte, linkBuffer)
 	for {
 		count, err := from.Read(buffer)
+		if l.isSilent() {
+			return
+		}
 		if count > 0 {
 			if _, err := to.Write(buffer[:count]); err != nil {
 				return
--- a/review/rig3/rig.go
+++ b/review/rig3/rig.go
@@ -12,8 +12,10 @@
 import (
 	"bytes"
 	"context"
+	"encoding/json"
 	"fmt"
 	"io"
+	"maps"
 	"net"
 	"net/http"
 	"os"
@@ -28,13 +30,18 @@
 	"golang.org/x/sync/errgroup"
 
 	"github.com/oriolepier/oriolepier/internal/base/clock"
+	"github.com/oriolepier/oriolepier/internal/base/codec"
 	"github.com/oriolepier/oriolepier/internal/schedule/job"
 	"github.com/oriolepier/oriolepier/internal/schedule/journal"
 	"github.com/oriolepier/oriolepier/internal/schedule/manifest"
+	"github.com/oriolepier/oriolepier/internal/site/ownership"
 	"github.com/oriolepier/oriolepier/internal/standin/store"
 	"github.com/oriolepier/oriolepier/platform"
 )
 
+// ownersTopic holds the records of owners.
+var ownersTopic = platform.Topic("owners")
+
 // Bounds of the deployment, as on the sheet of mks-oriole.
 const (
 	Contact   = 3000 * time.Millisecond
@@ -47,6 +54,7 @@
 	gracePeriod       clock.Millis = 6000
 	statusKept        clock.Millis = 120 * clock.Second
 	readyTimeout                   = 20 * time.Second
+	exitTimeout                    = 10 * time.Second
 	callTimeout                    = 6 * time.Second
 	pollInterval                   = 50 * time.Millisecond
 	entryCores                     = 0.4
@@ -81,6 +89,8 @@
 	entries []*entry
 	workers []*Worker
 	http    *http.Client
+	begunMu sync.Mutex
+	runs    map[job.ID]int // runs that have begun, by job
 }
 
 // entry is the process of an entry.
@@ -106,13 +116,26 @@
 	ctx, cancel := context.WithCancel(context.Background())
 	group, ctx := errgroup.WithContext(ctx)
 	r := &Rig{
-		options: options, dir: dir, record: record, begun: time.Now(), clock: clock.NewBoot(), group: group, ctx: ctx, cancel: cancel,
+		options: options, dir: dir, record: record, begun: time.Now(), runs: map[job.ID]int{}, clock: clock.NewBoot(), group: group, ctx: ctx, cancel: cancel,
 		http: &http.Client{Timeout: callTimeout, Transport: &http.Transport{DisableKeepAlives: true}},
 	}
 	r.Gate = newGate(store.New().Log())
 	return r, nil
 }
 
+func (r *Rig) noteBegun(id job.ID) {
+	r.begunMu.Lock()
+	defer r.begunMu.Unlock()
+	r.runs[id]++
+}
+
+// Begun returns the number of runs that have begun on workers, by job.
+func (r *Rig) Begun() map[job.ID]int {
+	r.begunMu.Lock()
+	defer r.begunMu.Unlock()
+	return maps.Clone(r.runs)
+}
+
 // Logf writes a line to the record.
 func (r *Rig) Logf(format string, values ...any) {
 	r.mu.Lock()
@@ -146,6 +169,24 @@
 	return r.awaitReady()
 }
 
+// Owner returns the number of the entry that the newest record names as the owner, and
+// its epoch.
+func (r *Rig) Owner() (number int, epoch int64) {
+	page := r.Gate.inner.Newest(r.ctx, ownersTopic)
+	for _, stored := range page.Records {
+		var record ownership.Record
+		if codec.Unmarshal(stored.Value, &record) != nil {
+			continue
+		}
+		for i, e := range r.entries {
+			if e.name == record.Name {
+				return i, record.Epoch
+			}
+		}
+	}
+	return -1, 0
+}
+
 // Name returns the name of an entry.
 func (r *Rig) Name(number int) string { return r.entries[number].name }
 
@@ -265,6 +306,21 @@
 	return nil
 }
 
+// Restart ends an entry by SIGTERM, as an update does, and starts it again once it has
+// ended.
+func (r *Rig) Restart(number int) error {
+	e := r.entries[number]
+	r.Logf("entry     %s gets SIGTERM", e.name)
+	if err := e.command.Process.Signal(syscall.SIGTERM); err != nil {
+		return err
+	}
+	timer := time.AfterFunc(exitTimeout, func() { _ = e.command.Process.Kill() })
+	defer timer.Stop()
+	_ = e.command.Wait()
+	r.Logf("entry     %s has ended, and starts again", e.name)
+	return r.run(e)
+}
+
 // awaitReady waits until all entries report that they are ready.
 func (r *Rig) awaitReady() error {
 	deadline := time.Now().Add(readyTimeout)
@@ -319,6 +375,16 @@
 	return status, decoded.String()
 }
 
+// Waiting returns the answer to a query for the number of waiting submissions.
+func (r *Rig) Waiting(number int) (status, waiting int) {
+	status, data := r.call(http.MethodGet, number, "", nil)
+	var count platform.CountBody
+	if err := json.Unmarshal(data, &count); status != http.StatusOK || err != nil {
+		return status, -1
+	}
+	return status, count.Waiting
+}
+
 func (r *Rig) call(method string, number int, id job.ID, body []byte) (status int, data []byte) {
 	e := r.entries[number%len(r.entries)]
 	request, err := http.NewRequestWithContext(r.ctx, method, "http://"+e.callers+prefix+string(id), bytes.NewReader(body))
--- a/review/rig3/worker.go
+++ b/review/rig3/worker.go
@@ -87,14 +87,26 @@
 
 // Crash ends the life of the worker. Its entry is removed after three heartbeats.
 func (w *Worker) Crash() {
+	w.rig.Logf("worker    %s crashes", w.options.ID)
+	w.end()
+	w.Link.setTarget("")
+}
+
+// Vanish ends the worker for good, as when its machine loses power: it is silent from
+// then on. Its entry is removed after three heartbeats.
+func (w *Worker) Vanish() {
+	w.rig.Logf("worker    %s is lost for good", w.options.ID)
+	w.Link.silence()
+	w.end()
+}
+
+func (w *Worker) end() {
 	w.mu.Lock()
 	server, ended := w.server, w.register
 	w.state = nil
 	w.mu.Unlock()
 	close(ended)
 	_ = server.Close()
-	w.Link.setTarget("")
-	w.rig.Logf("worker    %s crashes", w.options.ID)
 	w.rig.Go(func() {
 		time.Sleep(expiryHeartbeats * Heartbeat)
 		w.mu.Lock()
@@ -112,6 +124,7 @@
 func (w *Worker) note(life int, event worker.Event) {
 	switch event.Kind {
 	case worker.RunStarted:
+		w.rig.noteBegun(event.Task.Job)
 		w.rig.Logf("run       %s run %d begins on %s (life %d), fencing number %d", platform.FormatTask(event.Task), event.Run, w.options.ID, life, event.Token)
 	case worker.RunEnded:
 		w.rig.Logf("run       %s run %d ends on %s (life %d): %s", platform.FormatTask(event.Task), event.Run, w.options.ID, life, event.Cause)
