--- a/review/rig3/rig.go
+++ b/review/rig3/rig.go
@@ -15,7 +15,6 @@
 	"encoding/json"
 	"fmt"
 	"io"
-	"maps"
 	"math/rand/v2"
 	"net"
 	"net/http"
@@ -50,7 +49,6 @@
 	Stop      = 900 * time.Millisecond
 	Heartbeat = 500 * time.Millisecond // of the stand-ins of workers
 
-	expiryHeartbeats                  = 3 // silent heartbeats after which a worker's entry is removed
 	maxLease             clock.Millis = 6000
 	gracePeriod          clock.Millis = 6000
 	statusKept           clock.Millis = 120 * clock.Second
@@ -92,8 +90,6 @@
 	entries []*entry
 	workers []*Worker
 	http    *http.Client
-	begunMu sync.Mutex
-	runs    map[job.ID]int // runs that have begun, by job
 }
 
 // entry is the process of an entry.
@@ -119,26 +115,13 @@
 	ctx, cancel := context.WithCancel(context.Background())
 	group, ctx := errgroup.WithContext(ctx)
 	r := &Rig{
-		options: options, dir: dir, record: record, begun: time.Now(), runs: map[job.ID]int{}, clock: clock.NewBoot(), group: group, ctx: ctx, cancel: cancel,
+		options: options, dir: dir, record: record, begun: time.Now(), clock: clock.NewBoot(), group: group, ctx: ctx, cancel: cancel,
 		http: &http.Client{Timeout: callTimeout, Transport: &http.Transport{DisableKeepAlives: true}},
 	}
 	r.Gate = newGate(store.New().Log())
 	return r, nil
 }
 
-func (r *Rig) noteBegun(id job.ID) {
-	r.begunMu.Lock()
-	defer r.begunMu.Unlock()
-	r.runs[id]++
-}
-
-// Begun returns the number of runs that have begun on workers, by job.
-func (r *Rig) Begun() map[job.ID]int {
-	r.begunMu.Lock()
-	defer r.begunMu.Unlock()
-	return maps.Clone(r.runs)
-}
-
 // Logf writes a line to the record.
 func (r *Rig) Logf(format string, values ...any) {
 	r.mu.Lock()
@@ -314,19 +297,16 @@
 	return nil
 }
 
-// Restart ends an entry by SIGTERM, as an update does, and starts it again once it has
-// ended.
-func (r *Rig) Restart(number int) error {
-	e := r.entries[number]
-	r.Logf("entry     %s gets SIGTERM", e.name)
-	if err := e.command.Process.Signal(syscall.SIGTERM); err != nil {
-		return err
-	}
-	timer := time.AfterFunc(exitTimeout, func() { _ = e.command.Process.Kill() })
-	defer timer.Stop()
-	_ = e.command.Wait()
-	r.Logf("entry     %s has ended, and starts again", e.name)
-	return r.run(e)
+// Freeze stops the process of an entry.
+func (r *Rig) Freeze(number int) error {
+	r.Logf("entry     %s freezes", r.Name(number))
+	return r.entries[number].command.Process.Signal(syscall.SIGSTOP)
+}
+
+// Thaw lets the process of an entry go on.
+func (r *Rig) Thaw(number int) error {
+	r.Logf("entry     %s goes on", r.Name(number))
+	return r.entries[number].command.Process.Signal(syscall.SIGCONT)
 }
 
 // awaitReady waits until all entries report that they are ready.
@@ -445,8 +425,15 @@
 	})
 }
 
-// Context ends with the rig.
-func (r *Rig) Context() context.Context { return r.ctx }
+// pause waits, and returns false if the rig ends first.
+func (r *Rig) pause(length time.Duration) bool {
+	select {
+	case <-time.After(length):
+		return true
+	case <-r.ctx.Done():
+		return false
+	}
+}
 
 // Close ends all processes that the rig has started, and the stand-ins.
 func (r *Rig) Close() {
