--- a/review/rig3/rig.go
+++ b/review/rig3/rig.go
@@ -53,7 +53,6 @@
 	gracePeriod          clock.Millis = 6000
 	statusKept           clock.Millis = 120 * clock.Second
 	readyTimeout                      = 20 * time.Second
-	exitTimeout                       = 10 * time.Second
 	callTimeout                       = 6 * time.Second
 	pollInterval                      = 50 * time.Millisecond
 	entryCores                        = 0.4
