Owner: keep a job that was cancelled before any append carried it

Cause: refuseUnsent takes back jobs that no append has carried, as the store is silent, and decides on their submissions again. It took back cancelled ones, too, and their cancellation went with the state. The reply to the cancellation stayed in the batch and was sent as recorded; the submission, undecided, was accepted as new.

The new test failed before: state of the job: want cancelled, got queued

--- a/internal/schedule/owner/submit.go
+++ b/internal/schedule/owner/submit.go
@@ -354,24 +354,30 @@
 
 // refuseUnsent takes back the submissions that no append has carried yet, because
 // the store does not answer. The store never received them, so they are refused if it
-// is certain that no later owner has recorded them.
+// is certain that no later owner has recorded them. A job that was cancelled meanwhile is
+// kept: its cancellation must be recorded before it is answered.
 func (o *Owner) refuseUnsent() {
 	remaining := o.batch.jobs[:0]
 	for _, j := range o.batch.jobs {
-		if !j.specUnsent {
+		if !j.specUnsent || j.cancelled {
 			remaining = append(remaining, j)
 			continue
 		}
-		delete(o.jobs, j.spec.ID)
-		acceptReplies := j.acceptReplies
-		j.acceptReplies = nil
-		for _, reply := range acceptReplies {
-			o.decide(submission{spec: j.spec, reply: reply, at: o.now, rateCounted: true})
-		}
+		o.takeBack(j)
 	}
 	o.batch.jobs = remaining
 }
 
+// takeBack removes a job that no append has carried, and decides on its submissions again.
+func (o *Owner) takeBack(j *jobState) {
+	delete(o.jobs, j.spec.ID)
+	acceptReplies := j.acceptReplies
+	j.acceptReplies = nil
+	for _, reply := range acceptReplies {
+		o.decide(submission{spec: j.spec, reply: reply, at: o.now, rateCounted: true})
+	}
+}
+
 // removeRecords deletes all records of a final job. Its specification is deleted already
 // unless it holds the job's customer. The first record of its progress goes after the
 // others, as it says that they are not valid.
--- a/internal/schedule/owner/undecided_test.go
+++ b/internal/schedule/owner/undecided_test.go
@@ -120,3 +120,27 @@
 		t.Errorf("job %+v, want one that is not in excess", j)
 	}
 }
+
+// Guards against a cancellation that is answered as recorded, and lost with the submission
+// that was taken back: its tasks ran on.
+func TestCancellationOutlivesOutageOfTheStore(t *testing.T) {
+	m := newUnconfirmedOwner(t)
+	m.acknowledge()
+	m.now += 600 // the next append is sent with a confirmation that is old already
+	m.owner.Tick()
+	submitted := m.submitTo("q")
+	var cancelled []Ruling
+	m.owner.Cancel(JobRef{ID: bestEffortJob}, func(verdict Verdict) { cancelled = append(cancelled, verdict.Ruling) })
+	m.advance(m.owner.options.Times.StoreTimeout + 25)
+	early := len(*submitted) + len(cancelled)
+	m.settle()
+	if diff := cmp.Diff([]Ruling{Recorded}, cancelled); diff != "" || early > 0 {
+		t.Errorf("%d rulings before the store was back; rulings on the cancellation (-want +got):\n%s", early, diff)
+	}
+	if diff := cmp.Diff([]Ruling{Recorded}, *submitted); diff != "" {
+		t.Errorf("rulings on the submission (-want +got):\n%s", diff)
+	}
+	if diff := cmp.Diff(LookupResult{State: job.Cancelled}, m.owner.Lookup(JobRef{ID: bestEffortJob})); diff != "" {
+		t.Errorf("state of the job (-want +got):\n%s", diff)
+	}
+}
