Owner: refuse a submission that its cancellation overtook

Callers could see: DELETE answered with 410, and the job started afterwards and ran for good.

Cause: an entry holds a submission while there is no owner or no decision, and sends it again. A cancellation that arrives in between is answered "no such job", which is final for its caller, and the owner forgot that answer: it accepted the submission at the next try or tick. That may happen to an undecided submission, to one between two tries of its entry, and to both calls when they wait for the next owner.

Entries say how long they have held a submission, so one that is sent after the cancellation is accepted.

--- a/internal/schedule/owner/owner.go
+++ b/internal/schedule/owner/owner.go
@@ -103,6 +103,7 @@
 	undecided      []submission // submissions that could be refused, but not yet with certainty
 	noLaterOwnerAt clock.Millis // when no other entry knew a later owner; 0: not known
 
+	earlyCancels  earlyCancels
 	cancelReplies map[int]func(Verdict) // replies to cancellations that are not recorded yet
 	cancelCount   int                   // cancellations received; numbers cancelReplies
 
--- a/internal/schedule/owner/submit.go
+++ b/internal/schedule/owner/submit.go
@@ -75,12 +75,15 @@
 // Submit adds a job. It replies once the job is recorded, or when the job is refused:
 // at once if it is certain that no later owner has recorded the job. A repeated
 // submission of the same id joins the first.
-func (o *Owner) Submit(spec job.Spec, reply func(Verdict)) {
+func (o *Owner) Submit(spec job.Spec, reply func(Verdict)) { o.SubmitHeld(spec, 0, reply) }
+
+// SubmitHeld adds a job as Submit does, whose submission an entry has held for a time.
+func (o *Owner) SubmitHeld(spec job.Spec, held clock.Millis, reply func(Verdict)) {
 	if !o.beginInput() {
 		reply(Verdict{Ruling: NotOwner, Reason: "ownership lost"})
 		return
 	}
-	o.decide(submission{spec: spec, reply: reply, at: o.now})
+	o.decide(submission{spec: spec, reply: reply, at: o.now, arrivedAt: o.now - max(held, 0)})
 }
 
 // decide accepts or refuses a submission, or leaves it undecided.
@@ -93,10 +96,7 @@
 		o.replyWhenRecorded(known, s.reply)
 		return
 	}
-	verdict := o.admit(s.spec)
-	if verdict.Ruling == Recorded {
-		verdict = o.admitRateOnce(&s)
-	}
+	verdict := o.verdictOn(&s)
 	switch {
 	case verdict.Ruling == Recorded:
 		o.accept(s.spec, s.reply)
@@ -107,6 +107,18 @@
 	}
 }
 
+// verdictOn returns the verdict on a submission of an unknown job; Recorded: it may be
+// accepted.
+func (o *Owner) verdictOn(s *submission) Verdict {
+	if o.wasCancelledEarly(*s) {
+		return Verdict{Ruling: Refused, Reason: "the job was cancelled before its submission", RetryAfter: clock.Second}
+	}
+	if verdict := o.admit(s.spec); verdict.Ruling != Recorded {
+		return verdict
+	}
+	return o.admitRateOnce(s)
+}
+
 // refuse refuses a submission.
 func (o *Owner) refuse(s submission, verdict Verdict) {
 	withCustomer(o.options.Log.Info(), s.spec).Str("event", "job_refused").Str("job", string(s.spec.ID)).Str("queue", s.spec.Queue).
@@ -269,7 +281,7 @@
 	}
 	j := o.find(ref)
 	if j == nil {
-		reply(o.notFoundVerdict())
+		reply(o.cancelUnknown(ref))
 		return
 	}
 	if !j.state.Final() {
@@ -286,6 +298,16 @@
 	})
 }
 
+// cancelUnknown returns the verdict on the cancellation of an unknown job, and remembers
+// it if it is final.
+func (o *Owner) cancelUnknown(ref JobRef) Verdict {
+	verdict := o.notFoundVerdict()
+	if verdict.Ruling == NotFound {
+		o.earlyCancels.note(ref, o.now)
+	}
+	return verdict
+}
+
 // notFoundVerdict is the verdict on an unknown job. Only an owner whose
 // ownership was confirmed recently may answer that the job does not exist.
 func (o *Owner) notFoundVerdict() Verdict {
@@ -374,7 +396,7 @@
 	acceptReplies := j.acceptReplies
 	j.acceptReplies = nil
 	for _, reply := range acceptReplies {
-		o.decide(submission{spec: j.spec, reply: reply, at: o.now, rateCounted: true})
+		o.decide(submission{spec: j.spec, reply: reply, at: o.now, arrivedAt: j.submittedAt, rateCounted: true})
 	}
 }
 
--- a/internal/schedule/owner/undecided.go
+++ b/internal/schedule/owner/undecided.go
@@ -19,7 +19,9 @@
 type submission struct {
 	spec  job.Spec
 	reply func(Verdict)
-	at    clock.Millis // when it arrived
+	at    clock.Millis // when it arrived at this owner
+	// arrivedAt is when it arrived at the entry that sent it, or later by the time on the way.
+	arrivedAt clock.Millis
 	// rateRefusal is the refusal for its customer's rate. Its ruling is Recorded while the
 	// rate has not been checked or allows the submission.
 	rateRefusal Verdict
--- a/internal/site/daemon/later_owner_test.go
+++ b/internal/site/daemon/later_owner_test.go
@@ -115,7 +115,7 @@
 		silent.Store(true)
 		time.Sleep(10 * time.Second)
 		begun := time.Now()
-		ruling = run.Submit(ctx, job.Spec{ID: "00000000000000aa", Queue: "q", Steps: []job.Step{{Count: 1, MilliCPU: 1}}}).Ruling
+		ruling = run.Submit(ctx, job.Spec{ID: "00000000000000aa", Queue: "q", Steps: []job.Step{{Count: 1, MilliCPU: 1}}}, 0).Ruling
 		took = time.Since(begun)
 		cancel()
 		if err := group.Wait(); err != nil {
--- a/internal/site/daemon/serve.go
+++ b/internal/site/daemon/serve.go
@@ -247,7 +247,7 @@
 		},
 		Submit: func(ctx context.Context, query peer.SubmitQuery) owner.Verdict {
 			if local := d.owner(); local != nil {
-				return local.Submit(ctx, query.Spec)
+				return local.Submit(ctx, query.Spec, query.Held)
 			}
 			return notOwner
 		},
--- a/internal/site/front/access_test.go
+++ b/internal/site/front/access_test.go
@@ -38,7 +38,7 @@
 		return g.verdict
 	}
 	g.handler = newHandler(&relay.LocalOwner{
-		Submit: func(_ context.Context, spec job.Spec) owner.Verdict { return receive(spec.Customer) },
+		Submit: func(_ context.Context, spec job.Spec, _ clock.Millis) owner.Verdict { return receive(spec.Customer) },
 		Cancel: func(_ context.Context, ref owner.JobRef) owner.Verdict { return receive(ref.Customer) },
 		Lookup: func(_ context.Context, ref owner.JobRef) owner.LookupResult {
 			return owner.LookupResult{Verdict: receive(ref.Customer)}
--- a/internal/site/front/bounded_test.go
+++ b/internal/site/front/bounded_test.go
@@ -28,7 +28,7 @@
 // acceptAll is an owner that accepts each job after a check by accept.
 func acceptAll(accept func(spec job.Spec)) *relay.LocalOwner {
 	return &relay.LocalOwner{
-		Submit: func(_ context.Context, spec job.Spec) owner.Verdict {
+		Submit: func(_ context.Context, spec job.Spec, _ clock.Millis) owner.Verdict {
 			accept(spec)
 			return owner.Verdict{Ruling: owner.Recorded}
 		},
--- a/internal/site/front/front_test.go
+++ b/internal/site/front/front_test.go
@@ -57,7 +57,9 @@
 // Each kind of bad input is answered by an error status with a specific reason.
 func TestServeHTTPBadInput(t *testing.T) {
 	localOwner := &relay.LocalOwner{
-		Submit: func(context.Context, job.Spec) owner.Verdict { return owner.Verdict{Ruling: owner.Recorded} },
+		Submit: func(context.Context, job.Spec, clock.Millis) owner.Verdict {
+			return owner.Verdict{Ruling: owner.Recorded}
+		},
 		Cancel: func(context.Context, owner.JobRef) owner.Verdict {
 			return owner.Verdict{Ruling: owner.NotFound, Reason: "no such job"}
 		},
@@ -105,7 +107,7 @@
 		{Ruling: owner.Unsupported, Reason: "not supported"},
 		{Ruling: owner.NotOwner, Reason: "ownership lost"},
 	} {
-		localOwner := &relay.LocalOwner{Submit: func(context.Context, job.Spec) owner.Verdict { return verdict }}
+		localOwner := &relay.LocalOwner{Submit: func(context.Context, job.Spec, clock.Millis) owner.Verdict { return verdict }}
 		text.WriteString(verdict.Ruling.String() + ": " + exchangeText(newHandler(localOwner, 7), http.MethodPost, "/q/"+id, good))
 	}
 	text.WriteString("no owner: " + exchangeText(newHandler(nil, 7), http.MethodPost, "/q/"+id, good))
--- a/internal/site/relay/relay.go
+++ b/internal/site/relay/relay.go
@@ -51,7 +51,8 @@
 
 // LocalOwner holds the calls of the owner in this process.
 type LocalOwner struct {
-	Submit       func(ctx context.Context, spec job.Spec) owner.Verdict
+	// Submit submits a job, whose submission this entry has held for a time.
+	Submit       func(ctx context.Context, spec job.Spec, held clock.Millis) owner.Verdict
 	Cancel       func(ctx context.Context, ref owner.JobRef) owner.Verdict
 	Lookup       func(ctx context.Context, ref owner.JobRef) owner.LookupResult
 	CountWaiting func(ctx context.Context, queue string) (int, bool)
@@ -99,10 +100,14 @@
 
 // Submit submits a job.
 func (d Client) Submit(ctx context.Context, spec job.Spec) Reply {
+	arrived := d.options.Clock.Now()
+	held := func() clock.Millis { return d.options.Clock.Now() - arrived }
 	return d.send(ctx, verdictQuery(
-		func(ctx context.Context, localOwner *LocalOwner) owner.Verdict { return localOwner.Submit(ctx, spec) },
+		func(ctx context.Context, localOwner *LocalOwner) owner.Verdict {
+			return localOwner.Submit(ctx, spec, held())
+		},
 		func(ctx context.Context, address string) (owner.Verdict, error) {
-			return d.options.Peers.Submit(ctx, address, peer.SubmitQuery{Spec: spec})
+			return d.options.Peers.Submit(ctx, address, peer.SubmitQuery{Spec: spec, Held: held()})
 		},
 	))
 }
--- a/internal/site/relay/relay_test.go
+++ b/internal/site/relay/relay_test.go
@@ -72,8 +72,12 @@
 // query must then be retried with the next owner.
 func TestSubmitRetriesAfterOwnershipLost(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
-		previous := &LocalOwner{Submit: func(context.Context, job.Spec) owner.Verdict { return owner.Verdict{Ruling: owner.NotOwner} }}
-		next := &LocalOwner{Submit: func(context.Context, job.Spec) owner.Verdict { return owner.Verdict{Ruling: owner.Recorded} }}
+		previous := &LocalOwner{Submit: func(context.Context, job.Spec, clock.Millis) owner.Verdict {
+			return owner.Verdict{Ruling: owner.NotOwner}
+		}}
+		next := &LocalOwner{Submit: func(context.Context, job.Spec, clock.Millis) owner.Verdict {
+			return owner.Verdict{Ruling: owner.Recorded}
+		}}
 		tries := 0
 		client := New(Options{
 			Clock:   clock.New(),
@@ -92,3 +96,23 @@
 		}
 	})
 }
+
+// An owner compares the arrival of a submission with that of its cancellation.
+func TestSubmitSaysHowLongItWasHeld(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		var held []clock.Millis
+		rulings := []owner.Ruling{owner.NotOwner, owner.NotOwner, owner.Recorded}
+		local := &LocalOwner{Submit: func(_ context.Context, _ job.Spec, age clock.Millis) owner.Verdict {
+			held = append(held, age)
+			return owner.Verdict{Ruling: rulings[len(held)-1]}
+		}}
+		client := New(Options{
+			Clock: clock.New(), Current: func() ownership.Record { return ownership.Record{Epoch: 1} },
+			LocalOwner: func() *LocalOwner { return local },
+		})
+		client.Submit(t.Context(), job.Spec{})
+		if diff := cmp.Diff([]clock.Millis{0, retryPeriod, 2 * retryPeriod}, held); diff != "" {
+			t.Errorf("time held at each try (-want +got):\n%s", diff)
+		}
+	})
+}
--- a/internal/site/runtime/cell_test.go
+++ b/internal/site/runtime/cell_test.go
@@ -223,7 +223,7 @@
 func (c *cell) submit(ctx context.Context, group *errgroup.Group, longRunning bool) {
 	spec := c.spec(longRunning)
 	group.Go(func() error {
-		c.runtime.Submit(ctx, spec)
+		c.runtime.Submit(ctx, spec, 0)
 		return nil
 	})
 }
--- a/internal/site/runtime/runtime.go
+++ b/internal/site/runtime/runtime.go
@@ -9,7 +9,7 @@
 //	run := runtime.New(options)
 //	err := run.Serve(ctx) // until ownership is lost or the context ends
 //	...
-//	verdict := run.Submit(ctx, spec)
+//	verdict := run.Submit(ctx, spec, held)
 package runtime
 
 import (
@@ -244,9 +244,13 @@
 // caller's context ended.
 var noDecision = owner.Verdict{Ruling: owner.NotOwner, Reason: "the owner did not decide"}
 
-// Submit submits a job to the owner and waits for the verdict.
-func (r *Runtime) Submit(ctx context.Context, spec job.Spec) owner.Verdict {
-	return request(ctx, r, noDecision, func(reply func(owner.Verdict)) { r.stateMachine.Submit(spec, reply) })
+// Submit submits a job, whose submission an entry has held for a time, to the owner and
+// waits for the verdict.
+func (r *Runtime) Submit(ctx context.Context, spec job.Spec, held clock.Millis) owner.Verdict {
+	arrived := r.options.Clock.Now() - held
+	return request(ctx, r, noDecision, func(reply func(owner.Verdict)) {
+		r.stateMachine.SubmitHeld(spec, r.options.Clock.Now()-arrived, reply)
+	})
 }
 
 // Cancel cancels a job and waits for the verdict.
