Ownership: a process of this entry that has ended is evidence

Cause: the next owner waited for every lease that the killed one may have renewed after the fence, also where it was the next process of the same entry and the former had ended.

Fix: the claim names the boot of its machine. A later process of the entry on the same boot, that listens at the same address, knows that the former one has ended: an owner listens until it has stopped owning, and the system closes a listener only with its process. An address or a name alone proves nothing, as before.

The new test failed before: the ownership did not count its predecessor as stopped.

--- a/internal/schedule/owner/unresponsive.go
+++ b/internal/schedule/owner/unresponsive.go
@@ -169,6 +169,8 @@
 	StopReleased    StopEvidence = "released"   // it released the cell
 	StopNotOwning   StopEvidence = "not_owning" // it answered a ping: it knows its epoch, and neither owns nor claims the cell
 	StopPingedOwner StopEvidence = "ping"       // it pinged this entry as the owner of the present epoch
+	// StopProcessEnded: another process of this machine listens at its address.
+	StopProcessEnded StopEvidence = "process_ended"
 )
 
 // PreviousOwnerStopped records that the previous owner no longer grants leases. That
--- a/internal/site/daemon/daemon.go
+++ b/internal/site/daemon/daemon.go
@@ -18,6 +18,7 @@
 	"io"
 	"os"
 	"runtime/debug"
+	"sync"
 	"sync/atomic"
 	"time"
 
@@ -108,6 +109,8 @@
 	previousOwner atomic.Pointer[ownership.PreviousOwner]
 	recentPeers   peerPings
 	knownEntries  knownEntries
+	listening     chan struct{} // closed once this process listens for peers
+	listenOnce    sync.Once
 	leaving       atomic.Bool
 	answersWhere  atomic.Bool // a question of an operator is with the owner
 	tablesBehind  atomic.Bool // the owner's last ping answer had a higher TablesEnd than this entry's
--- a/internal/site/daemon/serve.go
+++ b/internal/site/daemon/serve.go
@@ -234,6 +234,7 @@
 	if err != nil {
 		return fault.New(fault.NotRun, "listen", d.peerAddress(), err)
 	}
+	d.listenOnce.Do(func() { close(d.listening) })
 	server := peer.NewServer(d.options.security(), d.peerHandlers())
 	return server.WithBudget(d.budget).Serve(ctx, listener)
 }
--- a/internal/site/daemon/wire.go
+++ b/internal/site/daemon/wire.go
@@ -202,9 +202,11 @@
 		access:       do.MustInvoke[*access.Guard](injector),
 		roster:       do.MustInvoke[*roster.Watcher](injector),
 		peers:        do.MustInvoke[*peer.Client](injector),
+		listening:    make(chan struct{}),
 	}
 	d.elector = ownership.New(ownership.Options{
 		Cell: cellName, Name: d.settings.Name, Address: d.peerAddress(), Incarnation: newIncarnation(),
+		Machine: machineBoot(), Listening: d.listening,
 		Topic: platform.Topic(ownersTopic), Clock: d.clock, Log: d.store.Log(), Logger: d.logger,
 		Ping: d.ping, OwnerContact: d.peers.OwnerContact, Rank: rank(d.settings.Name), Cores: d.settings.Limits.Cores,
 		RunOwnership: d.runOwnership, RecentPeers: func() []peer.Entry { return d.recentPeers.recent(d.clock.Now()) },
--- a/internal/site/ownership/evidence_test.go
+++ b/internal/site/ownership/evidence_test.go
@@ -16,7 +16,7 @@
 func TestStopEvidence(t *testing.T) {
 	want := map[claimReason]owner.StopEvidence{
 		neverOwned: owner.NeverOwned, released: owner.StopReleased, notOwning: owner.StopNotOwning,
-		previousProcess: owner.NotStopped, otherEpoch: owner.NotStopped,
+		processEnded: owner.StopProcessEnded, previousProcess: owner.NotStopped, otherEpoch: owner.NotStopped,
 		refusesConnections: owner.NotStopped, unresponsive: owner.NotStopped, notLoaded: owner.NotStopped, storeless: owner.NotStopped,
 	}
 	got := map[claimReason]owner.StopEvidence{}
--- a/internal/site/ownership/ownership.go
+++ b/internal/site/ownership/ownership.go
@@ -45,6 +45,7 @@
 	Address     string `cbor:"3,keyasint"` // address of the entry's peer server
 	Incarnation string `cbor:"4,keyasint"` // incarnation of the entry: unique for each process
 	Released    bool   `cbor:"5,keyasint"` // the owner released the cell itself
+	Machine     string `cbor:"6,keyasint,omitempty"` // boot of the machine on which the entry runs; empty: unknown
 }
 
 // PreviousOwner describes the previous owner of a cell to the entry that took over.
@@ -60,7 +61,11 @@
 	Name        string
 	Address     string
 	Incarnation string // incarnation: unique for each process of an entry
-	Topic       string
+	Machine     string // boot of this machine; empty: unknown
+	// Listening is closed once this process listens at Address, which no other process of
+	// this machine does then.
+	Listening <-chan struct{}
+	Topic     string
 	Clock       clock.Clock
 	Log         journal.Log
 	Logger      zerolog.Logger
@@ -212,6 +217,7 @@
 func (e *Elector) claim(ctx context.Context, previous Record, end int64, reason claimReason) {
 	record := Record{
 		Epoch: previous.Epoch + 1, Name: e.options.Name, Address: e.options.Address, Incarnation: e.options.Incarnation,
+		Machine: e.options.Machine,
 	}
 	// Other entries may read the record before its answer arrives here, and ping.
 	e.claimedEpoch.Store(record.Epoch)
--- a/internal/site/ownership/proof_test.go
+++ b/internal/site/ownership/proof_test.go
@@ -113,6 +113,42 @@
 	})
 }
 
+// Guards against a wait of 11.4 s for the leases of an owner whose process was killed and
+// restarted at once: long-running tasks of workers that were lost then stood still.
+func TestEndedProcessOfEntryCountsAsStopped(t *testing.T) {
+	type process struct {
+		machine, address string
+		listens          bool
+	}
+	ended := process{machine: "m", address: "a", listens: true}
+	for name, test := range map[string]struct {
+		second process
+		want   bool
+	}{
+		"same boot and address": {second: ended, want: true},
+		"does not listen":       {second: process{machine: "m", address: "a"}},
+		"other boot":            {second: process{machine: "n", address: "a", listens: true}},
+		"boot unknown":          {second: process{address: "a", listens: true}},
+		"other address":         {second: process{machine: "m", address: "b", listens: true}},
+	} {
+		synctest.Test(t, func(t *testing.T) {
+			r := newTenures()
+			appendRecord(t, r.deployment.store.Log(), Record{Epoch: 4, Name: "a", Address: "a", Incarnation: "a-1", Machine: "m"})
+			e := r.addElector("a", "a-2", 0)
+			e.options.Machine, e.options.Address = test.second.machine, test.second.address
+			listening := make(chan struct{})
+			e.options.Listening = listening
+			if test.second.listens {
+				time.AfterFunc(listenWait.Duration()/2, func() { close(listening) })
+			}
+			r.run(t, 2*time.Second, e)
+			if diff := cmp.Diff([]tenure{{Epoch: 5, Incarnation: "a-2", PreviousStopped: test.want}}, r.list); diff != "" {
+				t.Errorf("%s: ownerships (-want +got):\n%s", name, diff)
+			}
+		})
+	}
+}
+
 // An answer from the record's address with another epoch comes from another process.
 func TestAnswerWithOtherEpochIsNoProof(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
--- a/internal/site/ownership/watch.go
+++ b/internal/site/ownership/watch.go
@@ -30,6 +30,7 @@
 	releaseTimeout    clock.Millis = 800
 	longPollTimeout   clock.Millis = 15 * clock.Second // for one long poll for a newer owner record
 	heardQueryTimeout clock.Millis = 250               // for queries to other entries about the owner
+	listenWait        clock.Millis = 200               // for this process to listen, before a claim after a previous process
 )
 
 // maxHeardQueries bounds the entries queried before an owner is replaced as
@@ -45,6 +46,7 @@
 	neverOwned         claimReason = "no owner yet"
 	released           claimReason = "the owner released the cell"
 	previousProcess    claimReason = "owned by a previous process of this entry"
+	processEnded       claimReason = "owned by a process of this entry that has ended"
 	refusesConnections claimReason = "the owner cannot be reached"
 	notOwning          claimReason = "the owner has restarted"
 	otherEpoch         claimReason = "the owner's entry knows another owner"
@@ -55,7 +57,7 @@
 
 // stopEvidence returns how a reason shows that the previous owner sends no more
 // orders, or NotStopped. That an earlier process of this entry owned the cell shows
-// nothing: it may be ending still.
+// nothing alone: it may be ending still.
 func (r claimReason) stopEvidence() owner.StopEvidence {
 	switch r {
 	case neverOwned:
@@ -64,6 +66,8 @@
 		return owner.StopReleased
 	case notOwning:
 		return owner.StopNotOwning
+	case processEnded:
+		return owner.StopProcessEnded
 	default:
 		return owner.NotStopped
 	}
@@ -79,11 +83,25 @@
 		return e.delayClaim(ctx, released)
 	}
 	if record.Name == e.options.Name && record.Incarnation != e.options.Incarnation {
-		return previousProcess
+		return e.previousProcessReason(ctx, record)
 	}
 	return e.follow(ctx, record)
 }
 
+// previousProcessReason returns the reason to claim a cell that another process of this
+// entry owned. An owner listens at its address until it has stopped owning, and the system
+// closes its listener only when it ends. So it has ended if it ran since the same boot of
+// this machine, and this process listens at the same address.
+func (e *Elector) previousProcessReason(ctx context.Context, record Record) claimReason {
+	if record.Machine == "" || record.Machine != e.options.Machine || record.Address != e.options.Address {
+		return previousProcess
+	}
+	if e.options.Clock.Pause(ctx, listenWait, e.options.Listening) != nil || !isClosed(e.options.Listening) {
+		return previousProcess
+	}
+	return processEnded
+}
+
 // follow pings an owner, and polls concurrently for a newer record.
 func (e *Elector) follow(ctx context.Context, record Record) claimReason {
 	followCtx, cancel := context.WithCancel(ctx)
