Owner: renew leases for 1.5 s without proof, and rely on that

Cause: an owner renewed leases for 6 s after the store's last confirmation, so the next one waited 6 s + lease + drift after its fence for workers that it could not ask: 21.537 lease_lapsed evidence=renew_window evidence_age_ms=11402

Fix: leases are renewed for 1.5 s after the last proof that there was no later owner. The store's confirmation is one proof, the answers of all other entries are another, so outages of the store cost no more while entries answer; 6 s stay the limit. The owner writes its window beside its claim, and an entry that it has answered, which it therefore asks, waits 6.9 s. Any other entry waits 11.4 s as before.

The harness of some tests lets seconds pass without an append, as if the store were silent; its reports now come with the answers of the other entries.

--- a/internal/schedule/owner/colocate_test.go
+++ b/internal/schedule/owner/colocate_test.go
@@ -69,8 +69,11 @@
 	return b
 }
 
-// report sends a worker's report with the usage that the test gives its runs.
+// report sends a worker's report with the usage that the test gives its runs. The other
+// entries know no later owner, so leases are granted although time has passed without an
+// append.
 func (b *ownerHarness) report(id string, usage func(task job.Task) int64) {
+	b.owner.NoLaterOwner(b.now)
 	report := fleet.Report{ClockMS: int64(b.now), Incarnation: 1}
 	for task, run := range b.runs[id] {
 		report.Running = append(report.Running, fleet.Run{Task: task, Run: run, Usage: usage(task), Percent: int(b.now/10) % 100})
--- a/internal/schedule/owner/lease.go
+++ b/internal/schedule/owner/lease.go
@@ -87,7 +87,7 @@
 	holdsMissed                    // it misses holds
 	workerListed                   // it is unresponsive, so the next owner may end its runs after the recorded time
 	delistingUnrecorded            // the recorded list of unresponsive workers names it, or one that may be recorded yet
-	renewWindowOver                // the store has not confirmed the ownership for RenewWindow, after which a later owner may count the leases as expired
+	renewWindowOver                // a later owner may exist and count the leases as expired
 )
 
 func (b leaseBlock) String() string {
@@ -107,12 +107,22 @@
 		return workerListed
 	case !o.isDelistingRecorded(w):
 		return delistingUnrecorded
-	case o.now-o.ownershipConfirmedAt >= o.options.Times.RenewWindow:
+	case !o.inRenewWindow():
 		return renewWindowOver
 	}
 	return leaseAllowed
 }
 
+// inRenewWindow reports whether leases may be renewed. The store's confirmation of an
+// append proves that no later owner had fenced this one when it was sent. So do the answers
+// of all other entries, for a later owner that is one of them. Any other later owner waits
+// for the leases that are renewed until RenewLimit.
+func (o *Owner) inRenewWindow() bool {
+	t := o.options.Times
+	proven := max(o.ownershipConfirmedAt, o.noLaterOwnerAt)
+	return o.now-proven < t.RenewWindow && o.now-o.ownershipConfirmedAt < t.RenewLimit
+}
+
 // grantLease returns the end of a lease granted now, on the worker's clock, and
 // records it in the worker's state. leaseBlock must allow it.
 func (o *Owner) grantLease(w *worker) int64 {
--- a/internal/schedule/owner/lease_invariants_test.go
+++ b/internal/schedule/owner/lease_invariants_test.go
@@ -86,13 +86,13 @@
 	}
 	if rest, listed := sim.audit.rest[to.ID]; listed {
 		from := sim.now
-		if fencedAt, fenced := sim.nextFence(sim.audit.restEpoch); fenced {
-			from = fencedAt
+		if next := sim.nextFenced(sim.audit.restEpoch); next != nil {
+			from = next.fencedAt
 		}
 		sim.checkPromise(to.ID, granted, from+rest, recordedRest)
 	}
-	if fencedAt, fenced := sim.nextFence(s.epoch); fenced {
-		sim.checkPromise(to.ID, granted, fencedAt+s.owner.previousOwnerLeaseSpan(), renewWindow)
+	if next := sim.nextFenced(s.epoch); next != nil {
+		sim.checkPromise(to.ID, granted, next.fencedAt+s.owner.renewedLeaseSpan(sim.relyOn(next)), renewWindow)
 	}
 }
 
@@ -103,14 +103,24 @@
 	}
 }
 
-// nextFence returns when the first owner after an epoch fenced the earlier ones.
-func (sim *simulation) nextFence(epoch int64) (clock.Millis, bool) {
+// nextFenced returns the first owner after an epoch that has fenced the earlier ones, or
+// nil.
+func (sim *simulation) nextFenced(epoch int64) *simOwner {
 	for _, later := range sim.owners[epoch:] {
 		if later.fencedAt != 0 {
-			return later.fencedAt, true
+			return later
 		}
 	}
-	return 0, false
+	return nil
+}
+
+// relyOn returns the window for which an owner may assume that earlier owners renewed
+// leases after its fence.
+func (sim *simulation) relyOn(s *simOwner) clock.Millis {
+	if s.newEntry {
+		return sim.times.RenewLimit
+	}
+	return sim.reliedWindow()
 }
 
 // auditRecords takes the list of unresponsive workers that has become durable. No
--- a/internal/schedule/owner/load.go
+++ b/internal/schedule/owner/load.go
@@ -55,6 +55,7 @@
 	o.options.Log.Info().Str("event", "state_loaded").Int64("epoch", o.options.Epoch).
 		Int("records", len(records)).Int("jobs", len(o.jobs)).Int("runs", runs).
 		Int64("since_claim_ms", int64(o.now-o.claimedAt)).Int64("read_ms", int64(age(o.fencedAt, o.now))).
+		Int64("previous_renew_window_ms", int64(o.options.PreviousRenewWindow)).Int64("previous_lease_span_ms", int64(o.previousOwnerLeaseSpan())).
 		Int64("list_epoch", o.loadedList.epoch).Int("list_workers", o.loadedList.workers).
 		Int64("least_rest_ms", int64(o.loadedList.leastRest)).Int64("most_rest_ms", int64(o.loadedList.mostRest)).Send()
 	o.noteAttemptsOfJobs()
--- a/internal/schedule/owner/reserve_test.go
+++ b/internal/schedule/owner/reserve_test.go
@@ -222,8 +222,9 @@
 	}
 }
 
-// reportPercent reports that the worker's run is partly done.
+// reportPercent reports that the worker's run is partly done. No other entry knows a later owner.
 func (b *ownerHarness) reportPercent(w *worker, percent int) {
+	b.owner.NoLaterOwner(b.now)
 	report := fleet.Report{ClockMS: int64(b.now), Incarnation: 1}
 	for _, r := range w.sortedRuns() {
 		report.Running = append(report.Running, fleet.Run{Task: r.task.key(), Run: r.runNumber, Percent: percent})
--- a/internal/schedule/owner/simulation_takeover_test.go
+++ b/internal/schedule/owner/simulation_takeover_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"slices"
 	"testing"
 
 	"github.com/google/go-cmp/cmp"
@@ -93,6 +94,28 @@
 	return previous.down || sim.drawTakeover != nil && previous.resigned
 }
 
+// previousRenewWindow returns the window for which the previous owner renews leases
+// without asking the entry of an owner, or 0 if it does not know that entry.
+func (sim *simulation) previousRenewWindow(s *simOwner) clock.Millis {
+	if s.epoch < 2 || s.newEntry {
+		return 0
+	}
+	return sim.reliedWindow()
+}
+
+// reliedWindow is the renew window that owners write beside their claims.
+func (sim *simulation) reliedWindow() clock.Millis {
+	if sim.claimedWindow != 0 {
+		return sim.claimedWindow
+	}
+	return sim.times.RenewWindow
+}
+
+// followsLaterOwner reports whether an entry that an owner asks knows a later one.
+func (sim *simulation) followsLaterOwner(s *simOwner) bool {
+	return slices.ContainsFunc(sim.owners[s.epoch:], func(later *simOwner) bool { return !later.newEntry })
+}
+
 // drawSteps draws the steps of a takeover, most of them short.
 func (sim *simulation) drawSteps() takeoverSteps {
 	return takeoverSteps{fence: sim.drawStep(), load: sim.drawStep(), firstTick: sim.drawStep()}
--- a/internal/schedule/owner/simulation_test.go
+++ b/internal/schedule/owner/simulation_test.go
@@ -45,6 +45,11 @@
 	storeDown bool
 	limits    journal.Limits // of the store and of each append; zero: none, and the defaults for owners
 
+	// other entries
+	drawNewEntry  func() bool  // whether earlier owners do not know an owner's entry; nil: never
+	entriesSilent bool         // they do not answer an owner's queries
+	claimedWindow clock.Millis // renew window that owners claim to keep; 0: that of times
+
 	// times between steps that are one instant by default
 	drawTakeover func() takeoverSteps // steps of a takeover; nil: at one instant
 	drawAppend   func() appendTimes   // nil: defaultAppendTimes
@@ -105,6 +110,7 @@
 	pauseLength      clock.Millis
 	down             bool
 	resigned         bool
+	newEntry         bool                    // earlier owners do not know its entry, so they cannot ask it
 	loaded           bool                    // the recorded state is loaded
 	claimedAt        clock.Millis            // when it claimed the cell
 	fencedAt         clock.Millis            // when the store accepted its fence; 0: not yet
@@ -186,11 +192,12 @@
 func (sim *simulation) simOwner() *simOwner {
 	sim.claims++
 	s := &simOwner{epoch: sim.claims, claimedAt: sim.now, directUntil: map[string]clock.Millis{}}
+	s.newEntry = sim.drawNewEntry != nil && sim.drawNewEntry()
 	sim.owners = append(sim.owners, s)
 	s.owner = New(Options{
 		Epoch: s.epoch, Now: func() clock.Millis { return sim.now }, WallClock: func() int64 { return 1_700_000_000_000 + int64(sim.now) },
 		Times: sim.times, Limits: sim.limits, Log: sim.logOf(s).With().Int64("epoch", s.epoch).Logger(), Metrics: NewMetrics(metrics.NewSet()),
-		Effects: sim.effects(s),
+		Effects: sim.effects(s), PreviousRenewWindow: sim.previousRenewWindow(s),
 	})
 	if sim.limits.RecordBytes > 0 {
 		s.owner.undividedBytes = dividedAbove
@@ -233,7 +240,7 @@
 	if sim.drawTakeover != nil && sim.previousOwnerStopped(s) {
 		s.owner.PreviousOwnerStopped(StopReleased)
 	}
-	if sim.claims == s.epoch {
+	if !sim.entriesSilent && !sim.followsLaterOwner(s) {
 		s.owner.NoLaterOwner(sim.now) // the other entries answer its queries
 	}
 	s.owner.Tick()
--- a/internal/schedule/owner/times.go
+++ b/internal/schedule/owner/times.go
@@ -6,7 +6,8 @@
 type Times struct {
 	LongestLease   clock.Millis // that workers accept; a longer one is cut to it
 	Lease          clock.Millis // length of a lease, granted anew with each renewal; bounds how long the tasks of a lost worker wait
-	RenewWindow    clock.Millis // how long after the store's last confirmation of the ownership leases are renewed
+	RenewWindow    clock.Millis // how long after the last proof that there was no later owner leases are renewed; the next owner may rely on it
+	RenewLimit     clock.Millis // how long after the store's last confirmation of the ownership leases are renewed at most
 	ClockSlack     clock.Millis // added to the end of a lease when it is compared with the estimate of a worker's clock
 	HoldWait       clock.Millis // wait of a hold for a run to end, on a worker that has runs and enough headroom
 	ReportGap      clock.Millis // least time between a report and the next hold; batches ends
@@ -32,7 +33,8 @@
 	return Times{
 		LongestLease:   longestLease,
 		Lease:          min(5*clock.Second, longestLease),
-		RenewWindow:    6 * clock.Second,
+		RenewWindow:    1500,
+		RenewLimit:     6 * clock.Second,
 		ClockSlack:     300,
 		HoldWait:       800,
 		ReportGap:      25,
--- a/internal/schedule/owner/unresponsive.go
+++ b/internal/schedule/owner/unresponsive.go
@@ -81,11 +81,22 @@
 }
 
 // previousOwnerLeaseSpan is how long after the fence a run may continue, under leases of
-// a previous owner. That owner may renew ordinary leases for the renew window. It sends no
-// start after the fence, so the longest leases are counted from there.
+// previous owners. The directly preceding one renews leases for the window that it
+// recorded, if it could ask this entry for a later owner. What an owner before it renews is
+// bounded by its list; without that list, only the longest window is certain.
 func (o *Owner) previousOwnerLeaseSpan() clock.Millis {
-	t := o.options.Times
-	return max(t.RenewWindow+o.slowClockSpan(t.Lease), o.longestLeaseSpan())
+	window := o.options.Times.RenewLimit
+	if o.unresponsiveListCurrent && o.options.PreviousRenewWindow > 0 {
+		window = min(window, o.options.PreviousRenewWindow)
+	}
+	return o.renewedLeaseSpan(window)
+}
+
+// renewedLeaseSpan is how long after the fence leases can last that the previous owner
+// renews for a window. It sends no start after the fence, so the longest leases are counted
+// from there.
+func (o *Owner) renewedLeaseSpan(window clock.Millis) clock.Millis {
+	return max(window+o.slowClockSpan(o.options.Times.Lease), o.longestLeaseSpan())
 }
 
 // longestLeaseSpan is how long a lease can last that any order has granted. The end of a
--- a/internal/site/daemon/daemon.go
+++ b/internal/site/daemon/daemon.go
@@ -172,6 +172,11 @@
 	}
 }
 
+// ownerTimes returns the times of an owner on this platform.
+func (d *Daemon) ownerTimes() owner.Times {
+	return owner.DefaultTimes(d.settings.Bounds.MaxLease, d.settings.Bounds.StatusKept)
+}
+
 // runOwnership runs the owner's runtime, its pool of links and, without
 // Options.Standalone, the roster, until the context ends.
 func (d *Daemon) runOwnership(ctx context.Context, epoch int64, previousOwner ownership.PreviousOwner) error {
@@ -180,10 +185,11 @@
 		Epoch: epoch, Topic: platform.Topic(cellTopic), Clock: d.clock, Log: d.store.Log(),
 		Limits:     d.settings.Store.Limits(),
 		Dispatcher: pool.Dispatch(),
-		Times:      owner.DefaultTimes(d.settings.Bounds.MaxLease, d.settings.Bounds.StatusKept),
+		Times:      d.ownerTimes(),
 		Cores:      d.settings.Limits.Cores, AdmitBytes: d.budget.Jobs.Admit, StartsAtOnce: platform.StartsAtOnce(d.budget.Limits().WorkerConnections),
 		Logger: d.logger, Metrics: d.ownerMetrics, Tables: d.tables.Since, Workers: d.listWorkers(pool),
 		PreviousOwner: previousOwner.Name, PreviousOwnerStopped: previousOwner.Stopped,
+		PreviousRenewWindow: previousOwner.RenewWindow,
 	})
 	d.previousOwner.Store(&previousOwner)
 	d.localOwner.Store(run)
--- a/internal/site/ownership/ownership.go
+++ b/internal/site/ownership/ownership.go
@@ -41,11 +41,13 @@
 // Record names the owner of a cell, as stored in the owners' topic.
 type Record struct {
 	Epoch       int64  `cbor:"1,keyasint"`
-	Name        string `cbor:"2,keyasint"` // entry name
-	Address     string `cbor:"3,keyasint"` // address of the entry's peer server
-	Incarnation string `cbor:"4,keyasint"` // incarnation of the entry: unique for each process
-	Released    bool   `cbor:"5,keyasint"` // the owner released the cell itself
+	Name        string `cbor:"2,keyasint"`           // entry name
+	Address     string `cbor:"3,keyasint"`           // address of the entry's peer server
+	Incarnation string `cbor:"4,keyasint"`           // incarnation of the entry: unique for each process
+	Released    bool   `cbor:"5,keyasint"`           // the owner released the cell itself
 	Machine     string `cbor:"6,keyasint,omitempty"` // boot of the machine on which the entry runs; empty: unknown
+	// RenewWindow is that of the owner's times; 0: unknown.
+	RenewWindow clock.Millis `cbor:"7,keyasint,omitempty"`
 }
 
 // PreviousOwner describes the previous owner of a cell to the entry that took over.
@@ -53,6 +55,7 @@
 	Name        string // entry name
 	Incarnation string
 	Stopped     owner.StopEvidence // what makes it certain that it sends no more orders; NotStopped if nothing does
+	RenewWindow clock.Millis       // for which it renews leases without asking this entry for a later owner; 0: unknown
 }
 
 // Options configures an Elector.
@@ -60,15 +63,16 @@
 	Cell        string
 	Name        string
 	Address     string
-	Incarnation string // incarnation: unique for each process of an entry
-	Machine     string // boot of this machine; empty: unknown
+	Incarnation string       // incarnation: unique for each process of an entry
+	Machine     string       // boot of this machine; empty: unknown
+	RenewWindow clock.Millis // of the times of this entry's owner
 	// Listening is closed once this process listens at Address, which no other process of
 	// this machine does then.
 	Listening <-chan struct{}
 	Topic     string
-	Clock       clock.Clock
-	Log         journal.Log
-	Logger      zerolog.Logger
+	Clock     clock.Clock
+	Log       journal.Log
+	Logger    zerolog.Logger
 	// Ping pings the owner.
 	Ping func(ctx context.Context, address string, query peer.PingQuery) (peer.PingAnswer, error)
 	// OwnerContact queries another entry for the time since the owner answered it.
@@ -217,8 +221,9 @@
 func (e *Elector) claim(ctx context.Context, previous Record, end int64, reason claimReason) {
 	record := Record{
 		Epoch: previous.Epoch + 1, Name: e.options.Name, Address: e.options.Address, Incarnation: e.options.Incarnation,
-		Machine: e.options.Machine,
+		Machine: e.options.Machine, RenewWindow: e.options.RenewWindow,
 	}
+	known := e.knownToOwner(previous)
 	// Other entries may read the record before its answer arrives here, and ping.
 	e.claimedEpoch.Store(record.Epoch)
 	defer e.claimedEpoch.Store(0)
@@ -231,7 +236,22 @@
 		return
 	}
 	e.recordOwner(record)
-	e.runOwnership(ctx, record, answer.End, PreviousOwner{Name: previous.Name, Incarnation: previous.Incarnation, Stopped: reason.stopEvidence()}, e.tenureFor(reason))
+	former := PreviousOwner{Name: previous.Name, Incarnation: previous.Incarnation, Stopped: reason.stopEvidence()}
+	if known {
+		former.RenewWindow = previous.RenewWindow
+	}
+	e.runOwnership(ctx, record, answer.End, former, e.tenureFor(reason))
+}
+
+// knownFor is how long after its last answer an owner surely knows an entry. It forgets
+// entries later than that.
+const knownFor clock.Millis = 5 * clock.Minute
+
+// knownToOwner reports whether the owner of a record has answered a ping of this process,
+// so that it asks this entry before it concludes that there is no later owner.
+func (e *Elector) knownToOwner(record Record) bool {
+	age := e.OwnerContactAge(record.Epoch)
+	return age >= 0 && age < knownFor
 }
 
 // runOwnership runs an ownership until it ends, and then appends its release. It
--- a/internal/site/ownership/proof_test.go
+++ b/internal/site/ownership/proof_test.go
@@ -226,3 +226,29 @@
 		}
 	})
 }
+
+// An entry that the owner has answered is asked by it for a later owner, so the owner's
+// renew window holds for that entry, and for no other.
+func TestRenewWindowOfOwnerThatKnowsTheEntry(t *testing.T) {
+	const window clock.Millis = 1500
+	got := map[string]clock.Millis{}
+	for name, heard := range map[string]bool{"answered": true, "never answered": false} {
+		synctest.Test(t, func(t *testing.T) {
+			r := newTenures()
+			first := r.addElector("a", "a", 0)
+			first.options.RenewWindow = window
+			second := r.addElector("b", "b", 0.1)
+			inner := second.options.RunOwnership
+			second.options.RunOwnership = func(ctx context.Context, epoch int64, previous PreviousOwner) error {
+				got[name] = previous.RenewWindow
+				return inner(ctx, epoch, previous)
+			}
+			r.deployment.update(func() { r.deployment.cut[[2]string{"b", "a"}] = !heard })
+			time.AfterFunc(2*time.Second, func() { r.deployment.update(func() { r.deployment.hung["a"] = true }) })
+			r.run(t, 6*time.Second, first, second)
+		})
+	}
+	if diff := cmp.Diff(map[string]clock.Millis{"answered": window, "never answered": 0}, got); diff != "" {
+		t.Errorf("renew window of the previous owner (-want +got):\n%s", diff)
+	}
+}
--- a/internal/site/runtime/runtime.go
+++ b/internal/site/runtime/runtime.go
@@ -65,6 +65,8 @@
 	PreviousOwner string
 	// PreviousOwnerStopped is what shows that it has stopped acting, if anything does.
 	PreviousOwnerStopped owner.StopEvidence
+	// PreviousRenewWindow is the same as in owner.Options.
+	PreviousRenewWindow clock.Millis
 }
 
 // Tables is one version of the operators' tables.
@@ -105,7 +107,7 @@
 		loaded:   make(chan struct{}),
 	}
 	r.stateMachine = owner.New(owner.Options{
-		Epoch: options.Epoch, PreviousOwner: options.PreviousOwner, Now: options.Clock.Now,
+		Epoch: options.Epoch, PreviousOwner: options.PreviousOwner, PreviousRenewWindow: options.PreviousRenewWindow, Now: options.Clock.Now,
 		WallClock: func() int64 { return time.Now().UnixMilli() },
 		Limits:    options.Limits,
 		Times:     options.Times, Cores: options.Cores, Log: options.Logger, Metrics: options.Metrics, AdmitBytes: options.AdmitBytes, StartsAtOnce: options.StartsAtOnce,
