Owner: wait for the renew window that the previous owner recorded, also a longer one

The next owner cut the recorded window to its own renew limit of 6 s. An owner of a version with a longer window would have renewed leases beyond that wait, and a task could have run twice.

--- a/internal/schedule/owner/renew_window_test.go
+++ b/internal/schedule/owner/renew_window_test.go
@@ -53,6 +53,18 @@
 	}
 }
 
+// An owner of a later version may renew leases for longer.
+func TestNextOwnerWaitsForRecordedWindow(t *testing.T) {
+	first := newOwnerWithRun(t)
+	window := first.owner.options.Times.RenewLimit + clock.Second
+	next := newManualOwner(t, 2, first.now)
+	next.owner.options.PreviousRenewWindow = window
+	next.load(first)
+	if took, want := next.timeToEnd(first.now), first.owner.renewedLeaseSpan(window); took < want {
+		t.Errorf("run ended %d ms after the fence, want at least %d", took, want)
+	}
+}
+
 // While the store is silent, leases are renewed for as long as all other entries answer
 // that they know no later owner, up to a limit.
 func TestLeasesAreRenewedOnProofOfOtherEntries(t *testing.T) {
--- a/internal/schedule/owner/unresponsive.go
+++ b/internal/schedule/owner/unresponsive.go
@@ -85,11 +85,10 @@
 // recorded, if it could ask this entry for a later owner. What an owner before it renews is
 // bounded by its list; without that list, only the longest window is certain.
 func (o *Owner) previousOwnerLeaseSpan() clock.Millis {
-	window := o.options.Times.RenewLimit
 	if o.unresponsiveListCurrent && o.options.PreviousRenewWindow > 0 {
-		window = min(window, o.options.PreviousRenewWindow)
+		return o.renewedLeaseSpan(o.options.PreviousRenewWindow)
 	}
-	return o.renewedLeaseSpan(window)
+	return o.renewedLeaseSpan(o.options.Times.RenewLimit)
 }
 
 // renewedLeaseSpan is how long after the fence leases can last that the previous owner
